Add the host's entry path: callers, batches, connections to upstreams

Cause: the request path needs its frame before the decisions plug into it. Statements run in batches (a simple query, or extended messages to a Sync); named statements are prepared on a connection when it lacks them; BEGIN is sent with the first statement, so that idle transactions hold no connection. Ruled out: relaying bytes both ways, since an answer to a write must wait for its acknowledgement. Measured: builds and vets only; no caller has run through it yet.

--- /dev/null
+++ b/fleet/route/doc.go
@@ -0,0 +1,2 @@
+// Package route classifies statements and chooses the upstream that runs one.
+package route
--- /dev/null
+++ b/host/entry/batch.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"tamarackshunt.dev/fleet/route"
+	"tamarackshunt.dev/host/upstream"
+)
+
+// statement is a caller's prepared statement.
+type statement struct {
+	sql  string
+	oids []uint32
+	kind route.Kind
+	// name under which upstreams prepare it; callers with the same text share it.
+	name string
+}
+
+func newStatement(sql string, oids []uint32) *statement {
+	digest := sha256.New()
+	digest.Write([]byte(sql))
+	for _, oid := range oids {
+		digest.Write(binary.BigEndian.AppendUint32(nil, oid))
+	}
+	sum := digest.Sum(nil)
+	return &statement{sql: sql, oids: oids, kind: route.Classify(sql), name: "ts" + hex.EncodeToString(sum[:16])}
+}
+
+// unknownPrefix keeps a caller's unknown statement name from matching a statement of the host on a connection.
+const unknownPrefix = "unknown "
+
+// batch is what a caller sent up to a Query, a Sync or a Flush.
+type batch struct {
+	messages []pgproto3.FrontendMessage
+	// statements gives the prepared statement that the message at an index refers to.
+	statements map[int]*statement
+	kind       route.Kind
+	// runs is set when the batch executes something rather than only preparing it.
+	runs bool
+	// query is the text of a batch that is one simple query.
+	query string
+	// flush is set when the batch ends with Flush, so that more of it follows.
+	flush bool
+}
+
+func (b *batch) note(kind route.Kind) {
+	if !b.runs {
+		b.kind = kind
+	} else {
+		b.kind = route.Strictest(b.kind, kind)
+	}
+	b.runs = true
+}
+
+func (b *batch) add(message pgproto3.FrontendMessage, refers *statement) {
+	if refers != nil {
+		if b.statements == nil {
+			b.statements = make(map[int]*statement)
+		}
+		b.statements[len(b.messages)] = refers
+	}
+	b.messages = append(b.messages, message)
+}
+
+// answer says which messages of the upstream end the answer to one message.
+type answer int
+
+const (
+	answerParse answer = iota
+	answerBind
+	answerDescribeStatement
+	answerDescribePortal
+	answerExecute
+	answerClose
+	answerReady
+	answerNothing
+	answerLocal
+)
+
+// step is one message of a batch as it is sent to a particular connection.
+type step struct {
+	message pgproto3.FrontendMessage
+	answer  answer
+	// hide keeps the answer from the caller, who did not send the message.
+	hide bool
+	// local is the answer to a message that needs no upstream.
+	local pgproto3.BackendMessage
+	// prepares is the statement that the connection has once the step is answered.
+	prepares *statement
+	named    bool
+}
+
+// plan turns a batch into steps for a connection: statements it lacks are prepared first.
+func (b *batch) plan(conn *upstream.Conn) []step {
+	p := planner{conn: conn, pending: make(map[string]bool), unnamed: conn.Unnamed()}
+	for i, message := range b.messages {
+		p.add(message, b.statements[i])
+	}
+	return p.steps
+}
+
+type planner struct {
+	conn    *upstream.Conn
+	pending map[string]bool
+	unnamed string
+	steps   []step
+}
+
+func (p *planner) add(message pgproto3.FrontendMessage, refers *statement) {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		p.addParse(m, refers)
+	case *pgproto3.Bind:
+		bind := *m
+		bind.PreparedStatement = p.ensure(m.PreparedStatement, refers)
+		p.steps = append(p.steps, step{message: &bind, answer: answerBind})
+	case *pgproto3.Describe:
+		p.addDescribe(m, refers)
+	case *pgproto3.Execute:
+		p.steps = append(p.steps, step{message: m, answer: answerExecute})
+	case *pgproto3.Close:
+		p.addClose(m)
+	case *pgproto3.Query, *pgproto3.Sync:
+		p.steps = append(p.steps, step{message: m, answer: answerReady})
+	case *pgproto3.Flush:
+		p.steps = append(p.steps, step{message: m, answer: answerNothing})
+	}
+}
+
+func (p *planner) addParse(m *pgproto3.Parse, refers *statement) {
+	if m.Name == "" {
+		p.steps = append(p.steps, step{message: m, answer: answerParse, prepares: refers})
+		p.unnamed = refers.name
+		return
+	}
+	if p.has(refers) {
+		p.steps = append(p.steps, step{answer: answerLocal, local: &pgproto3.ParseComplete{}})
+		return
+	}
+	p.prepare(refers, false)
+}
+
+func (p *planner) addDescribe(m *pgproto3.Describe, refers *statement) {
+	if m.ObjectType == 'P' {
+		p.steps = append(p.steps, step{message: m, answer: answerDescribePortal})
+		return
+	}
+	describe := &pgproto3.Describe{ObjectType: 'S', Name: p.ensure(m.Name, refers)}
+	p.steps = append(p.steps, step{message: describe, answer: answerDescribeStatement})
+}
+
+func (p *planner) addClose(m *pgproto3.Close) {
+	if m.ObjectType == 'S' {
+		// Other callers may use the same statement on the connection, so only the caller's name for it ends.
+		p.steps = append(p.steps, step{answer: answerLocal, local: &pgproto3.CloseComplete{}})
+		return
+	}
+	p.steps = append(p.steps, step{message: m, answer: answerClose})
+}
+
+// ensure makes the connection have a statement and returns its name there.
+func (p *planner) ensure(callerName string, refers *statement) string {
+	if refers == nil {
+		return unknownPrefix + callerName
+	}
+	if callerName == "" {
+		if p.unnamed != refers.name {
+			parse := &pgproto3.Parse{Query: refers.sql, ParameterOIDs: refers.oids}
+			p.steps = append(p.steps, step{message: parse, answer: answerParse, hide: true, prepares: refers})
+			p.unnamed = refers.name
+		}
+		return ""
+	}
+	if !p.has(refers) {
+		p.prepare(refers, true)
+	}
+	return refers.name
+}
+
+func (p *planner) has(s *statement) bool {
+	return p.conn.Prepared(s.name) || p.pending[s.name]
+}
+
+func (p *planner) prepare(s *statement, hide bool) {
+	parse := &pgproto3.Parse{Name: s.name, Query: s.sql, ParameterOIDs: s.oids}
+	p.steps = append(p.steps, step{message: parse, answer: answerParse, hide: hide, prepares: s, named: true})
+	p.pending[s.name] = true
+}
--- /dev/null
+++ b/host/entry/caller.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/route"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/upstream"
+)
+
+const (
+	// startupTimeout bounds the time in which a caller must have shown its key.
+	startupTimeout = 10 * time.Second
+	// maxMessage bounds one message of a caller, so that a length field cannot make the host run out of memory.
+	maxMessage = 8 << 20
+	// maxBatch bounds what a caller may send before a Sync.
+	maxBatch = 4096
+	// drainTime is how long the host reads on after its last answer, so that a reset does not destroy that answer.
+	drainTime = 100 * time.Millisecond
+)
+
+// caller serves one connection of a caller.
+type caller struct {
+	server  *Server
+	socket  net.Conn
+	backend *pgproto3.Backend
+	pid     uint32
+	secret  []byte
+	session ident.Session
+	route   member.Route
+	key     credential
+
+	statements map[string]*statement
+	portals    map[string]*statement
+	// registered holds the names of statements that the current batch made, which go when the batch fails.
+	registered []string
+	settings   settings
+
+	// lazy is a BEGIN that was answered here and goes to an upstream with the next statement.
+	lazy *lazyBegin
+	// held is the connection of the open transaction.
+	held    *upstream.Conn
+	target  member.Target
+	release func()
+	// unsynced is set while the held connection has messages without their Sync.
+	unsynced bool
+	// failed is set between an error in a flushed batch and the next Sync.
+	failed bool
+	active atomic.Pointer[upstream.Conn]
+	// idle is set while the caller waits outside a transaction, when a shutdown may end it.
+	idle atomic.Bool
+}
+
+type lazyBegin struct {
+	sql      string
+	readOnly bool
+}
+
+func (c *caller) serve(ctx context.Context) {
+	defer c.close()
+	if err := c.start(ctx); err != nil {
+		c.reject(err)
+		return
+	}
+	for {
+		b, err := c.receive()
+		if err != nil {
+			c.endReceive(err)
+			return
+		}
+		if b == nil {
+			return
+		}
+		if err := c.run(ctx, b); err != nil {
+			c.reject(err)
+			return
+		}
+	}
+}
+
+// receive collects the next batch; nil means that the caller said goodbye.
+func (c *caller) receive() (*batch, error) {
+	b := &batch{}
+	for {
+		message, err := c.next(len(b.messages) == 0)
+		if err != nil {
+			return nil, err
+		}
+		if c.failed {
+			if _, isSync := message.(*pgproto3.Sync); !isSync {
+				continue
+			}
+		}
+		ended, err := c.collect(b, message)
+		if err != nil || ended {
+			return b, err
+		}
+		if _, isTerminate := message.(*pgproto3.Terminate); isTerminate {
+			return nil, nil
+		}
+		if len(b.messages) > maxBatch {
+			return nil, &Rejection{Code: "54000", Message: "too many messages before a Sync", Fatal: true}
+		}
+	}
+}
+
+// next receives one message; outside a transaction and a batch a shutdown may end the wait.
+func (c *caller) next(first bool) (pgproto3.FrontendMessage, error) {
+	if first && c.held == nil && c.lazy == nil {
+		c.idle.Store(true)
+		if c.server.draining.Load() {
+			return nil, errShutdown
+		}
+		defer c.idle.Store(false)
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return clone(message)
+}
+
+// clone copies a message, since the backend uses its memory again.
+func clone(message pgproto3.FrontendMessage) (pgproto3.FrontendMessage, error) {
+	var copied pgproto3.FrontendMessage
+	switch message.(type) {
+	case *pgproto3.Query:
+		copied = &pgproto3.Query{}
+	case *pgproto3.Parse:
+		copied = &pgproto3.Parse{}
+	case *pgproto3.Bind:
+		copied = &pgproto3.Bind{}
+	case *pgproto3.Describe:
+		copied = &pgproto3.Describe{}
+	case *pgproto3.Execute:
+		copied = &pgproto3.Execute{}
+	case *pgproto3.Close:
+		copied = &pgproto3.Close{}
+	default:
+		return message, nil
+	}
+	buf, err := message.Encode(nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	const header = 5 // type byte and length
+	return copied, trace.Wrap(copied.Decode(buf[header:]))
+}
+
+// collect adds a message to a batch and reports whether the batch has ended.
+func (c *caller) collect(b *batch, message pgproto3.FrontendMessage) (bool, error) {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		b.query = m.String
+		b.note(route.Classify(m.String))
+		b.add(m, nil)
+		return true, nil
+	case *pgproto3.Sync:
+		b.add(m, nil)
+		return true, nil
+	case *pgproto3.Flush:
+		b.flush = true
+		b.add(m, nil)
+		return true, nil
+	case *pgproto3.Parse:
+		s := newStatement(m.Query, m.ParameterOIDs)
+		c.statements[m.Name] = s
+		c.registered = append(c.registered, m.Name)
+		b.add(m, s)
+	case *pgproto3.Bind:
+		s := c.statements[m.PreparedStatement]
+		if s == nil && c.held == nil {
+			return false, c.unknownStatement(b, m.PreparedStatement)
+		}
+		c.portals[m.DestinationPortal] = s
+		b.add(m, s)
+	case *pgproto3.Describe:
+		return false, c.collectDescribe(b, m)
+	case *pgproto3.Execute:
+		if s := c.portals[m.Portal]; s != nil {
+			b.note(s.kind)
+		} else {
+			b.note(route.Write)
+		}
+		b.add(m, nil)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.statements, m.Name)
+		}
+		b.add(m, nil)
+	case *pgproto3.Terminate:
+		return false, nil
+	default:
+		return false, &Rejection{Code: "0A000", Message: "this message is not supported", Fatal: true}
+	}
+	return false, nil
+}
+
+func (c *caller) collectDescribe(b *batch, m *pgproto3.Describe) error {
+	if m.ObjectType != 'S' {
+		b.add(m, nil)
+		return nil
+	}
+	s := c.statements[m.Name]
+	if s == nil && c.held == nil {
+		return c.unknownStatement(b, m.Name)
+	}
+	b.add(m, s)
+	return nil
+}
+
+// unknownStatement answers a reference to a statement that does not exist and skips to the next Sync.
+// In a transaction the upstream answers instead, since its error also fails the transaction.
+func (c *caller) unknownStatement(b *batch, name string) error {
+	if err := c.answer(&Rejection{Code: "26000", Message: "prepared statement \"" + name + "\" does not exist"}); err != nil {
+		return err
+	}
+	*b = batch{}
+	c.failed = true
+	return nil
+}
+
+// answer sends a rejection without closing the connection.
+func (c *caller) answer(r *Rejection) error {
+	return c.send(r.response())
+}
+
+func (c *caller) send(messages ...pgproto3.BackendMessage) error {
+	for _, message := range messages {
+		c.backend.Send(message)
+	}
+	return trace.Wrap(c.backend.Flush())
+}
+
+func (c *caller) status() byte {
+	switch {
+	case c.held != nil:
+		return c.held.Status()
+	case c.lazy != nil:
+		return 'T'
+	}
+	return 'I'
+}
+
+func (c *caller) ready() *pgproto3.ReadyForQuery {
+	return &pgproto3.ReadyForQuery{TxStatus: c.status()}
+}
+
+// endReceive answers what ended the wait for a message, where an answer makes sense.
+func (c *caller) endReceive(err error) {
+	if c.server.draining.Load() && c.held == nil {
+		err = errShutdown
+	}
+	var rejection *Rejection
+	if errors.As(err, &rejection) {
+		c.reject(rejection)
+		return
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	c.reject(&Rejection{Code: "08P01", Message: "the message cannot be read", Fatal: true})
+}
+
+// reject sends a last error before the connection closes.
+func (c *caller) reject(err error) {
+	var rejection *Rejection
+	if !errors.As(err, &rejection) {
+		return
+	}
+	last := *rejection
+	last.Fatal = true
+	c.socket.SetDeadline(time.Now().Add(drainTime))
+	if c.answer(&last) != nil {
+		return
+	}
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	io.Copy(io.Discard, c.socket)
+}
+
+func (c *caller) close() {
+	if c.held != nil {
+		c.endTransaction()
+	}
+	c.server.forget(c)
+	c.socket.Close()
+}
+
+// endTransaction rolls back what a caller left open and gives the connection back.
+func (c *caller) endTransaction() {
+	conn := c.held
+	c.held = nil
+	if c.unsynced {
+		conn.MarkStale()
+	}
+	if conn.Stale() || conn.Idle() {
+		c.release()
+		return
+	}
+	conn.SetDeadline(time.Now().Add(rollbackTimeout))
+	if conn.Rollback() != nil {
+		conn.MarkStale()
+	}
+	conn.SetDeadline(time.Time{})
+	c.release()
+}
--- /dev/null
+++ b/host/entry/startup.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/member"
+)
+
+// parameters are what drivers expect to be told at the start of a session.
+var parameters = []pgproto3.ParameterStatus{
+	{Name: "server_version", Value: "15.0"},
+	{Name: "server_encoding", Value: "UTF8"},
+	{Name: "client_encoding", Value: "UTF8"},
+	{Name: "DateStyle", Value: "ISO, MDY"},
+	{Name: "IntervalStyle", Value: "postgres"},
+	{Name: "TimeZone", Value: "UTC"},
+	{Name: "integer_datetimes", Value: "on"},
+	{Name: "standard_conforming_strings", Value: "on"},
+}
+
+// errCancelled ends a connection that carried only a cancel request.
+var errCancelled = errors.New("cancel request handled")
+
+var errShutdown = &Rejection{Code: "57P01", Message: "the host is shutting down", Fatal: true}
+
+func (c *caller) start(ctx context.Context) error {
+	c.socket.SetDeadline(time.Now().Add(startupTimeout))
+	startup, err := c.startupMessage(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.authenticate(startup); err != nil {
+		return err
+	}
+	c.socket.SetDeadline(time.Time{})
+	return c.greet()
+}
+
+func (c *caller) startupMessage(ctx context.Context) (*pgproto3.StartupMessage, error) {
+	for {
+		message, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, &Rejection{Code: "08P01", Message: "this is not a PostgreSQL startup message", Fatal: true}
+		}
+		switch m := message.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.socket.Write([]byte{'N'}); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		case *pgproto3.CancelRequest:
+			c.server.cancel(ctx, m.ProcessID, m.SecretKey)
+			return nil, errCancelled
+		case *pgproto3.StartupMessage:
+			return m, nil
+		default:
+			return nil, &Rejection{Code: "08P01", Message: fmt.Sprintf("startup message %T is not supported", m), Fatal: true}
+		}
+	}
+}
+
+// authenticate finds the route and checks the key; the password stays on this host.
+func (c *caller) authenticate(startup *pgproto3.StartupMessage) error {
+	name := ident.Route(startup.Parameters["database"])
+	user := ident.User(startup.Parameters["user"])
+	if user == "" {
+		return &Rejection{Code: "28000", Message: "the startup message names no user", Fatal: true}
+	}
+	if name == "" {
+		name = ident.Route(user)
+	}
+	view, err := c.server.waitView(startupTimeout / 2)
+	if err != nil {
+		return err
+	}
+	found, ok := view.Routes[name]
+	if !ok {
+		c.server.metrics.unknownService.Inc()
+		return &Rejection{Code: "3D000", Message: fmt.Sprintf("service %q does not exist", name), Fatal: true}
+	}
+	if !c.server.zoneInService(view) {
+		return &Rejection{Code: "57P01", Message: "the host's availability zone is out of service", Fatal: true}
+	}
+	c.route = found
+	team := found.Team
+	if !found.Open {
+		if team, err = c.checkPassword(view); err != nil {
+			return err
+		}
+	}
+	c.session = ident.Session{Service: found.Service, Team: team, User: user}
+	return nil
+}
+
+func (c *caller) checkPassword(view *member.View) (ident.Team, error) {
+	if err := c.send(&pgproto3.AuthenticationCleartextPassword{}); err != nil {
+		return "", err
+	}
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return "", trace.Wrap(err)
+	}
+	message, err := c.backend.Receive()
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	password, ok := message.(*pgproto3.PasswordMessage)
+	if !ok {
+		return "", &Rejection{Code: "08P01", Message: "a password message was expected", Fatal: true}
+	}
+	c.key = parseCredential(password.Password)
+	team, err := c.key.check(view)
+	if err != nil {
+		c.server.metrics.wrongKey.Inc()
+		return "", err
+	}
+	return team, nil
+}
+
+func (c *caller) greet() error {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for i := range parameters {
+		c.backend.Send(&parameters[i])
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	return c.send(c.ready())
+}
--- /dev/null
+++ b/host/member/view.go
@@ -0,0 +1,156 @@
+package member
+
+import (
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// View is one immutable copy of the control state; every change makes a new View.
+type View struct {
+	Version     ident.Version
+	TextVersion ident.Version
+	Text        *fleetpb.Text
+	Services    map[ident.Service]*fleetpb.Service
+	Routes      map[ident.Route]Route
+	Teams       map[ident.Team]*fleetpb.Team
+	ZonesOut    map[ident.Zone]bool
+	Groups      map[ident.Service]*fleetpb.Group
+	Keys        map[ident.KeyID]*fleetpb.KeyEntry
+	Keepers     *fleetpb.KeeperSet
+	Hosts       []*fleetpb.Alive
+	Allotments  map[Target]int
+	Announced   map[Target]bool
+	Expires     ident.Time
+}
+
+// Target names one upstream of one service.
+type Target struct {
+	Service  ident.Service
+	Upstream ident.Upstream
+}
+
+// Route is a database name with the service that it leads to.
+type Route struct {
+	Service  ident.Service
+	Open     bool
+	ReadOnly bool
+	// Team whose limits an open route uses.
+	Team ident.Team
+}
+
+// Valid reports whether the host may act on the view at a time.
+func (v *View) Valid(now ident.Time) bool {
+	return v.Text != nil && now < v.Expires
+}
+
+// Member returns one member of a service's group, or nil.
+func (v *View) Member(target Target) *fleetpb.Member {
+	for _, member := range v.Groups[target.Service].GetMembers() {
+		if member.GetUpstream() == string(target.Upstream) {
+			return member
+		}
+	}
+	return nil
+}
+
+// InService reports whether an upstream may get new work: announced, not leaving, and its zone in service.
+func (v *View) InService(target Target) bool {
+	member := v.Member(target)
+	if member == nil || member.GetLeaving() || !v.Announced[target] {
+		return false
+	}
+	return !v.ZonesOut[ident.Zone(member.GetZone())]
+}
+
+// next returns a copy of v with the answer of a sync applied, valid until expires.
+func (v *View) next(answer *fleetpb.SyncResponse, expires ident.Time) *View {
+	n := *v
+	n.Expires = expires
+	n.Hosts = answer.GetHosts()
+	n.Allotments = make(map[Target]int, len(answer.GetAllotments()))
+	for _, a := range answer.GetAllotments() {
+		target := Target{ident.Service(a.GetService()), ident.Upstream(a.GetUpstream())}
+		n.Allotments[target] = int(a.GetConnections())
+	}
+	n.Announced = make(map[Target]bool, len(answer.GetUpstreams()))
+	for _, name := range answer.GetUpstreams() {
+		n.Announced[parseTarget(name)] = true
+	}
+	if state := answer.GetState(); state != nil {
+		n.apply(state)
+	}
+	return &n
+}
+
+func (v *View) apply(state *fleetpb.State) {
+	if state.GetFull() {
+		v.Groups = nil
+		v.Keys = nil
+	}
+	v.Version = ident.Version(state.GetVersion())
+	v.applyGroups(state.GetGroups())
+	v.applyKeys(state.GetKeys(), state.GetWithdrawn())
+	if state.GetKeepers() != nil {
+		v.Keepers = state.GetKeepers()
+	}
+	if state.GetText() != nil {
+		v.applyText(state)
+	}
+}
+
+func (v *View) applyGroups(changed []*fleetpb.Group) {
+	groups := make(map[ident.Service]*fleetpb.Group, len(v.Groups)+len(changed))
+	for name, group := range v.Groups {
+		groups[name] = group
+	}
+	for _, group := range changed {
+		groups[ident.Service(group.GetService())] = group
+	}
+	v.Groups = groups
+}
+
+func (v *View) applyKeys(given []*fleetpb.KeyEntry, withdrawn []string) {
+	if len(given) == 0 && len(withdrawn) == 0 && v.Keys != nil {
+		return
+	}
+	keys := make(map[ident.KeyID]*fleetpb.KeyEntry, len(v.Keys)+len(given))
+	for id, entry := range v.Keys {
+		keys[id] = entry
+	}
+	for _, entry := range given {
+		keys[ident.KeyID(entry.GetId())] = entry
+	}
+	for _, id := range withdrawn {
+		delete(keys, ident.KeyID(id))
+	}
+	v.Keys = keys
+}
+
+func (v *View) applyText(state *fleetpb.State) {
+	text := state.GetText()
+	v.Text = text
+	v.TextVersion = ident.Version(state.GetTextVersion())
+	v.Services = make(map[ident.Service]*fleetpb.Service)
+	v.Routes = make(map[ident.Route]Route)
+	v.Teams = make(map[ident.Team]*fleetpb.Team)
+	v.ZonesOut = make(map[ident.Zone]bool)
+	for _, service := range text.GetServices() {
+		name := ident.Service(service.GetName())
+		v.Services[name] = service
+		v.Routes[ident.Route(name)] = Route{Service: name}
+		for _, route := range service.GetRoutes() {
+			v.Routes[ident.Route(route.GetName())] = Route{
+				Service:  name,
+				Open:     route.GetOpen(),
+				ReadOnly: route.GetReadonly(),
+				Team:     ident.Team(route.GetTeam()),
+			}
+		}
+	}
+	for _, team := range text.GetTeams() {
+		v.Teams[ident.Team(team.GetName())] = team
+	}
+	for _, zone := range text.GetZones() {
+		v.ZonesOut[ident.Zone(zone.GetName())] = zone.GetOut()
+	}
+}
