Prove the entry path against a fake upstream

Cause: keys, retries, cancels, shutdown and bad input need proofs before the decisions plug in. pgx, which we did not write, is the client, in all of its query modes. Ruled out: nothing yet. Conclusion: the path keeps invariants 3 to 6, 9 to 11 and 13 as far as one host sees them.

--- /dev/null
+++ b/host/entry/entry_test.go
@@ -0,0 +1,256 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/member"
+)
+
+func requireCode(t *testing.T, err error, code string) {
+	t.Helper()
+	var pgErr *pgconn.PgError
+	require.ErrorAs(t, err, &pgErr)
+	require.Equal(t, code, pgErr.Code, pgErr.Message)
+}
+
+// Guards invariant 9 in each of pgx's modes: a caller gets the whole answer to its own request.
+func TestQueryModes(t *testing.T) {
+	f := newFixture(t)
+	for _, mode := range []string{"cache_statement", "cache_describe", "describe_exec", "exec", "simple_protocol"} {
+		t.Run(mode, func(t *testing.T) {
+			conn := f.connect(t, testService, testKey, "&default_query_exec_mode="+mode)
+			for range 3 {
+				var got string
+				require.NoError(t, conn.QueryRow(t.Context(), "select "+mode).Scan(&got))
+				require.Equal(t, "select "+mode, got)
+			}
+			_, err := conn.Exec(t.Context(), "insert "+mode)
+			require.NoError(t, err)
+		})
+	}
+	require.Len(t, f.parts.acked, 5, "each write was acknowledged once")
+}
+
+// Guards invariants 5 and 4: the key stays on the host, and wrong keys and unknown services are refused.
+func TestStartup(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	_, err := conn.Exec(t.Context(), "insert a")
+	require.NoError(t, err)
+	require.Zero(t, f.upstream.count("secret"), "the upstream saw the caller's key")
+	tests := []struct {
+		name, database, key, code string
+	}{
+		{"wrong secret", testService, "k1.wrong", "28P01"},
+		{"unknown id", testService, "k2.secret-of-the-member", "28P01"},
+		{"no separator", testService, "k1", "28P01"},
+		{"unknown service", "nothing", testKey, "3D000"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := pgx.Connect(t.Context(), "postgres://anna:"+tt.key+"@"+f.address+"/"+tt.database+"?sslmode=disable")
+			requireCode(t, err, tt.code)
+		})
+	}
+	open := f.connect(t, "stock", "none", "")
+	var got string
+	require.NoError(t, open.QueryRow(t.Context(), "select stock").Scan(&got))
+	_, err = open.Exec(t.Context(), "insert stock")
+	requireCode(t, err, "25006")
+}
+
+// Guards invariant 6: a key that is withdrawn stops on live connections, and so does everything once the lease ends.
+func TestWithdrawnKeyAndEndedLease(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	_, err := conn.Exec(t.Context(), "insert a")
+	require.NoError(t, err)
+	f.parts.change(func(v *member.View) { v.Keys = nil })
+	_, err = conn.Exec(t.Context(), "insert b")
+	requireCode(t, err, "28000")
+
+	f = newFixture(t)
+	conn = f.connect(t, testService, testKey, "")
+	f.parts.change(func(v *member.View) { v.Expires = 1 })
+	_, err = conn.Exec(t.Context(), "insert b")
+	requireCode(t, err, "57P03")
+	require.Zero(t, f.upstream.count("run insert"), "invariant 10: a refusal that says not run is true")
+}
+
+// Guards invariants 10 and 11: a statement that was sent and lost is unknown and sent once; a read is sent again.
+func TestLostStatements(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "&default_query_exec_mode=simple_protocol")
+	_, err := conn.Exec(t.Context(), "die now")
+	requireCode(t, err, "08007")
+	require.Equal(t, 1, f.upstream.count("run die now"))
+	f.parts.ackError = errors.New("no majority")
+	_, err = conn.Exec(t.Context(), "insert unacknowledged")
+	requireCode(t, err, "08007")
+	require.Equal(t, 1, f.upstream.count("run insert unacknowledged"))
+}
+
+// Guards planned switchovers: a write that a draining primary rejects runs once that primary, or the next, takes writes.
+func TestDrainingPrimary(t *testing.T) {
+	f := newFixture(t)
+	f.upstream.setReadOnly(true)
+	conn := f.connect(t, testService, testKey, "")
+	done := make(chan error, 1)
+	go func() {
+		tx, err := conn.Begin(context.Background())
+		if err == nil {
+			_, err = tx.Exec(context.Background(), "insert during drain")
+		}
+		if err == nil {
+			err = tx.Commit(context.Background())
+		}
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return f.upstream.count("run insert during drain") >= 2 }, time.Minute, time.Millisecond)
+	f.upstream.setReadOnly(false)
+	require.NoError(t, <-done)
+	require.Len(t, f.parts.acked, 1)
+}
+
+// Guards invariant 3: transactions of different callers share connections and never mix.
+func TestTransactionsDoNotMix(t *testing.T) {
+	f := newFixture(t)
+	var group sync.WaitGroup
+	for range 6 {
+		conn := f.connect(t, testService, testKey, "")
+		group.Go(func() {
+			for range 20 {
+				tx, err := conn.Begin(context.Background())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				var got string
+				if err := tx.QueryRow(context.Background(), "select mine").Scan(&got); err != nil {
+					t.Error(err)
+				}
+				if err := tx.Rollback(context.Background()); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	f.upstream.mutex.Lock()
+	defer f.upstream.mutex.Unlock()
+	open := 0
+	for _, line := range f.upstream.received {
+		switch line {
+		case "run begin":
+			open++
+		case "run rollback":
+			open--
+		}
+		require.LessOrEqual(t, open, 2, "more open transactions than connections")
+	}
+	require.Zero(t, open)
+}
+
+// Guards against a cancel request that reaches another caller's statement or leaves its connection in use.
+func TestCancel(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "&default_query_exec_mode=simple_protocol")
+	other := f.connect(t, testService, testKey, "")
+	done := make(chan error, 1)
+	go func() {
+		var got string
+		done <- conn.QueryRow(context.Background(), "select slow").Scan(&got)
+	}()
+	require.Eventually(t, func() bool { return f.upstream.count("run select slow") == 1 }, time.Minute, time.Millisecond)
+	require.NoError(t, other.PgConn().CancelRequest(t.Context()))
+	require.Zero(t, f.upstream.count("cancel"), "the other caller has no statement to cancel")
+	require.NoError(t, conn.PgConn().CancelRequest(t.Context()))
+	require.NoError(t, <-done)
+	require.Equal(t, 1, f.upstream.count("cancel 7"))
+	_, err := conn.Exec(t.Context(), "insert after")
+	require.NoError(t, err)
+	require.Equal(t, 2, f.upstream.count("startup"), "a connection was used again after its cancel request")
+}
+
+// Guards invariant 13: a shutdown lets the running transaction finish and tells idle callers.
+func TestShutdown(t *testing.T) {
+	f := newFixture(t)
+	idle := f.connect(t, testService, testKey, "")
+	busy := f.connect(t, testService, testKey, "")
+	tx, err := busy.Begin(t.Context())
+	require.NoError(t, err)
+	_, err = tx.Exec(t.Context(), "insert first")
+	require.NoError(t, err)
+	go f.server.Shutdown(time.Minute)
+	require.Eventually(t, func() bool {
+		_, err := pgx.Connect(context.Background(), "postgres://anna:"+testKey+"@"+f.address+"/ledger?sslmode=disable")
+		return err != nil
+	}, time.Minute, time.Millisecond)
+	_, err = idle.Exec(t.Context(), "insert late")
+	require.Error(t, err)
+	_, err = tx.Exec(t.Context(), "insert second")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(t.Context()))
+	<-f.server.Done()
+	require.Equal(t, []ident.Position{{Term: 1, LSN: 1}}, f.parts.acked)
+	require.Zero(t, f.upstream.count("run insert late"))
+}
+
+// Guards against bad input that gets no answer or stops the host.
+func TestBadInput(t *testing.T) {
+	f := newFixture(t)
+	inputs := map[string][]byte{
+		"garbage":          []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"huge startup":     {0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"negative length":  {0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"unknown protocol": {0, 0, 0, 8, 0, 9, 0, 0},
+	}
+	for name, input := range inputs {
+		t.Run(name, func(t *testing.T) {
+			socket, err := net.Dial("tcp", f.address)
+			require.NoError(t, err)
+			defer socket.Close()
+			_, err = socket.Write(input)
+			require.NoError(t, err)
+			message, err := pgproto3.NewFrontend(socket, socket).Receive()
+			require.NoError(t, err)
+			require.IsType(t, &pgproto3.ErrorResponse{}, message)
+		})
+	}
+	conn := f.connect(t, testService, testKey, "&default_query_exec_mode=simple_protocol")
+	_, err := conn.Exec(t.Context(), "insert "+string(make([]byte, 9<<20)))
+	require.Error(t, err)
+	conn = f.connect(t, testService, testKey, "")
+	_, err = conn.Exec(t.Context(), "insert still served")
+	require.NoError(t, err)
+}
+
+// Guards pipelines and batches: several statements up to one Sync are answered in order and run once.
+func TestPipeline(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	batch := &pgx.Batch{}
+	batch.Queue("select one")
+	batch.Queue("insert two")
+	batch.Queue("select three")
+	results := conn.SendBatch(t.Context(), batch)
+	var first, third string
+	require.NoError(t, results.QueryRow().Scan(&first))
+	_, err := results.Exec()
+	require.NoError(t, err)
+	require.NoError(t, results.QueryRow().Scan(&third))
+	require.NoError(t, results.Close())
+	require.Equal(t, []string{"select one", "select three"}, []string{first, third})
+	require.Equal(t, 1, f.upstream.count("run insert two"))
+}
--- /dev/null
+++ b/host/entry/fake_test.go
@@ -0,0 +1,292 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/entry"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/upstream"
+)
+
+const (
+	testService = "ledger"
+	testKey     = "k1.secret-of-the-member"
+)
+
+// fakeUpstream answers statements by their first word and records what it was sent.
+type fakeUpstream struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	received []string
+	lsn      int
+	readOnly bool
+	release  chan struct{}
+}
+
+func newFakeUpstream(t *testing.T) *fakeUpstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fakeUpstream{listener: listener, release: make(chan struct{})}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(socket)
+		}
+	}()
+	return f
+}
+
+func (f *fakeUpstream) note(format string, args ...any) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.received = append(f.received, fmt.Sprintf(format, args...))
+}
+
+// count returns how often the upstream was sent something that contains a text.
+func (f *fakeUpstream) count(text string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	n := 0
+	for _, line := range f.received {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeUpstream) serve(socket net.Conn) {
+	defer socket.Close()
+	backend := pgproto3.NewBackend(socket, socket)
+	startup, err := backend.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+	if cancel, ok := startup.(*pgproto3.CancelRequest); ok {
+		f.note("cancel %d", cancel.ProcessID)
+		close(f.release)
+		return
+	}
+	f.note("startup %v", startup.(*pgproto3.StartupMessage).Parameters)
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{1, 2, 3, 4}})
+	s := fakeSession{fake: f, backend: backend, status: 'I', sql: map[string]string{}}
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	for backend.Flush() == nil {
+		message, err := backend.Receive()
+		if err != nil || !s.handle(message) {
+			return
+		}
+	}
+}
+
+type fakeSession struct {
+	fake    *fakeUpstream
+	backend *pgproto3.Backend
+	status  byte
+	sql     map[string]string
+	portal  string
+	wrote   bool
+}
+
+func (s *fakeSession) handle(message pgproto3.FrontendMessage) bool {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		if strings.HasPrefix(m.String, "select") {
+			s.backend.Send(row())
+		}
+		if !s.execute(m.String) {
+			return false
+		}
+		s.ready()
+	case *pgproto3.Parse:
+		s.fake.note("parse %s", m.Query)
+		s.sql[m.Name] = m.Query
+		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		s.portal = s.sql[m.PreparedStatement]
+		s.backend.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			s.backend.Send(&pgproto3.ParameterDescription{})
+		}
+		s.backend.Send(row())
+	case *pgproto3.Execute:
+		return s.execute(s.portal)
+	case *pgproto3.Sync:
+		s.ready()
+	}
+	return true
+}
+
+func row() *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: 25, DataTypeSize: -1}}}
+}
+
+// execute runs one statement and reports whether the connection goes on.
+func (s *fakeSession) execute(sql string) bool {
+	s.fake.note("run %s", sql)
+	word, _, _ := strings.Cut(strings.ToLower(sql), " ")
+	switch word {
+	case "begin":
+		s.status = 'T'
+	case "commit", "rollback":
+		s.status = 'I'
+	case "insert":
+		if s.fake.refuses() {
+			s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "25006", Message: "read-only"})
+			return true
+		}
+		s.wrote = true
+	case "die":
+		return false
+	case "select":
+		if strings.Contains(sql, "slow") {
+			<-s.fake.release
+		}
+		s.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(sql)}})
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(strings.ToUpper(word) + " 1")})
+	return true
+}
+
+func (f *fakeUpstream) refuses() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.readOnly
+}
+
+func (f *fakeUpstream) setReadOnly(readOnly bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.readOnly = readOnly
+}
+
+func (s *fakeSession) ready() {
+	if s.wrote && s.status == 'I' {
+		s.wrote = false
+		s.fake.mutex.Lock()
+		s.fake.lsn++
+		position := ident.Position{Term: 1, LSN: ident.LSN(s.fake.lsn)}
+		s.fake.mutex.Unlock()
+		s.backend.Send(&pgproto3.ParameterStatus{Name: "tamarack.position", Value: position.String()})
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+}
+
+// fakeParts stands in for everything between the entry and the rest of the fleet.
+type fakeParts struct {
+	mutex     sync.Mutex
+	view      *member.View
+	acked     []ident.Position
+	ackError  error
+	rejection error
+}
+
+func (p *fakeParts) View() *member.View {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.view
+}
+
+func (p *fakeParts) change(change func(v *member.View)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	copied := *p.view
+	change(&copied)
+	p.view = &copied
+}
+
+func (p *fakeParts) Read(_ context.Context, s ident.Session) (entry.Choice, error) {
+	return entry.Choice{Target: member.Target{Service: s.Service, Upstream: "u1"}}, nil
+}
+
+func (p *fakeParts) Primary(_ context.Context, s ident.Service) (entry.Choice, error) {
+	return entry.Choice{Target: member.Target{Service: s, Upstream: "u1"}, Term: 1}, nil
+}
+
+func (p *fakeParts) Avoid(member.Target) {}
+
+func (p *fakeParts) Take(context.Context, ident.Team) error { return p.rejection }
+
+func (p *fakeParts) Acknowledge(_ context.Context, _ ident.Session, position ident.Position) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.acked = append(p.acked, position)
+	return p.ackError
+}
+
+type fixture struct {
+	upstream *fakeUpstream
+	parts    *fakeParts
+	server   *entry.Server
+	address  string
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{upstream: newFakeUpstream(t)}
+	hash := sha256.Sum256([]byte("secret-of-the-member"))
+	target := member.Target{Service: testService, Upstream: "u1"}
+	service := &fleetpb.Service{Name: testService, Deadline: durationpb.New(20 * time.Second)}
+	f.parts = &fakeParts{view: &member.View{
+		Text:     &fleetpb.Text{},
+		Services: map[ident.Service]*fleetpb.Service{testService: service},
+		Routes: map[ident.Route]member.Route{
+			testService: {Service: testService},
+			"stock":     {Service: testService, Open: true, ReadOnly: true, Team: "public"},
+		},
+		Groups: map[ident.Service]*fleetpb.Group{testService: {
+			Service: testService, Primary: "u1", Term: 1,
+			Members: []*fleetpb.Member{{Upstream: "u1", Address: f.upstream.listener.Addr().String()}},
+		}},
+		Keys:       map[ident.KeyID]*fleetpb.KeyEntry{"k1": {Id: "k1", Team: "members", Hash: hash[:]}},
+		Allotments: map[member.Target]int{target: 2},
+		Announced:  map[member.Target]bool{target: true},
+		Expires:    ident.Time(time.Hour),
+	}}
+	f.address = freeAddress(t)
+	server, err := entry.New(entry.Options{
+		Settings: &fleetpb.HostSettings{Caller: f.address, Zone: "z1"},
+		Clock:    clock.New(), View: f.parts.View, Chooser: f.parts, Quota: f.parts, Ack: f.parts,
+		Pool: upstream.NewPool(upstream.Options{
+			Credential: upstream.Credential{User: "fleet", Password: "fleet-password"}, View: f.parts.View,
+		}),
+	})
+	require.NoError(t, err)
+	f.server = server
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (f *fixture) connect(t *testing.T, database, key, options string) *pgx.Conn {
+	url := fmt.Sprintf("postgres://anna:%s@%s/%s?sslmode=disable%s", key, f.address, database, options)
+	conn, err := pgx.Connect(t.Context(), url)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
