Add the stand-in upstream: protocol, tables, terms and replication

Cause: hosts and load runs need upstreams that they can fail over. Ruled out: waiting for row locks, because the first committer rule needs no deadlock detection; a second port for replication, because an upstream announces one address.

--- /dev/null
+++ b/standin/ledger/file.go
@@ -0,0 +1,115 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+)
+
+const (
+	// frameHeader is the length and the checksum before each entry, four bytes each.
+	frameHeader = 8
+	// maxFrame bounds the length of an entry, so that a damaged length is found.
+	maxFrame = 16 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// CorruptError says that a record file is damaged before its last entry.
+type CorruptError struct {
+	Path   string
+	Offset int
+	Reason string
+}
+
+// Error names the file, the offset in bytes and what was found.
+func (e *CorruptError) Error() string {
+	return trace.BadParameter("record file %s is damaged at byte %d: %s", e.Path, e.Offset, e.Reason).Error()
+}
+
+// File is a record file: frames of length, CRC-32C and a FileEntry.
+type File struct {
+	file *os.File
+}
+
+// OpenFile reads a record file, or creates it. A last frame that was written only in part is cut off; its commit was
+// never answered.
+func OpenFile(path string) (*File, []*fleetpb.FileEntry, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, trace.NewAggregate(trace.ConvertSystemError(err), f.Close())
+	}
+	entries, good, err := Decode(path, data)
+	if err == nil {
+		err = trace.ConvertSystemError(f.Truncate(int64(good)))
+	}
+	if err == nil {
+		_, err = f.Seek(int64(good), 0)
+	}
+	if err != nil {
+		return nil, nil, trace.NewAggregate(err, f.Close())
+	}
+	return &File{f}, entries, nil
+}
+
+// Decode returns the entries of a record file and the length of its undamaged part.
+func Decode(path string, data []byte) ([]*fleetpb.FileEntry, int, error) {
+	var entries []*fleetpb.FileEntry
+	offset := 0
+	for len(data)-offset >= frameHeader {
+		size := int(binary.BigEndian.Uint32(data[offset:]))
+		if size > maxFrame {
+			return nil, 0, trace.Wrap(&CorruptError{path, offset, "the length is out of range"})
+		}
+		end := offset + frameHeader + size
+		if end > len(data) {
+			return entries, offset, nil
+		}
+		payload := data[offset+frameHeader : end]
+		if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[offset+4:]) {
+			if end == len(data) {
+				return entries, offset, nil
+			}
+			return nil, 0, trace.Wrap(&CorruptError{path, offset, "the checksum differs"})
+		}
+		var e fleetpb.FileEntry
+		if err := proto.Unmarshal(payload, &e); err != nil {
+			return nil, 0, trace.Wrap(&CorruptError{path, offset, err.Error()})
+		}
+		entries = append(entries, &e)
+		offset = end
+	}
+	return entries, offset, nil
+}
+
+// Append writes entries and returns once they are durable.
+func (f *File) Append(entries ...*fleetpb.FileEntry) error {
+	var data []byte
+	for _, e := range entries {
+		payload, err := proto.Marshal(e)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		data = binary.BigEndian.AppendUint32(data, uint32(len(payload)))
+		data = binary.BigEndian.AppendUint32(data, crc32.Checksum(payload, castagnoli))
+		data = append(data, payload...)
+	}
+	if _, err := f.file.Write(data); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(f.file.Sync())
+}
+
+// Close closes the file.
+func (f *File) Close() error {
+	return trace.ConvertSystemError(f.file.Close())
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,14 +1,23 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/settings"
+	"tamarackshunt.dev/standin/ledger"
+	"tamarackshunt.dev/standin/server"
 )
 
 // Exit codes of the program.
@@ -17,6 +26,16 @@
 	exitUsage   = 2
 )
 
+const (
+	// leaveTime is the time after which no host sends new work to a leaving upstream.
+	leaveTime = 4 * time.Second
+	// leaveLimit bounds the wait for a planned switchover away from a leaving primary.
+	leaveLimit = 20 * time.Second
+	leavePoll  = 50 * time.Millisecond
+	// faultHeaderLimit is the time that a client of the fault address has for its headers.
+	faultHeaderLimit = 5 * time.Second
+)
+
 type options struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"YAML settings file"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -41,5 +60,93 @@
 	if err := settings.Read(opts.Settings, &s); err != nil {
 		return trace.Wrap(err)
 	}
+	if opts.Check {
+		return nil
+	}
+	l, err := openLedger(s.GetData())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	faults := server.NewFaults(s.GetLag().AsDuration())
+	srv := server.New(server.Options{
+		Upstream: s.GetUpstream(), User: s.GetUser(), Password: s.GetPassword(),
+		Slots: int(s.GetSlots()), Connections: int(s.GetConnections()),
+		Opening: s.GetOpening().AsDuration(), Work: s.GetWork().AsDuration(),
+		Ledger: l, Faults: faults,
+	})
+	defer srv.Close()
+	listener, err := net.Listen("tcp", s.GetListen())
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := serveFaults(s.GetFaults(), faults); err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	announcer := server.NewAnnouncer(s.GetHosts(), s.GetAnnounce(), server.Announcement{
+		Service: s.GetService(), Upstream: s.GetUpstream(), Address: listener.Addr().String(),
+		Zone: s.GetZone(), Region: s.GetRegion(),
+	}, faults)
+	if len(s.GetHosts()) > 0 {
+		go announcer.Run(ctx)
+	}
+	go leave(srv, announcer)
+	klog.Infof("upstream %s of %s listens on %s", s.GetUpstream(), s.GetService(), listener.Addr())
+	return trace.Wrap(srv.Serve(listener))
+}
+
+// openLedger reads the record file, which stays open until the process ends.
+func openLedger(path string) (*ledger.Ledger, error) {
+	if path == "" {
+		return ledger.New(nil, nil), nil
+	}
+	file, entries, err := ledger.OpenFile(path)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return ledger.New(entries, file), nil
+}
+
+func serveFaults(address string, faults *server.Faults) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	srv := &http.Server{Handler: faults, ReadHeaderTimeout: faultHeaderLimit}
+	go func() { klog.Error(srv.Serve(listener)) }()
 	return nil
 }
+
+// leave waits for a signal, announces that the upstream leaves, and closes it once it is a replica without work and no
+// host sends new work to it. A second signal closes it at once.
+func leave(srv *server.Server, announcer *server.Announcer) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	if len(announcer.Hosts) == 0 {
+		srv.Close()
+		return
+	}
+	klog.Info("leaving")
+	announcer.Leave()
+	start := time.Now()
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-signals:
+			srv.Close()
+			return
+		case <-ticker.C:
+		}
+		since := time.Since(start)
+		if since > leaveLimit || since > leaveTime && srv.Idle() {
+			srv.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/server/replicate.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+const (
+	// batchRecords is the greatest number of records of one batch.
+	batchRecords = 256
+	// heartbeat is the time between batches of an idle primary; it bounds how fresh a replica knows its data to be.
+	heartbeat = 20 * time.Millisecond
+)
+
+// replica is what a primary knows of one connected replica.
+type replica struct {
+	name string
+	term ident.Term
+
+	mu            sync.Mutex
+	flush, replay ident.LSN
+	// sent holds the times at which batches that reached the end of the log were sent; current is the newest such time
+	// of which the replica holds the batch.
+	sent    map[uint64]time.Time
+	current time.Time
+}
+
+func (r *replica) row(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return []string{
+		r.name, strconv.FormatUint(uint64(r.term), 10), lsn(r.flush), lsn(r.replay),
+		strconv.FormatInt(now.Sub(r.current).Milliseconds(), 10),
+	}
+}
+
+func (r *replica) sending(round uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[round] = now
+}
+
+func (r *replica) acked(ack *fleetpb.ReplicaAck) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flush, r.replay = ident.LSN(ack.GetFlushLsn()), ident.LSN(ack.GetReplayLsn())
+	for round, at := range r.sent {
+		if round > ack.GetRound() {
+			continue
+		}
+		if at.After(r.current) {
+			r.current = at
+		}
+		delete(r.sent, round)
+	}
+}
+
+// replicate serves a replication connection: the request of the replica, then batches against acknowledgements.
+func (ss *session) replicate(name string) {
+	s := ss.server
+	var request fleetpb.FollowRequest
+	if !ss.receiveCopy(&request) {
+		return
+	}
+	term := ident.Term(request.GetTerm())
+	var ends []ident.Position
+	for _, p := range request.GetEnds() {
+		ends = append(ends, ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())})
+	}
+	prefix, err := s.ledger.Prefix(term, ends)
+	if err != nil {
+		ss.fail(err)
+		_ = ss.backend.Flush()
+		return
+	}
+	r := &replica{name: name, term: term, sent: map[uint64]time.Time{}, current: time.Now().Add(-time.Hour)}
+	start := &fleetpb.ReplicaBatch{Prefix: &fleetpb.Position{Term: uint64(prefix.Term), Lsn: uint64(prefix.LSN)}}
+	if ss.sendCopy(start) != nil {
+		return
+	}
+	s.mu.Lock()
+	s.replicas[ss.id] = r
+	s.mu.Unlock()
+	go func() {
+		// A broken connection ends the sender at its next heartbeat.
+		defer ss.conn.Close()
+		for {
+			var ack fleetpb.ReplicaAck
+			if !ss.receiveCopy(&ack) {
+				return
+			}
+			s.faults.waitReplication(s.done, false)
+			r.acked(&ack)
+		}
+	}()
+	ss.sendBatches(r, prefix.LSN)
+}
+
+func (ss *session) sendBatches(r *replica, after ident.LSN) {
+	s := ss.server
+	timer := time.NewTicker(heartbeat)
+	defer timer.Stop()
+	for round := uint64(1); ; round++ {
+		s.faults.waitReplication(s.done, true)
+		now := time.Now()
+		records, complete, changed, err := s.ledger.Read(r.term, after, batchRecords)
+		if err != nil {
+			return
+		}
+		if complete {
+			r.sending(round, now)
+		}
+		if ss.sendCopy(&fleetpb.ReplicaBatch{Round: round, Records: records}) != nil {
+			return
+		}
+		if n := len(records); n > 0 {
+			after = ident.LSN(records[n-1].GetPosition().GetLsn())
+		}
+		if !complete {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-s.done:
+			return
+		}
+	}
+}
+
+func (ss *session) receiveCopy(m proto.Message) bool {
+	msg, err := ss.backend.Receive()
+	if err != nil {
+		return false
+	}
+	data, ok := msg.(*pgproto3.CopyData)
+	return ok && proto.Unmarshal(data.Data, m) == nil
+}
+
+func (ss *session) sendCopy(m proto.Message) error {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	ss.backend.Send(&pgproto3.CopyData{Data: data})
+	return ss.backend.Flush()
+}
--- /dev/null
+++ b/standin/statement/doc.go
@@ -0,0 +1,2 @@
+// Package statement recognises the few SQL statements that the stand-in upstream runs.
+package statement
