--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -286,7 +286,7 @@
 	if tcp, ok := c.socket.(*net.TCPConn); ok {
 		tcp.CloseWrite()
 	}
-	io.Copy(io.Discard, c.socket)
+	_, _ = io.Copy(io.Discard, c.socket)
 }
 
 func (c *caller) close() {
--- a/host/entry/exchange.go
+++ b/host/entry/exchange.go
@@ -92,8 +92,7 @@
 		if err != nil {
 			return err
 		}
-		switch message.(type) {
-		case *pgproto3.CopyInResponse:
+		if _, isCopy := message.(*pgproto3.CopyInResponse); isCopy {
 			if err := x.refuseCopy(); err != nil {
 				return err
 			}
--- a/host/entry/rejection.go
+++ b/host/entry/rejection.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -36,11 +35,3 @@
 func unknownOutcome(cause error) *Rejection {
 	return &Rejection{Code: "08007", Message: fmt.Sprintf("the outcome of the statement is unknown: %v", cause)}
 }
-
-func asRejection(err error) *Rejection {
-	var rejection *Rejection
-	if errors.As(err, &rejection) {
-		return rejection
-	}
-	return notRun("57P03", "%v", err)
-}
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -376,7 +376,7 @@
 	if err == nil {
 		c.unsynced = b.flush
 		if err = c.exchange(ctx, c.held, b, out); err == nil {
-			err = c.settleHeld(ctx, r, out)
+			err = c.settleHeld(ctx, r)
 		} else {
 			c.dropHeld()
 		}
@@ -392,7 +392,7 @@
 	return c.checkKey(view)
 }
 
-func (c *caller) settleHeld(ctx context.Context, r *request, out *outbox) error {
+func (c *caller) settleHeld(ctx context.Context, r *request) error {
 	conn := c.held
 	if r.batch.flush || !conn.Idle() {
 		return nil
