Follow the positions of groups from the entry hosts

Cause: acknowledgements and replica reads need what observers know. Ruled out: one poll for each waiting write; one follower for each group serves all of its writes, and stops when nobody has asked for 10 s. Conclusion: the poll is 20 ms while in use and 200 ms otherwise.

--- /dev/null
+++ b/host/tracker/tracker.go
@@ -0,0 +1,213 @@
+package tracker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/peer"
+)
+
+const (
+	// waitBusy is the longest poll while a write waits for replication or reads choose replicas.
+	waitBusy = 20 * time.Millisecond
+	// waitQuiet is the longest poll when nobody asked lately.
+	waitQuiet = 200 * time.Millisecond
+	// busyFor is how long one question keeps the polls short.
+	busyFor = time.Second
+	// quietFor is how long a follower goes on without questions, so that an idle host asks nothing.
+	quietFor = 10 * time.Second
+	// callMargin is added to the poll for the way there and back.
+	callMargin = 300 * time.Millisecond
+	// retryPause is the wait after an observer failed.
+	retryPause = 20 * time.Millisecond
+)
+
+// SupersededError says that the term of a position ended before a majority was known to hold it.
+type SupersededError struct {
+	Position ident.Position
+	Term     ident.Term
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("position %s was superseded by term %d", e.Position, e.Term)
+}
+
+// Options holds what New needs.
+type Options struct {
+	Clock  *clock.Clock
+	Secret string
+	// Observers returns the peer addresses of a service's observers, the nearest first.
+	Observers func(service ident.Service) []string
+}
+
+// Tracker holds the latest positions of each group in use.
+type Tracker struct {
+	opts      Options
+	client    *http.Client
+	ctx       context.Context
+	stop      context.CancelFunc
+	group     sync.WaitGroup
+	mutex     sync.Mutex
+	followers map[ident.Service]*follower
+}
+
+// New returns a tracker that follows nothing yet.
+func New(opts Options) *Tracker {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Tracker{
+		opts:      opts,
+		client:    peer.NewClient(opts.Secret, waitQuiet+callMargin),
+		ctx:       ctx,
+		stop:      stop,
+		followers: make(map[ident.Service]*follower),
+	}
+}
+
+// Close ends all followers.
+func (t *Tracker) Close() {
+	t.stop()
+	t.group.Wait()
+}
+
+// Report is what observers said last about a group.
+type Report struct {
+	*fleetpb.PositionsResponse
+	// Asked is when the question was sent; the answer is at least as new.
+	Asked ident.Time
+}
+
+// Latest returns the last report of a group, waiting for the first one until the context ends.
+func (t *Tracker) Latest(ctx context.Context, service ident.Service) (Report, error) {
+	f := t.follower(service)
+	for {
+		report, changed := f.latest()
+		if report.PositionsResponse != nil {
+			return report, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Report{}, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// Next returns a channel that is closed at the next report of a group.
+func (t *Tracker) Next(service ident.Service) <-chan struct{} {
+	_, changed := t.follower(service).latest()
+	return changed
+}
+
+// WaitMajority returns once a majority of the group holds the position under its term.
+func (t *Tracker) WaitMajority(ctx context.Context, service ident.Service, position ident.Position) error {
+	f := t.follower(service)
+	f.want(position)
+	defer f.unwant(position)
+	for {
+		report, changed := f.latest()
+		if report.PositionsResponse != nil {
+			if held, err := holds(report, position); held || err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+// holds reports whether a majority holds the position under its own term.
+func holds(report Report, position ident.Position) (bool, error) {
+	term := ident.Term(report.GetTerm())
+	if term > position.Term {
+		return false, trace.Wrap(&SupersededError{position, term})
+	}
+	majority := report.GetMajority()
+	return term == position.Term && majority.GetTerm() == uint64(term) && majority.GetLsn() >= uint64(position.LSN), nil
+}
+
+func (t *Tracker) follower(service ident.Service) *follower {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	f := t.followers[service]
+	if f == nil {
+		f = newFollower(service)
+		t.followers[service] = f
+		t.group.Go(func() { t.follow(f) })
+	}
+	f.touch(t.opts.Clock.Now())
+	return f
+}
+
+// follow polls the observers of one group until nobody has asked for a while.
+func (t *Tracker) follow(f *follower) {
+	for try := 0; t.ctx.Err() == nil; {
+		now := t.opts.Clock.Now()
+		if t.retire(f, now) {
+			return
+		}
+		observers := t.opts.Observers(f.service)
+		if len(observers) == 0 {
+			sleep(t.ctx, retryPause)
+			continue
+		}
+		if err := t.poll(f, observers[try%len(observers)], now); err != nil {
+			try++
+			sleep(t.ctx, retryPause)
+		}
+	}
+}
+
+func (t *Tracker) poll(f *follower, address string, now ident.Time) error {
+	wait := waitQuiet
+	if f.busy(now) {
+		wait = waitBusy
+	}
+	ctx, stop := context.WithTimeout(t.ctx, wait+callMargin)
+	defer stop()
+	interrupted := f.begin(stop)
+	request := &fleetpb.PositionsRequest{
+		Service: string(f.service),
+		Wanted:  f.lowestWanted(),
+		WaitMs:  uint32(wait / time.Millisecond),
+	}
+	answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+	if err != nil {
+		if interrupted() {
+			return nil
+		}
+		return trace.Wrap(err)
+	}
+	f.record(Report{answer, now})
+	return nil
+}
+
+// retire removes a follower that nobody uses.
+func (t *Tracker) retire(f *follower, now ident.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !f.unused(now) {
+		return false
+	}
+	delete(t.followers, f.service)
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
