Add the replicated control log, its store and the process part that runs it

The control state needs a log that acknowledges a change only once a majority has it on disk.

A data folder gets a random incarnation, and a member id is host/incarnation, so that a host that lost its disk cannot vote as the member it was. The log is founded only when all initial hosts report that they are new; founding by a majority was ruled out, since a wiped majority would then found a second log beside the surviving host's.

--- /dev/null
+++ b/fleet/quorum/action.go
@@ -0,0 +1,106 @@
+package quorum
+
+import (
+	"tamarackshunt.dev/fleet/fleetpb"
+)
+
+// Input is something that happened to a member: Tick, Receive, Propose, Admit, Remove, Transfer, Persisted or Compact.
+type Input interface{ input() }
+
+// Tick lets time pass; the caller sends one every Bounds.Tick.
+type Tick struct{}
+
+// Receive is a message from another member.
+type Receive struct{ Message *fleetpb.Message }
+
+// Propose asks the leader to append a change; a Proposed action with the same ID answers it.
+type Propose struct {
+	ID     uint64
+	Change *fleetpb.Change
+}
+
+// Admit asks the leader to let a host join as a learner at its next start; Proposed answers it.
+type Admit struct {
+	ID   uint64
+	Host string
+	Peer string
+}
+
+// Remove asks the leader to remove a host from the members; Proposed answers it.
+type Remove struct {
+	ID   uint64
+	Host string
+}
+
+// Transfer asks the leader to hand its office to another voter, for a shutdown.
+type Transfer struct{}
+
+// Persisted reports that the Persist action with this number, and all before it, are synced to disk.
+type Persisted struct{ Seq uint64 }
+
+// Compact hands over the machine's state after the entry at Index was applied, in answer to a Summarize action.
+type Compact struct {
+	Index uint64
+	State []byte
+}
+
+func (Tick) input()      {}
+func (Receive) input()   {}
+func (Propose) input()   {}
+func (Admit) input()     {}
+func (Remove) input()    {}
+func (Transfer) input()  {}
+func (Persisted) input() {}
+func (Compact) input()   {}
+
+// Action is something the caller performs, in order: Persist, Send, Apply, Restore, Summarize, Proposed or RoleChange.
+type Action interface{ action() }
+
+// Persist stores its parts in one transaction; the caller answers with Persisted once they are synced.
+type Persist struct {
+	Seq uint64
+	// Hard replaces the stored hard state unless it is nil.
+	Hard *fleetpb.HardState
+	// Snapshot replaces the stored snapshot unless it is nil.
+	Snapshot *fleetpb.Snapshot
+	// Reset deletes all stored entries, before Entries are stored.
+	Reset bool
+	// First deletes the stored entries below this index; 0 deletes none.
+	First uint64
+	// Entries replace the stored entries from Entries[0].Index on.
+	Entries []*fleetpb.Entry
+}
+
+// Send passes a message to the member at a peer address; it may be lost, delayed or repeated.
+type Send struct {
+	Peer    string
+	Message *fleetpb.Message
+}
+
+// Apply passes committed entries to the machine.
+type Apply struct{ Entries []*fleetpb.Entry }
+
+// Restore replaces the machine's state with that of a snapshot.
+type Restore struct{ Snapshot *fleetpb.Snapshot }
+
+// Summarize asks for the machine's state after the entry at Index, to compact the log.
+type Summarize struct{ Index uint64 }
+
+// Proposed answers Propose, Admit and Remove: the entry's place in the log, or the error that kept it out.
+type Proposed struct {
+	ID    uint64
+	Index uint64
+	Term  uint64
+	Err   error
+}
+
+// RoleChange reports a new role, term or leader.
+type RoleChange struct{ Status Status }
+
+func (Persist) action()    {}
+func (Send) action()       {}
+func (Apply) action()      {}
+func (Restore) action()    {}
+func (Summarize) action()  {}
+func (Proposed) action()   {}
+func (RoleChange) action() {}
--- /dev/null
+++ b/fleet/quorum/errors.go
@@ -0,0 +1,41 @@
+package quorum
+
+import "fmt"
+
+// NotLeaderError rejects a proposal on a member that does not lead; Leader is the leader's peer address if known.
+type NotLeaderError struct{ Leader string }
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "this control host does not lead, and it knows no leader"
+	}
+	return fmt.Sprintf("this control host does not lead; the leader is at %s", e.Leader)
+}
+
+// BusyError rejects a membership change while another one is not yet committed.
+type BusyError struct{}
+
+// Error implements error.
+func (*BusyError) Error() string {
+	return "another membership change is in progress"
+}
+
+// MembershipError rejects a membership change that cannot be made.
+type MembershipError struct {
+	Host   string
+	Reason string
+}
+
+// Error implements error.
+func (e *MembershipError) Error() string {
+	return fmt.Sprintf("host %q: %s", e.Host, e.Reason)
+}
+
+// StateError reports stored state that no member can have written.
+type StateError struct{ Reason string }
+
+// Error implements error.
+func (e *StateError) Error() string {
+	return "stored state of the control log: " + e.Reason
+}
--- /dev/null
+++ b/host/replica/loop.go
@@ -0,0 +1,172 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/quorum"
+)
+
+var (
+	syncs      = metrics.NewCounter("tamarack_log_syncs_total")
+	synced     = metrics.NewCounter("tamarack_log_synced_entries_total")
+	appliedAll = metrics.NewCounter("tamarack_log_applied_entries_total")
+	restored   = metrics.NewCounter("tamarack_log_restored_snapshots_total")
+	summaries  = metrics.NewCounter("tamarack_log_snapshots_total")
+)
+
+// loop owns the node: it collects inputs, steps the node and passes its actions on. It never waits for disk or network.
+func (r *Replica) loop(actions []quorum.Action) {
+	defer r.parts.Done()
+	ticker := time.NewTicker(r.bounds().Tick)
+	defer ticker.Stop()
+	r.perform(actions)
+	for {
+		var inputs []quorum.Input
+		select {
+		case <-r.stop:
+			return
+		case <-ticker.C:
+			inputs = append(inputs, quorum.Tick{})
+		case m := <-r.messages:
+			inputs = append(inputs, quorum.Receive{Message: m})
+		case in := <-r.proposals:
+			inputs = append(inputs, in)
+		case in := <-r.internal:
+			inputs = append(inputs, in)
+		}
+		r.perform(r.node.Step(r.clock(), r.drain(inputs)...))
+	}
+}
+
+// drain adds the inputs that are waiting already, so that concurrent proposals share a sync.
+func (r *Replica) drain(inputs []quorum.Input) []quorum.Input {
+	for len(inputs) < batchSize {
+		select {
+		case m := <-r.messages:
+			inputs = append(inputs, quorum.Receive{Message: m})
+		case in := <-r.proposals:
+			inputs = append(inputs, in)
+		case in := <-r.internal:
+			inputs = append(inputs, in)
+		default:
+			return inputs
+		}
+	}
+	return inputs
+}
+
+func (r *Replica) perform(actions []quorum.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case quorum.Persist:
+			r.writes.push(action)
+		case quorum.Send:
+			r.peers.send(action)
+		case quorum.Proposed:
+			r.waiting.proposed(action)
+		case quorum.RoleChange:
+			r.publish()
+			s := action.Status
+			klog.InfoS("Control log role", "host", r.options.Host, "role", s.Role, "term", s.Term, "leader", s.Leader, "ready", s.Ready, "problem", s.Problem)
+		case quorum.Apply, quorum.Restore, quorum.Summarize:
+			r.applies.push(action)
+		}
+	}
+	r.publish()
+}
+
+func (r *Replica) publish() {
+	r.view.Store(&view{status: r.node.Status(), members: r.node.Members()})
+}
+
+// write syncs what the node wants to persist; whatever collects during one sync shares the next.
+func (r *Replica) write() {
+	defer r.parts.Done()
+	for {
+		writes, open := r.writes.take()
+		if !open {
+			return
+		}
+		if err := r.store.Save(writes...); err != nil {
+			klog.ErrorS(err, "Control log cannot be stored", "host", r.options.Host)
+			r.halt(err)
+			return
+		}
+		syncs.Inc()
+		for _, w := range writes {
+			synced.Add(len(w.Entries))
+		}
+		if !r.inform(quorum.Persisted{Seq: writes[len(writes)-1].Seq}) {
+			return
+		}
+	}
+}
+
+func (r *Replica) inform(in quorum.Input) bool {
+	select {
+	case r.internal <- in:
+		return true
+	case <-r.stop:
+		return false
+	}
+}
+
+// applyAll runs the machine.
+func (r *Replica) applyAll() {
+	defer r.parts.Done()
+	for {
+		actions, open := r.applies.take()
+		if !open {
+			return
+		}
+		for _, action := range actions {
+			if !r.run(action) {
+				return
+			}
+		}
+	}
+}
+
+func (r *Replica) run(action quorum.Action) bool {
+	switch action := action.(type) {
+	case quorum.Apply:
+		for _, entry := range action.Entries {
+			r.apply(entry)
+		}
+	case quorum.Restore:
+		if err := r.options.Machine.Restore(action.Snapshot.GetState()); err != nil {
+			klog.ErrorS(err, "Control state cannot be restored", "host", r.options.Host)
+			r.halt(err)
+			return false
+		}
+		restored.Inc()
+		r.applied.Store(action.Snapshot.GetIndex())
+		r.waiting.skipped(action.Snapshot.GetIndex())
+	case quorum.Summarize:
+		state, err := r.options.Machine.Snapshot()
+		if err != nil {
+			// The log stays longer than it needs to; the next request tries again.
+			klog.ErrorS(err, "Control state cannot be summarized", "host", r.options.Host)
+			return true
+		}
+		summaries.Inc()
+		return r.inform(quorum.Compact{Index: action.Index, State: state})
+	}
+	return true
+}
+
+func (r *Replica) apply(entry *fleetpb.Entry) {
+	var answer proto.Message
+	change := entry.GetChange()
+	if change.GetKind() != nil && change.GetVoters() == nil {
+		answer = r.options.Machine.Apply(entry.GetIndex(), change)
+	}
+	appliedAll.Inc()
+	r.applied.Store(entry.GetIndex())
+	r.waiting.applied(entry, answer)
+}
--- /dev/null
+++ b/host/replica/replica_test.go
@@ -0,0 +1,254 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/replica"
+)
+
+const secret = "a secret of the fleet"
+
+// wait bounds how long a test waits for a condition; it only turns a hang into a failure.
+const wait = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// machine keeps the ids of issued keys in order.
+type machine struct {
+	mu   sync.Mutex
+	keys []string
+}
+
+func (m *machine) Apply(_ uint64, change *fleetpb.Change) proto.Message {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keys = append(m.keys, change.GetGive().GetKey())
+	return &fleetpb.KeyResponse{Done: true, Version: uint64(len(m.keys))}
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return []byte(strings.Join(m.keys, " ")), nil
+}
+
+func (m *machine) Restore(state []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keys = strings.Fields(string(state))
+	return nil
+}
+
+func (m *machine) held() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.keys...)
+}
+
+// host is one control host of a test: a listener that outlives restarts of its replica.
+type host struct {
+	name    string
+	folder  string
+	hosts   []*fleetpb.ControlHost
+	peer    string
+	mu      sync.Mutex
+	handler http.Handler
+	machine *machine
+	replica *replica.Replica
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	handler := h.handler
+	h.mu.Unlock()
+	if handler == nil {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	handler.ServeHTTP(w, r)
+}
+
+func (h *host) start(t *testing.T) {
+	t.Helper()
+	h.machine = &machine{}
+	r, err := replica.New(replica.Options{
+		Host: ident.Host(h.name), Peer: h.peer, Hosts: h.hosts, Folder: h.folder, Secret: secret, Machine: h.machine,
+	})
+	require.NoError(t, err)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replica, h.handler = r, r.Handler()
+}
+
+func (h *host) stop(t *testing.T) {
+	t.Helper()
+	h.mu.Lock()
+	h.handler = nil
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	require.NoError(t, h.replica.Close(ctx))
+}
+
+// fleet starts control hosts on addresses of the loopback interface.
+func fleet(t *testing.T, names ...string) []*host {
+	t.Helper()
+	var hosts []*host
+	var control []*fleetpb.ControlHost
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h := &host{name: name, folder: t.TempDir(), peer: listener.Addr().String()}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: wait}
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+		hosts = append(hosts, h)
+		control = append(control, &fleetpb.ControlHost{Host: name, Peer: h.peer})
+	}
+	for _, h := range hosts {
+		h.hosts = control
+		h.start(t)
+	}
+	return hosts
+}
+
+func leader(t *testing.T, hosts ...*host) *host {
+	t.Helper()
+	var found *host
+	require.Eventually(t, func() bool {
+		for _, h := range hosts {
+			if h.replica.Leadership().Confirmed {
+				found = h
+				return true
+			}
+		}
+		return false
+	}, wait, 10*time.Millisecond)
+	return found
+}
+
+// memberOf returns the id under which one host counts another as a voter, or an empty string.
+func memberOf(at, of *host) string {
+	for _, voter := range at.replica.Members().GetVoters() {
+		if voter.GetHost() == of.name {
+			return voter.GetMember()
+		}
+	}
+	return ""
+}
+
+// give issues a key through whichever of the hosts leads.
+func give(t *testing.T, key string, hosts ...*host) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	for {
+		answer, err := leader(t, hosts...).replica.Propose(ctx, change(key))
+		var notLeader *replica.NotLeaderError
+		if errors.As(err, &notLeader) {
+			continue
+		}
+		require.NoError(t, err)
+		require.True(t, answer.(*fleetpb.KeyResponse).GetDone())
+		return
+	}
+}
+
+func change(key string) *fleetpb.Change {
+	return &fleetpb.Change{Kind: &fleetpb.Change_Give{Give: &fleetpb.GiveKeyRequest{Key: key}}}
+}
+
+func requireHeld(t *testing.T, keys []string, hosts ...*host) {
+	t.Helper()
+	for _, h := range hosts {
+		require.Eventually(t, func() bool {
+			return strings.Join(keys, " ") == strings.Join(h.machine.held(), " ")
+		}, wait, 10*time.Millisecond, "%s holds %v", h.name, h.machine.held())
+	}
+}
+
+// Guards against a single control host that loses acknowledged changes at a restart, and against concurrent proposals
+// that do not all get their own answers.
+func TestOneMemberRestarts(t *testing.T) {
+	hosts := fleet(t, "a")
+	first := leader(t, hosts...)
+	var calls sync.WaitGroup
+	versions := make([]uint64, 300)
+	for i := range versions {
+		calls.Go(func() {
+			answer, err := first.replica.Propose(t.Context(), change(fmt.Sprint("k", i)))
+			if err == nil {
+				versions[i] = answer.(*fleetpb.KeyResponse).GetVersion()
+			}
+		})
+	}
+	calls.Wait()
+	held := first.machine.held()
+	require.Len(t, held, len(versions))
+	for i, version := range versions {
+		require.Equal(t, fmt.Sprint("k", i), held[version-1])
+	}
+	first.stop(t)
+	first.start(t)
+	leader(t, first)
+	requireHeld(t, held, first)
+	first.stop(t)
+}
+
+// Guards against a lost acknowledged change when the leader shuts down, when a host loses its disk, and when a second
+// host is lost right after the repair.
+func TestThreeMembersReplaceALostDisk(t *testing.T) {
+	hosts := fleet(t, "a", "b", "c")
+	give(t, "k1", hosts...)
+	old := leader(t, hosts...)
+	lost := memberOf(old, old)
+	old.stop(t)
+	var rest []*host
+	for _, h := range hosts {
+		if h != old {
+			rest = append(rest, h)
+		}
+	}
+	give(t, "k2", rest...)
+
+	require.NoError(t, os.RemoveAll(old.folder))
+	old.start(t)
+	require.Eventually(t, func() bool {
+		member := memberOf(leader(t, rest...), old)
+		return member != "" && member != lost
+	}, wait, 10*time.Millisecond)
+	requireHeld(t, []string{"k1", "k2"}, old)
+
+	rest[0].stop(t)
+	give(t, "k3", rest[1], old)
+	requireHeld(t, []string{"k1", "k2", "k3"}, rest[1], old)
+	rest[1].stop(t)
+	old.stop(t)
+}
+
+// Guards against messages of processes that do not hold the fleet secret.
+func TestHandlerRequiresTheSecret(t *testing.T) {
+	h := fleet(t, "a")[0]
+	defer h.stop(t)
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	_, err := fleetpb.NewQuorumProtobufClient("http://"+h.peer, client).Step(t.Context(), &fleetpb.StepRequest{})
+	require.ErrorContains(t, err, "unauthenticated")
+}
