Add the positions of a group as an observer knows them

Cause: a write is acknowledged on what a majority holds under one term, and floors need the primary's position with the time as of which it is complete. Ruled out: counting a confirmation from the time of the answer, because a fence may come between the query and the answer.

--- /dev/null
+++ b/fleet/group/group.go
@@ -0,0 +1,281 @@
+package group
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+const (
+	// confirmLimit is the time for which a confirmation of the primary counts.
+	confirmLimit = 2 * time.Second
+	// reachLimit is the time after its last answer for which an upstream counts as reachable.
+	reachLimit = time.Second
+	// unknownAge stands for an age that nothing is known about.
+	unknownAge = time.Duration(math.MaxInt64)
+)
+
+// Config is the part of the control state that positions are counted against.
+type Config struct {
+	Members []ident.Upstream
+	// Size is the member count of the configuration.
+	Size    int
+	Term    ident.Term
+	Primary ident.Upstream
+}
+
+// Report is one of the report types of this package.
+type Report interface {
+	report()
+}
+
+// Row is a line of pg_stat_replication: what a replica holds under the term of its replication stream.
+type Row struct {
+	Upstream      ident.Upstream
+	Term          ident.Term
+	Flush, Replay ident.LSN
+	// Age is the time since the replica's data was current.
+	Age time.Duration
+}
+
+type (
+	// State is the answer of an upstream to a query that was sent at the given time.
+	State struct {
+		Upstream ident.Upstream
+		Sent     ident.Time
+		Primary  bool
+		// Following is set on a replica whose replication stream runs.
+		Following bool
+		Term      ident.Term
+		// Last is the position of the last record, with the term of that record.
+		Last ident.Position
+		// Rows are the replicas of a primary.
+		Rows []Row
+	}
+	// Failed says that an upstream could not be reached.
+	Failed struct {
+		Upstream ident.Upstream
+		// Refused is set when the connection was refused.
+		Refused bool
+	}
+)
+
+func (State) report()  {}
+func (Failed) report() {}
+
+// Held is what one member holds under the current term.
+type Held struct {
+	Upstream ident.Upstream
+	// Position of the data that a read on the member sees; zero when it does not follow under the current term.
+	Position ident.Position
+	// Age is the time since the data was current; very large when unknown.
+	Age       time.Duration
+	Reachable bool
+}
+
+// Positions is what an observer knows of a group at one time.
+type Positions struct {
+	Term    ident.Term
+	Primary ident.Upstream
+	// Held has one entry for each member, in the order of the configuration.
+	Held []Held
+	// Majority is the highest position that a majority holds under the term.
+	Majority ident.Position
+	// Current is the last known position of the primary. It holds every write that was acknowledged before Known.
+	Current ident.Position
+	Known   ident.Time
+	// Confirmed is set when Known is recent.
+	Confirmed bool
+}
+
+// member is what is known of one upstream.
+type member struct {
+	seen      bool
+	since     ident.Time
+	answered  ident.Time
+	refused   bool
+	state     State
+	flush     ident.LSN
+	replay    ident.LSN
+	current   ident.Time
+	dated     bool
+	confirmed ident.Time
+	agrees    bool
+}
+
+// Group is the knowledge of one observer on one group.
+type Group struct {
+	service ident.Service
+	config  Config
+	members map[ident.Upstream]*member
+}
+
+// New returns a group without knowledge.
+func New(service ident.Service) *Group {
+	return &Group{service: service, members: map[ident.Upstream]*member{}}
+}
+
+// Configure takes over a change of the control state; a new term forgets what members held under the old one.
+func (g *Group) Configure(now ident.Time, config Config) {
+	config.Members = slices.Clone(config.Members)
+	known := map[ident.Upstream]*member{}
+	for _, u := range config.Members {
+		m := g.members[u]
+		if m == nil {
+			m = &member{since: now}
+		}
+		if config.Term != g.config.Term {
+			m.flush, m.replay, m.dated, m.agrees = 0, 0, false, false
+		}
+		known[u] = m
+	}
+	g.members, g.config = known, config
+}
+
+// Report takes in an answer or a failure of an upstream.
+func (g *Group) Report(now ident.Time, report Report) {
+	switch r := report.(type) {
+	case State:
+		g.state(now, r)
+	case Failed:
+		if m := g.members[r.Upstream]; m != nil {
+			m.refused = r.Refused
+		}
+	}
+}
+
+func (g *Group) state(now ident.Time, r State) {
+	m := g.members[r.Upstream]
+	if m == nil {
+		return
+	}
+	rows := r.Rows
+	r.Rows = nil
+	m.seen, m.answered, m.refused, m.state = true, now, false, r
+	if r.Term > g.config.Term {
+		m.agrees = false
+		return
+	}
+	m.agrees, m.confirmed = true, r.Sent
+	if r.Term != g.config.Term {
+		return
+	}
+	if r.Following {
+		m.flush, m.replay = max(m.flush, r.Last.LSN), max(m.replay, r.Last.LSN)
+	}
+	if !r.Primary || r.Upstream != g.config.Primary {
+		return
+	}
+	m.flush, m.replay = max(m.flush, r.Last.LSN), max(m.replay, r.Last.LSN)
+	for _, row := range rows {
+		g.row(r.Sent, row)
+	}
+}
+
+// row takes in what the primary says of a replica. The age counts from the time of the query, so that the way of the
+// answer adds to it.
+func (g *Group) row(sent ident.Time, row Row) {
+	m := g.members[row.Upstream]
+	if m == nil || row.Term != g.config.Term || row.Upstream == g.config.Primary {
+		return
+	}
+	m.flush, m.replay = max(m.flush, row.Flush), max(m.replay, row.Replay)
+	if current := sent.Add(-row.Age); !m.dated || current > m.current {
+		m.current, m.dated = current, true
+	}
+}
+
+// majority is the number of members that a majority has.
+func (g *Group) majority() int {
+	return max(g.config.Size, len(g.config.Members))/2 + 1
+}
+
+// Positions returns what is known at the given time.
+func (g *Group) Positions(now ident.Time) Positions {
+	p := Positions{Term: g.config.Term, Primary: g.config.Primary}
+	var flushed []ident.LSN
+	var agreed []ident.Time
+	for _, u := range g.config.Members {
+		m := g.members[u]
+		p.Held = append(p.Held, g.held(now, u, m))
+		if m.flush > 0 {
+			flushed = append(flushed, m.flush)
+		}
+		if m.agrees {
+			agreed = append(agreed, m.confirmed)
+		}
+	}
+	if n := g.majority(); len(flushed) >= n && g.config.Term > 0 {
+		slices.Sort(flushed)
+		p.Majority = ident.Position{Term: g.config.Term, LSN: flushed[len(flushed)-n]}
+	}
+	primary := g.members[g.config.Primary]
+	if primary == nil || primary.flush == 0 {
+		return p
+	}
+	p.Current = ident.Position{Term: g.config.Term, LSN: primary.flush}
+	if n := g.majority(); len(agreed) >= n && primary.agrees && primary.state.Primary && primary.state.Term == g.config.Term {
+		slices.Sort(agreed)
+		p.Known = min(primary.confirmed, agreed[len(agreed)-n])
+		p.Confirmed = now.Sub(p.Known) <= confirmLimit
+	}
+	return p
+}
+
+func (g *Group) held(now ident.Time, u ident.Upstream, m *member) Held {
+	h := Held{Upstream: u, Age: unknownAge, Reachable: m.seen && !m.refused && now.Sub(m.answered) < reachLimit}
+	if m.replay > 0 {
+		h.Position = ident.Position{Term: g.config.Term, LSN: m.replay}
+	}
+	switch {
+	case u == g.config.Primary:
+		h.Age = 0
+	case m.dated:
+		h.Age = max(0, now.Sub(m.current))
+	}
+	return h
+}
+
+// Observed returns the reports for the next sync, in the order of the configuration.
+func (g *Group) Observed(now ident.Time) []*fleetpb.Observed {
+	var all []*fleetpb.Observed
+	for _, u := range g.config.Members {
+		m := g.members[u]
+		silent := now.Sub(m.since)
+		if m.seen {
+			silent = now.Sub(m.answered)
+		}
+		all = append(all, &fleetpb.Observed{
+			Service: string(g.service), Upstream: string(u),
+			SilentMs: uint64(max(0, silent).Milliseconds()), Refused: m.refused,
+			Primary: m.state.Primary, Following: m.state.Following, Term: uint64(m.state.Term),
+			Position: &fleetpb.Position{Term: uint64(m.state.Last.Term), Lsn: uint64(m.state.Last.LSN)},
+		})
+	}
+	return all
+}
+
+// Response returns the positions as the message that hosts exchange.
+func (p Positions) Response(service ident.Service, now ident.Time) *fleetpb.PositionsResponse {
+	known := uint64(math.MaxUint32)
+	if p.Confirmed {
+		known = uint64(now.Sub(p.Known).Milliseconds())
+	}
+	r := &fleetpb.PositionsResponse{
+		Service: string(service), Term: uint64(p.Term), Primary: string(p.Primary),
+		Majority: message(p.Majority), Current: message(p.Current), Confirmed: p.Confirmed, KnownMs: known,
+	}
+	for _, h := range p.Held {
+		r.Held = append(r.Held, &fleetpb.Held{
+			Upstream: string(h.Upstream), Position: message(h.Position), AgeMs: uint64(h.Age.Milliseconds()), Reachable: h.Reachable,
+		})
+	}
+	return r
+}
+
+func message(p ident.Position) *fleetpb.Position {
+	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
+}
