--- /dev/null
+++ b/fleet/key/doc.go
@@ -0,0 +1,2 @@
+// Package key makes callers' keys, hashes them, and checks the keys that callers present.
+package key
