Add the replicated control state and service-level burn

The state machine applies operators' changes once per idempotency id, orders promotion attempts and keeper epochs, and answers deltas. The leader's reading of a text travels in the log entry, so that replicas of different releases cannot differ over it; ApplyText.text, Outcome, SavedState, SyncRequest.control_only and ApplyResponse.raced are new in the schema.

Wrongful refusals are a lower bound.

--- /dev/null
+++ b/fleet/burn/burn_test.go
@@ -0,0 +1,66 @@
+package burn_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"tamarackshunt.dev/fleet/burn"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Guards the bounds of section 2: a report that hides a missed service level, that blames the limiter for rightful
+// refusals, or that counts an unfair share as fair.
+func TestReport(t *testing.T) {
+	var story strings.Builder
+	now := ident.Time(0)
+	m := burn.New()
+	m.SetLimits([]burn.Limit{
+		{Team: "brno", Rate: 10, Burst: 20, Weight: 1},
+		{Team: "plzen", Rate: 10, Burst: 20, Weight: 1},
+	})
+	tell := func(what string) {
+		fmt.Fprintf(&story, "%s: %s\n%s\n", now.Sub(0), what, m.Report(now))
+	}
+	// minute counts one minute of traffic, given for each second.
+	minute := func(brno, plzen burn.Counts) {
+		for range 60 {
+			m.Count(now, "brno", brno)
+			m.Count(now, "plzen", plzen)
+			now = now.Add(time.Second)
+		}
+	}
+	quiet := burn.Counts{Asked: 5, Served: 5, ReadsReplica: 4, Writes: 1}
+
+	tell("nothing was asked yet")
+	minute(quiet, quiet)
+	tell("both teams stay within their rates")
+	flood := burn.Counts{Asked: 80, Served: 10, RefusedRate: 70, ReadsReplica: 8, ReadsPrimary: 1, Writes: 1}
+	m.Count(now, "brno", burn.Counts{Asked: 20, Served: 20, ReadsReplica: 20})
+	minute(flood, quiet)
+	tell("brno sends eight times its rate and is refused, which is right")
+	minute(flood, burn.Counts{Asked: 5, Served: 2, RefusedRate: 3, ReadsPrimary: 2})
+	tell("plzen is refused within its rate, which is wrongful and unfair")
+	m.Gap(now, 1400*time.Millisecond)
+	m.Gap(now, 2*time.Second)
+	m.Gap(now, 21*time.Second)
+	tell("three failovers, one of them too long")
+	m.ZoneChanged(now)
+	minute(quiet, quiet)
+	tell("a zone leaves without a failed request")
+	m.ZoneChanged(now)
+	minute(quiet, burn.Counts{Asked: 5, Served: 3, Unknown: 1, RefusedOther: 1, ReadsReplica: 3})
+	tell("it returns and two requests of plzen fail each second")
+	for range 6 {
+		minute(quiet, quiet)
+	}
+	tell("six quiet minutes later the fast window is clean")
+	for range 60 {
+		minute(quiet, quiet)
+	}
+	tell("an hour later all is forgotten")
+	goldie.New(t).Assert(t, "report", []byte(story.String()))
+}
--- /dev/null
+++ b/fleet/control/machine.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Bounds of what the state keeps.
+const (
+	// answersKept is the number of idempotency ids whose answers are kept.
+	answersKept = 1024
+	// withdrawnKept is the number of withdrawn keys that are listed; hosts that know only older versions get a full state.
+	withdrawnKept = 4096
+)
+
+// Machine is the replicated control state. The same changes give the same state on every replica. Messages in the state
+// are replaced and never modified, so what its methods return stays valid while further changes are applied. The methods
+// themselves are not safe for concurrent use.
+type Machine struct {
+	index   uint64
+	version ident.Version
+	oldest  ident.Version
+
+	text      *fleetpb.SavedText
+	groups    map[ident.Service]*fleetpb.SavedGroup
+	keys      map[ident.KeyID]*fleetpb.SavedKey
+	withdrawn []*fleetpb.SavedKey
+
+	keepers        *fleetpb.KeeperSet
+	keepersChanged ident.Version
+	voters         *fleetpb.Voters
+
+	answers map[string]*fleetpb.SavedAnswer
+	order   []string
+}
+
+// NewMachine returns the state before the first change: no text, no keys, no keepers.
+func NewMachine() *Machine {
+	m := &Machine{}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	*m = Machine{
+		text:    &fleetpb.SavedText{Applied: &fleetpb.ApplyText{}},
+		groups:  map[ident.Service]*fleetpb.SavedGroup{},
+		keys:    map[ident.KeyID]*fleetpb.SavedKey{},
+		keepers: &fleetpb.KeeperSet{Settled: true},
+		voters:  &fleetpb.Voters{},
+		answers: map[string]*fleetpb.SavedAnswer{},
+	}
+}
+
+// Apply applies the change at an index of the log and returns the answer to whoever proposed it: an ApplyResponse, a
+// KeyResponse or an Outcome. Entries at or below the index of the last one change nothing.
+func (m *Machine) Apply(index uint64, change *fleetpb.Change) proto.Message {
+	if index <= m.index {
+		return m.refuse("entry %d is already applied", index)
+	}
+	m.index = index
+	switch kind := change.GetKind().(type) {
+	case *fleetpb.Change_Apply:
+		return m.applyText(kind.Apply)
+	case *fleetpb.Change_Give:
+		return m.giveKey(kind.Give)
+	case *fleetpb.Change_Withdraw:
+		return m.withdrawKey(kind.Withdraw)
+	case *fleetpb.Change_Attempt:
+		return m.attempt(kind.Attempt)
+	case *fleetpb.Change_Promoted:
+		return m.promoted(kind.Promoted)
+	case *fleetpb.Change_Join:
+		return m.join(kind.Join)
+	case *fleetpb.Change_Leave:
+		return m.leave(kind.Leave)
+	case *fleetpb.Change_Keepers:
+		return m.setKeepers(kind.Keepers)
+	case *fleetpb.Change_Voters:
+		m.voters = kind.Voters
+		return m.done()
+	default:
+		return m.done()
+	}
+}
+
+// Version returns the version of the state, which grows with each change that hosts must learn of.
+func (m *Machine) Version() ident.Version {
+	return m.version
+}
+
+// Text returns the text in force; it is empty before the first one.
+func (m *Machine) Text() *fleetpb.Text {
+	return m.text.GetApplied().GetText()
+}
+
+// TextVersion returns the version of the text in force, 0 before the first one.
+func (m *Machine) TextVersion() ident.Version {
+	return ident.Version(m.text.GetVersion())
+}
+
+// TextChanged returns the version of the state that brought the text in force.
+func (m *Machine) TextChanged() ident.Version {
+	return ident.Version(m.text.GetChanged())
+}
+
+// Source returns the YAML source of the text in force.
+func (m *Machine) Source() []byte {
+	return m.text.GetApplied().GetSource()
+}
+
+// Group returns the group of a service, or nil before its first member joined.
+func (m *Machine) Group(service ident.Service) *fleetpb.Group {
+	return m.groups[service].GetGroup()
+}
+
+// Keepers returns the keeper epoch.
+func (m *Machine) Keepers() *fleetpb.KeeperSet {
+	return m.keepers
+}
+
+// Voters returns the membership of the control log.
+func (m *Machine) Voters() *fleetpb.Voters {
+	return m.voters
+}
+
+// service returns the part of the text about a service, or nil.
+func (m *Machine) service(name string) *fleetpb.Service {
+	for _, s := range m.Text().GetServices() {
+		if s.GetName() == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// next starts a new version of the state and returns it.
+func (m *Machine) next() uint64 {
+	m.version++
+	return uint64(m.version)
+}
+
+func (m *Machine) done() *fleetpb.Outcome {
+	return &fleetpb.Outcome{Done: true, Version: uint64(m.version)}
+}
+
+func (m *Machine) refuse(format string, args ...any) *fleetpb.Outcome {
+	return &fleetpb.Outcome{Version: uint64(m.version), Problem: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/fleet/control/operators.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
+	"tamarackshunt.dev/fleet/text"
+)
+
+// ApplyChange reads the text of an operator's request. It returns the change to propose, or the answer that lists the
+// text's mistakes; version is the version in force.
+func ApplyChange(request *fleetpb.ApplyRequest, version ident.Version) (*fleetpb.Change, *fleetpb.ApplyResponse) {
+	parsed, err := text.Parse(request.GetFile(), request.GetSource())
+	if err != nil {
+		return nil, &fleetpb.ApplyResponse{Version: uint64(version), Problems: text.Problems(err)}
+	}
+	return &fleetpb.Change{Kind: &fleetpb.Change_Apply{Apply: &fleetpb.ApplyText{
+		Id:       request.GetId(),
+		Expected: request.GetExpected(),
+		Source:   request.GetSource(),
+		File:     request.GetFile(),
+		Text:     parsed,
+	}}}, nil
+}
+
+func (m *Machine) applyText(apply *fleetpb.ApplyText) proto.Message {
+	digest := digestOf("apply", &fleetpb.ApplyText{Expected: apply.GetExpected(), Source: apply.GetSource()})
+	first, problem := m.resent(apply.GetId(), digest)
+	if problem != "" {
+		return m.textRefused(problem)
+	}
+	if answer := first.GetApply(); answer != nil {
+		return answer
+	}
+	answer := m.decideText(apply)
+	m.remember(&fleetpb.SavedAnswer{Id: apply.GetId(), Digest: digest, Kind: &fleetpb.SavedAnswer_Apply{Apply: answer}})
+	return answer
+}
+
+func (m *Machine) decideText(apply *fleetpb.ApplyText) *fleetpb.ApplyResponse {
+	if apply.GetText() == nil {
+		return m.textRefused("the change holds no text that was read")
+	}
+	if apply.GetExpected() != m.text.GetVersion() {
+		answer := m.textRefused(fmt.Sprintf("expected version %d, but version %d is in force", apply.GetExpected(), m.text.GetVersion()))
+		answer.Raced = true
+		return answer
+	}
+	before := m.Text()
+	m.text = &fleetpb.SavedText{Applied: apply, Version: m.text.GetVersion() + 1, Changed: m.next()}
+	m.touch(before, apply.GetText())
+	return &fleetpb.ApplyResponse{Accepted: true, Version: m.text.GetVersion(), Winner: apply.GetId()}
+}
+
+// textRefused names the text in force, so that an operator who lost a race learns which one won.
+func (m *Machine) textRefused(problem string) *fleetpb.ApplyResponse {
+	return &fleetpb.ApplyResponse{
+		Version:  m.text.GetVersion(),
+		Winner:   m.text.GetApplied().GetId(),
+		Problems: []string{problem},
+	}
+}
+
+// touch marks groups and keys as changed when the text began or ceased to name their service or team.
+func (m *Machine) touch(before, after *fleetpb.Text) {
+	for service, saved := range m.groups {
+		if hasService(before, string(service)) != hasService(after, string(service)) {
+			m.groups[service] = &fleetpb.SavedGroup{Group: saved.GetGroup(), Changed: uint64(m.version)}
+		}
+	}
+	for id, saved := range m.keys {
+		team := saved.GetKey().GetTeam()
+		if hasTeam(before, team) != hasTeam(after, team) {
+			m.keys[id] = &fleetpb.SavedKey{Key: saved.GetKey(), Changed: uint64(m.version)}
+		}
+	}
+}
+
+func (m *Machine) giveKey(give *fleetpb.GiveKeyRequest) proto.Message {
+	return m.changeKey("give", give.GetId(), give, func() string {
+		id := ident.KeyID(give.GetKey())
+		switch {
+		case !key.ValidID(id):
+			return "the key's id must be 1 to 64 letters, digits, - and _"
+		case len(give.GetHash()) != sha256.Size:
+			return fmt.Sprintf("the key's hash has %d bytes, expected %d", len(give.GetHash()), sha256.Size)
+		case !hasTeam(m.Text(), give.GetTeam()):
+			return fmt.Sprintf("the text names no team %q", give.GetTeam())
+		case m.keys[id] != nil || m.wasWithdrawn(id):
+			return fmt.Sprintf("the key id %q was given before", id)
+		}
+		m.keys[id] = &fleetpb.SavedKey{
+			Key:     &fleetpb.KeyEntry{Id: give.GetKey(), Team: give.GetTeam(), Hash: give.GetHash()},
+			Changed: m.next(),
+		}
+		return ""
+	})
+}
+
+// withdrawKey succeeds for a key that is already withdrawn, since it then has the state that the operator asked for.
+func (m *Machine) withdrawKey(withdraw *fleetpb.WithdrawKeyRequest) proto.Message {
+	return m.changeKey("withdraw", withdraw.GetId(), withdraw, func() string {
+		id := ident.KeyID(withdraw.GetKey())
+		saved := m.keys[id]
+		if saved == nil {
+			if m.wasWithdrawn(id) {
+				return ""
+			}
+			return fmt.Sprintf("no key has the id %q", id)
+		}
+		delete(m.keys, id)
+		m.withdrawn = append(m.withdrawn, &fleetpb.SavedKey{
+			Key:     &fleetpb.KeyEntry{Id: saved.GetKey().GetId(), Team: saved.GetKey().GetTeam()},
+			Changed: m.next(),
+		})
+		if len(m.withdrawn) > withdrawnKept {
+			m.oldest = ident.Version(m.withdrawn[0].GetChanged())
+			m.withdrawn = m.withdrawn[1:]
+		}
+		return ""
+	})
+}
+
+// changeKey answers a resend from memory, otherwise runs change, which returns why it refused.
+func (m *Machine) changeKey(kind, id string, request proto.Message, change func() string) proto.Message {
+	digest := digestOf(kind, request)
+	first, problem := m.resent(id, digest)
+	if problem != "" {
+		return &fleetpb.KeyResponse{Version: uint64(m.version), Problem: problem}
+	}
+	if answer := first.GetKey(); answer != nil {
+		return answer
+	}
+	problem = change()
+	answer := &fleetpb.KeyResponse{Done: problem == "", Version: uint64(m.version), Problem: problem}
+	m.remember(&fleetpb.SavedAnswer{Id: id, Digest: digest, Kind: &fleetpb.SavedAnswer_Key{Key: answer}})
+	return answer
+}
+
+func (m *Machine) wasWithdrawn(id ident.KeyID) bool {
+	for _, saved := range m.withdrawn {
+		if saved.GetKey().GetId() == string(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// resent returns the first answer to an idempotency id, or why the id cannot be used.
+func (m *Machine) resent(id string, digest []byte) (*fleetpb.SavedAnswer, string) {
+	if id == "" {
+		return nil, "the request has no idempotency id"
+	}
+	first := m.answers[id]
+	if first != nil && !bytes.Equal(first.GetDigest(), digest) {
+		return nil, fmt.Sprintf("the idempotency id %q was used for another request", id)
+	}
+	return first, ""
+}
+
+func (m *Machine) remember(answer *fleetpb.SavedAnswer) {
+	m.answers[answer.GetId()] = answer
+	m.order = append(m.order, answer.GetId())
+	if len(m.order) > answersKept {
+		delete(m.answers, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func digestOf(kind string, request proto.Message) []byte {
+	// Marshal fails only for invalid UTF-8 in strings; equal requests then still give equal digests.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(request)
+	sum := sha256.Sum256(append([]byte(kind+"\x00"), data...))
+	return sum[:]
+}
+
+func hasService(t *fleetpb.Text, name string) bool {
+	for _, s := range t.GetServices() {
+		if s.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+func hasTeam(t *fleetpb.Text, name string) bool {
+	for _, team := range t.GetTeams() {
+		if team.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
