Add session positions and lent tokens

Session positions need write-all, read-one holders across keeper epochs, and rates need a bound over all hosts that survives lost, repeated and crossed messages.

Borrowers report for each loan what they hold and gave back, counted since the loan was made, so that the owner can refill before a loan expires: without these reports a team could spend at most its burst every 500 ms.

The schema gains BorrowRequest.seq and held, BorrowResponse.seq, and Tokens.loan, waiting and retry_ms.

--- /dev/null
+++ b/fleet/limit/borrower.go
@@ -0,0 +1,270 @@
+package limit
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Timing of a borrower.
+const (
+	// AskPeriod is the time between requests while tokens are wanted, held or unreported.
+	AskPeriod = 50 * time.Millisecond
+	// MaxWait is the longest wait of a request for a token.
+	MaxWait = time.Second
+	// horizon is the time for which demand is predicted and borrowed ahead.
+	horizon = 200 * time.Millisecond
+	// minGap bounds the requests of a borrower that keeps running short, at 200 per second.
+	minGap = 5 * time.Millisecond
+	// keepYoung is the age from which tokens without predicted use are given back. Younger ones are kept, since demand
+	// often returns within the horizon.
+	keepYoung = horizon
+)
+
+// never is later than every time.
+const never = ident.Time(math.MaxInt64)
+
+// maxWaiters bounds the requests of a team that wait on one host. At 1 s of waiting it is reached only by a team that
+// sends this many requests per second to one host beyond its rate.
+const maxWaiters = 10_000
+
+// BorrowerOptions configure a borrower.
+type BorrowerOptions struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+}
+
+// Borrower spends lent tokens on one host and decides when to ask for more. Its methods may be called from several
+// goroutines; Ask, Answer and Lost from one at a time.
+type Borrower struct {
+	opts    BorrowerOptions
+	waiters atomic.Uint64
+	// due is the time of the next request.
+	due atomic.Int64
+	// last is the time of the last request.
+	last   atomic.Int64
+	mu     sync.RWMutex
+	purses map[ident.Team]*purse
+	seq    uint64
+	asked  map[uint64]ident.Time
+}
+
+// NewBorrower returns a borrower without tokens.
+func NewBorrower(opts BorrowerOptions) *Borrower {
+	b := &Borrower{opts: opts, purses: map[ident.Team]*purse{}, asked: map[uint64]ident.Time{}}
+	b.due.Store(int64(never))
+	b.last.Store(int64(-AskPeriod))
+	return b
+}
+
+// WaiterID names a request that waits for a token.
+type WaiterID uint64
+
+// Decision is the answer to Take: Spent, Wait or Refuse.
+type Decision interface{ decision() }
+
+// Spent says that a token was spent and the request may run.
+type Spent struct{}
+
+// Wait says that the request waits until a later Answer or Expire names it, at most until Until.
+type Wait struct {
+	ID    WaiterID
+	Until ident.Time
+}
+
+// Refuse says that the request must be rejected.
+type Refuse struct{ Exceeded Exceeded }
+
+func (Spent) decision()  {}
+func (Wait) decision()   {}
+func (Refuse) decision() {}
+
+// Take spends a token of the team, or queues the request until its deadline or for MaxWait. Wake is true when Due has
+// moved to an earlier time.
+func (b *Borrower) Take(now ident.Time, team ident.Team, deadline ident.Time) (decision Decision, wake bool) {
+	p := b.purse(team)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand.count(now)
+	if len(p.waiters) == 0 && p.spend(now) {
+		return Spent{}, b.lower(b.after(AskPeriod))
+	}
+	if len(p.waiters) >= maxWaiters {
+		return Refuse{Exceeded{Team: team, Cause: CauseCrowded}}, false
+	}
+	w := waiter{
+		id:    WaiterID(b.waiters.Add(1)),
+		since: now,
+		until: min(deadline, now.Add(MaxWait)),
+	}
+	p.waiters = append(p.waiters, w)
+	if p.starved > 0 {
+		// The owner has just lent less than was wanted, so asking sooner would only add load.
+		return Wait{w.id, w.until}, b.lower(b.after(p.starved))
+	}
+	return Wait{w.id, w.until}, b.lower(max(now, b.after(minGap)))
+}
+
+func (b *Borrower) after(d time.Duration) ident.Time {
+	return ident.Time(b.last.Load()).Add(d)
+}
+
+// lower moves Due to an earlier time and reports whether it moved.
+func (b *Borrower) lower(to ident.Time) bool {
+	for {
+		old := b.due.Load()
+		if int64(to) >= old {
+			return false
+		}
+		if b.due.CompareAndSwap(old, int64(to)) {
+			return true
+		}
+	}
+}
+
+func (b *Borrower) purse(team ident.Team) *purse {
+	b.mu.RLock()
+	p, found := b.purses[team]
+	b.mu.RUnlock()
+	if found {
+		return p
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p, found := b.purses[team]; found {
+		return p
+	}
+	p = &purse{team: team}
+	b.purses[team] = p
+	return p
+}
+
+// sorted returns the purses in the order of their teams, so that messages do not depend on the order of a map.
+func (b *Borrower) sorted() []*purse {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	list := make([]*purse, 0, len(b.purses))
+	for _, p := range b.purses {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(x, y *purse) int {
+		if x.team < y.team {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Cancel removes a waiting request; it returns false when the request has got its token or was refused already.
+func (b *Borrower) Cancel(team ident.Team, id WaiterID) bool {
+	p := b.purse(team)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.id == id })
+	if i < 0 {
+		return false
+	}
+	p.waiters = slices.Delete(p.waiters, i, i+1)
+	return true
+}
+
+// Due returns the time of the next Ask; the far future while nothing is wanted.
+func (b *Borrower) Due() ident.Time {
+	return ident.Time(b.due.Load())
+}
+
+// Ask returns the message to the owner, or nil when there is nothing to say.
+func (b *Borrower) Ask(now ident.Time) *fleetpb.BorrowRequest {
+	return b.ask(now, false)
+}
+
+// Drain returns a message that gives back everything, for shutdown; nil when there is nothing to give back.
+func (b *Borrower) Drain(now ident.Time) *fleetpb.BorrowRequest {
+	return b.ask(now, true)
+}
+
+func (b *Borrower) ask(now ident.Time, all bool) *fleetpb.BorrowRequest {
+	b.due.Store(int64(never))
+	b.seq++
+	request := &fleetpb.BorrowRequest{
+		Host:        string(b.opts.Host),
+		Incarnation: uint64(b.opts.Incarnation),
+		Seq:         b.seq,
+	}
+	for _, p := range b.sorted() {
+		if next := p.report(now, request, all); next > 0 {
+			b.lower(now.Add(next))
+		}
+	}
+	if len(request.GetWanted())+len(request.GetHeld()) == 0 {
+		return nil
+	}
+	b.last.Store(int64(now))
+	for seq, at := range b.asked {
+		if now.Sub(at) >= Lifetime {
+			delete(b.asked, seq)
+		}
+	}
+	b.asked[b.seq] = now
+	return request
+}
+
+// Outcome tells a waiting request whether it got its token.
+type Outcome struct {
+	ID WaiterID
+	// Refused is nil when a token was spent for the request.
+	Refused *Exceeded
+}
+
+// Answer takes the owner's response and returns the waiting requests that it decides, oldest first. Responses that are
+// repeated, unknown or older than the lifetime of their loans are ignored.
+func (b *Borrower) Answer(now ident.Time, response *fleetpb.BorrowResponse) []Outcome {
+	at, found := b.asked[response.GetSeq()]
+	if !found || response.GetLeader() != "" {
+		return nil
+	}
+	delete(b.asked, response.GetSeq())
+	expires := at.Add(time.Duration(response.GetLifetimeMs()) * time.Millisecond)
+	lent := map[ident.Team]*fleetpb.Tokens{}
+	for _, t := range response.GetLent() {
+		lent[ident.Team(t.GetTeam())] = t
+	}
+	var outcomes []Outcome
+	for _, p := range b.sorted() {
+		t := lent[p.team]
+		retry := time.Duration(t.GetRetryMs()) * time.Millisecond
+		outcomes = append(outcomes, p.answer(now, response.GetSeq(), int64(t.GetAmount()), retry, expires)...)
+	}
+	return outcomes
+}
+
+// Lost takes the failure of a request. Its answer may still come; until it does, the tokens count as spent.
+func (b *Borrower) Lost(now ident.Time) {
+	for _, p := range b.sorted() {
+		p.lost()
+	}
+	b.lower(now.Add(AskPeriod))
+}
+
+// Expire returns the waiting requests whose time has passed; they are refused.
+func (b *Borrower) Expire(now ident.Time) []Outcome {
+	var outcomes []Outcome
+	for _, p := range b.sorted() {
+		outcomes = append(outcomes, p.expire(now)...)
+	}
+	return outcomes
+}
+
+// Held returns the tokens of the team that may be spent at now.
+func (b *Borrower) Held(now ident.Time, team ident.Team) int64 {
+	p := b.purse(team)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held(now)
+}
--- /dev/null
+++ b/fleet/limit/limit_test.go
@@ -0,0 +1,174 @@
+package limit_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+)
+
+// Guards invariant 7 (no team exceeds rate and burst over all hosts) against lost, late, crossed and repeated messages,
+// restarted borrowers and changes of owner.
+func TestSpendingStaysWithinRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		rule := limit.Rule{Rate: rapid.Uint32Range(1, 400).Draw(r, "rate"), Burst: rapid.Uint32Range(1, 60).Draw(r, "burst")}
+		w := newWorld(3, map[ident.Team]limit.Rule{"stalls": rule})
+		delay := func(name string) ident.Time {
+			if rapid.IntRange(0, 9).Draw(r, name+"-fate") == 0 {
+				return -1
+			}
+			return rapid.Custom(func(r *rapid.T) ident.Time {
+				return ident.Time(rapid.Int64Range(0, int64(700*ms)).Draw(r, "time") >> rapid.IntRange(0, 8).Draw(r, "scale"))
+			}).Draw(r, name)
+		}
+		for range rapid.IntRange(50, 400).Draw(r, "steps") {
+			w.now += ident.Time(rapid.Int64Range(0, int64(20*ms)).Draw(r, "pass"))
+			host := rapid.IntRange(0, 2).Draw(r, "host")
+			switch rapid.IntRange(0, 40).Draw(r, "event") {
+			case 0:
+				w.restart(host)
+			case 1:
+				w.newOwner()
+			case 2:
+				if n := len(w.mail); n > 0 {
+					w.mail = append(w.mail, w.mail[rapid.IntRange(0, n-1).Draw(r, "again")])
+				}
+			case 3:
+				w.outcomes(host, w.borrowers[host].Expire(w.now))
+			}
+			for range rapid.IntRange(0, 20).Draw(r, "requests") {
+				w.take(host, "stalls")
+			}
+			w.ask(host, delay("there"), delay("back"))
+			w.deliver(delay("back"))
+		}
+		if e := w.excess("stalls"); e > 1e-6 {
+			r.Fatalf("a window exceeds rate %d and burst %d by %f tokens", rule.Rate, rule.Burst, e)
+		}
+	})
+}
+
+// load is one team's requests per second and the part of them that reaches host 0; the others get equal parts.
+type load struct {
+	team ident.Team
+	rate float64
+	skew float64
+}
+
+// drive sends Poisson requests for some seconds over hosts that are 5 ms away from the owner.
+func drive(w *world, seconds int, loads []load, random *rand.Rand) (asks int) {
+	next := slices.Repeat([]ident.Time{w.now}, len(loads))
+	for end := w.now + ident.Time(seconds)*1000*ms; w.now < end; w.now += ms {
+		for i, l := range loads {
+			for next[i] <= w.now {
+				next[i] += ident.Time(random.ExpFloat64() / l.rate * 1000 * float64(ms))
+				host := 0
+				if random.Float64() >= l.skew {
+					host = 1 + random.IntN(len(w.borrowers)-1)
+				}
+				w.take(host, l.team)
+			}
+		}
+		w.deliver(5 * ms)
+		for h := range w.borrowers {
+			w.outcomes(h, w.borrowers[h].Expire(w.now))
+			if w.ask(h, 5*ms, 5*ms) {
+				asks++
+			}
+		}
+	}
+	return asks
+}
+
+// Guards invariant 7 together with the bound on wrongful refusals: a team at nine tenths of its rate whose requests
+// reach one host mostly is refused nothing while another sends eight times its rate, which gets its whole rate.
+func TestStoryOfATeamAtEightTimesItsRate(t *testing.T) {
+	rules := map[ident.Team]limit.Rule{
+		"stalls": {Rate: 100, Burst: 50}, "lamps": {Rate: 100, Burst: 50},
+		"dues": {Rate: 10, Burst: 5}, "rentals": {Rate: 400, Burst: 40},
+	}
+	loads := []load{{"stalls", 90, 0.7}, {"lamps", 800, 0.1}, {"dues", 8, 0}, {"rentals", 360, 0.5}}
+	w := newWorld(12, rules)
+	w.now = 1000 * ms // Past the time in which a new owner lends nothing.
+	var out bytes.Buffer
+	asks := drive(w, 20, loads, rand.New(rand.NewPCG(1, 2)))
+	fmt.Fprintf(&out, "20 s, 12 hosts, %d messages to the owner\n", asks)
+	for _, l := range loads {
+		fmt.Fprintf(&out, "%-8s rate %3d burst %2d sends %3.0f/s: %5d ran, %4d refused, longest wait %d ms\n", l.team,
+			rules[l.team].Rate, rules[l.team].Burst, l.rate, len(w.spends[l.team]), w.refused[l.team], w.waits[l.team]/ms)
+		require.LessOrEqual(t, w.excess(l.team), 1e-6, l.team)
+		if l.team != "lamps" {
+			require.Zero(t, w.refused[l.team], l.team)
+		}
+	}
+	require.Greater(t, len(w.spends["lamps"]), 20*95)
+	goldie.New(t).Assert(t, "eight_times", out.Bytes())
+}
+
+// Guards against borrowers that keep tokens which others wait for: after demand moves to another host, the tokens of
+// the first one come back before they expire.
+func TestUnusedTokensComeBack(t *testing.T) {
+	w := newWorld(2, map[ident.Team]limit.Rule{"stalls": {Rate: 100, Burst: 40}})
+	drive(w, 3, []load{{"stalls", 90, 1}}, rand.New(rand.NewPCG(3, 4)))
+	require.Positive(t, w.owner.Balance(w.now, "stalls").Lent)
+	for range 600 {
+		w.now += ms
+		w.deliver(5 * ms)
+		w.ask(0, 5*ms, 5*ms)
+	}
+	require.Zero(t, w.owner.Balance(w.now, "stalls").Lent)
+	require.GreaterOrEqual(t, w.owner.Balance(w.now, "stalls").Bucket, int64(39))
+}
+
+// Guards against one host that takes all scarce tokens because it wants or asks more than the others.
+func TestScarceTokensAreSharedMaxMin(t *testing.T) {
+	w := newWorld(0, map[ident.Team]limit.Rule{"stalls": {Rate: 100, Burst: 30}})
+	got := map[string]uint32{}
+	for i := range 400 {
+		w.now += 10 * ms
+		for _, host := range []string{"greedy", "plain", "modest"} {
+			if i%5 != 0 && host != "greedy" {
+				continue
+			}
+			want := map[string]uint32{"greedy": 500, "plain": 500, "modest": 1}[host]
+			response := w.owner.Borrow(w.now, &fleetpb.BorrowRequest{
+				Host: host, Seq: uint64(i), Wanted: []*fleetpb.Tokens{{Team: "stalls", Amount: want, Waiting: want}},
+				Held: []*fleetpb.Tokens{{Team: "stalls", Loan: uint64(i - 5)}, {Team: "stalls", Loan: uint64(i - 1)}},
+			})
+			for _, l := range response.GetLent() {
+				got[host] += l.GetAmount()
+			}
+		}
+	}
+	require.InDelta(t, got["plain"], got["greedy"], 0.25*float64(got["plain"]))
+	// A token that is not there at one request is kept for the next: one token for two requests, but for the first 500 ms.
+	require.GreaterOrEqual(t, got["modest"], uint32(34))
+	require.LessOrEqual(t, got["plain"]+got["greedy"]+got["modest"], uint32(350+30))
+}
+
+// Guards against a new owner that lends while loans of the earlier one may still be spent.
+func TestNewOwnerWaits(t *testing.T) {
+	owner := limit.NewOwner(limit.OwnerOptions{Since: 1000 * ms})
+	owner.SetRules(1000*ms, map[ident.Team]limit.Rule{"stalls": {Rate: 1000, Burst: 100}})
+	want := func(now ident.Time) int {
+		sum := 0
+		for _, t := range owner.Borrow(now, &fleetpb.BorrowRequest{
+			Host: "a", Seq: uint64(now), Wanted: []*fleetpb.Tokens{{Team: "stalls", Amount: 5, Waiting: 5}},
+		}).GetLent() {
+			sum += int(t.GetAmount())
+		}
+		return sum
+	}
+	require.Zero(t, want(1499*ms))
+	require.Zero(t, want(1500*ms), "the bucket starts empty")
+	require.Equal(t, 5, want(1510*ms))
+}
--- /dev/null
+++ b/fleet/session/session_test.go
@@ -0,0 +1,115 @@
+package session_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/session"
+)
+
+func name(i int) ident.Session {
+	return ident.Session{Service: "ledger", Team: "stalls", User: ident.User(fmt.Sprint("member", i))}
+}
+
+func at(lsn int) ident.Position { return ident.Position{Term: 1, LSN: ident.LSN(lsn)} }
+
+// Guards against an eviction that forgets a position: a session without an entry would then read too early.
+func TestEvictionRaisesTheFloor(t *testing.T) {
+	table := session.NewTable(256)
+	for i := range 5000 {
+		table.Put(session.Hash(name(i)), at(i))
+	}
+	require.LessOrEqual(t, table.Len(), 256)
+	for i := range 5000 {
+		require.True(t, table.Get(session.Hash(name(i))).Covers(at(i)), "session %d", i)
+	}
+	table.Raise(at(6000))
+	require.Zero(t, table.Len(), "entries that the floor covers use memory")
+	require.Equal(t, at(6000), table.Get(session.Hash(name(1))))
+}
+
+// Guards against a put with an older position that lowers a session's entry, as late and crossed messages would.
+func TestPutNeverLowersAPosition(t *testing.T) {
+	table := session.NewTable(256)
+	table.Put(1, at(9))
+	table.Put(1, at(4))
+	table.Put(1, ident.Position{Term: 2, LSN: 3})
+	require.Equal(t, ident.Position{Term: 2, LSN: 9}, table.Get(1))
+}
+
+// Guards against placements that move sessions between hosts that stay, or that load holders unevenly.
+func TestHoldersMoveOnlyFromRemovedKeepers(t *testing.T) {
+	var all []session.Member
+	for i := range 12 {
+		all = append(all, session.Member{
+			Host: ident.Host(fmt.Sprint("entry", i)), Incarnation: 1, Zone: ident.Zone(fmt.Sprint("z", i%3)),
+		})
+	}
+	before, after := session.NewSet(1, all), session.NewSet(2, all[1:])
+	load := map[ident.Host]int{}
+	for i := range 4000 {
+		old := before.Holders(name(i))
+		require.Len(t, old, 3)
+		for j, m := range after.Holders(name(i)) {
+			if old[j].Host != "entry0" {
+				require.Equal(t, old[j], m)
+			}
+			load[m.Host]++
+		}
+	}
+	for host, n := range load {
+		require.InDelta(t, 4000/4, n, 500, host)
+	}
+}
+
+// Guards against authority that outlives its grounds: an ended lease, a missed epoch, an epoch in which another host was
+// the holder, or a floor of an epoch that is not settled.
+func TestKeeperAuthority(t *testing.T) {
+	self := session.Member{Host: "a", Incarnation: 1, Zone: "z"}
+	other := session.Member{Host: "b", Incarnation: 1, Zone: "z"}
+	settled := func(e ident.Epoch, m session.Member) *session.View {
+		return &session.View{Current: session.NewSet(e, []session.Member{m}), Settled: true}
+	}
+	open := func(e ident.Epoch, m, old session.Member) *session.View {
+		return &session.View{
+			Current:  session.NewSet(e, []session.Member{m}),
+			Previous: session.NewSet(e-1, []session.Member{old}),
+		}
+	}
+	tests := []struct {
+		name  string
+		views []*session.View
+		floor ident.Epoch // epoch of a floor that is set before the last view; 0 for none
+		now   ident.Time
+		want  bool
+	}{
+		{"settled with a floor", []*session.View{settled(1, self), settled(1, self)}, 1, 5, true},
+		{"lease ended", []*session.View{settled(1, self), settled(1, self)}, 1, 10, false},
+		{"no floor yet", []*session.View{settled(1, self)}, 0, 5, false},
+		{"holder throughout", []*session.View{settled(1, self), open(2, self, self)}, 1, 5, true},
+		{"epoch learnt through its successor", []*session.View{settled(1, self), open(3, self, self)}, 1, 5, true},
+		{"missed epoch", []*session.View{settled(1, self), settled(3, self)}, 1, 5, false},
+		{"removed", []*session.View{settled(1, self), open(2, other, self)}, 1, 5, false},
+		{"removed and back", []*session.View{settled(1, self), open(3, self, other)}, 1, 5, false},
+		{"older epoch again", []*session.View{open(2, other, self), settled(1, self)}, 1, 5, false},
+		{"floor of a later epoch than adopted", []*session.View{open(2, self, other), open(2, self, other)}, 3, 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := session.NewKeeper(session.KeeperOptions{Self: self})
+			k.Lease(10)
+			for i, view := range tt.views {
+				if i == len(tt.views)-1 && tt.floor > 0 {
+					k.SetFloor("ledger", tt.floor, at(1))
+				}
+				k.Adopt(view)
+			}
+			got := k.Get(tt.now, &fleetpb.GetRequest{Session: session.Message(name(1))})
+			require.Equal(t, tt.want, got.GetAuthoritative())
+		})
+	}
+}
--- /dev/null
+++ b/fleet/session/view.go
@@ -0,0 +1,205 @@
+package session
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Member is one start of a host that keeps session positions.
+type Member struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+	Zone        ident.Zone
+	// Peer is the address of the host's peer calls.
+	Peer string
+}
+
+// same reports whether m and other are the same start of the same host.
+func (m Member) same(other Member) bool {
+	return m.Host == other.Host && m.Incarnation == other.Incarnation
+}
+
+// Set is the list of keepers of one epoch.
+type Set struct {
+	Epoch ident.Epoch
+	zones []zoneKeepers
+}
+
+type zoneKeepers struct {
+	zone    ident.Zone
+	members []Member
+	seeds   []uint64
+}
+
+// NewSet groups the keepers of an epoch by availability zone.
+func NewSet(epoch ident.Epoch, members []Member) *Set {
+	set := &Set{Epoch: epoch}
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		if c := strings.Compare(string(a.Zone), string(b.Zone)); c != 0 {
+			return c
+		}
+		return strings.Compare(string(a.Host), string(b.Host))
+	})
+	for _, m := range sorted {
+		last := len(set.zones) - 1
+		if last < 0 || set.zones[last].zone != m.Zone {
+			set.zones = append(set.zones, zoneKeepers{zone: m.Zone})
+			last++
+		}
+		set.zones[last].members = append(set.zones[last].members, m)
+		set.zones[last].seeds = append(set.zones[last].seeds, xxhash.Sum64String(string(m.Host)))
+	}
+	return set
+}
+
+// Holders returns the session's holder in each availability zone with keepers, ordered by zone.
+func (s *Set) Holders(session ident.Session) []Member {
+	sum := Hash(session)
+	holders := make([]Member, 0, len(s.zones))
+	for _, z := range s.zones {
+		holders = append(holders, z.holder(sum))
+	}
+	return holders
+}
+
+// Holds reports whether self is a holder of the session.
+func (s *Set) Holds(self Member, session ident.Session) bool {
+	return s.holds(self, Hash(session))
+}
+
+func (s *Set) holds(self Member, sum uint64) bool {
+	m, found := s.holder(self.Zone, sum)
+	return found && m.same(self)
+}
+
+// assigns reports whether self or an earlier start of its host is a holder of the session.
+func (s *Set) assigns(self Member, sum uint64) bool {
+	m, found := s.holder(self.Zone, sum)
+	return found && m.Host == self.Host && m.Incarnation <= self.Incarnation
+}
+
+func (s *Set) holder(zone ident.Zone, sum uint64) (Member, bool) {
+	for _, z := range s.zones {
+		if z.zone == zone {
+			return z.holder(sum), true
+		}
+	}
+	return Member{}, false
+}
+
+// holder applies rendezvous hashing: the highest combined hash wins, and a removed member moves only its own sessions.
+// The incarnation is left out of the hash, so a restarted host takes over the sessions that it held.
+func (z zoneKeepers) holder(sum uint64) Member {
+	best, weight := 0, uint64(0)
+	for i, seed := range z.seeds {
+		if w := mix(seed ^ sum); i == 0 || w > weight {
+			best, weight = i, w
+		}
+	}
+	return z.members[best]
+}
+
+// mix is the finalizer of splitmix64; it spreads the combination of two hashes over all bits.
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Hash returns the 64-bit hash under which a session is placed and kept.
+func Hash(session ident.Session) uint64 {
+	var buffer [128]byte
+	b := append(buffer[:0], session.Service...)
+	b = append(b, 0)
+	b = append(b, session.Team...)
+	b = append(b, 0)
+	b = append(b, session.User...)
+	return xxhash.Sum64(b)
+}
+
+// View is what a host has adopted of the keeper epochs. Previous is nil once the epoch is settled.
+type View struct {
+	Current  *Set
+	Previous *Set
+	Settled  bool
+}
+
+// NewView converts the keeper set of the control state; it returns nil while there is none.
+func NewView(set *fleetpb.KeeperSet) *View {
+	if set.GetEpoch() == 0 {
+		return nil
+	}
+	view := &View{
+		Current: NewSet(ident.Epoch(set.GetEpoch()), members(set.GetCurrent())),
+		Settled: set.GetSettled(),
+	}
+	if !set.GetSettled() {
+		view.Previous = NewSet(ident.Epoch(set.GetEpoch()-1), members(set.GetPrevious()))
+	}
+	return view
+}
+
+func members(keepers []*fleetpb.Keeper) []Member {
+	list := make([]Member, 0, len(keepers))
+	for _, k := range keepers {
+		list = append(list, Member{
+			Host:        ident.Host(k.GetHost()),
+			Incarnation: ident.Incarnation(k.GetIncarnation()),
+			Zone:        ident.Zone(k.GetZone()),
+			Peer:        k.GetPeer(),
+		})
+	}
+	return list
+}
+
+// Epoch returns the adopted epoch, or 0 without a view.
+func (v *View) Epoch() ident.Epoch {
+	if v == nil {
+		return 0
+	}
+	return v.Current.Epoch
+}
+
+// Required returns the holders that a writer records with: those of the epoch and, until it is settled, of the previous.
+func (v *View) Required(session ident.Session) []Member {
+	holders := v.Current.Holders(session)
+	if v.Settled || v.Previous == nil {
+		return holders
+	}
+	for _, m := range v.Previous.Holders(session) {
+		if !slices.ContainsFunc(holders, m.same) {
+			holders = append(holders, m)
+		}
+	}
+	return holders
+}
+
+// Name returns the session of a message.
+func Name(n *fleetpb.SessionName) ident.Session {
+	return ident.Session{
+		Service: ident.Service(n.GetService()),
+		Team:    ident.Team(n.GetTeam()),
+		User:    ident.User(n.GetUser()),
+	}
+}
+
+// Message returns the session as it travels between hosts.
+func Message(s ident.Session) *fleetpb.SessionName {
+	return &fleetpb.SessionName{Service: string(s.Service), Team: string(s.Team), User: string(s.User)}
+}
+
+// PositionOf returns the position of a message; a missing one is the zero position, which every upstream covers.
+func PositionOf(p *fleetpb.Position) ident.Position {
+	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
+}
+
+// PositionMessage returns the position as it travels between hosts.
+func PositionMessage(p ident.Position) *fleetpb.Position {
+	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
+}
