--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -172,3 +172,44 @@
 	require.Zero(t, want(1500*ms), "the bucket starts empty")
 	require.Equal(t, 5, want(1510*ms))
 }
+
+// Guards against reports that give a borrower's tokens out twice when they come late, again or in another order.
+func TestReportsCountOnce(t *testing.T) {
+	type report struct {
+		at             ident.Time
+		held, returned uint32
+	}
+	tests := []struct {
+		name    string
+		reports []report
+		want    limit.Balance // at 1,110 ms; a loan of 10 at 1,000 ms left no room for refill, 10 ms later there is
+	}{
+		{"none", nil, limit.Balance{Bucket: 10, Lent: 10}},
+		{"spent", []report{{1010 * ms, 4, 0}}, limit.Balance{Bucket: 11, Lent: 4}},
+		{"returned", []report{{1010 * ms, 4, 6}}, limit.Balance{Bucket: 16, Lent: 4}},
+		{"returned twice", []report{{1010 * ms, 4, 6}, {1020 * ms, 4, 6}}, limit.Balance{Bucket: 16, Lent: 4}},
+		{"crossed", []report{{1010 * ms, 2, 6}, {1020 * ms, 5, 5}}, limit.Balance{Bucket: 17, Lent: 2}},
+		{"more than lent", []report{{1010 * ms, 40, 0}}, limit.Balance{Bucket: 10, Lent: 10}},
+		{"more than neither held nor spent", []report{{1010 * ms, 9, 6}}, limit.Balance{Bucket: 11, Lent: 9}},
+		{"after the expiry", []report{{1500 * ms, 0, 10}}, limit.Balance{Bucket: 10, Lent: 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := limit.NewOwner(limit.OwnerOptions{Since: -9500 * ms})
+			o.SetRules(-9500*ms, map[ident.Team]limit.Rule{"stalls": {Rate: 10, Burst: 20}})
+			ask := &fleetpb.BorrowRequest{Seq: 1, Wanted: []*fleetpb.Tokens{{Team: "stalls", Amount: 10, Waiting: 10}}}
+			require.Equal(t, uint32(10), o.Borrow(1000*ms, ask).GetLent()[0].GetAmount())
+			require.Equal(t, uint32(10), o.Borrow(1001*ms, ask).GetLent()[0].GetAmount(), "the same loan again")
+			now := 1110 * ms
+			for i, r := range tt.reports {
+				o.Borrow(r.at, &fleetpb.BorrowRequest{
+					Seq: uint64(i + 2), Held: []*fleetpb.Tokens{{Team: "stalls", Loan: 1, Amount: r.held}},
+					Returned: []*fleetpb.Tokens{{Team: "stalls", Loan: 1, Amount: r.returned}},
+				})
+				now = max(now, r.at)
+			}
+			tt.want.Borrowers = 1
+			require.Equal(t, tt.want, o.Balance(now, "stalls"))
+		})
+	}
+}
--- a/fleet/session/session_test.go
+++ b/fleet/session/session_test.go
@@ -113,3 +113,38 @@
 		})
 	}
 }
+
+// Guards against an acknowledgement whose grounds ended while the answers came in: the lease, or the epoch under which
+// the holders were chosen.
+func TestWriterChecksLeaseAndEpochAtAcknowledgement(t *testing.T) {
+	a, b := session.Member{Host: "a", Zone: "z"}, session.Member{Host: "b", Zone: "z"}
+	one := &session.View{Current: session.NewSet(1, []session.Member{a}), Settled: true}
+	two := &session.View{Current: session.NewSet(2, []session.Member{b}), Previous: one.Current}
+	recorded := &fleetpb.PutResponse{Recorded: true}
+	tests := []struct {
+		name  string
+		now   ident.Time
+		view  *session.View
+		lease ident.Time
+		want  session.WriteAction
+	}{
+		{"as it was", 5, one, 10, session.Acknowledge{}},
+		{"answer at the deadline", 100, one, 110, session.Acknowledge{}},
+		{"lease ended", 10, one, 10, session.AwaitAnswer{Until: 100}},
+		{"lease ended at the deadline", 100, one, 10, session.GiveUp{Cause: &session.Unrecorded{
+			Session: name(1), Epoch: 1, NoLease: true,
+		}}},
+		{"new epoch", 5, two, 10, session.SendPuts{Epoch: 2, To: []session.Member{b}}},
+		{"new epoch at the deadline", 100, two, 110, session.GiveUp{Cause: &session.Unrecorded{
+			Session: name(1), Epoch: 2, Missing: []ident.Host{"b"},
+		}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := session.NewWriter(name(1), at(1), 100)
+			require.IsType(t, session.SendPuts{}, w.Next(0, session.Conditions{View: one, Lease: 10}))
+			w.Answered(1, a, recorded)
+			require.Equal(t, tt.want, w.Next(tt.now, session.Conditions{View: tt.view, Lease: tt.lease}))
+		})
+	}
+}
--- a/fleet/session/story_test.go
+++ b/fleet/session/story_test.go
@@ -179,6 +179,7 @@
 	_, action = s.write("b1", id)
 	require.Equal(t, session.Acknowledge{}, action, "the restarted host accepts for its earlier start")
 	s.sync(&session.View{Current: one, Settled: true}, holder)
+	s.floors(holder)
 	known := s.read("b1", id, "a", "b").(session.Known)
 	require.Equal(t, s.primary, known.Position)
 
