Check callers' keys against the shared key table

Cause: the entry path had its own copy of the key check. Measured: go test -race ./host/entry passes. Conclusion: one key check; live connections ask for the key's validity before each batch.

--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -37,7 +37,7 @@
 	secret  []byte
 	session ident.Session
 	route   member.Route
-	key     credential
+	key     ident.KeyID
 
 	statements map[string]*statement
 	portals    map[string]*statement
--- a/host/entry/entry_test.go
+++ b/host/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/member"
 )
@@ -48,12 +49,12 @@
 	conn := f.connect(t, testService, testKey, "")
 	_, err := conn.Exec(t.Context(), "insert a")
 	require.NoError(t, err)
-	require.Zero(t, f.upstream.count("secret"), "the upstream saw the caller's key")
+	require.Zero(t, f.upstream.count(testSecret), "the upstream saw the caller's key")
 	tests := []struct {
 		name, database, key, code string
 	}{
-		{"wrong secret", testService, "k1.wrong", "28P01"},
-		{"unknown id", testService, "k2.secret-of-the-member", "28P01"},
+		{"wrong secret", testService, "k1.x" + testSecret[1:], "28P01"},
+		{"unknown id", testService, "k2." + testSecret, "28P01"},
 		{"no separator", testService, "k1", "28P01"},
 		{"unknown service", "nothing", testKey, "3D000"},
 	}
@@ -76,7 +77,7 @@
 	conn := f.connect(t, testService, testKey, "")
 	_, err := conn.Exec(t.Context(), "insert a")
 	require.NoError(t, err)
-	f.parts.change(func(v *member.View) { v.Keys = nil })
+	f.parts.view.Keys.Update(&fleetpb.State{Withdrawn: []string{"k1"}})
 	_, err = conn.Exec(t.Context(), "insert b")
 	requireCode(t, err, "28000")
 
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"fmt"
 	"net"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/entry"
 	"tamarackshunt.dev/host/member"
@@ -25,7 +25,8 @@
 
 const (
 	testService = "ledger"
-	testKey     = "k1.secret-of-the-member"
+	testSecret  = "c2VjcmV0LW9mLXRoZS1tZW1iZXItMzItYnl0ZXMtb2s"
+	testKey     = "k1." + testSecret
 )
 
 // fakeUpstream answers statements by their first word and records what it was sent.
@@ -244,7 +245,11 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{upstream: newFakeUpstream(t)}
-	hash := sha256.Sum256([]byte("secret-of-the-member"))
+	keys := key.NewTable()
+	written, err := key.Parse(testKey)
+	require.NoError(t, err)
+	hash := written.Hash()
+	keys.Update(&fleetpb.State{Full: true, Keys: []*fleetpb.KeyEntry{{Id: "k1", Team: "members", Hash: hash[:]}}})
 	target := member.Target{Service: testService, Upstream: "u1"}
 	service := &fleetpb.Service{Name: testService, Deadline: durationpb.New(20 * time.Second)}
 	f.parts = &fakeParts{view: &member.View{
@@ -258,7 +263,7 @@
 			Service: testService, Primary: "u1", Term: 1,
 			Members: []*fleetpb.Member{{Upstream: "u1", Address: f.upstream.listener.Addr().String()}},
 		}},
-		Keys:       map[ident.KeyID]*fleetpb.KeyEntry{"k1": {Id: "k1", Team: "members", Hash: hash[:]}},
+		Keys:       keys,
 		Allotments: map[member.Target]int{target: 2},
 		Announced:  map[member.Target]bool{target: true},
 		Expires:    ident.Time(time.Hour),
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -151,8 +151,7 @@
 	if c.route.Open {
 		return nil
 	}
-	team, err := c.key.check(view)
-	if err != nil || team != c.session.Team {
+	if !view.Keys.Valid(c.key, c.session.Team) {
 		return &Rejection{Code: "28000", Message: "the key has been withdrawn; the statement was not run", Fatal: true}
 	}
 	return nil
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
 	"tamarackshunt.dev/host/member"
 )
 
@@ -113,12 +114,12 @@
 	if !ok {
 		return "", &Rejection{Code: "08P01", Message: "a password message was expected", Fatal: true}
 	}
-	c.key = parseCredential(password.Password)
-	team, err := c.key.check(view)
+	id, team, err := view.Keys.Check(password.Password)
 	if err != nil {
 		c.server.metrics.wrongKey.Inc()
-		return "", err
+		return "", keyRejection(err)
 	}
+	c.key = id
 	return team, nil
 }
 
@@ -130,3 +131,12 @@
 	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
 	return c.send(c.ready())
 }
+
+// keyRejection tells a withdrawn key from a wrong one.
+func keyRejection(err error) *Rejection {
+	var revoked *key.RevokedError
+	if errors.As(err, &revoked) {
+		return &Rejection{Code: "28000", Message: "the key has been withdrawn", Fatal: true}
+	}
+	return &Rejection{Code: "28P01", Message: "the key is not valid", Fatal: true}
+}
--- a/host/member/member.go
+++ b/host/member/member.go
@@ -10,6 +10,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/peer"
 )
@@ -69,7 +70,7 @@
 	for _, host := range opts.Settings.GetControl() {
 		m.control = append(m.control, host.GetPeer())
 	}
-	m.view.Store(&View{})
+	m.view.Store(&View{Keys: key.NewTable()})
 	changed := make(chan struct{})
 	m.changed.Store(&changed)
 	go m.run(ctx)
--- a/host/member/view.go
+++ b/host/member/view.go
@@ -3,6 +3,7 @@
 import (
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
 )
 
 // View is one immutable copy of the control state; every change makes a new View.
@@ -15,12 +16,13 @@
 	Teams       map[ident.Team]*fleetpb.Team
 	ZonesOut    map[ident.Zone]bool
 	Groups      map[ident.Service]*fleetpb.Group
-	Keys        map[ident.KeyID]*fleetpb.KeyEntry
-	Keepers     *fleetpb.KeeperSet
-	Hosts       []*fleetpb.Alive
-	Allotments  map[Target]int
-	Announced   map[Target]bool
-	Expires     ident.Time
+	// Keys is shared by all views of a host, so that a withdrawn key stops at once.
+	Keys       *key.Table
+	Keepers    *fleetpb.KeeperSet
+	Hosts      []*fleetpb.Alive
+	Allotments map[Target]int
+	Announced  map[Target]bool
+	Expires    ident.Time
 }
 
 // Target names one upstream of one service.
@@ -85,11 +87,10 @@
 func (v *View) apply(state *fleetpb.State) {
 	if state.GetFull() {
 		v.Groups = nil
-		v.Keys = nil
 	}
 	v.Version = ident.Version(state.GetVersion())
 	v.applyGroups(state.GetGroups())
-	v.applyKeys(state.GetKeys(), state.GetWithdrawn())
+	v.Keys.Update(state)
 	if state.GetKeepers() != nil {
 		v.Keepers = state.GetKeepers()
 	}
@@ -109,23 +110,6 @@
 	v.Groups = groups
 }
 
-func (v *View) applyKeys(given []*fleetpb.KeyEntry, withdrawn []string) {
-	if len(given) == 0 && len(withdrawn) == 0 && v.Keys != nil {
-		return
-	}
-	keys := make(map[ident.KeyID]*fleetpb.KeyEntry, len(v.Keys)+len(given))
-	for id, entry := range v.Keys {
-		keys[id] = entry
-	}
-	for _, entry := range given {
-		keys[ident.KeyID(entry.GetId())] = entry
-	}
-	for _, id := range withdrawn {
-		delete(keys, ident.KeyID(id))
-	}
-	v.Keys = keys
-}
-
 func (v *View) applyText(state *fleetpb.State) {
 	text := state.GetText()
 	v.Text = text
