Add the control leader's decisions and the Control service

Leases end at most one lease after the time until which no other host can lead, and a new leader waits one lease before it takes a host for gone. A keeper epoch starts when the hosts that stay change and is settled once every host with a lease has adopted it and the other leases have ended.

--- a/fleet/burn/measure.go
+++ b/fleet/burn/measure.go
@@ -46,7 +46,7 @@
 	totals := map[ident.Team]Counts{}
 	for _, s := range slots {
 		for team, c := range s.teams {
-			totals[team] = totals[team].plus(c)
+			totals[team] = totals[team].Plus(c)
 		}
 	}
 	measures := Measures{
--- a/fleet/burn/meter.go
+++ b/fleet/burn/meter.go
@@ -82,7 +82,7 @@
 	}
 	m.follow(now, team, c)
 	s := m.at(now)
-	s.teams[team] = s.teams[team].plus(c)
+	s.teams[team] = s.teams[team].Plus(c)
 	if m.zoned && now.Sub(m.zoneAt) < zoneChange {
 		s.changing = true
 		s.asked += c.Asked
@@ -134,7 +134,26 @@
 	return c.Served + c.RefusedOther + c.Unknown
 }
 
-func (c Counts) plus(o Counts) Counts {
+// Since returns what was counted after an earlier report by the same host.
+func (c Counts) Since(o Counts) Counts {
+	return Counts{
+		Asked:        grown(c.Asked, o.Asked),
+		Served:       grown(c.Served, o.Served),
+		RefusedRate:  grown(c.RefusedRate, o.RefusedRate),
+		RefusedOther: grown(c.RefusedOther, o.RefusedOther),
+		Unknown:      grown(c.Unknown, o.Unknown),
+		ReadsReplica: grown(c.ReadsReplica, o.ReadsReplica),
+		ReadsPrimary: grown(c.ReadsPrimary, o.ReadsPrimary),
+		Writes:       grown(c.Writes, o.Writes),
+	}
+}
+
+func grown(later, earlier uint64) uint64 {
+	return max(later, earlier) - earlier
+}
+
+// Plus returns the sum of two counts.
+func (c Counts) Plus(o Counts) Counts {
 	return Counts{
 		Asked:        c.Asked + o.Asked,
 		Served:       c.Served + o.Served,
--- a/fleet/burn/tokens.go
+++ b/fleet/burn/tokens.go
@@ -32,7 +32,7 @@
 		t.least = min(limit.Burst, t.least+idle*limit.Rate)
 		t.step, t.open = number, Counts{}
 	}
-	t.open = t.open.plus(c)
+	t.open = t.open.Plus(c)
 }
 
 // close adds the requests of a step that were due tokens in whatever order they came: a request waits for a step's
--- /dev/null
+++ b/fleet/control/epochs.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// decideEpoch settles the current keeper epoch, or starts the next one when the keepers should be others. It waits until
+// the leases of an earlier leader have ended, since hosts that it does not know of may hold them.
+func (l *Leader) decideEpoch(now ident.Time) {
+	if !l.office.Leads || !l.matured {
+		return
+	}
+	current := l.machine.Keepers()
+	if !current.GetSettled() {
+		if l.adopted(now, ident.Epoch(current.GetEpoch())) {
+			l.propose(now, "settle/"+strconv.FormatUint(current.GetEpoch(), 10), keepersChange(&fleetpb.KeeperSet{
+				Epoch: current.GetEpoch(), Settled: true,
+			}))
+		}
+		return
+	}
+	wanted := l.wantedKeepers(now)
+	if len(wanted) == 0 || slices.EqualFunc(wanted, current.GetCurrent(), sameKeeper) {
+		return
+	}
+	l.propose(now, "epoch/"+strconv.FormatUint(current.GetEpoch()+1, 10), keepersChange(&fleetpb.KeeperSet{
+		Epoch: current.GetEpoch() + 1, Current: wanted,
+	}))
+}
+
+// adopted reports whether every host that may serve callers has adopted an epoch: those with a lease say so, and the
+// leases of all others have ended. Ended incarnations adopt nothing, so their leases must end.
+func (l *Leader) adopted(now ident.Time, epoch ident.Epoch) bool {
+	for _, h := range l.hosts {
+		if now < h.expires && !h.controlOnly && h.adopted < epoch {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(l.ghosts, func(g ghost) bool { return now < g.expires })
+}
+
+// wantedKeepers returns the hosts with a lease and the entry role that stay: hosts that are leaving, or whose zone is out
+// of service, hand their sessions over while they still can. If no host stays, all are wanted.
+func (l *Leader) wantedKeepers(now ident.Time) []*fleetpb.Keeper {
+	var staying, all []*fleetpb.Keeper
+	for _, h := range l.hosts {
+		if now >= h.expires || h.controlOnly {
+			continue
+		}
+		k := &fleetpb.Keeper{
+			Host:        h.alive.GetHost(),
+			Incarnation: h.alive.GetIncarnation(),
+			Zone:        h.alive.GetZone(),
+			Peer:        h.alive.GetPeer(),
+		}
+		all = append(all, k)
+		if !h.alive.GetLeaving() && !l.out(h.alive.GetZone()) {
+			staying = append(staying, k)
+		}
+	}
+	if len(staying) == 0 {
+		staying = all
+	}
+	slices.SortFunc(staying, func(a, b *fleetpb.Keeper) int { return cmp.Compare(a.GetHost(), b.GetHost()) })
+	return staying
+}
+
+func sameKeeper(a, b *fleetpb.Keeper) bool {
+	return a.GetHost() == b.GetHost() && a.GetIncarnation() == b.GetIncarnation() &&
+		a.GetZone() == b.GetZone() && a.GetPeer() == b.GetPeer()
+}
+
+func keepersChange(set *fleetpb.KeeperSet) *fleetpb.Change {
+	return &fleetpb.Change{Kind: &fleetpb.Change_Keepers{Keepers: set}}
+}
+
+// out reports whether the text takes a zone out of service.
+func (l *Leader) out(zone string) bool {
+	for _, z := range l.machine.Text().GetZones() {
+		if z.GetName() == zone {
+			return z.GetOut()
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fleet/control/errors.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"fmt"
+
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// NotLeaderError reports a message to a control host that does not lead.
+type NotLeaderError struct{}
+
+// Error implements error.
+func (*NotLeaderError) Error() string {
+	return "this control host does not lead"
+}
+
+// UnconfirmedError reports a leader that a majority has not confirmed lately, so that another one may lead.
+type UnconfirmedError struct{}
+
+// Error implements error.
+func (*UnconfirmedError) Error() string {
+	return "a majority of control hosts has not confirmed this leader"
+}
+
+// HostError reports a sync without the id of a host, or from an incarnation that has ended.
+type HostError struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+	Cause       string
+}
+
+// Error implements error.
+func (e *HostError) Error() string {
+	return fmt.Sprintf("host %q, incarnation %d: %s", e.Host, e.Incarnation, e.Cause)
+}
+
+// AheadError reports a host that knows a later version than this control host, which then must not answer it.
+type AheadError struct {
+	Known   ident.Version
+	Version ident.Version
+}
+
+// Error implements error.
+func (e *AheadError) Error() string {
+	return fmt.Sprintf("the host knows version %d of the control state, later than version %d here", e.Known, e.Version)
+}
--- a/fleet/control/groups.go
+++ b/fleet/control/groups.go
@@ -63,7 +63,11 @@
 		group = &fleetpb.Group{Service: j.GetService()}
 	}
 	at := slices.IndexFunc(group.GetMembers(), func(o *fleetpb.Member) bool { return o.GetUpstream() == member.GetUpstream() })
-	if at < 0 && len(group.GetMembers()) >= int(service.GetUpstreams()) {
+	places := int(service.GetUpstreams())
+	if slices.ContainsFunc(group.GetMembers(), (*fleetpb.Member).GetLeaving) {
+		places++ // a replacement joins before the leaving member is removed
+	}
+	if at < 0 && len(group.GetMembers()) >= places {
 		return m.refuse("%q has all of its %d upstreams", j.GetService(), service.GetUpstreams())
 	}
 	if at >= 0 && proto.Equal(group.GetMembers()[at], member) {
@@ -79,8 +83,8 @@
 	return m.done()
 }
 
-// leave marks a member as leaving, and removes it only once it is marked: between the two, acknowledgements no longer
-// count the member, and the control leader checks that the others hold everything that it helped to acknowledge.
+// leave marks a member as leaving, and removes it only once it is marked: between the two, the control leader checks that
+// the others hold everything that it helped to acknowledge.
 func (m *Machine) leave(l *fleetpb.Leave) *fleetpb.Outcome {
 	group := m.Group(ident.Service(l.GetService()))
 	member := MemberOf(group, l.GetUpstream())
--- /dev/null
+++ b/fleet/control/leader.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"time"
+
+	"tamarackshunt.dev/fleet/burn"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Timing of the control leader.
+const (
+	// Lease is the time from its sync for which a host may serve.
+	Lease = 2 * time.Second
+	// longestAnnouncement bounds the lease of an announcement; a new leader takes members for alive for as long.
+	longestAnnouncement = 10 * time.Second
+	// proposalWait is the time after which a proposal that was not applied is made again.
+	proposalWait = time.Second
+	// forgetHost is the time after which a silent host is no longer listed.
+	forgetHost = 10 * time.Minute
+	// contactWait is the silence after which status counts a primary as unreachable: hosts report every 250 ms, and
+	// observers take a primary for unreachable after 1 s.
+	contactWait = 1500 * time.Millisecond
+)
+
+// eventsKept is the number of events that Explain can report.
+const eventsKept = 2048
+
+// Office is what the control log says about this control host's leadership.
+type Office struct {
+	// Leads is set while this host leads and has applied every change of earlier leaders.
+	Leads bool
+	// Since is when it took office; no earlier leader answers a host after it.
+	Since ident.Time
+	// Until is the time before which no other host can lead, by its last round of heartbeats that a majority confirmed.
+	Until ident.Time
+}
+
+// LeaderOptions configure a Leader.
+type LeaderOptions struct {
+	Host    ident.Host
+	Machine *Machine
+	Meter   *burn.Meter
+}
+
+// Leader takes the decisions of the control leader that are kept in memory. Every control host has one, which follows
+// the applied changes and decides only in office. Its methods are not safe for concurrent use, and none may overlap with
+// a call to its Machine.
+type Leader struct {
+	host    ident.Host
+	machine *Machine
+	meter   *burn.Meter
+	office  Office
+
+	hosts map[ident.Host]*host
+	// ghosts are leases of ended incarnations, which may not have noticed their end.
+	ghosts    []ghost
+	upstreams map[upstreamID]*upstream
+	refusals  map[upstreamID]string
+	proposed  map[string]ident.Time
+	lists     *lists
+	// matured is set once every lease that an earlier leader granted has ended.
+	matured bool
+
+	text   *fleetpb.Text
+	outage map[ident.Service]ident.Time
+	events []Event
+	// oldest is the index of the oldest event once the ring is full.
+	oldest  int
+	actions []Action
+}
+
+// NewLeader returns a Leader out of office.
+func NewLeader(options LeaderOptions) *Leader {
+	l := &Leader{
+		host:    options.Host,
+		machine: options.Machine,
+		meter:   options.Meter,
+		outage:  map[ident.Service]ident.Time{},
+	}
+	l.clear()
+	return l
+}
+
+func (l *Leader) clear() {
+	l.hosts = map[ident.Host]*host{}
+	l.ghosts = nil
+	l.upstreams = map[upstreamID]*upstream{}
+	l.refusals = map[upstreamID]string{}
+	l.proposed = map[string]ident.Time{}
+	l.lists = nil
+	l.matured = false
+}
+
+// SetOffice takes over what the control log says. A new term in office starts without knowledge of hosts and upstreams.
+func (l *Leader) SetOffice(now ident.Time, office Office) []Action {
+	before := l.office
+	l.office = office
+	switch {
+	case office.Leads && (!before.Leads || before.Since != office.Since):
+		l.clear()
+		l.record(now, KindLeader, string(l.host), "took office")
+	case !office.Leads && before.Leads:
+		l.clear()
+		l.record(now, KindLeader, string(l.host), "left office")
+	}
+	l.follow(now)
+	return l.take()
+}
+
+// Tick lets time pass: leases end, and what is due is proposed.
+func (l *Leader) Tick(now ident.Time) []Action {
+	l.follow(now)
+	if l.office.Leads {
+		l.mature(now)
+		l.expireHosts(now)
+		l.expireUpstreams(now)
+		l.decideEpoch(now)
+	}
+	return l.take()
+}
+
+// serving returns why this host must not answer hosts, or nil.
+func (l *Leader) serving(now ident.Time) error {
+	if !l.office.Leads {
+		return &NotLeaderError{}
+	}
+	if now >= l.office.Until {
+		return &UnconfirmedError{}
+	}
+	return nil
+}
+
+// mature notices that leases that an earlier leader granted have ended: they end at most one Lease after this leader took
+// office.
+func (l *Leader) mature(now ident.Time) {
+	if !l.matured && now >= l.office.Since.Add(Lease) {
+		l.matured = true
+		l.lists = nil
+	}
+}
+
+// propose asks for a change once, and again when it was not applied in time; key names what it is about.
+func (l *Leader) propose(now ident.Time, key string, change *fleetpb.Change) {
+	if at, waiting := l.proposed[key]; waiting && now.Sub(at) < proposalWait {
+		return
+	}
+	l.proposed[key] = now
+	l.actions = append(l.actions, Propose{Change: change})
+}
+
+func (l *Leader) record(now ident.Time, kind Kind, subject, cause string) {
+	event := Event{At: now, Kind: kind, Subject: subject, Cause: cause}
+	l.actions = append(l.actions, Record{Event: event})
+	if len(l.events) < eventsKept {
+		l.events = append(l.events, event)
+		return
+	}
+	l.events[l.oldest] = event
+	l.oldest = (l.oldest + 1) % eventsKept
+}
+
+// take returns the collected actions.
+func (l *Leader) take() []Action {
+	actions := l.actions
+	l.actions = nil
+	return actions
+}
--- a/fleet/control/machine.go
+++ b/fleet/control/machine.go
@@ -118,6 +118,17 @@
 	return m.groups[service].GetGroup()
 }
 
+// Groups returns the groups of the services that the text names, in the text's order.
+func (m *Machine) Groups() []*fleetpb.Group {
+	var groups []*fleetpb.Group
+	for _, s := range m.Text().GetServices() {
+		if g := m.Group(ident.Service(s.GetName())); g != nil {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
 // Keepers returns the keeper epoch.
 func (m *Machine) Keepers() *fleetpb.KeeperSet {
 	return m.keepers
--- /dev/null
+++ b/fleet/control/status.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Status reports for each service whether the text is met, and what keeps it from being met.
+func (l *Leader) Status(now ident.Time) *fleetpb.StatusResponse {
+	response := &fleetpb.StatusResponse{
+		TextVersion: uint64(l.machine.TextVersion()),
+		Version:     uint64(l.machine.Version()),
+		LeaderHost:  string(l.host),
+		Source:      l.machine.Source(),
+	}
+	for _, s := range l.machine.Text().GetServices() {
+		response.Services = append(response.Services, l.serviceStatus(now, s))
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.hosts)) {
+		h := l.hosts[name]
+		if h.gone {
+			continue
+		}
+		response.Hosts = append(response.Hosts, &fleetpb.HostStatus{
+			Host:        string(name),
+			Zone:        h.alive.GetZone(),
+			Version:     uint64(h.known),
+			TextVersion: uint64(h.text),
+			Current:     now < h.expires && h.text == l.machine.TextVersion(),
+			SilentMs:    uint64(now.Sub(h.seen) / time.Millisecond),
+		})
+	}
+	return response
+}
+
+func (l *Leader) serviceStatus(now ident.Time, s *fleetpb.Service) *fleetpb.ServiceStatus {
+	service := ident.Service(s.GetName())
+	group := l.machine.Group(service)
+	status := &fleetpb.ServiceStatus{Service: s.GetName(), Group: group}
+	for _, member := range group.GetMembers() {
+		if l.isAlive(now, upstreamID{service, ident.Upstream(member.GetUpstream())}) {
+			status.Alive = append(status.Alive, member.GetUpstream())
+		}
+	}
+	var reasons []string
+	if reason := l.primaryProblem(now, s); reason != "" {
+		reasons = append(reasons, reason)
+	}
+	reasons = append(reasons, l.needProblems(now, s)...)
+	reasons = append(reasons, l.memberProblems(now, s, group)...)
+	reasons = append(reasons, l.hostProblems(now)...)
+	status.Met = len(reasons) == 0
+	status.Reason = strings.Join(reasons, "; ")
+	return status
+}
+
+// primaryProblem returns why a service's primary cannot take writes, or "".
+func (l *Leader) primaryProblem(now ident.Time, s *fleetpb.Service) string {
+	service := ident.Service(s.GetName())
+	group := l.machine.Group(service)
+	if group.GetTerm() == 0 {
+		return fmt.Sprintf("no primary yet, %d of %d upstreams are announced", l.announced(now, service), s.GetUpstreams())
+	}
+	if group.GetAttempt() > group.GetTerm() {
+		return fmt.Sprintf("no primary, a promotion under term %d is running", group.GetAttempt())
+	}
+	member := MemberOf(group, group.GetPrimary())
+	id := upstreamID{service, ident.Upstream(group.GetPrimary())}
+	name := fmt.Sprintf("primary %s in zone %s", group.GetPrimary(), member.GetZone())
+	u := l.upstreams[id]
+	silent := time.Duration(0)
+	if u != nil && u.observed {
+		silent = now.Sub(u.contact)
+	}
+	switch {
+	case u != nil && u.observed && u.refused:
+		return name + " refuses connections"
+	case silent >= contactWait:
+		return fmt.Sprintf("%s has not answered for %d ms", name, silent.Milliseconds())
+	case !l.isAlive(now, id) && (u == nil || !u.observed):
+		return name + " is not announced"
+	default:
+		return ""
+	}
+}
+
+func (l *Leader) announced(now ident.Time, service ident.Service) int {
+	n := 0
+	for id, u := range l.upstreams {
+		if id.service == service && u.alive && now < u.expires && !u.member.GetLeaving() {
+			n++
+		}
+	}
+	return n
+}
+
+// needProblems names the services that a service depends on, directly or not, and that cannot take writes.
+func (l *Leader) needProblems(now ident.Time, s *fleetpb.Service) []string {
+	var problems []string
+	seen := map[string]bool{s.GetName(): true}
+	var visit func(names []string, through string)
+	visit = func(names []string, through string) {
+		for _, name := range names {
+			needed := l.machine.service(name)
+			if seen[name] || needed == nil {
+				continue
+			}
+			seen[name] = true
+			if reason := l.primaryProblem(now, needed); reason != "" {
+				problems = append(problems, fmt.Sprintf("needs %s%s: %s", name, through, reason))
+			}
+			visit(needed.GetNeeds(), " (through "+name+")")
+		}
+	}
+	visit(s.GetNeeds(), "")
+	return problems
+}
+
+// memberProblems names the upstreams that are missing or should hold no work. Upstreams in zones that are out of service
+// may be missing.
+func (l *Leader) memberProblems(now ident.Time, s *fleetpb.Service, group *fleetpb.Group) []string {
+	var problems []string
+	service := ident.Service(s.GetName())
+	for _, member := range group.GetMembers() {
+		name := fmt.Sprintf("upstream %s in zone %s", member.GetUpstream(), member.GetZone())
+		primary := member.GetUpstream() == group.GetPrimary()
+		out := l.out(member.GetZone())
+		switch {
+		case primary && out:
+			problems = append(problems, name+" is still primary though its zone is out of service")
+		case primary && member.GetLeaving():
+			problems = append(problems, name+" is still primary though it is leaving")
+		case out:
+		case member.GetLeaving():
+			problems = append(problems, name+" is leaving")
+		case !l.isAlive(now, upstreamID{service, ident.Upstream(member.GetUpstream())}):
+			problems = append(problems, name+" is not announced")
+		}
+	}
+	if missing := int(s.GetUpstreams()) - len(group.GetMembers()); missing > 0 && group.GetTerm() > 0 {
+		problems = append(problems, fmt.Sprintf("%d of %d upstreams have not joined", missing, s.GetUpstreams()))
+	}
+	return problems
+}
+
+// hostProblems names the hosts that may serve by an older text.
+func (l *Leader) hostProblems(now ident.Time) []string {
+	var behind []string
+	for _, name := range slices.Sorted(maps.Keys(l.hosts)) {
+		h := l.hosts[name]
+		if now < h.expires && h.text < l.machine.TextVersion() {
+			behind = append(behind, string(name))
+		}
+	}
+	if !l.matured && l.office.Leads {
+		return []string{"the leader is new and does not know yet which hosts are alive"}
+	}
+	if len(behind) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("version %d of the text has not reached host %s", l.machine.TextVersion(), strings.Join(behind, ", "))}
+}
+
+// Explain returns the recent events about a subject, oldest first; an empty subject means all events. For a service whose
+// text is not met it adds what keeps it from being met.
+func (l *Leader) Explain(now ident.Time, subject string) []Event {
+	var found []Event
+	for i := range l.events {
+		event := l.events[(l.oldest+i)%len(l.events)]
+		if about(event, subject) {
+			found = append(found, event)
+		}
+	}
+	for _, s := range l.machine.Text().GetServices() {
+		if l.office.Leads && (subject == "" || s.GetName() == subject) {
+			if status := l.serviceStatus(now, s); !status.GetMet() {
+				found = append(found, Event{At: now, Kind: KindStatus, Subject: s.GetName(), Cause: "not met: " + status.GetReason()})
+			}
+		}
+	}
+	return found
+}
+
+// about reports whether an event concerns a subject: a whole name of the event's subject, or of its cause.
+func about(event Event, subject string) bool {
+	if subject == "" || event.Subject == subject || event.Kind.String() == subject {
+		return true
+	}
+	if slices.Contains(strings.Split(event.Subject, "/"), subject) {
+		return true
+	}
+	return slices.Contains(strings.FieldsFunc(event.Cause, func(r rune) bool { return strings.ContainsRune(" ,:;", r) }), subject)
+}
+
+// Report returns the service levels and what each team's requests came to, summed over the hosts that this leader knows.
+func (l *Leader) Report(now ident.Time) string {
+	var b strings.Builder
+	b.WriteString(l.meter.Report(now))
+	b.WriteString("\n")
+	b.WriteString(teamTable(l.totals()))
+	return b.String()
+}
--- /dev/null
+++ b/fleet/control/upstreams.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// upstreamID names an upstream; ids are unique within a service.
+type upstreamID struct {
+	service  ident.Service
+	upstream ident.Upstream
+}
+
+func (u upstreamID) String() string {
+	return string(u.service) + "/" + string(u.upstream)
+}
+
+// upstream is what the leader heard of an announced or observed upstream.
+type upstream struct {
+	member  *fleetpb.Member
+	expires ident.Time
+	alive   bool
+	// contact is the latest time at which any observer had an answer, and refused whether connections were refused since.
+	contact  ident.Time
+	refused  bool
+	observed bool
+}
+
+// refusalsKept bounds the announcements whose refusal is remembered, so that repeats are recorded once.
+const refusalsKept = 1024
+
+// Announce renews the lease of an upstream's announcement. It refuses upstreams of services or zones that the text does
+// not name. Members join and leave by the decisions of package failover, which takes announcements too.
+func (l *Leader) Announce(now ident.Time, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, []Action, error) {
+	if err := l.serving(now); err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	member := request.GetMember()
+	id := upstreamID{ident.Service(request.GetService()), ident.Upstream(member.GetUpstream())}
+	if problem := l.unwelcome(request); problem != "" {
+		l.refuse(now, id, problem)
+		return &fleetpb.AnnounceResponse{Problem: problem}, l.take(), nil
+	}
+	delete(l.refusals, id)
+	u := l.upstream(id)
+	lease := min(time.Duration(request.GetLeaseMs())*time.Millisecond, longestAnnouncement)
+	u.expires = now.Add(lease)
+	if !u.alive {
+		u.alive = true
+		l.lists = nil
+		l.record(now, KindUpstream, id.String(), fmt.Sprintf("announced at %s in zone %s", member.GetAddress(), member.GetZone()))
+	}
+	if member.GetLeaving() && !u.member.GetLeaving() {
+		l.record(now, KindUpstream, id.String(), "announced as leaving")
+	}
+	u.member = member
+	group := l.machine.Group(id.service)
+	return &fleetpb.AnnounceResponse{
+		Accepted: true,
+		Primary:  MemberOf(group, group.GetPrimary()).GetAddress(),
+		Term:     group.GetTerm(),
+	}, l.take(), nil
+}
+
+// unwelcome returns why an announcement is refused, or "".
+func (l *Leader) unwelcome(request *fleetpb.AnnounceRequest) string {
+	member := request.GetMember()
+	switch {
+	case member.GetUpstream() == "" || member.GetAddress() == "":
+		return "the announcement names no upstream or no address"
+	case request.GetLeaseMs() == 0:
+		return "the announcement has no lease, expected leaseMs above 0"
+	case l.machine.service(request.GetService()) == nil:
+		return fmt.Sprintf("the text names no service %q", request.GetService())
+	case !hasZone(l.machine.Text(), member.GetZone()):
+		return fmt.Sprintf("the text names no zone %q", member.GetZone())
+	default:
+		return ""
+	}
+}
+
+func (l *Leader) refuse(now ident.Time, id upstreamID, problem string) {
+	if l.refusals[id] == problem {
+		return
+	}
+	if len(l.refusals) >= refusalsKept {
+		clear(l.refusals)
+	}
+	l.refusals[id] = problem
+	l.record(now, KindRefused, id.String(), problem)
+}
+
+func (l *Leader) upstream(id upstreamID) *upstream {
+	u := l.upstreams[id]
+	if u == nil {
+		u = &upstream{}
+		l.upstreams[id] = u
+	}
+	return u
+}
+
+// observe notes when observers last had an answer of each member.
+func (l *Leader) observe(now ident.Time, request *fleetpb.SyncRequest) {
+	for _, o := range request.GetObserved() {
+		group := l.machine.Group(ident.Service(o.GetService()))
+		if MemberOf(group, o.GetUpstream()) == nil {
+			continue
+		}
+		u := l.upstream(upstreamID{ident.Service(o.GetService()), ident.Upstream(o.GetUpstream())})
+		silent := time.Duration(min(o.GetSilentMs(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
+		if contact := now.Add(-silent); !u.observed || contact >= u.contact {
+			u.contact, u.refused, u.observed = contact, o.GetRefused(), true
+		}
+	}
+}
+
+func (l *Leader) expireUpstreams(now ident.Time) {
+	for _, id := range slices.SortedFunc(maps.Keys(l.upstreams), compareIDs) {
+		u := l.upstreams[id]
+		if u.alive && now >= u.expires {
+			u.alive = false
+			l.lists = nil
+			l.record(now, KindUpstream, id.String(), "announcement ended")
+		}
+		member := MemberOf(l.machine.Group(id.service), string(id.upstream)) != nil
+		if !u.alive && !member {
+			delete(l.upstreams, id)
+		}
+	}
+	if settled := l.office.Since.Add(longestAnnouncement); now >= settled && now.Sub(settled) < time.Second {
+		l.lists = nil // members that were taken for alive may no longer be
+	}
+}
+
+// isAlive reports whether an upstream's announcement is valid. A new leader takes a member that it has not heard of for
+// alive until the longest announcement to an earlier leader has ended.
+func (l *Leader) isAlive(now ident.Time, id upstreamID) bool {
+	u := l.upstreams[id]
+	if u != nil && u.member != nil {
+		return now < u.expires
+	}
+	return now < l.office.Since.Add(longestAnnouncement)
+}
+
+// aliveUpstreams returns the members that are alive, as service/upstream.
+func (l *Leader) aliveUpstreams(now ident.Time) []string {
+	var alive []string
+	for _, s := range l.machine.Text().GetServices() {
+		for _, member := range l.machine.Group(ident.Service(s.GetName())).GetMembers() {
+			id := upstreamID{ident.Service(s.GetName()), ident.Upstream(member.GetUpstream())}
+			if l.isAlive(now, id) {
+				alive = append(alive, id.String())
+			}
+		}
+	}
+	slices.Sort(alive)
+	return alive
+}
+
+func compareIDs(a, b upstreamID) int {
+	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.upstream, b.upstream))
+}
--- /dev/null
+++ b/host/controller/announce.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+)
+
+// maxAnnouncement bounds the body of an announcement in bytes.
+const maxAnnouncement = 64 << 10
+
+// Announcement is the JSON body of POST /announce.
+type Announcement struct {
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	// LeaseMs is the time in milliseconds for which the upstream counts as announced.
+	LeaseMs uint32 `json:"leaseMs"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Announced is the JSON answer to POST /announce.
+type Announced struct {
+	Accepted bool   `json:"accepted"`
+	Problem  string `json:"problem,omitempty"`
+	// Primary is the address of the group's primary and Term its term, so that a replica knows whom to follow.
+	Primary string `json:"primary,omitempty"`
+	Term    uint64 `json:"term,omitempty"`
+}
+
+// Announcer passes an announcement to the control leader.
+type Announcer func(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error)
+
+// AnnounceHandler serves POST /announce to upstreams that show the announcement key, on control hosts and on others.
+func AnnounceHandler(key string, announce Announcer) http.Handler {
+	want := secretOf(key)
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if !shown(request, want) {
+			announceDenied.Inc()
+			answer(w, http.StatusUnauthorized, Announced{Problem: "wrong or missing announcement key"})
+			return
+		}
+		if request.Method != http.MethodPost {
+			w.Header().Set("Allow", http.MethodPost)
+			answer(w, http.StatusMethodNotAllowed, Announced{Problem: "expected POST"})
+			return
+		}
+		var a Announcement
+		decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxAnnouncement))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&a); err != nil {
+			announceDenied.Inc()
+			answer(w, http.StatusBadRequest, Announced{Problem: "unreadable announcement: " + err.Error()})
+			return
+		}
+		response, err := announce(request.Context(), a.request())
+		switch {
+		case err != nil || response.GetLeader() != "":
+			klog.V(1).InfoS("Announcement not passed on", "service", a.Service, "upstream", a.Upstream, "err", err)
+			w.Header().Set("Retry-After", "1")
+			answer(w, http.StatusServiceUnavailable, Announced{Problem: "no control leader was reached, try again"})
+		case !response.GetAccepted():
+			answer(w, http.StatusUnprocessableEntity, Announced{Problem: response.GetProblem()})
+		default:
+			answer(w, http.StatusOK, Announced{Accepted: true, Primary: response.GetPrimary(), Term: response.GetTerm()})
+		}
+	})
+}
+
+func (a Announcement) request() *fleetpb.AnnounceRequest {
+	return &fleetpb.AnnounceRequest{
+		Service: a.Service,
+		Member: &fleetpb.Member{
+			Upstream: a.Upstream,
+			Address:  a.Address,
+			Zone:     a.Zone,
+			Region:   a.Region,
+			Leaving:  a.Leaving,
+		},
+		LeaseMs: a.LeaseMs,
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body Announced) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// Announce passes an announcement to the leader, here or on another control host.
+func (c *Controller) Announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+	response, err := service{c}.Announce(ctx, request)
+	if err != nil || response.GetLeader() == "" {
+		return response, trace.Wrap(err)
+	}
+	header := http.Header{"Authorization": {"Bearer " + c.options.Secrets.GetFleet()}}
+	ctx, err = twirp.WithHTTPRequestHeaders(ctx, header)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	client := fleetpb.NewControlProtobufClient("http://"+response.GetLeader(), c.options.Client)
+	response, err = client.Announce(ctx, request)
+	return response, trace.Wrap(err)
+}
--- /dev/null
+++ b/host/controller/controller.go
@@ -0,0 +1,251 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/burn"
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+const (
+	// tick is the time between two looks at leases and leadership.
+	tick = 50 * time.Millisecond
+	// proposeTime bounds a proposal that the leader makes by itself.
+	proposeTime = time.Second
+	// proposalsWaiting bounds such proposals; further ones are dropped and made again later.
+	proposalsWaiting = 64
+)
+
+var (
+	proposals       = metrics.NewCounter(`tamarack_control_proposals_total`)
+	proposalsFailed = metrics.NewCounter(`tamarack_control_proposals_failed_total`)
+	proposalsLost   = metrics.NewCounter(`tamarack_control_proposals_dropped_total`)
+)
+
+// Options configure a Controller.
+type Options struct {
+	Host    ident.Host
+	Secrets *fleetpb.Secrets
+	// Clock is the logical time by which the control log counts too.
+	Clock func() ident.Time
+	Parts Parts
+	// Client calls other control hosts; nil means one with a timeout of two seconds.
+	Client *http.Client
+}
+
+// Controller is the control role of one host. Its methods may be called from several goroutines.
+type Controller struct {
+	options Options
+
+	mu      sync.Mutex
+	machine *control.Machine
+	leader  *control.Leader
+	log     Log
+	// office is what the parts were told last.
+	office control.Office
+
+	changes chan *fleetpb.Change
+	stop    chan struct{}
+	done    chan struct{}
+	stopped sync.Once
+	started bool
+}
+
+// New returns a Controller that does not lead until Start gives it its control log.
+func New(options Options) (*Controller, error) {
+	switch {
+	case options.Host == "":
+		return nil, trace.BadParameter("a controller needs a host")
+	case options.Secrets.GetFleet() == "" || options.Secrets.GetOperator() == "" || options.Secrets.GetAnnounce() == "":
+		return nil, trace.BadParameter("a controller needs the fleet secret, the operator secret and the announcement key")
+	case options.Clock == nil:
+		return nil, trace.BadParameter("a controller needs a clock")
+	}
+	if options.Client == nil {
+		options.Client = &http.Client{Timeout: 2 * time.Second}
+	}
+	machine := control.NewMachine()
+	return &Controller{
+		options: options,
+		machine: machine,
+		leader:  control.NewLeader(control.LeaderOptions{Host: options.Host, Machine: machine, Meter: burn.New()}),
+		changes: make(chan *fleetpb.Change, proposalsWaiting),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}, nil
+}
+
+// Start begins to lead when the log says so. It is called once.
+func (c *Controller) Start(log Log) {
+	c.mu.Lock()
+	c.log = log
+	c.started = true
+	c.mu.Unlock()
+	var parts sync.WaitGroup
+	parts.Go(c.ticks)
+	parts.Go(c.propose)
+	go func() {
+		parts.Wait()
+		close(c.done)
+	}()
+}
+
+// Close stops the Controller; the control log is closed separately, before or after it.
+func (c *Controller) Close() {
+	c.stopped.Do(func() { close(c.stop) })
+	c.mu.Lock()
+	started := c.started
+	c.mu.Unlock()
+	if started {
+		<-c.done
+	}
+}
+
+// Machine returns the state for the control log to replicate.
+func (c *Controller) Machine() *Machine {
+	return &Machine{c}
+}
+
+// Propose makes a change on behalf of a part, and returns the machine's answer.
+func (c *Controller) Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error) {
+	c.mu.Lock()
+	log := c.log
+	c.mu.Unlock()
+	if log == nil {
+		return nil, trace.Wrap(&control.NotLeaderError{})
+	}
+	proposals.Inc()
+	answer, err := log.Propose(ctx, change)
+	if err != nil {
+		proposalsFailed.Inc()
+	}
+	return answer, trace.Wrap(err)
+}
+
+func (c *Controller) ticks() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.mu.Lock()
+			now := c.refresh()
+			c.act(c.leader.Tick(now))
+			c.mu.Unlock()
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+// propose makes the proposals of the leader's own decisions, one after another.
+func (c *Controller) propose() {
+	for {
+		select {
+		case change := <-c.changes:
+			ctx, cancel := context.WithTimeout(context.Background(), proposeTime)
+			if _, err := c.Propose(ctx, change); err != nil {
+				klog.V(1).InfoS("Proposal failed", "change", change, "err", err)
+			}
+			cancel()
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+// refresh takes over what the log says about the leadership and returns the time; the caller holds the lock.
+func (c *Controller) refresh() ident.Time {
+	now := c.options.Clock()
+	var office control.Office
+	if c.log != nil {
+		l := c.log.Leadership()
+		office = control.Office{Leads: l.Leads, Since: l.Since, Until: l.Until}
+	}
+	c.act(c.leader.SetOffice(now, office))
+	changed := office.Leads != c.office.Leads || office.Leads && office.Since != c.office.Since
+	c.office = office
+	if changed {
+		for _, part := range c.options.Parts.all() {
+			part.SetOffice(now, office)
+		}
+		c.tellState(now)
+	}
+	return now
+}
+
+// tellState gives the parts the state; the caller holds the lock.
+func (c *Controller) tellState(now ident.Time) {
+	text, groups := c.machine.Text(), c.machine.Groups()
+	for _, part := range c.options.Parts.all() {
+		part.SetState(now, text, groups)
+	}
+}
+
+// act carries out the actions of the leader; the caller holds the lock.
+func (c *Controller) act(actions []control.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case control.Propose:
+			select {
+			case c.changes <- a.Change:
+			default:
+				proposalsLost.Inc()
+			}
+		case control.Record:
+			klog.InfoS("Control event", "kind", a.Event.Kind, "subject", a.Event.Subject, "cause", a.Event.Cause)
+		}
+	}
+}
+
+// Machine is the replicated state of a Controller, which follows the changes that the log applies.
+type Machine struct {
+	controller *Controller
+}
+
+// Apply applies a committed change and returns the answer for its proposer.
+func (m *Machine) Apply(index uint64, change *fleetpb.Change) proto.Message {
+	c := m.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Clock()
+	before := c.machine.Version()
+	answer := c.machine.Apply(index, change)
+	c.act(c.leader.Applied(now, change, answer))
+	if c.machine.Version() != before {
+		c.tellState(now)
+	}
+	return answer
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.controller.mu.Lock()
+	defer m.controller.mu.Unlock()
+	data, err := m.controller.machine.Snapshot()
+	return data, trace.Wrap(err)
+}
+
+// Restore replaces the state with one that Snapshot returned.
+func (m *Machine) Restore(state []byte) error {
+	c := m.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.machine.Restore(state); err != nil {
+		return trace.Wrap(err)
+	}
+	now := c.options.Clock()
+	c.act(c.leader.Restored(now))
+	c.tellState(now)
+	return nil
+}
--- /dev/null
+++ b/host/controller/parts.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Log is the replicated control log. It applies committed changes to the machine that Controller.Machine returns.
+type Log interface {
+	// Propose appends a change and returns the machine's answer once it is applied. After an error the change may still be
+	// applied.
+	Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error)
+	// Leadership returns what this control host knows of the leader now.
+	Leadership() Leadership
+	// Members returns the voters and learners, or nil before the log is founded.
+	Members() *fleetpb.Voters
+}
+
+// Leadership is what a control host knows of the leader.
+type Leadership struct {
+	// Leader is the peer address of the leader, Host its host; empty when unknown.
+	Leader string
+	Host   ident.Host
+	// Term of the log that this member is in.
+	Term uint64
+	// Leads is set when this member leads and its machine holds every change of earlier terms.
+	Leads bool
+	// Confirmed is set while no other member can lead, which holds until Until by the log's clock.
+	Confirmed bool
+	Until     ident.Time
+	// Since is when this member took office.
+	Since ident.Time
+	// Problem is why the leader does not admit this host, for operators.
+	Problem string
+}
+
+// Part is a part of the control leader that another package decides. Its methods are called in order, one at a time, and
+// must neither wait for a proposal nor call the Controller.
+type Part interface {
+	// SetOffice tells whether this host leads, before any other call under a new office and when the office changes.
+	SetOffice(now ident.Time, office control.Office)
+	// SetState gives the text in force and the groups of its services, at the start and after each change.
+	SetState(now ident.Time, text *fleetpb.Text, groups []*fleetpb.Group)
+}
+
+// Failover decides on the primaries and the members of groups.
+type Failover interface {
+	Part
+	// Observed takes what a host observed of upstreams.
+	Observed(now ident.Time, host ident.Host, zone ident.Zone, observed []*fleetpb.Observed)
+	// Announced takes an announcement that was accepted.
+	Announced(now ident.Time, request *fleetpb.AnnounceRequest)
+}
+
+// Tokens owns the rates and bursts of teams. Borrow may be called at the same time as its other methods.
+type Tokens interface {
+	Part
+	Borrow(now ident.Time, request *fleetpb.BorrowRequest) *fleetpb.BorrowResponse
+}
+
+// Connections divides the connections of upstreams among hosts.
+type Connections interface {
+	Part
+	// Allot takes a host's demand and returns what it may open; live are the hosts with a lease.
+	Allot(now ident.Time, request *fleetpb.SyncRequest, live []*fleetpb.Alive) []*fleetpb.Allotment
+}
+
+// Parts are the parts that the Controller passes messages to; each may be nil.
+type Parts struct {
+	Failover    Failover
+	Tokens      Tokens
+	Connections Connections
+}
+
+func (p Parts) all() []Part {
+	var all []Part
+	if p.Failover != nil {
+		all = append(all, p.Failover)
+	}
+	if p.Tokens != nil {
+		all = append(all, p.Tokens)
+	}
+	if p.Connections != nil {
+		all = append(all, p.Connections)
+	}
+	return all
+}
--- /dev/null
+++ b/host/controller/service.go
@@ -0,0 +1,258 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+var (
+	syncs          = metrics.NewCounter(`tamarack_control_syncs_total`)
+	syncsRefused   = metrics.NewCounter(`tamarack_control_syncs_refused_total`)
+	borrows        = metrics.NewCounter(`tamarack_control_borrows_total`)
+	textsAccepted  = metrics.NewCounter(`tamarack_control_texts_total{outcome="accepted"}`)
+	textsRefused   = metrics.NewCounter(`tamarack_control_texts_total{outcome="refused"}`)
+	announced      = metrics.NewCounter(`tamarack_announcements_total{outcome="accepted"}`)
+	announceDenied = metrics.NewCounter(`tamarack_announcements_total{outcome="refused"}`)
+)
+
+// service implements fleetpb.Control.
+type service struct {
+	*Controller
+}
+
+// lead runs a function under the lock if this host is the confirmed leader. Otherwise it returns the address of the
+// leader, or an error when none is known.
+func (c *Controller) lead(run func(now ident.Time)) (leader string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.refresh()
+	if c.log == nil {
+		return "", unavailable("the control log is not running yet")
+	}
+	leadership := c.log.Leadership()
+	switch {
+	case leadership.Leads && now < c.office.Until:
+		run(now)
+		return "", nil
+	case leadership.Leads:
+		return "", unavailable("a majority of control hosts has not confirmed this leader")
+	case leadership.Leader == "":
+		return "", unavailable("no leader is known")
+	default:
+		return leadership.Leader, nil
+	}
+}
+
+func unavailable(message string) error {
+	return twirp.Unavailable.Error(message)
+}
+
+// failed converts an error of a decision into one for the caller.
+func failed(err error) error {
+	var host *control.HostError
+	if errors.As(err, &host) {
+		return twirp.FailedPrecondition.Error(host.Error())
+	}
+	return unavailable(err.Error())
+}
+
+// Sync answers an entry host.
+func (s service) Sync(_ context.Context, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, error) {
+	var response *fleetpb.SyncResponse
+	var failure error
+	leader, err := s.lead(func(now ident.Time) {
+		var actions []control.Action
+		response, actions, failure = s.leader.Sync(now, request)
+		s.act(actions)
+		if failure != nil {
+			return
+		}
+		parts := s.options.Parts
+		if parts.Failover != nil {
+			parts.Failover.Observed(now, ident.Host(request.GetHost()), ident.Zone(request.GetZone()), request.GetObserved())
+		}
+		if parts.Connections != nil {
+			response.Allotments = parts.Connections.Allot(now, request, s.leader.Live())
+		}
+	})
+	switch {
+	case err != nil:
+		syncsRefused.Inc()
+		return nil, err
+	case failure != nil:
+		syncsRefused.Inc()
+		return nil, failed(failure)
+	case leader != "":
+		return &fleetpb.SyncResponse{Leader: leader}, nil
+	}
+	syncs.Inc()
+	return response, nil
+}
+
+// Borrow lends tokens of teams.
+func (s service) Borrow(_ context.Context, request *fleetpb.BorrowRequest) (*fleetpb.BorrowResponse, error) {
+	tokens := s.options.Parts.Tokens
+	if tokens == nil {
+		return nil, twirp.Unimplemented.Error("this control host lends no tokens")
+	}
+	var at ident.Time
+	leader, err := s.lead(func(now ident.Time) { at = now })
+	if err != nil {
+		return nil, err
+	}
+	if leader != "" {
+		return &fleetpb.BorrowResponse{Leader: leader}, nil
+	}
+	borrows.Inc()
+	return tokens.Borrow(at, request), nil
+}
+
+// Apply checks an operator's text and proposes it.
+func (s service) Apply(ctx context.Context, request *fleetpb.ApplyRequest) (*fleetpb.ApplyResponse, error) {
+	var version ident.Version
+	leader, err := s.lead(func(ident.Time) { version = s.machine.TextVersion() })
+	if err != nil {
+		return nil, err
+	}
+	if leader != "" {
+		return &fleetpb.ApplyResponse{Leader: leader}, nil
+	}
+	change, refused := control.ApplyChange(request, version)
+	if refused != nil {
+		textsRefused.Inc()
+		return refused, nil
+	}
+	answer, err := proposed[*fleetpb.ApplyResponse](ctx, s.Controller, change)
+	if err != nil {
+		return nil, err
+	}
+	if answer.GetAccepted() {
+		textsAccepted.Inc()
+	} else {
+		textsRefused.Inc()
+	}
+	return answer, nil
+}
+
+// GiveKey puts a key in force.
+func (s service) GiveKey(ctx context.Context, request *fleetpb.GiveKeyRequest) (*fleetpb.KeyResponse, error) {
+	return s.changeKey(ctx, &fleetpb.Change{Kind: &fleetpb.Change_Give{Give: request}})
+}
+
+// WithdrawKey ends a key.
+func (s service) WithdrawKey(ctx context.Context, request *fleetpb.WithdrawKeyRequest) (*fleetpb.KeyResponse, error) {
+	return s.changeKey(ctx, &fleetpb.Change{Kind: &fleetpb.Change_Withdraw{Withdraw: request}})
+}
+
+func (s service) changeKey(ctx context.Context, change *fleetpb.Change) (*fleetpb.KeyResponse, error) {
+	leader, err := s.lead(func(ident.Time) {})
+	if err != nil {
+		return nil, err
+	}
+	if leader != "" {
+		return &fleetpb.KeyResponse{Leader: leader}, nil
+	}
+	return proposed[*fleetpb.KeyResponse](ctx, s.Controller, change)
+}
+
+// proposed proposes an operator's change; after an error its outcome is unknown, and the same id may be sent again.
+func proposed[T proto.Message](ctx context.Context, c *Controller, change *fleetpb.Change) (T, error) {
+	var none T
+	answer, err := c.Propose(ctx, change)
+	if err != nil {
+		return none, unavailable("the change may or may not be made: " + err.Error())
+	}
+	typed, matches := answer.(T)
+	if !matches {
+		klog.ErrorS(nil, "The control state gave an answer of the wrong type", "answer", answer)
+		return none, twirp.Internal.Error("the control state gave an answer of the wrong type")
+	}
+	return typed, nil
+}
+
+// Status reports whether the text is met.
+func (s service) Status(context.Context, *fleetpb.StatusRequest) (*fleetpb.StatusResponse, error) {
+	var response *fleetpb.StatusResponse
+	leader, err := s.lead(func(now ident.Time) { response = s.leader.Status(now) })
+	if err != nil {
+		return nil, err
+	}
+	if leader != "" {
+		return &fleetpb.StatusResponse{Leader: leader}, nil
+	}
+	for _, voter := range s.log.Members().GetVoters() {
+		response.Voters = append(response.Voters, voter.GetHost())
+	}
+	return response, nil
+}
+
+// Explain reports recent events about a subject.
+func (s service) Explain(_ context.Context, request *fleetpb.ExplainRequest) (*fleetpb.ExplainResponse, error) {
+	response := &fleetpb.ExplainResponse{}
+	leader, err := s.lead(func(now ident.Time) {
+		wall := time.Now()
+		for _, event := range s.leader.Explain(now, request.GetSubject()) {
+			response.Events = append(response.Events, &fleetpb.Event{
+				UnixMs:  uint64(wall.Add(-now.Sub(event.At)).UnixMilli()),
+				Host:    string(s.options.Host),
+				Kind:    event.Kind.String(),
+				Subject: event.Subject,
+				Cause:   event.Cause,
+			})
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	response.Leader = leader
+	return response, nil
+}
+
+// Report returns the service levels as text.
+func (s service) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
+	response := &fleetpb.ReportResponse{}
+	leader, err := s.lead(func(now ident.Time) { response.Text = s.leader.Report(now) })
+	if err != nil {
+		return nil, err
+	}
+	response.Leader = leader
+	return response, nil
+}
+
+// Announce takes an upstream's announcement.
+func (s service) Announce(_ context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+	var response *fleetpb.AnnounceResponse
+	var failure error
+	leader, err := s.lead(func(now ident.Time) {
+		var actions []control.Action
+		response, actions, failure = s.leader.Announce(now, request)
+		s.act(actions)
+		if failure == nil && response.GetAccepted() && s.options.Parts.Failover != nil {
+			s.options.Parts.Failover.Announced(now, request)
+		}
+	})
+	switch {
+	case err != nil:
+		return nil, err
+	case failure != nil:
+		return nil, failed(failure)
+	case leader != "":
+		return &fleetpb.AnnounceResponse{Leader: leader}, nil
+	}
+	if response.GetAccepted() {
+		announced.Inc()
+	} else {
+		announceDenied.Inc()
+	}
+	return response, nil
+}
