--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -88,6 +88,9 @@
 		answer.Term = m.GetTerm()
 	}
 	n.send(m.GetFrom(), m.GetPeer(), answer)
+	if n.log.voters != nil && n.member(m.GetFrom()) == nil {
+		n.refuse(&fleetpb.Voter{Member: m.GetFrom(), Peer: m.GetPeer()}, replacedProblem)
+	}
 }
 
 func (n *Node) voted(m *fleetpb.Message, ask *fleetpb.Vote) {
--- a/fleet/quorum/follow.go
+++ b/fleet/quorum/follow.go
@@ -13,6 +13,7 @@
 		n.rest(n.describe(m))
 	}
 	n.heard, n.hasHeard = n.now, true
+	n.outsider.problem = ""
 	n.drawElection()
 	return true
 }
--- a/fleet/quorum/lead.go
+++ b/fleet/quorum/lead.go
@@ -131,7 +131,7 @@
 	}
 	var entries []*fleetpb.Entry
 	if p.next <= p.match+n.bounds.Window {
-		entries = n.log.after(p.next-1, n.bounds.Batch)
+		entries = n.log.after(p.next-1, n.bounds.Batch, n.bounds.BatchBytes)
 	}
 	if len(entries) == 0 && !beat {
 		return
--- a/fleet/quorum/log.go
+++ b/fleet/quorum/log.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -66,13 +68,20 @@
 	return h.entries[index-h.base.index-1].GetTerm(), true
 }
 
-// after returns at most limit entries that follow index.
-func (h *history) after(index uint64, limit int) []*fleetpb.Entry {
+// after returns entries that follow index: at most count, and at most size bytes unless the first one alone exceeds it.
+func (h *history) after(index uint64, count, size int) []*fleetpb.Entry {
 	if index < h.base.index || index >= h.last().index {
 		return nil
 	}
 	entries := h.entries[index-h.base.index:]
-	return entries[:min(len(entries), limit):min(len(entries), limit)]
+	entries = entries[:min(len(entries), count)]
+	for i, entry := range entries {
+		size -= proto.Size(entry)
+		if size < 0 && i > 0 {
+			return entries[:i:i]
+		}
+	}
+	return entries[:len(entries):len(entries)]
 }
 
 // between returns the entries from first to last, both included.
--- a/fleet/quorum/members.go
+++ b/fleet/quorum/members.go
@@ -62,7 +62,6 @@
 // membersChanged adjusts the role of a member that does not lead to the membership in its log.
 func (n *Node) membersChanged() {
 	n.role = n.restingRole()
-	n.outsider.problem = ""
 	if known := n.member(n.leader.GetMember()); known != nil {
 		n.leader = known
 	}
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -49,9 +49,10 @@
 	// members.
 	Compact  uint64
 	Trailing uint64
-	// Batch is the largest number of entries in one message, Window of those sent and not yet acknowledged.
-	Batch  int
-	Window uint64
+	// Batch and BatchBytes bound the entries of one message, Window those sent and not yet acknowledged.
+	Batch      int
+	BatchBytes int
+	Window     uint64
 }
 
 // DefaultBounds are the bounds of the design page.
@@ -65,6 +66,7 @@
 	Compact:       256,
 	Trailing:      64,
 	Batch:         64,
+	BatchBytes:    1 << 20,
 	Window:        1024,
 }
 
@@ -104,7 +106,7 @@
 	// is zero on members that do not lead and on leaders that hand over their office.
 	ConfirmedAt ident.Time
 	Until       ident.Time
-	// Problem is why the leader does not admit this outsider.
+	// Problem is why the other members do not count this one.
 	Problem string
 }
 
--- a/fleet/quorum/outsider.go
+++ b/fleet/quorum/outsider.go
@@ -15,6 +15,8 @@
 	greetEvery = 200 * time.Millisecond
 	// greetingLife is how long a report counts for founding the log; it spans several lost messages.
 	greetingLife = time.Second
+	// replacedProblem is what a member is told that comes back with its data after it was removed or replaced.
+	replacedProblem = "this member was removed or replaced; empty its data folder to rejoin as a new member"
 )
 
 // outsider is what a member without a log keeps.
@@ -98,7 +100,7 @@
 }
 
 func (n *Node) refused(m *fleetpb.Message, answer *fleetpb.HelloAnswer) {
-	if m.GetTo() != n.self.GetMember() || n.log.voters != nil {
+	if m.GetTo() != n.self.GetMember() || n.hearsLeader() {
 		return
 	}
 	n.outsider.exists = true
