--- a/load/launch/control.go
+++ b/load/launch/control.go
@@ -132,7 +132,7 @@
 		return err == nil && answer.GetLeader() == "", err
 	})
 	if err == nil && !answer.GetAccepted() {
-		return trace.BadParameter("the configuration was refused: %s", strings.Join(answer.GetProblems(), "; "))
+		return trace.Errorf("the configuration was refused: %s", strings.Join(answer.GetProblems(), "; "))
 	}
 	return err
 }
@@ -176,7 +176,7 @@
 		return err == nil && answer.GetLeader() == "", err
 	})
 	if err == nil && !answer.GetDone() {
-		return trace.BadParameter("the key change was refused: %s", answer.GetProblem())
+		return trace.Errorf("the key change was refused: %s", answer.GetProblem())
 	}
 	return err
 }
--- a/load/launch/fleet.go
+++ b/load/launch/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/load/relay"
 )
 
 // Options holds what New needs.
@@ -21,12 +22,16 @@
 	Dir string
 	// Change edits the settings before they are written; nil leaves them as they are.
 	Change func(hosts []*fleetpb.HostSettings, standins []*fleetpb.StandinSettings)
+	// Relays puts a relay in front of each process, with the delays of the deployment.
+	Relays bool
 }
 
 // Host is an entry host of a running fleet.
 type Host struct {
 	*Process
 	Settings *fleetpb.HostSettings
+	// Caller is the address for callers, which is a relay's when the fleet has relays.
+	Caller string
 }
 
 // Standin is a stand-in upstream of a running fleet.
@@ -43,6 +48,8 @@
 	Standins   []*Standin
 	// Keys holds the key of each team, once GiveKeys has run.
 	Keys map[string]string
+	// Network holds the relays; nil without them.
+	Network *relay.Network
 
 	bin      string
 	operator *fleetpb.OperatorSettings
@@ -59,11 +66,15 @@
 			return nil, trace.ConvertSystemError(err)
 		}
 	}
-	free, err := freeAddresses(addresses(opts.Deployment))
+	plain, relays := addresses(opts.Deployment)
+	free, err := freeAddresses(plain + relays)
 	if err != nil {
 		return nil, err
 	}
 	p := makePlan(opts.Deployment, dir, newSecrets(), free)
+	if opts.Relays {
+		p.addRelays(free[plain:])
+	}
 	if opts.Change != nil {
 		opts.Change(p.hosts, p.standins)
 	}
@@ -71,6 +82,9 @@
 	if err := f.writeSettings(); err != nil {
 		return nil, err
 	}
+	if err := f.startRelays(p.relays); err != nil {
+		return nil, trace.NewAggregate(err, f.Close())
+	}
 	for _, process := range f.Processes() {
 		if err := process.Start(); err != nil {
 			return nil, trace.NewAggregate(err, f.Close())
@@ -85,7 +99,7 @@
 		Keys: make(map[string]string), clients: make(map[string]fleetpb.Control),
 	}
 	for _, s := range p.hosts {
-		f.Hosts = append(f.Hosts, &Host{newProcess(opts.Bin, "tamarack-host", dir, s.GetHost()), s})
+		f.Hosts = append(f.Hosts, &Host{newProcess(opts.Bin, "tamarack-host", dir, s.GetHost()), s, p.callers[s.GetHost()]})
 	}
 	for _, s := range p.standins {
 		f.Standins = append(f.Standins, &Standin{newProcess(opts.Bin, "tamarack-standin", dir, s.GetUpstream()), s})
@@ -137,7 +151,7 @@
 func (f *Fleet) Callers() []string {
 	var all []string
 	for _, h := range f.Hosts {
-		all = append(all, h.Settings.GetCaller())
+		all = append(all, h.Caller)
 	}
 	return all
 }
@@ -184,6 +198,9 @@
 // Close kills all processes of the fleet and waits for their ends.
 func (f *Fleet) Close() error {
 	var failures []error
+	if f.Network != nil {
+		f.Network.Close()
+	}
 	for _, process := range f.Processes() {
 		if err := process.Kill(); err != nil && !trace.IsNotFound(err) {
 			failures = append(failures, err)
--- /dev/null
+++ b/load/launch/network.go
@@ -0,0 +1,65 @@
+package launch
+
+import (
+	"os"
+	"time"
+
+	"tamarackshunt.dev/load/relay"
+)
+
+// Client is the name of the load program itself on links of a Network.
+const Client = "client"
+
+// startRelays starts the relays of a plan; none means that the fleet has no Network.
+func (f *Fleet) startRelays(relays []relayed) error {
+	if len(relays) == 0 {
+		return nil
+	}
+	f.Network = relay.NewNetwork(f.owner, f.delay)
+	for _, r := range relays {
+		if _, err := f.Network.Listen(r.address, r.name, r.target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// owner names the process of the fleet that a connection comes from.
+func (f *Fleet) owner(port int) string {
+	names := map[int]string{os.Getpid(): Client}
+	pids := []int{os.Getpid()}
+	for _, process := range f.Processes() {
+		if pid := process.PID(); pid != 0 {
+			names[pid] = process.Name
+			pids = append(pids, pid)
+		}
+	}
+	return names[relay.Owner(port, pids)]
+}
+
+// delay returns the one-way delay between two processes: half of the deployment's round trip.
+func (f *Fleet) delay(from, to string) time.Duration {
+	delays := f.Deployment.GetDelays()
+	if from == Client || to == Client {
+		return delays.GetClient().AsDuration() / 2
+	}
+	a, b := f.zone(from), f.zone(to)
+	zones := regions(f.Deployment)
+	switch {
+	case a == b:
+		return 0
+	case zones[a] == zones[b]:
+		return delays.GetZone().AsDuration() / 2
+	}
+	return delays.GetRegion().AsDuration() / 2
+}
+
+func (f *Fleet) zone(name string) string {
+	if h := f.Host(name); h != nil {
+		return h.Settings.GetZone()
+	}
+	if s := f.Standin(name); s != nil {
+		return s.Settings.GetZone()
+	}
+	return ""
+}
--- a/load/launch/plan.go
+++ b/load/launch/plan.go
@@ -26,11 +26,23 @@
 
 // ReadDeployment reads and checks a deployment file.
 func ReadDeployment(path string) (*fleetpb.Deployment, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return ParseDeployment(path, data)
+}
+
+// ParseDeployment checks a deployment in YAML; path names the source in errors.
+func ParseDeployment(path string, data []byte) (*fleetpb.Deployment, error) {
 	var d fleetpb.Deployment
-	if err := settings.Read(path, &d); err != nil {
+	if err := settings.Parse(path, data, &d); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &d, checkDeployment(path, &d)
+	if err := checkDeployment(path, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
 }
 
 func checkDeployment(path string, d *fleetpb.Deployment) error {
@@ -65,16 +77,23 @@
 
 // plan is everything that New writes into files before it starts a process.
 type plan struct {
-	hosts     []*fleetpb.HostSettings
-	standins  []*fleetpb.StandinSettings
-	operator  *fleetpb.OperatorSettings
-	secrets   *fleetpb.Secrets
-	deploying *fleetpb.Deployment
+	hosts    []*fleetpb.HostSettings
+	standins []*fleetpb.StandinSettings
+	operator *fleetpb.OperatorSettings
+	// callers are the addresses for callers by host.
+	callers map[string]string
+	// relays are the relays to start when the fleet runs with them.
+	relays []relayed
+}
+
+// relayed is a relay in front of one address of a process.
+type relayed struct {
+	address, name, target string
 }
 
 // makePlan lays out a deployment; addresses are taken in order from free.
 func makePlan(d *fleetpb.Deployment, dir string, secrets *fleetpb.Secrets, free []string) *plan {
-	p := &plan{secrets: secrets, deploying: d, operator: &fleetpb.OperatorSettings{Secret: secrets.GetOperator()}}
+	p := &plan{operator: &fleetpb.OperatorSettings{Secret: secrets.GetOperator()}, callers: make(map[string]string)}
 	take := func() string {
 		address := free[0]
 		free = free[1:]
@@ -94,6 +113,7 @@
 			p.operator.Control = append(p.operator.Control, s.GetPeer())
 		}
 		peers = append(peers, s.GetPeer())
+		p.callers[s.GetHost()] = s.GetCaller()
 		p.hosts = append(p.hosts, s)
 	}
 	for _, s := range p.hosts {
@@ -108,19 +128,39 @@
 				Announce: secrets.GetAnnounce(), User: secrets.GetUser(), Password: secrets.GetPassword(),
 				Slots: service.GetSlots(), Connections: service.GetConnections(),
 				Lag: d.GetLag(), Opening: d.GetOpening(), Work: d.GetWork(), Faults: take(),
+				Data: filepath.Join(dir, fmt.Sprintf("%s-%d.records", service.GetName(), i+1)),
 			})
 		}
 	}
 	return p
 }
 
-// addresses is the number of addresses that a plan takes.
-func addresses(d *fleetpb.Deployment) int {
-	n := 2 * len(d.GetHosts())
+// addRelays puts a relay in front of each address for callers, peers and upstream connections; the relays take over the
+// known addresses, and the processes listen on others from free.
+func (p *plan) addRelays(free []string) {
+	move := func(name, address string) string {
+		target := free[0]
+		free = free[1:]
+		p.relays = append(p.relays, relayed{address, name, target})
+		return target
+	}
+	for _, s := range p.hosts {
+		s.Caller = move(s.GetHost(), s.GetCaller())
+		s.Listen = move(s.GetHost(), s.GetPeer())
+	}
+	for _, s := range p.standins {
+		s.Address = s.GetListen()
+		s.Listen = move(s.GetUpstream(), s.GetListen())
+	}
+}
+
+// addresses is the number of addresses that a plan and its relays take.
+func addresses(d *fleetpb.Deployment) (plain, relays int) {
+	hosts, upstreams := len(d.GetHosts()), 0
 	for _, service := range d.GetText().GetServices() {
-		n += 2 * int(service.GetUpstreams())
+		upstreams += int(service.GetUpstreams())
 	}
-	return n
+	return 2*hosts + 2*upstreams, 2*hosts + upstreams
 }
 
 func newSecrets() *fleetpb.Secrets {
--- a/load/launch/ready.go
+++ b/load/launch/ready.go
@@ -98,7 +98,7 @@
 	for _, h := range f.Hosts {
 		s := h.Settings
 		r.Hosts = append(r.Hosts, &fleetpb.RunningHost{
-			Host: h.Name, Zone: s.GetZone(), Caller: s.GetCaller(), Peer: s.GetPeer(),
+			Host: h.Name, Zone: s.GetZone(), Caller: h.Caller, Peer: s.GetPeer(),
 			Control: s.GetData() != "", Pid: uint32(h.PID()),
 		})
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -85,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	announcer := server.NewAnnouncer(s.GetHosts(), s.GetAnnounce(), server.Announcement{
-		Service: s.GetService(), Upstream: s.GetUpstream(), Address: listener.Addr().String(),
+		Service: s.GetService(), Upstream: s.GetUpstream(), Address: cmp.Or(s.GetAddress(), listener.Addr().String()),
 		Zone: s.GetZone(), Region: s.GetRegion(),
 	}, faults)
 	if len(s.GetHosts()) > 0 {
