--- a/load/history/history.go
+++ b/load/history/history.go
@@ -51,6 +51,8 @@
 		Session ident.Session
 		ID      string
 		Found   int
+		// At is when the answer came.
+		At ident.Time
 	}
 	// Count counted the records of its session.
 	Count struct {
--- a/load/launch/control.go
+++ b/load/launch/control.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -197,3 +198,25 @@
 		return false, last
 	})
 }
+
+// WaitVoter waits until a control host has a vote.
+func (f *Fleet) WaitVoter(ctx context.Context, host string) error {
+	return sleepUntil(ctx, func() (bool, error) {
+		status, err := f.Status(ctx)
+		if err != nil {
+			return false, err
+		}
+		return slices.Contains(status.GetVoters(), host), trace.NotFound("%s has no vote; voters are %v", host, status.GetVoters())
+	})
+}
+
+// Report returns the control leader's report.
+func (f *Fleet) Report(ctx context.Context) (string, error) {
+	text := ""
+	err := f.retry(ctx, func(c fleetpb.Control) (bool, error) {
+		answer, err := c.Report(ctx, &fleetpb.ReportRequest{})
+		text = answer.GetText()
+		return err == nil && answer.GetLeader() == "", err
+	})
+	return text, err
+}
--- a/load/launch/fleet.go
+++ b/load/launch/fleet.go
@@ -165,6 +165,15 @@
 	return all
 }
 
+// Teams returns the names of the teams.
+func (f *Fleet) Teams() []string {
+	var all []string
+	for _, t := range f.Deployment.GetText().GetTeams() {
+		all = append(all, t.GetName())
+	}
+	return all
+}
+
 // Host returns the host with a name, or nil.
 func (f *Fleet) Host(name string) *Host {
 	for _, h := range f.Hosts {
@@ -236,3 +245,8 @@
 		}
 	}
 }
+
+// Rewrite writes the settings of a host again after a change of Host.Settings, for its next start.
+func (f *Fleet) Rewrite(h *Host) error {
+	return write(h.settings, h.Settings)
+}
--- a/load/launch/network.go
+++ b/load/launch/network.go
@@ -63,3 +63,22 @@
 	}
 	return ""
 }
+
+// Isolate freezes the links between a process and all other processes of the fleet, and returns what mends them. The
+// load program itself still reaches the process.
+func (f *Fleet) Isolate(name string) (mend func()) {
+	var links []*relay.Link
+	for _, process := range f.Processes() {
+		if process.Name != name {
+			links = append(links, f.Network.Between(name, process.Name)...)
+		}
+	}
+	for _, link := range links {
+		link.Freeze()
+	}
+	return func() {
+		for _, link := range links {
+			link.Mend()
+		}
+	}
+}
--- /dev/null
+++ b/load/measure/reads.go
@@ -0,0 +1,108 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/load/scenario"
+)
+
+const (
+	readWrites = 10
+	// reportDelay is the time after which the leader's report holds all that hosts counted: two syncs.
+	reportDelay = time.Second
+)
+
+// Columns of the report's table of teams.
+const (
+	columnReplica = "REPLICA READS"
+	columnPrimary = "PRIMARY READS"
+)
+
+// replicaShare counts the reads by upstream from the leader's report, before and after a run with 10% writes.
+func replicaShare(ctx context.Context, m *run) (Result, error) {
+	before, err := m.readCounts(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := m.Run(scenario.Load{Seed: m.opts.Seed, Users: 2, Writes: readWrites, Pace: sharePace}); err != nil {
+		return Result{}, err
+	}
+	m.Pause(shareTime)
+	if err := m.finish(); err != nil {
+		return Result{}, err
+	}
+	m.Pause(reportDelay)
+	after, err := m.readCounts(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	replica, primary := after[columnReplica]-before[columnReplica], after[columnPrimary]-before[columnPrimary]
+	share := float64(replica) / max(float64(replica+primary), 1)
+	lag := m.Fleet.Deployment.GetLag().AsDuration()
+	stale, reads := staleAtAnyReplica(m.Runner.Events(), lag)
+	return Result{
+		Name:  fmt.Sprintf("reads served by replicas, %d%% writes, %s lag", readWrites, lag),
+		Value: fmt.Sprintf("%.1f%% of %d", percent*share, replica+primary),
+		Bound: fmt.Sprintf(">= %.0f%%", percent*boundReplicaShare),
+		Met:   share >= boundReplicaShare,
+		Baselines: []string{
+			"primary only: 0% by definition",
+			fmt.Sprintf("any replica: 100%%, %d of %d look-ups stale (simulation of the same history)", stale, reads),
+		},
+	}, nil
+}
+
+// readCounts sums the columns of the report's table of teams; no table means that nothing was counted.
+func (m *run) readCounts(ctx context.Context) (map[string]int64, error) {
+	report, err := m.Fleet.Report(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return sumColumns(report, columnReplica, columnPrimary)
+}
+
+// sumColumns sums columns of a table in which two or more spaces separate cells.
+func sumColumns(report string, names ...string) (map[string]int64, error) {
+	sums := make(map[string]int64)
+	var columns []string
+	for line := range strings.Lines(report) {
+		cells := splitCells(strings.TrimRight(line, "\n"))
+		if len(cells) > 0 && cells[0] == "TEAM" {
+			columns = cells
+			continue
+		}
+		if columns == nil || len(cells) != len(columns) {
+			columns = nil
+			continue
+		}
+		for i, column := range columns {
+			for _, name := range names {
+				if column != name {
+					continue
+				}
+				n, err := strconv.ParseInt(cells[i], 10, 64)
+				if err != nil {
+					return nil, trace.BadParameter("unexpected cell %q in column %s of the report", cells[i], name)
+				}
+				sums[name] += n
+			}
+		}
+	}
+	return sums, nil
+}
+
+func splitCells(line string) []string {
+	var cells []string
+	for _, cell := range strings.Split(line, "  ") {
+		if cell = strings.TrimSpace(cell); cell != "" {
+			cells = append(cells, cell)
+		}
+	}
+	return cells
+}
--- a/load/scenario/experiment.go
+++ b/load/scenario/experiment.go
@@ -49,6 +49,9 @@
 	// Requests ends each session after so many requests; 0 means that only Stop ends it.
 	Requests int
 	Simple   bool
+	// Sessions replaces the sessions of all services and teams; Pick replaces the choice of hosts.
+	Sessions []workload.Session
+	Pick     func(random int) string
 	// Balanced sends requests only to hosts that answer /ready.
 	Balanced bool
 	Observe  func(workload.Sample)
@@ -91,11 +94,13 @@
 	if load.Balanced {
 		pick = e.balancer().Pick
 	}
-	var teams []string
-	for _, team := range e.Fleet.Deployment.GetText().GetTeams() {
-		teams = append(teams, team.GetName())
+	if load.Pick != nil {
+		pick = load.Pick
+	}
+	sessions := load.Sessions
+	if sessions == nil {
+		sessions = workload.Sessions(e.Fleet.Services(), e.Fleet.Teams(), e.Fleet.Keys, max(load.Users, 1))
 	}
-	sessions := workload.Sessions(e.Fleet.Services(), teams, e.Fleet.Keys, max(load.Users, 1))
 	limited, stop := context.WithTimeout(e.ctx, startLimit)
 	defer stop()
 	runner, err := workload.Start(limited, workload.Options{
@@ -106,7 +111,7 @@
 		return err
 	}
 	e.Runner = runner
-	e.say("%d sessions of %d teams use %d services, seed %d", len(sessions), len(teams), len(e.Fleet.Services()), load.Seed)
+	e.say("%d sessions send requests, seed %d", len(sessions), load.Seed)
 	return nil
 }
 
--- /dev/null
+++ b/load/scenario/soak.go
@@ -0,0 +1,90 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	soakShare = 40
+	soakPace  = 15 * time.Millisecond
+	// soakWrites is the number of acknowledged writes of each service after each failure.
+	soakWrites = 40
+	// soakRecovery bounds the time until writes succeed again after a failure.
+	soakRecovery = 60 * time.Second
+)
+
+// SoakOptions say how long Soak runs.
+type SoakOptions struct {
+	Seed     uint64
+	Duration time.Duration
+}
+
+// Soak causes failures in an order that the seed gives, one after the other and at times two at once, until the
+// duration has passed, and checks the history. A CompareFailed error means that the history is wrong.
+func Soak(ctx context.Context, opts Options, soak SoakOptions) error {
+	opts.Relays = true
+	e, err := Start(ctx, opts)
+	if err != nil {
+		return err
+	}
+	defer e.Close()
+	if err := e.Run(Load{Seed: soak.Seed, Users: 2, Writes: soakShare, Pace: soakPace}); err != nil {
+		return err
+	}
+	random := rand.New(rand.NewPCG(soak.Seed, 0))
+	until := time.Now().Add(soak.Duration)
+	for round := 1; time.Now().Before(until) && ctx.Err() == nil; round++ {
+		if err := soakRound(ctx, e, random, round); err != nil {
+			verdict, checkErr := e.Verify()
+			return trace.NewAggregate(fmt.Errorf("round %d of seed %d: %w; logs are in %s", round, soak.Seed, err, e.Fleet.Dir),
+				checkErr, Judge(verdict))
+		}
+	}
+	verdict, err := e.Verify()
+	if err != nil {
+		return trace.Wrap(err, "logs are in %s", e.Fleet.Dir)
+	}
+	if err := Judge(verdict); err != nil {
+		return trace.Wrap(err, "seed %d, logs are in %s", soak.Seed, e.Fleet.Dir)
+	}
+	return trace.NewAggregate(e.Close(), e.Discard())
+}
+
+// soakRound causes one failure, or one and a killed entry host, and waits until all services take writes again.
+func soakRound(ctx context.Context, e *Experiment, random *rand.Rand, round int) error {
+	ctx, stop := context.WithTimeout(ctx, soakRecovery)
+	defer stop()
+	services := e.Fleet.Services()
+	service := services[random.IntN(len(services))]
+	failure := Failures[random.IntN(len(Failures))]
+	second := random.IntN(3) == 0
+	victim := e.Fleet.Hosts[random.IntN(len(e.Fleet.Hosts))]
+	e.say("round %d: %s, service %s", round, failure.Name, service)
+	if second && victim.Settings.GetData() == "" {
+		e.say("round %d: and %s killed", round, victim.Name)
+		if err := victim.Kill(); err != nil {
+			return err
+		}
+	}
+	if err := failure.Cause(ctx, e, service); err != nil {
+		return trace.Wrap(err, "%s", failure.Name)
+	}
+	for _, process := range e.Fleet.Processes() {
+		if !process.Running() {
+			if err := process.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	for _, service := range services {
+		if err := e.Progress(ctx, service, soakWrites); err != nil {
+			return trace.Wrap(err, "after %s", failure.Name)
+		}
+	}
+	return nil
+}
--- a/load/workload/session.go
+++ b/load/workload/session.go
@@ -223,7 +223,7 @@
 		log.Add(w)
 	case Lookup:
 		if err == nil {
-			log.Add(history.Read{Span: span, Session: c.session, ID: r.IDs[0], Found: found})
+			log.Add(history.Read{Span: span, Session: c.session, ID: r.IDs[0], Found: found, At: c.runner.now()})
 		}
 	case Tally:
 		if err == nil {
