--- a/fleet/control/applied.go
+++ b/fleet/control/applied.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,47 +14,30 @@
 // Applied follows a change that the Machine has just applied with the given answer. Every control host calls it, so that
 // Explain can report changes from before a leader took office.
 func (l *Leader) Applied(now ident.Time, change *fleetpb.Change, answer proto.Message) []Action {
-	l.lists = nil
-	switch answer := answer.(type) {
-	case *fleetpb.ApplyResponse:
-		l.appliedText(now, change.GetApply(), answer)
-	case *fleetpb.KeyResponse:
-		l.appliedKey(now, change, answer)
-	case *fleetpb.Outcome:
-		if answer.GetDone() {
-			l.appliedChange(now, change)
-		}
+	if refused, isText := answer.(*fleetpb.ApplyResponse); isText && refused.GetRaced() {
+		request := change.GetApply().GetId()
+		l.refuse(now, upstreamID{"request", ident.Upstream(request)},
+			fmt.Sprintf("lost to request %s: %s", refused.GetWinner(), refused.GetProblems()[0]))
+	}
+	// Changes that were refused, or made before, leave the version as it was.
+	if l.machine.Version() != l.version {
+		l.lists = nil
+		l.changed(now, change)
 	}
 	l.follow(now)
 	l.decideEpoch(now)
 	return l.take()
 }
 
-func (l *Leader) appliedText(now ident.Time, apply *fleetpb.ApplyText, answer *fleetpb.ApplyResponse) {
-	switch {
-	case answer.GetAccepted():
-		l.record(now, KindText, fmt.Sprintf("version %d", answer.GetVersion()),
-			fmt.Sprintf("%s applied by request %s", apply.GetFile(), apply.GetId()))
-	case answer.GetRaced():
-		l.record(now, KindRefused, apply.GetFile(),
-			fmt.Sprintf("request %s lost to request %s: %s", apply.GetId(), answer.GetWinner(), answer.GetProblems()[0]))
-	}
-}
-
-func (l *Leader) appliedKey(now ident.Time, change *fleetpb.Change, answer *fleetpb.KeyResponse) {
-	if !answer.GetDone() {
-		return
-	}
+func (l *Leader) changed(now ident.Time, change *fleetpb.Change) {
 	switch kind := change.GetKind().(type) {
+	case *fleetpb.Change_Apply:
+		l.record(now, KindText, fmt.Sprintf("version %d", l.machine.TextVersion()),
+			fmt.Sprintf("%s applied by request %s", kind.Apply.GetFile(), kind.Apply.GetId()))
 	case *fleetpb.Change_Give:
-		l.record(now, KindKey, kind.Give.GetTeam(), fmt.Sprintf("key %s given by request %s", kind.Give.GetKey(), kind.Give.GetId()))
+		l.record(now, KindKey, kind.Give.GetTeam()+"/"+kind.Give.GetKey(), "given by request "+kind.Give.GetId())
 	case *fleetpb.Change_Withdraw:
-		l.record(now, KindKey, kind.Withdraw.GetKey(), fmt.Sprintf("withdrawn by request %s", kind.Withdraw.GetId()))
-	}
-}
-
-func (l *Leader) appliedChange(now ident.Time, change *fleetpb.Change) {
-	switch kind := change.GetKind().(type) {
+		l.record(now, KindKey, kind.Withdraw.GetKey(), "withdrawn by request "+kind.Withdraw.GetId())
 	case *fleetpb.Change_Attempt:
 		l.attempted(now, kind.Attempt)
 	case *fleetpb.Change_Promoted:
@@ -74,7 +58,7 @@
 		if kind.Keepers.GetSettled() {
 			cause = "settled"
 		}
-		l.record(now, KindEpoch, fmt.Sprintf("epoch %d", kind.Keepers.GetEpoch()), cause)
+		l.record(now, KindEpoch, strconv.FormatUint(kind.Keepers.GetEpoch(), 10), cause)
 	}
 }
 
@@ -114,8 +98,9 @@
 	return l.take()
 }
 
-// follow notices a new text, by a change or a restored snapshot.
+// follow notices a new version and a new text, by a change or a restored snapshot.
 func (l *Leader) follow(now ident.Time) {
+	l.version = l.machine.Version()
 	text := l.machine.Text()
 	if text == l.text {
 		return
--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -62,7 +62,10 @@
 	// matured is set once every lease that an earlier leader granted has ended.
 	matured bool
 
-	text   *fleetpb.Text
+	// version and text are those that the leader has followed.
+	version ident.Version
+	text    *fleetpb.Text
+	// outage tells since when a group has no primary.
 	outage map[ident.Service]ident.Time
 	events []Event
 	// oldest is the index of the oldest event once the ring is full.
--- a/fleet/control/upstreams.go
+++ b/fleet/control/upstreams.go
@@ -34,7 +34,7 @@
 	observed bool
 }
 
-// refusalsKept bounds the announcements whose refusal is remembered, so that repeats are recorded once.
+// refusalsKept bounds the refusals that are remembered, so that repeats are recorded once.
 const refusalsKept = 1024
 
 // Announce renews the lease of an upstream's announcement. It refuses upstreams of services or zones that the text does
