Answer callers from the one table of rejections

Cause: the entry path had its own codes and its own classification; both now come from packages sqlstate and route. SET follows the caller from connection to connection; other session state is refused, or cleaned after its transaction, since a pinned connection would use up the scarce ones. Ruled out: pinning a connection for each SET, because old drivers send SET at the start of every session. Conclusion: two reasons were added to the table (26000, 54000).

--- a/fleet/sqlstate/reason_enumer.go
+++ b/fleet/sqlstate/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationupstream_losttransaction_lostoutcome_unknown"
+const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
 
-var _ReasonIndex = [...]uint8{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 216, 232, 247}
+var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 247, 263, 278}
 
-const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationupstream_losttransaction_lostoutcome_unknown"
+const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -40,12 +40,14 @@
 	_ = x[Cancelled-(13)]
 	_ = x[Unsupported-(14)]
 	_ = x[ProtocolViolation-(15)]
-	_ = x[UpstreamLost-(16)]
-	_ = x[TransactionLost-(17)]
-	_ = x[OutcomeUnknown-(18)]
+	_ = x[UnknownStatement-(16)]
+	_ = x[LimitExceeded-(17)]
+	_ = x[UpstreamLost-(18)]
+	_ = x[TransactionLost-(19)]
+	_ = x[OutcomeUnknown-(20)]
 }
 
-var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UpstreamLost, TransactionLost, OutcomeUnknown}
+var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, UpstreamLost, TransactionLost, OutcomeUnknown}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:10]:    QueueFull,
@@ -64,9 +66,11 @@
 	_ReasonName[165:174]: Cancelled,
 	_ReasonName[174:185]: Unsupported,
 	_ReasonName[185:203]: ProtocolViolation,
-	_ReasonName[203:216]: UpstreamLost,
-	_ReasonName[216:232]: TransactionLost,
-	_ReasonName[232:247]: OutcomeUnknown,
+	_ReasonName[203:220]: UnknownStatement,
+	_ReasonName[220:234]: LimitExceeded,
+	_ReasonName[234:247]: UpstreamLost,
+	_ReasonName[247:263]: TransactionLost,
+	_ReasonName[263:278]: OutcomeUnknown,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -86,9 +90,11 @@
 	_ReasonLowerName[165:174]: Cancelled,
 	_ReasonLowerName[174:185]: Unsupported,
 	_ReasonLowerName[185:203]: ProtocolViolation,
-	_ReasonLowerName[203:216]: UpstreamLost,
-	_ReasonLowerName[216:232]: TransactionLost,
-	_ReasonLowerName[232:247]: OutcomeUnknown,
+	_ReasonLowerName[203:220]: UnknownStatement,
+	_ReasonLowerName[220:234]: LimitExceeded,
+	_ReasonLowerName[234:247]: UpstreamLost,
+	_ReasonLowerName[247:263]: TransactionLost,
+	_ReasonLowerName[263:278]: OutcomeUnknown,
 }
 
 var _ReasonNames = []string{
@@ -108,9 +114,11 @@
 	_ReasonName[165:174],
 	_ReasonName[174:185],
 	_ReasonName[185:203],
-	_ReasonName[203:216],
-	_ReasonName[216:232],
-	_ReasonName[232:247],
+	_ReasonName[203:220],
+	_ReasonName[220:234],
+	_ReasonName[234:247],
+	_ReasonName[247:263],
+	_ReasonName[263:278],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/fleet/sqlstate/sqlstate.go
+++ b/fleet/sqlstate/sqlstate.go
@@ -27,6 +27,8 @@
 	Cancelled
 	Unsupported
 	ProtocolViolation
+	UnknownStatement
+	LimitExceeded
 	UpstreamLost
 	TransactionLost
 	OutcomeUnknown
@@ -135,6 +137,14 @@
 		Code: "08P01", Severity: Fatal, Ran: NotRun, Message: "unexpected message",
 		Advice: "The caller sent a message that the protocol does not allow at that point.",
 	},
+	UnknownStatement: {
+		Code: "26000", Severity: Error, Ran: NotRun, Message: "the prepared statement does not exist",
+		Advice: "The caller refers to a statement that it did not prepare, or that it closed, on this connection.",
+	},
+	LimitExceeded: {
+		Code: "54000", Severity: Fatal, Ran: NotRun, Message: "a limit of the proxy is exceeded",
+		Advice: "The caller sent too many messages before a Sync, or made too many session settings.",
+	},
 	UpstreamLost: {
 		Code: "08006", Severity: Error, Ran: Failed, Message: "the connection to the database was lost while it answered a read",
 		Advice: "A part of the response had gone to the caller, or no other upstream could run the read.",
--- a/host/entry/batch.go
+++ b/host/entry/batch.go
@@ -13,9 +13,9 @@
 
 // statement is a caller's prepared statement.
 type statement struct {
-	sql  string
-	oids []uint32
-	kind route.Kind
+	sql   string
+	oids  []uint32
+	class route.Class
 	// name under which upstreams prepare it; callers with the same text share it.
 	name string
 }
@@ -27,7 +27,7 @@
 		digest.Write(binary.BigEndian.AppendUint32(nil, oid))
 	}
 	sum := digest.Sum(nil)
-	return &statement{sql: sql, oids: oids, kind: route.Classify(sql), name: "ts" + hex.EncodeToString(sum[:16])}
+	return &statement{sql: sql, oids: oids, class: route.Classify(sql), name: "ts" + hex.EncodeToString(sum[:16])}
 }
 
 // unknownPrefix keeps a caller's unknown statement name from matching a statement of the host on a connection.
@@ -38,7 +38,8 @@
 	messages []pgproto3.FrontendMessage
 	// statements gives the prepared statement that the message at an index refers to.
 	statements map[int]*statement
-	kind       route.Kind
+	// class is the strictest of what the batch executes.
+	class route.Class
 	// runs is set when the batch executes something rather than only preparing it.
 	runs bool
 	// query is the text of a batch that is one simple query.
@@ -47,13 +48,21 @@
 	flush bool
 }
 
-func (b *batch) note(kind route.Kind) {
-	if !b.runs {
-		b.kind = kind
-	} else {
-		b.kind = route.Strictest(b.kind, kind)
-	}
+func (b *batch) note(class route.Class) {
 	b.runs = true
+	b.class.Kind = max(b.class.Kind, class.Kind)
+	b.class.Effect = max(b.class.Effect, class.Effect)
+	b.class.Statements += class.Statements
+}
+
+// mayCommit reports whether the batch may end its transaction with a commit.
+func (b *batch) mayCommit() bool {
+	return b.class.Kind == route.KindCommit || b.class.Statements > 1 || !b.runs
+}
+
+// single reports whether the batch is one simple query with one statement of a kind.
+func (b *batch) single(kind route.Kind) bool {
+	return b.query != "" && len(b.messages) == 1 && b.class.Statements == 1 && b.class.Kind == kind
 }
 
 func (b *batch) add(message pgproto3.FrontendMessage, refers *statement) {
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -13,6 +13,7 @@
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/route"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
@@ -49,7 +50,6 @@
 	lazy *lazyBegin
 	// held is the connection of the open transaction.
 	held    *upstream.Conn
-	target  member.Target
 	release func()
 	// unsynced is set while the held connection has messages without their Sync.
 	unsynced bool
@@ -108,7 +108,7 @@
 			return nil, nil
 		}
 		if len(b.messages) > maxBatch {
-			return nil, &Rejection{Code: "54000", Message: "too many messages before a Sync", Fatal: true}
+			return nil, reject(sqlstate.LimitExceeded, "more than %d messages before a Sync", maxBatch)
 		}
 	}
 }
@@ -187,9 +187,9 @@
 		return false, c.collectDescribe(b, m)
 	case *pgproto3.Execute:
 		if s := c.portals[m.Portal]; s != nil {
-			b.note(s.kind)
+			b.note(s.class)
 		} else {
-			b.note(route.Write)
+			b.note(route.Class{Kind: route.KindWrite, Statements: 1})
 		}
 		b.add(m, nil)
 	case *pgproto3.Close:
@@ -200,7 +200,7 @@
 	case *pgproto3.Terminate:
 		return false, nil
 	default:
-		return false, &Rejection{Code: "0A000", Message: "this message is not supported", Fatal: true}
+		return false, reject(sqlstate.ProtocolViolation, "message %T", m)
 	}
 	return false, nil
 }
@@ -221,7 +221,8 @@
 // unknownStatement answers a reference to a statement that does not exist and skips to the next Sync.
 // In a transaction the upstream answers instead, since its error also fails the transaction.
 func (c *caller) unknownStatement(b *batch, name string) error {
-	if err := c.answer(&Rejection{Code: "26000", Message: "prepared statement \"" + name + "\" does not exist"}); err != nil {
+	c.server.note("rejected", c.session, reject(sqlstate.UnknownStatement, "statement %q", name))
+	if err := c.send(response(sqlstate.New(sqlstate.UnknownStatement, nil))); err != nil {
 		return err
 	}
 	*b = batch{}
@@ -229,11 +230,6 @@
 	return nil
 }
 
-// answer sends a rejection without closing the connection.
-func (c *caller) answer(r *Rejection) error {
-	return c.send(r.response())
-}
-
 func (c *caller) send(messages ...pgproto3.BackendMessage) error {
 	for _, message := range messages {
 		c.backend.Send(message)
@@ -257,30 +253,28 @@
 
 // endReceive answers what ended the wait for a message, where an answer makes sense.
 func (c *caller) endReceive(err error) {
-	if c.server.draining.Load() && c.held == nil {
-		err = errShutdown
-	}
-	var rejection *Rejection
-	if errors.As(err, &rejection) {
-		c.reject(rejection)
-		return
-	}
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
-		return
+	switch {
+	case c.server.draining.Load() && c.held == nil:
+		c.reject(errShutdown)
+	case sqlstate.From(err) != nil:
+		c.reject(err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+	default:
+		c.reject(reject(sqlstate.ProtocolViolation, "%v", err))
 	}
-	c.reject(&Rejection{Code: "08P01", Message: "the message cannot be read", Fatal: true})
 }
 
 // reject sends a last error before the connection closes.
 func (c *caller) reject(err error) {
-	var rejection *Rejection
-	if !errors.As(err, &rejection) {
+	rejection := sqlstate.From(err)
+	if rejection == nil {
 		return
 	}
-	last := *rejection
-	last.Fatal = true
+	last := response(rejection)
+	last.Severity = string(sqlstate.Fatal)
+	last.SeverityUnlocalized = last.Severity
 	c.socket.SetDeadline(time.Now().Add(drainTime))
-	if c.answer(&last) != nil {
+	if c.send(last) != nil {
 		return
 	}
 	if tcp, ok := c.socket.(*net.TCPConn); ok {
@@ -290,28 +284,7 @@
 }
 
 func (c *caller) close() {
-	if c.held != nil {
-		c.endTransaction()
-	}
+	c.endTransaction()
 	c.server.forget(c)
 	c.socket.Close()
 }
-
-// endTransaction rolls back what a caller left open and gives the connection back.
-func (c *caller) endTransaction() {
-	conn := c.held
-	c.held = nil
-	if c.unsynced {
-		conn.MarkStale()
-	}
-	if conn.Stale() || conn.Idle() {
-		c.release()
-		return
-	}
-	conn.SetDeadline(time.Now().Add(rollbackTimeout))
-	if conn.Rollback() != nil {
-		conn.MarkStale()
-	}
-	conn.SetDeadline(time.Time{})
-	c.release()
-}
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -6,11 +6,10 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/jackc/pgx/v5/pgproto3"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
-	"tamarackshunt.dev/fleet/route"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
@@ -34,7 +33,7 @@
 		}
 	}
 	if c.held != nil {
-		return c.runHeld(b)
+		return c.runHeld(ctx, b)
 	}
 	if done, err := c.answerLocally(b); done || err != nil {
 		return err
@@ -42,56 +41,13 @@
 	return c.runNew(ctx, b)
 }
 
-// answerLocally answers what needs no upstream.
-func (c *caller) answerLocally(b *batch) (bool, error) {
-	if len(b.messages) == 1 {
-		if _, isSync := b.messages[0].(*pgproto3.Sync); isSync {
-			return true, c.send(c.ready())
-		}
-	}
-	if b.query == "" || len(b.messages) != 1 {
-		return false, nil
-	}
-	switch b.kind {
-	case route.Begin, route.BeginReadOnly:
-		if c.lazy != nil {
-			return false, nil
-		}
-		c.lazy = &lazyBegin{sql: b.query, readOnly: b.kind == route.BeginReadOnly}
-		return true, c.complete("BEGIN")
-	case route.Commit:
-		if c.lazy != nil {
-			c.lazy = nil
-			return true, c.complete("COMMIT")
-		}
-	case route.Rollback:
-		c.lazy = nil
-		return true, c.complete("ROLLBACK")
-	case route.SessionState:
-		if c.lazy != nil {
-			return false, nil
-		}
-		if !c.settings.add(b.query) {
-			return true, c.complete("", &Rejection{Code: "54000", Message: "too many session settings"})
-		}
-		return true, c.complete("SET")
-	}
-	return false, nil
-}
-
-// complete answers a simple query with a command tag or an error.
-func (c *caller) complete(tag string, failed ...*Rejection) error {
-	if len(failed) > 0 {
-		return c.send(failed[0].response(), c.ready())
-	}
-	return c.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)}, c.ready())
-}
-
 // request is one transaction or single batch on its way through limits, queue and upstream.
 type request struct {
-	batch    *batch
-	read     bool
-	counted  bool
+	batch   *batch
+	read    bool
+	counted bool
+	// held is set for a batch within an open transaction.
+	held     bool
 	started  time.Time
 	deadline time.Time
 }
@@ -117,28 +73,28 @@
 	if c.lazy != nil {
 		return c.lazy.readOnly
 	}
-	return !b.runs || b.kind == route.Read || b.kind == route.BeginReadOnly
+	return !b.runs || b.class.OnReplica()
 }
 
 // admitRequest checks everything that needs no upstream: lease, key, dependencies and limits.
 func (c *caller) admitRequest(ctx context.Context, r *request) error {
 	view := c.server.opts.View()
 	if !view.Valid(c.server.opts.Clock.Now()) {
-		return notRun("57P03", "the host has no valid copy of the control state")
+		return reject(sqlstate.NoLease, "the lease ended")
 	}
 	if err := c.checkKey(view); err != nil {
 		return err
 	}
 	service := view.Services[c.session.Service]
 	if service == nil {
-		return &Rejection{Code: "3D000", Message: "the service has been removed", Fatal: true}
+		return reject(sqlstate.UnknownService, "%q was removed", c.session.Service)
 	}
 	r.deadline = r.started.Add(service.GetDeadline().AsDuration())
 	if err := checkNeeds(view, service); err != nil {
 		return err
 	}
 	if c.route.ReadOnly && !r.read {
-		return notRun(readOnlyCode, "the route is read-only")
+		return reject(sqlstate.ReadOnlyRoute, "a write on a read-only route")
 	}
 	if !r.counted {
 		return nil
@@ -152,7 +108,7 @@
 		return nil
 	}
 	if !view.Keys.Valid(c.key, c.session.Team) {
-		return &Rejection{Code: "28000", Message: "the key has been withdrawn; the statement was not run", Fatal: true}
+		return reject(sqlstate.RevokedKey, "key %q", c.key)
 	}
 	return nil
 }
@@ -164,7 +120,7 @@
 		group := view.Groups[name]
 		target := member.Target{Service: name, Upstream: ident.Upstream(group.GetPrimary())}
 		if group.GetPrimary() == "" || !view.Announced[target] {
-			return notRun("57P03", "service %q needs %q, which has no primary", service.GetName(), need)
+			return reject(sqlstate.DependencyDown, "service %q needs %q, which has no primary", service.GetName(), need)
 		}
 	}
 	return nil
@@ -186,6 +142,7 @@
 		}
 		if err == nil {
 			toPrimary = true
+			c.endTransaction()
 			out.reset()
 			continue
 		}
@@ -197,7 +154,7 @@
 		last = err
 	}
 	if toPrimary && last == nil {
-		return notRun("57P03", "no primary accepts the statement")
+		return reject(sqlstate.NoPrimary, "no primary accepts the statement")
 	}
 	return last
 }
@@ -238,7 +195,7 @@
 		switch {
 		case err == nil && refusedAsWrite(out):
 			out.reset()
-			c.dropHeld()
+			c.endTransaction()
 		case err == nil:
 			return nil
 		case isUnsent(err):
@@ -249,7 +206,7 @@
 		select {
 		case <-time.After(drainedPause):
 		case <-ctx.Done():
-			return notRun("57P03", "service %q has no primary that takes writes", c.session.Service)
+			return reject(sqlstate.NoPrimary, "no primary of service %q takes writes", c.session.Service)
 		}
 	}
 }
@@ -288,16 +245,16 @@
 	}
 	c.hold(choice.Target, conn)
 	if err := c.prepareConn(ctx, conn); err != nil {
-		c.dropHeld()
+		c.endTransaction()
 		return &unsentError{err}
 	}
 	c.unsynced = r.batch.flush
 	err = c.exchange(ctx, conn, r.batch, out)
 	if err != nil {
-		c.dropHeld()
+		c.endTransaction()
 		return err
 	}
-	return c.settle(ctx, conn, r, out)
+	return c.settle(ctx, r, out)
 }
 
 // prepareConn brings the caller's session settings and its delayed BEGIN to the connection.
@@ -327,86 +284,6 @@
 	return err
 }
 
-// settle acknowledges a write whose transaction has ended, and keeps the connection of one that goes on.
-func (c *caller) settle(ctx context.Context, conn *upstream.Conn, r *request, out *outbox) error {
-	if refusedAsWrite(out) {
-		return nil
-	}
-	position, wrote := conn.TakePosition()
-	if r.batch.flush || !conn.Idle() {
-		c.lazy = nil
-		return nil
-	}
-	c.lazy = nil
-	// The connection goes back before the wait for replication, which may take as long as the replicas lag.
-	c.dropHeld()
-	if !wrote || r.read {
-		return nil
-	}
-	if err := c.server.opts.Ack.Acknowledge(ctx, c.session, position); err != nil {
-		return trace.Wrap(err)
-	}
-	return nil
-}
-
-func (c *caller) hold(target member.Target, conn *upstream.Conn) {
-	c.held = conn
-	c.target = target
-	c.release = func() { c.server.opts.Pool.Release(target, conn) }
-}
-
-func (c *caller) dropHeld() {
-	if c.held == nil {
-		return
-	}
-	c.endTransaction()
-}
-
-// runHeld runs a batch within the open transaction.
-func (c *caller) runHeld(b *batch) error {
-	view := c.server.opts.View()
-	r := &request{batch: b, started: time.Now(), read: false}
-	out := &outbox{socket: c.socket, write: true}
-	service := view.Services[c.session.Service]
-	r.deadline = r.started.Add(service.GetDeadline().AsDuration())
-	ctx, stop := context.WithDeadline(context.Background(), r.deadline)
-	defer stop()
-	err := c.checkHeld(view)
-	if err == nil {
-		c.unsynced = b.flush
-		if err = c.exchange(ctx, c.held, b, out); err == nil {
-			err = c.settleHeld(ctx, r)
-		} else {
-			c.dropHeld()
-		}
-	}
-	return c.finish(r, out, err)
-}
-
-// checkHeld ends a transaction whose key was withdrawn or whose host lost its lease, before more of it runs.
-func (c *caller) checkHeld(view *member.View) error {
-	if !view.Valid(c.server.opts.Clock.Now()) {
-		return &Rejection{Code: "57P03", Message: "the host has no valid copy of the control state; the transaction is rolled back", Fatal: true}
-	}
-	return c.checkKey(view)
-}
-
-func (c *caller) settleHeld(ctx context.Context, r *request) error {
-	conn := c.held
-	if r.batch.flush || !conn.Idle() {
-		return nil
-	}
-	position, wrote := conn.TakePosition()
-	c.dropHeld()
-	if !wrote {
-		return nil
-	}
-	if err := c.server.opts.Ack.Acknowledge(ctx, c.session, position); err != nil {
-		return trace.Wrap(err)
-	}
-	return nil
-}
-
 // finish sends the answer, or the rejection that takes its place.
 func (c *caller) finish(r *request, out *outbox, err error) error {
 	registered := c.registered
@@ -424,10 +301,10 @@
 	if isCallerError(err) {
 		return err
 	}
-	rejection := c.explain(r, err)
+	rejection := explain(r, err)
 	c.countRejected(r, rejection)
-	if rejection.Fatal {
-		return rejection
+	if fatal(rejection) {
+		return trace.Wrap(rejection)
 	}
 	if out.sent {
 		// Part of an answer has gone out, so an error in its place would be read as part of it.
@@ -436,27 +313,27 @@
 	c.lazy = nil
 	if r.batch.flush {
 		c.failed = true
-		return c.send(rejection.response())
+		return c.send(response(rejection))
 	}
-	return c.send(rejection.response(), c.ready())
+	return c.send(response(rejection), c.ready())
 }
 
-// explain turns a failure into the answer for the caller: not run, or unknown outcome.
-func (c *caller) explain(r *request, err error) *Rejection {
-	var rejection *Rejection
-	if errors.As(err, &rejection) {
+// explain turns a failure into what the caller is told: not run, failed, or unknown outcome.
+func explain(r *request, err error) *sqlstate.Rejection {
+	if rejection := sqlstate.From(err); rejection != nil {
 		return rejection
 	}
-	if isUnsent(err) {
-		if errors.Is(err, context.DeadlineExceeded) {
-			return notRun("57014", "the deadline passed before the statement could be sent")
-		}
-		return notRun("57P03", "%v", err)
+	switch {
+	case isUnsent(err) && errors.Is(err, context.DeadlineExceeded):
+		return sqlstate.New(sqlstate.DeadlinePassed, err)
+	case isUnsent(err):
+		return sqlstate.New(sqlstate.NoConnection, err)
+	case r.read:
+		return sqlstate.New(sqlstate.UpstreamLost, err)
+	case r.held && !r.batch.mayCommit():
+		return sqlstate.New(sqlstate.TransactionLost, err)
 	}
-	if r.read {
-		return &Rejection{Code: "57P03", Message: "no upstream answered the read"}
-	}
-	return unknownOutcome(err)
+	return sqlstate.New(sqlstate.OutcomeUnknown, err)
 }
 
 func (c *caller) tally(change func(*fleetpb.Tally)) {
@@ -475,21 +352,20 @@
 	})
 }
 
-func (c *caller) countRejected(r *request, rejection *Rejection) {
-	if !r.counted && rejection.Code != "08007" {
+func (c *caller) countRejected(r *request, rejection *sqlstate.Rejection) {
+	c.server.note("rejected", c.session, rejection)
+	row := rejection.Row()
+	if !r.counted && row.Ran != sqlstate.Unknown {
 		return
 	}
 	c.tally(func(t *fleetpb.Tally) {
-		switch rejection.Code {
-		case "53400":
+		switch {
+		case rejection.Reason == sqlstate.RateExceeded:
 			t.RefusedRate++
-		case "08007":
+		case row.Ran == sqlstate.Unknown:
 			t.Unknown++
 		default:
 			t.RefusedOther++
 		}
 	})
-	if c.server.opts.Events != nil {
-		c.server.opts.Events("rejected", string(c.session.Team), rejection.Error())
-	}
 }
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -17,6 +17,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
@@ -51,7 +52,7 @@
 
 // Quota counts requests against a team's rate and burst over the fleet.
 type Quota interface {
-	// Take waits for one request's worth, or returns a Rejection that says not run.
+	// Take waits for one request's worth, or returns a sqlstate.Rejection.
 	Take(ctx context.Context, team ident.Team) error
 }
 
@@ -78,7 +79,8 @@
 	Quota    Quota
 	Ack      Acknowledger
 	Pool     Pool
-	Events   func(kind, subject, cause string)
+	// Events takes what explain tells operators; nil drops it.
+	Events func(kind, subject, cause string)
 }
 
 // Server accepts callers.
@@ -250,12 +252,19 @@
 			return view, nil
 		}
 		if time.Now().After(deadline) || s.draining.Load() {
-			return nil, notRun("57P03", "the host has no valid copy of the control state")
+			return nil, reject(sqlstate.NoLease, "no valid copy of the control state within %v", patience)
 		}
 		time.Sleep(viewPoll)
 	}
 }
 
+// note passes a rejection on to explain.
+func (s *Server) note(kind string, session ident.Session, err error) {
+	if s.opts.Events != nil {
+		s.opts.Events(kind, string(session.Team), session.String()+": "+err.Error())
+	}
+}
+
 func (s *Server) zoneInService(view *member.View) bool {
 	return !view.ZonesOut[ident.Zone(s.opts.Settings.GetZone())]
 }
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -11,6 +10,7 @@
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/key"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/member"
 )
 
@@ -29,7 +29,7 @@
 // errCancelled ends a connection that carried only a cancel request.
 var errCancelled = errors.New("cancel request handled")
 
-var errShutdown = &Rejection{Code: "57P01", Message: "the host is shutting down", Fatal: true}
+var errShutdown = sqlstate.New(sqlstate.ShuttingDown, nil)
 
 func (c *caller) start(ctx context.Context) error {
 	c.socket.SetDeadline(time.Now().Add(startupTimeout))
@@ -48,7 +48,7 @@
 	for {
 		message, err := c.backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, &Rejection{Code: "08P01", Message: "this is not a PostgreSQL startup message", Fatal: true}
+			return nil, reject(sqlstate.ProtocolViolation, "no startup message: %v", err)
 		}
 		switch m := message.(type) {
 		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
@@ -61,7 +61,7 @@
 		case *pgproto3.StartupMessage:
 			return m, nil
 		default:
-			return nil, &Rejection{Code: "08P01", Message: fmt.Sprintf("startup message %T is not supported", m), Fatal: true}
+			return nil, reject(sqlstate.ProtocolViolation, "startup message %T", m)
 		}
 	}
 }
@@ -71,7 +71,7 @@
 	name := ident.Route(startup.Parameters["database"])
 	user := ident.User(startup.Parameters["user"])
 	if user == "" {
-		return &Rejection{Code: "28000", Message: "the startup message names no user", Fatal: true}
+		return reject(sqlstate.ProtocolViolation, "the startup message names no user")
 	}
 	if name == "" {
 		name = ident.Route(user)
@@ -83,10 +83,10 @@
 	found, ok := view.Routes[name]
 	if !ok {
 		c.server.metrics.unknownService.Inc()
-		return &Rejection{Code: "3D000", Message: fmt.Sprintf("service %q does not exist", name), Fatal: true}
+		return reject(sqlstate.UnknownService, "%q", name)
 	}
 	if !c.server.zoneInService(view) {
-		return &Rejection{Code: "57P01", Message: "the host's availability zone is out of service", Fatal: true}
+		return reject(sqlstate.ShuttingDown, "the host's availability zone is out of service")
 	}
 	c.route = found
 	team := found.Team
@@ -112,7 +112,7 @@
 	}
 	password, ok := message.(*pgproto3.PasswordMessage)
 	if !ok {
-		return "", &Rejection{Code: "08P01", Message: "a password message was expected", Fatal: true}
+		return "", reject(sqlstate.ProtocolViolation, "message %T in place of the password", message)
 	}
 	id, team, err := view.Keys.Check(password.Password)
 	if err != nil {
@@ -133,10 +133,10 @@
 }
 
 // keyRejection tells a withdrawn key from a wrong one.
-func keyRejection(err error) *Rejection {
+func keyRejection(err error) error {
 	var revoked *key.RevokedError
 	if errors.As(err, &revoked) {
-		return &Rejection{Code: "28000", Message: "the key has been withdrawn", Fatal: true}
+		return trace.Wrap(sqlstate.New(sqlstate.RevokedKey, err))
 	}
-	return &Rejection{Code: "28P01", Message: "the key is not valid", Fatal: true}
+	return trace.Wrap(sqlstate.New(sqlstate.WrongKey, err))
 }
--- a/host/upstream/conn.go
+++ b/host/upstream/conn.go
@@ -21,6 +21,8 @@
 	protocol = 196608
 	// positionParameter is the ParameterStatus that carries the position of a commit.
 	positionParameter = "tamarack.position"
+	// dirty stands for session state that no list of settings describes.
+	dirty = "\x00dirty"
 	// maxPrepared bounds the statements prepared on one connection; beyond it the connection is cleaned.
 	maxPrepared = 512
 )
@@ -197,8 +199,8 @@
 // NoteUnnamed records what the unnamed statement holds.
 func (c *Conn) NoteUnnamed(name string) { c.unnamed = name }
 
-// Settings returns the session settings made on the connection.
-func (c *Conn) Settings() string { return c.settings }
+// MarkDirty makes the next Configure clean the connection.
+func (c *Conn) MarkDirty() { c.settings = dirty }
 
 // SetDeadline bounds all reads and writes until the next call.
 func (c *Conn) SetDeadline(t time.Time) { c.socket.SetDeadline(t) }
