Add the observer, the runner of failover actions, and a settled switchover

Cause: a write that the old primary committed just before a planned switchover was reported as unknown, because observers learnt the new term before they saw that a majority held the write. Ruled out: acknowledging by the old term after the change, because the positions held under it are no longer reported. Conclusion: the drained primary is fenced 100 ms after a majority holds its last position, and a promotion records the last record of the new primary before it (base), so that a write of the term before it can be recognised.

--- a/fleet/failover/action.go
+++ b/fleet/failover/action.go
@@ -17,6 +17,8 @@
 	ProposePromoted struct {
 		Term     ident.Term
 		Upstream ident.Upstream
+		// Base is the last record of the upstream before its promotion: writes of that term up to it are in its log.
+		Base ident.Position
 	}
 	// ProposeJoin asks the control log to add a member, or to change its address or its leaving mark.
 	ProposeJoin struct {
--- a/fleet/failover/attempt.go
+++ b/fleet/failover/attempt.go
@@ -18,6 +18,9 @@
 	drainLimit = 2500 * time.Millisecond
 	// catchLimit is the time that the target of a planned switchover has to hold the last position.
 	catchLimit = time.Second
+	// settleTime is the time between the point at which a majority holds the last position of a drained primary and the
+	// fence. Observers poll every 5 ms while writes wait, so that the last writes are acknowledged under their own term.
+	settleTime = 100 * time.Millisecond
 	catchPoll  = 20 * time.Millisecond
 	// fenceLimit bounds the wait for a majority; fenceResend is the time between requests to one member.
 	fenceLimit  = 1500 * time.Millisecond
@@ -36,6 +39,7 @@
 	reserving phase = iota
 	draining
 	catching
+	settling
 	fencing
 	promoting
 	recording
@@ -52,8 +56,9 @@
 	phase phase
 	since ident.Time
 	sent  map[ident.Upstream]ident.Time
-	// drained is the last position of the drained primary.
+	// drained is the last position of the drained primary, caught are the replicas that hold it.
 	drained ident.Position
+	caught  map[ident.Upstream]bool
 	fenced  map[ident.Upstream]State
 	refused map[ident.Upstream]string
 	// enough is the time at which a majority was fenced.
@@ -67,6 +72,7 @@
 	a.term = max(g.control.Attempt, g.control.Term, g.floor) + 1
 	a.sent = map[ident.Upstream]ident.Time{}
 	a.fenced = map[ident.Upstream]State{}
+	a.caught = map[ident.Upstream]bool{}
 	a.refused = map[ident.Upstream]string{}
 	a.since = g.now
 	g.attempt = a
@@ -122,10 +128,8 @@
 		}
 		a.drained = e.State.Last
 		g.enter(catching)
-	case e.Kind == KindQuery && a.phase == catching && e.Upstream == a.wanted:
-		if e.Failure == "" && !e.State.Last.Less(a.drained) {
-			g.enter(fencing)
-		}
+	case e.Kind == KindQuery && a.phase == catching:
+		g.catchAnswer(e)
 	case e.Kind == KindFence && a.phase == fencing:
 		g.fenceAnswer(e)
 	case e.Kind == KindPromote && a.phase == promoting && e.Upstream == a.target:
@@ -134,7 +138,7 @@
 			return
 		}
 		g.enter(recording)
-		g.act(ProposePromoted{a.term, a.target})
+		g.act(ProposePromoted{a.term, a.target, a.fenced[a.target].Last})
 	}
 }
 
@@ -170,7 +174,12 @@
 			g.fence()
 			return
 		}
-		g.queryTarget()
+		g.queryReplicas()
+	case settling:
+		if waited >= settleTime {
+			g.enter(fencing)
+			g.fence()
+		}
 	case fencing:
 		g.fence()
 	case promoting:
@@ -182,14 +191,28 @@
 	}
 }
 
-func (g *Group) queryTarget() {
+func (g *Group) queryReplicas() {
+	a := g.attempt
+	for _, m := range g.control.Members {
+		sent, asked := a.sent[m.Upstream]
+		if m.Upstream == a.from || a.caught[m.Upstream] || asked && g.now.Sub(sent) < catchPoll {
+			continue
+		}
+		a.sent[m.Upstream] = g.now
+		g.act(Query{m.Upstream, m.Address})
+	}
+}
+
+// catchAnswer continues once the target and a majority hold the last position of the drained primary.
+func (g *Group) catchAnswer(e Answer) {
 	a := g.attempt
-	target, known := g.member(a.wanted)
-	if sent, asked := a.sent[a.wanted]; !known || asked && g.now.Sub(sent) < catchPoll {
+	if e.Failure != "" || e.State.Term != g.control.Term || !e.State.Following || e.State.Last.Less(a.drained) {
 		return
 	}
-	a.sent[a.wanted] = g.now
-	g.act(Query{target.Upstream, target.Address})
+	a.caught[e.Upstream] = true
+	if a.caught[a.wanted] && len(a.caught)+1 >= g.majority() {
+		g.enter(settling)
+	}
 }
 
 func (g *Group) record(waited time.Duration) {
@@ -204,7 +227,7 @@
 	}
 	// The same primary under the same term may be recorded again without harm.
 	a.since = g.now
-	g.act(ProposePromoted{a.term, a.target})
+	g.act(ProposePromoted{a.term, a.target, a.fenced[a.target].Last})
 }
 
 // fence asks the members that have not answered, and chooses the new primary once enough have.
--- a/fleet/failover/world_test.go
+++ b/fleet/failover/world_test.go
@@ -191,10 +191,10 @@
 			w.step(w.control)
 		}
 	case failover.ProposePromoted:
-		w.say("leader proposes %s as primary of term %d", a.Upstream, a.Term)
+		w.say("leader proposes %s as primary of term %d, whose log goes on from %s", a.Upstream, a.Term, a.Base)
 		if !w.lost {
 			w.control.Term, w.control.Primary = a.Term, a.Upstream
-			w.step(failover.PromotionCommitted(a))
+			w.step(failover.PromotionCommitted{Term: a.Term, Upstream: a.Upstream})
 			w.step(w.control)
 		}
 	case failover.ProposeJoin:
--- a/fleet/group/group.go
+++ b/fleet/group/group.go
@@ -25,6 +25,8 @@
 	Size    int
 	Term    ident.Term
 	Primary ident.Upstream
+	// Base is the last record of the primary before its promotion.
+	Base ident.Position
 }
 
 // Report is one of the report types of this package.
@@ -84,6 +86,8 @@
 	Held []Held
 	// Majority is the highest position that a majority holds under the term.
 	Majority ident.Position
+	// Base is the last record of the primary before its promotion.
+	Base ident.Position
 	// Current is the last known position of the primary. It holds every write that was acknowledged before Known.
 	Current ident.Position
 	Known   ident.Time
@@ -195,7 +199,7 @@
 
 // Positions returns what is known at the given time.
 func (g *Group) Positions(now ident.Time) Positions {
-	p := Positions{Term: g.config.Term, Primary: g.config.Primary}
+	p := Positions{Term: g.config.Term, Primary: g.config.Primary, Base: g.config.Base}
 	var flushed []ident.LSN
 	var agreed []ident.Time
 	for _, u := range g.config.Members {
@@ -239,6 +243,23 @@
 	return h
 }
 
+// Holds reports whether a majority holds the record at a position, so that no promotion can lose it. A record of an older
+// term counts once a majority holds a record of the current term after it.
+func (p Positions) Holds(record ident.Position) bool {
+	if p.Majority.Term != p.Term || p.Term == 0 {
+		return false
+	}
+	if record.Term == p.Term {
+		return p.Majority.LSN >= record.LSN
+	}
+	return record.Term == p.Base.Term && record.LSN <= p.Base.LSN && p.Majority.LSN > p.Base.LSN
+}
+
+// Lost reports whether it will never be known that a majority holds the record at a position.
+func (p Positions) Lost(record ident.Position) bool {
+	return record.Term < p.Term && (record.Term != p.Base.Term || record.LSN > p.Base.LSN)
+}
+
 // Observed returns the reports for the next sync, in the order of the configuration.
 func (g *Group) Observed(now ident.Time) []*fleetpb.Observed {
 	var all []*fleetpb.Observed
@@ -266,7 +287,7 @@
 	}
 	r := &fleetpb.PositionsResponse{
 		Service: string(service), Term: uint64(p.Term), Primary: string(p.Primary),
-		Majority: message(p.Majority), Current: message(p.Current), Confirmed: p.Confirmed, KnownMs: known,
+		Majority: message(p.Majority), Base: message(p.Base), Current: message(p.Current), Confirmed: p.Confirmed, KnownMs: known,
 	}
 	for _, h := range p.Held {
 		r.Held = append(r.Held, &fleetpb.Held{
@@ -279,3 +300,15 @@
 func message(p ident.Position) *fleetpb.Position {
 	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
 }
+
+// PositionsOf reads what Holds and Lost need from a message of another host.
+func PositionsOf(r *fleetpb.PositionsResponse) Positions {
+	return Positions{
+		Term: ident.Term(r.GetTerm()), Primary: ident.Upstream(r.GetPrimary()), Confirmed: r.GetConfirmed(),
+		Majority: position(r.GetMajority()), Base: position(r.GetBase()), Current: position(r.GetCurrent()),
+	}
+}
+
+func position(p *fleetpb.Position) ident.Position {
+	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
+}
--- a/fleet/group/group_test.go
+++ b/fleet/group/group_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// Guards against a write that is acknowledged although its term ended without it, or that is reported as unknown although
+// the new primary holds it.
+func TestHoldsAcrossTerms(t *testing.T) {
+	at := func(term ident.Term, lsn ident.LSN) ident.Position { return ident.Position{Term: term, LSN: lsn} }
+	tests := []struct {
+		name             string
+		majority, record ident.Position
+		holds, lost      bool
+	}{
+		{"same term", at(3, 60), at(3, 60), true, false},
+		{"same term, not yet held", at(3, 60), at(3, 61), false, false},
+		{"before the base, and held with the new term", at(3, 60), at(2, 50), true, false},
+		{"before the base, but no record of the new term is held", at(3, 50), at(2, 40), false, false},
+		{"after the base", at(3, 60), at(2, 51), false, true},
+		{"of a term before the base", at(3, 60), at(1, 10), false, true},
+		{"nothing known", at(0, 0), at(2, 40), false, false},
+		{"of a term that this observer does not know yet", at(3, 60), at(4, 55), false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := group.Positions{Term: 3, Base: at(2, 50), Majority: tt.majority}
+			require.Equal(t, tt.holds, p.Holds(tt.record))
+			require.Equal(t, tt.lost, p.Lost(tt.record))
+		})
+	}
+}
+
 // Guards against an old confirmation that counts for ever, knowledge of an old term that counts under a new one, and data
 // that looks fresher than it is.
 func TestTimePasses(t *testing.T) {
--- /dev/null
+++ b/host/observer/observer.go
@@ -0,0 +1,159 @@
+package observer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/group"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// refresh is the time between looks at the fleet without a notice of a change.
+const refresh = 250 * time.Millisecond
+
+// Member is an upstream of a group and its address.
+type Member struct {
+	Upstream ident.Upstream
+	Address  string
+}
+
+// Group is a database group in the control state.
+type Group struct {
+	Service ident.Service
+	Members []Member
+	// Size is the member count of the configuration.
+	Size    int
+	Term    ident.Term
+	Primary ident.Upstream
+	// Base is the last record of the primary before its promotion.
+	Base ident.Position
+}
+
+// Fleet gives the control state as this host knows it.
+type Fleet interface {
+	Groups() []Group
+	// Hosts returns the live hosts that can observe, this one included.
+	Hosts() []Host
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Options say who observes.
+type Options struct {
+	Self  ident.Host
+	Fleet Fleet
+	// User and Password are the credentials at the upstreams.
+	User, Password string
+	// Secret is the fleet secret that peers show.
+	Secret string
+}
+
+// Observer observes the groups for which this host is chosen.
+type Observer struct {
+	options Options
+	start   time.Time
+
+	mu      sync.Mutex
+	watches map[ident.Service]*watch
+}
+
+// New returns an observer that is not yet running.
+func New(options Options) *Observer {
+	return &Observer{options: options, start: time.Now(), watches: map[ident.Service]*watch{}}
+}
+
+func (o *Observer) now() ident.Time {
+	return ident.Time(time.Since(o.start))
+}
+
+// Run observes until the context ends, and returns once all connections are closed.
+func (o *Observer) Run(ctx context.Context) {
+	timer := time.NewTicker(refresh)
+	defer timer.Stop()
+	for {
+		changed := o.options.Fleet.Changed()
+		o.update(ctx)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			o.stop(nil)
+			return
+		}
+	}
+}
+
+// update starts and ends watches as the fleet asks for them.
+func (o *Observer) update(ctx context.Context) {
+	hosts := o.options.Fleet.Hosts()
+	mine := map[ident.Service]bool{}
+	for _, g := range o.options.Fleet.Groups() {
+		chosen := Choose(g.Service, hosts)
+		if !slices.ContainsFunc(chosen, func(h Host) bool { return h.ID == o.options.Self }) {
+			continue
+		}
+		mine[g.Service] = true
+		o.mu.Lock()
+		w := o.watches[g.Service]
+		if w == nil {
+			w = newWatch(o, g.Service)
+			o.watches[g.Service] = w
+		}
+		o.mu.Unlock()
+		w.configure(ctx, g)
+	}
+	o.stop(mine)
+}
+
+// stop ends the watches of all services but the given ones.
+func (o *Observer) stop(keep map[ident.Service]bool) {
+	o.mu.Lock()
+	var ended []*watch
+	for service, w := range o.watches {
+		if !keep[service] {
+			ended = append(ended, w)
+			delete(o.watches, service)
+		}
+	}
+	o.mu.Unlock()
+	for _, w := range ended {
+		w.close()
+	}
+}
+
+func (o *Observer) watch(service ident.Service) *watch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.watches[service]
+}
+
+// Observed returns what the next sync reports, in the order of services and members.
+func (o *Observer) Observed() []*fleetpb.Observed {
+	o.mu.Lock()
+	var services []ident.Service
+	for s := range o.watches {
+		services = append(services, s)
+	}
+	o.mu.Unlock()
+	slices.Sort(services)
+	var all []*fleetpb.Observed
+	for _, s := range services {
+		if w := o.watch(s); w != nil {
+			all = append(all, w.observed()...)
+		}
+	}
+	return all
+}
+
+// Positions returns what this host knows of a group, if it observes it.
+func (o *Observer) Positions(service ident.Service) (group.Positions, bool) {
+	w := o.watch(service)
+	if w == nil {
+		return group.Positions{}, false
+	}
+	p, _ := w.positions()
+	return p, true
+}
--- /dev/null
+++ b/host/promotion/doc.go
@@ -0,0 +1,2 @@
+// Package promotion carries out the actions of package failover on upstreams, and feeds their answers back.
+package promotion
--- /dev/null
+++ b/host/promotion/failover_test.go
@@ -0,0 +1,335 @@
+package promotion_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/failover"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/group"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/observer"
+	"tamarackshunt.dev/host/promotion"
+	"tamarackshunt.dev/standin/ledger"
+	"tamarackshunt.dev/standin/server"
+)
+
+const (
+	password = "secret"
+	// patience bounds waits in tests; nothing is asserted about the time itself.
+	patience = 20 * time.Second
+)
+
+type upstream struct {
+	member failover.Member
+	faults *server.Faults
+	ledger *ledger.Ledger
+}
+
+// fault changes the faults of the upstream.
+func (u upstream) fault(t *testing.T, form string) {
+	t.Helper()
+	values, err := url.ParseQuery(form)
+	require.NoError(t, err)
+	request := httptest.NewRequest("POST", "/", strings.NewReader(values.Encode()))
+	request.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	answer := httptest.NewRecorder()
+	u.faults.ServeHTTP(answer, request)
+	require.Equal(t, 200, answer.Code)
+}
+
+// fleet is a control log of one, three observers and three upstreams.
+type fleet struct {
+	mu        sync.Mutex
+	group     *failover.Group
+	runner    *promotion.Runner
+	start     time.Time
+	control   failover.Control
+	base      ident.Position
+	changed   chan struct{}
+	observers []*observer.Observer
+	client    fleetpb.Observer
+	upstreams map[ident.Upstream]upstream
+}
+
+func (f *fleet) Groups() []observer.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := observer.Group{Service: "ledger", Size: 3, Term: f.control.Term, Primary: f.control.Primary, Base: f.base}
+	for _, m := range f.control.Members {
+		g.Members = append(g.Members, observer.Member{Upstream: m.Upstream, Address: m.Address})
+	}
+	return []observer.Group{g}
+}
+
+func (f *fleet) Hosts() []observer.Host {
+	return []observer.Host{{ID: "h1", Zone: "z1"}, {ID: "h2", Zone: "z2"}, {ID: "h3", Zone: "z3"}}
+}
+
+func (f *fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fleet) step(event failover.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.locked(event)
+}
+
+func (f *fleet) locked(event failover.Event) {
+	for _, a := range f.group.Step(ident.Time(time.Since(f.start)), event) {
+		switch a := a.(type) {
+		case failover.ProposeAttempt:
+			f.control.Attempt = a.Term
+			f.locked(failover.AttemptCommitted{Term: a.Term})
+		case failover.ProposePromoted:
+			f.control.Term, f.control.Primary = a.Term, a.Upstream
+			f.base = a.Base
+			f.locked(failover.PromotionCommitted{Term: a.Term, Upstream: a.Upstream})
+		case failover.ProposeJoin:
+			f.control.Members = append(f.control.Members, a.Member)
+		default:
+			f.runner.Do("ledger", a)
+			continue
+		}
+		close(f.changed)
+		f.changed = make(chan struct{})
+		f.locked(f.control)
+	}
+}
+
+func (f *fleet) primary() upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams[f.control.Primary]
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		group: failover.New(failover.Options{Service: "ledger", Seed: 1}), start: time.Now(),
+		control: failover.Control{Size: 3}, changed: make(chan struct{}), upstreams: map[ident.Upstream]upstream{},
+	}
+	f.runner = promotion.New(promotion.Options{User: "tamarack", Password: password, Deliver: func(_ ident.Service, a failover.Answer) {
+		f.step(a)
+	}})
+	t.Cleanup(f.runner.Close)
+	for i, name := range []ident.Upstream{"a", "b", "c"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		u := upstream{
+			member: failover.Member{Upstream: name, Address: listener.Addr().String(), Zone: ident.Zone(fmt.Sprintf("z%d", i+1))},
+			faults: server.NewFaults(0), ledger: ledger.New(nil, nil),
+		}
+		s := server.New(server.Options{
+			Upstream: string(name), User: "tamarack", Password: password, Slots: 2, Connections: 20, Ledger: u.ledger, Faults: u.faults,
+		})
+		go func() { _ = s.Serve(listener) }()
+		t.Cleanup(s.Close)
+		f.upstreams[name] = u
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, h := range f.Hosts() {
+		o := observer.New(observer.Options{Self: h.ID, Fleet: f, User: "tamarack", Password: password, Secret: password})
+		f.observers = append(f.observers, o)
+		running.Go(func() { o.Run(ctx) })
+	}
+	running.Go(func() { f.sync(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	peer := httptest.NewServer(f.observers[0].Handler())
+	t.Cleanup(peer.Close)
+	f.client = fleetpb.NewObserverProtobufClient(peer.URL, peer.Client())
+	f.step(f.control)
+	return f
+}
+
+// sync feeds announcements and observations to the group until the context ends.
+func (f *fleet) sync(ctx context.Context) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		for _, u := range f.upstreams {
+			f.step(failover.Announced{Member: u.member, Lease: 3 * time.Second})
+		}
+		for i, h := range f.Hosts() {
+			for _, o := range f.observers[i].Observed() {
+				f.step(failover.ObservedOf(h.ID, h.Zone, o))
+			}
+		}
+		f.step(failover.Tick{})
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// write inserts an order at the primary and waits until a majority holds it. A refusal with 25006 was not run, and is
+// tried again.
+func (f *fleet) write(ctx context.Context, id string) error {
+	for ctx.Err() == nil {
+		err := f.try(ctx, id)
+		var failure *pgconn.PgError
+		if err == nil || !errors.As(err, &failure) || failure.Code != "25006" {
+			return err
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+func (f *fleet) try(ctx context.Context, id string) error {
+	address := f.primary().member.Address
+	conn, err := pgconn.Connect(ctx, "postgres://tamarack:"+password+"@"+address+"/ledger?sslmode=disable")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, "INSERT INTO orders VALUES ('"+id+"', 'noc', 'eva', '')").ReadAll()
+	if err != nil {
+		return err
+	}
+	p, err := ident.ParsePosition(conn.ParameterStatus("tamarack.position"))
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		answer, err := f.client.Positions(f.authorized(ctx, password), &fleetpb.PositionsRequest{
+			Service: "ledger", Wanted: &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}, WaitMs: 100,
+		})
+		if err != nil {
+			return err
+		}
+		held := group.PositionsOf(answer)
+		if held.Holds(p) {
+			return nil
+		}
+		if held.Lost(p) {
+			return errors.New("the term ended before a majority held the write")
+		}
+	}
+	return ctx.Err()
+}
+
+// authorized returns a context whose calls show a fleet secret.
+func (f *fleet) authorized(ctx context.Context, secret string) context.Context {
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": {"Bearer " + secret}})
+	if err != nil {
+		panic(err)
+	}
+	return ctx
+}
+
+func (f *fleet) ready(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		p, ok := f.observers[0].Positions("ledger")
+		return ok && p.Confirmed && p.Term == f.primary().ledger.State().Term && len(p.Held) == 3 && p.Held[0].Reachable &&
+			p.Held[1].Position == p.Current && p.Held[2].Position == p.Current && p.Held[0].Position == p.Current
+	}, patience, 10*time.Millisecond)
+}
+
+// Guards against a stalled primary that keeps its role, or whose unacknowledged writes come back after it returns.
+func TestStalledPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	f.ready(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, f.write(ctx, "before"))
+	old := f.primary()
+	old.fault(t, "out=true")
+	short, stop := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer stop()
+	require.Error(t, f.write(short, "alone"), "no majority holds it")
+	old.fault(t, "stall=true")
+	require.Eventually(t, func() bool { return f.primary().member != old.member }, patience, 10*time.Millisecond)
+	require.NoError(t, f.write(ctx, "after"))
+	require.True(t, old.ledger.State().Primary, "the stalled primary does not know yet")
+
+	old.fault(t, "stall=false&out=false")
+	f.ready(t)
+	require.False(t, old.ledger.State().Primary)
+	require.Equal(t, f.primary().ledger.Ends(), old.ledger.Ends(), "the old primary truncated its own write")
+}
+
+// Guards invariants 8 and 10: writes that run while an availability zone is taken out must all succeed, once each.
+func TestZoneOutRefusesNoWrite(t *testing.T) {
+	f := newFleet(t)
+	f.ready(t)
+	old := f.primary()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var writers sync.WaitGroup
+	failed := make(chan error, 400)
+	for w := range 4 {
+		writers.Go(func() {
+			for i := range 50 {
+				if err := f.write(ctx, fmt.Sprintf("w%d-%d", w, i)); err != nil {
+					failed <- err
+				}
+			}
+		})
+	}
+	f.step(failover.Zones{Out: []ident.Zone{old.member.Zone}})
+	writers.Wait()
+	close(failed)
+	for err := range failed {
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return f.primary().member != old.member }, patience, 10*time.Millisecond)
+	f.ready(t)
+	require.Equal(t, old.ledger.Ends(), f.primary().ledger.Ends())
+}
+
+// Guards against positions that are given to whoever asks, and a floor that is older than its request.
+func TestPositionsAreGuardedAndFresh(t *testing.T) {
+	f := newFleet(t)
+	f.ready(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request := &fleetpb.PositionsRequest{Service: "ledger", Fresh: true, WaitMs: 9000}
+	_, err := f.client.Positions(f.authorized(ctx, "wrong"), request)
+	require.Error(t, err)
+	require.NoError(t, f.write(ctx, "before"))
+	written := f.primary().ledger.State().Last
+	answer, err := f.client.Positions(f.authorized(ctx, password), request)
+	require.NoError(t, err)
+	require.True(t, answer.GetConfirmed())
+	require.GreaterOrEqual(t, answer.GetCurrent().GetLsn(), uint64(written.LSN))
+}
+
+// Guards against a frozen upstream that holds up requests to others, and against an answer that is lost.
+func TestFrozenUpstreamBlocksNothing(t *testing.T) {
+	f := newFleet(t)
+	f.ready(t)
+	frozen := f.primary()
+	frozen.fault(t, "freeze=true")
+	require.Eventually(t, func() bool { return f.primary().member != frozen.member }, patience, 10*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, f.write(ctx, "after"))
+	var seen *fleetpb.Observed
+	for _, o := range f.observers[1].Observed() {
+		if o.GetUpstream() == string(frozen.member.Upstream) {
+			seen = o
+		}
+	}
+	require.False(t, seen.GetRefused())
+	frozen.fault(t, "freeze=false")
+	f.ready(t)
+}
--- a/standin/server/follow.go
+++ b/standin/server/follow.go
@@ -26,20 +26,26 @@
 
 // follower is the replication from one primary.
 type follower struct {
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	term   ident.Term
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	term    ident.Term
+	address string
 	// live is set while the stream runs.
 	live bool
 }
 
-// follow replaces the primary that the upstream follows.
+// follow replaces the primary that the upstream follows; the same primary under the same term is left as it is.
 func (s *Server) follow(address string, term ident.Term) {
-	s.stopFollowing()
-	ctx, cancel := context.WithCancel(context.Background())
 	s.follower.mu.Lock()
-	s.follower.cancel, s.follower.term, s.follower.live = cancel, term, false
-	s.follower.mu.Unlock()
+	defer s.follower.mu.Unlock()
+	if s.follower.term == term && s.follower.address == address {
+		return
+	}
+	if s.follower.cancel != nil {
+		s.follower.cancel()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.follower.cancel, s.follower.term, s.follower.address, s.follower.live = cancel, term, address, false
 	klog.Infof("following %s under term %d", address, term)
 	go func() {
 		defer cancel()
--- a/standin/statement/parse.go
+++ b/standin/statement/parse.go
@@ -15,6 +15,9 @@
 	Params    []Type
 }
 
+// replicationColumns is the only list of columns of pg_stat_replication that the stand-in knows.
+var replicationColumns = strings.Split("application_name , term , flush_lsn , replay_lsn , age_ms from pg_stat_replication", " ")
+
 type parser struct {
 	tokens []token
 	params []Type
@@ -128,7 +131,7 @@
 	if call, ok, err := p.call(); ok || err != nil {
 		return call, err
 	}
-	if p.take("*", "from", "pg_stat_replication") {
+	if p.take("*", "from", "pg_stat_replication") || p.take(replicationColumns...) {
 		return Call{Name: "pg_stat_replication"}, nil
 	}
 	if p.take("*", "from") {
