Join the decisions into the host: pool, routing, switchover, allotment

Cause: the decision packages need shells on the host. The pool runs the queue's and the pool's decisions for each upstream; queued work chooses again when the group changes, so that it does not wait for a replaced primary until its deadline. Conclusion: main still has to build them.

--- /dev/null
+++ b/host/allotment/allotment.go
@@ -0,0 +1,94 @@
+package allotment
+
+import (
+	"sync"
+	"time"
+
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/pool"
+)
+
+// hostLease is the longest lease that a sync grants.
+const hostLease = 2 * time.Second
+
+// Allotment holds one allocator for each upstream that hosts asked for.
+type Allotment struct {
+	mutex      sync.Mutex
+	since      ident.Time
+	leads      bool
+	limits     map[string]int
+	allocators map[upstream]*pool.Allocator
+}
+
+type upstream struct {
+	service, name string
+}
+
+// New returns a part of the controller that allots nothing until this host leads.
+func New() *Allotment {
+	return &Allotment{}
+}
+
+// SetOffice starts anew when this host takes office, since an earlier leader knew other demands.
+func (a *Allotment) SetOffice(_ ident.Time, office control.Office) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if office.Leads && a.leads && office.Since == a.since {
+		return
+	}
+	a.leads = office.Leads
+	a.since = office.Since
+	a.allocators = make(map[upstream]*pool.Allocator)
+}
+
+// SetState takes the connection limits of services.
+func (a *Allotment) SetState(_ ident.Time, text *fleetpb.Text, _ []*fleetpb.Group) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.limits = make(map[string]int, len(text.GetServices()))
+	for _, service := range text.GetServices() {
+		a.limits[service.GetName()] = int(service.GetConnections())
+	}
+	for key, allocator := range a.allocators {
+		allocator.SetLimit(a.limits[key.service])
+	}
+}
+
+// Allot answers the demands of one sync.
+func (a *Allotment) Allot(now ident.Time, request *fleetpb.SyncRequest, _ []*fleetpb.Alive) []*fleetpb.Allotment {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	host := ident.Host(request.GetHost())
+	if request.GetGone() {
+		for _, allocator := range a.allocators {
+			allocator.Gone(host)
+		}
+		return nil
+	}
+	var answers []*fleetpb.Allotment
+	for _, demand := range request.GetDemand() {
+		limit, named := a.limits[demand.GetService()]
+		if !named || !a.leads {
+			continue
+		}
+		allocator := a.allocator(upstream{demand.GetService(), demand.GetUpstream()}, limit)
+		incarnation := ident.Incarnation(request.GetIncarnation())
+		answers = append(answers, &fleetpb.Allotment{
+			Service:     demand.GetService(),
+			Upstream:    demand.GetUpstream(),
+			Connections: uint32(allocator.Report(now, host, incarnation, demand, now.Add(hostLease))),
+		})
+	}
+	return answers
+}
+
+func (a *Allotment) allocator(key upstream, limit int) *pool.Allocator {
+	allocator := a.allocators[key]
+	if allocator == nil {
+		allocator = pool.NewAllocator(pool.AllocatorOptions{Limit: limit, Quiet: a.since.Add(hostLease)})
+		a.allocators[key] = allocator
+	}
+	return allocator
+}
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -146,7 +146,7 @@
 			out.reset()
 			continue
 		}
-		if out.sent || isCallerError(err) {
+		if out.sent || isCallerError(err) || sqlstate.From(err) != nil {
 			return err
 		}
 		out.reset()
@@ -198,7 +198,7 @@
 			c.endTransaction()
 		case err == nil:
 			return nil
-		case isUnsent(err):
+		case isUnsent(err) && sqlstate.From(err) == nil && ctx.Err() == nil:
 			c.server.opts.Chooser.Avoid(choice.Target)
 		default:
 			return err
--- /dev/null
+++ b/host/routing/routing.go
@@ -0,0 +1,218 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/route"
+	"tamarackshunt.dev/fleet/sqlstate"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/entry"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/tracker"
+)
+
+const (
+	// avoidFor is how long a replica that failed gets no reads from this host, unless observers have seen it answer since.
+	avoidFor = 500 * time.Millisecond
+	// confirmedFor is the age beyond which a report no longer vouches for a primary; it is the lease of hosts.
+	confirmedFor = 2 * time.Second
+	// busyReplica is the outstanding work beyond which reads prefer a replica of another zone.
+	busyReplica = 8
+	// maxWait bounds one wait, so that a change that nobody announces is noticed.
+	maxWait = 20 * time.Millisecond
+)
+
+// Positions tells what a session wrote.
+type Positions interface {
+	// Position returns the position of the session's last write, or false when no holder told it.
+	Position(ctx context.Context, session ident.Session) (ident.Position, bool)
+}
+
+// Load tells how much work this host has at an upstream.
+type Load interface {
+	// Outstanding returns the statements that are queued or running.
+	Outstanding(target member.Target) int
+}
+
+// Options holds what New needs.
+type Options struct {
+	Clock        *clock.Clock
+	View         func() *member.View
+	Changed      func() <-chan struct{}
+	Tracker      *tracker.Tracker
+	Positions    Positions
+	Load         Load
+	Zone         ident.Zone
+	Region       ident.Region
+	PrimaryReads bool
+}
+
+// Routing is the chooser of one host.
+type Routing struct {
+	opts   Options
+	turn   atomic.Uint64
+	mutex  sync.Mutex
+	failed map[member.Target]ident.Time
+}
+
+// New returns a chooser.
+func New(opts Options) *Routing {
+	return &Routing{opts: opts, failed: make(map[member.Target]ident.Time)}
+}
+
+// rejectedError is the cause of a rejection by route.Choose.
+type rejectedError struct {
+	service ident.Service
+	cause   route.Cause
+}
+
+func (e *rejectedError) Error() string {
+	return fmt.Sprintf("no upstream of service %q: %s", e.service, e.cause)
+}
+
+// Read returns a replica that has what the session wrote, or the primary.
+func (r *Routing) Read(ctx context.Context, session ident.Session) (entry.Choice, error) {
+	need := r.need(ctx, session.Service)
+	position, known := r.opts.Positions.Position(ctx, session)
+	if !known {
+		need.Primary = true
+		need.Cause = route.CauseUnknownPosition
+	}
+	need.Position = position
+	return r.choose(ctx, session.Service, need)
+}
+
+// Primary returns the primary that its group confirms under the current term.
+func (r *Routing) Primary(ctx context.Context, service ident.Service) (entry.Choice, error) {
+	need := r.need(ctx, service)
+	need.Primary = true
+	need.Cause = route.CauseWrite
+	return r.choose(ctx, service, need)
+}
+
+// Avoid keeps reads away from an upstream that failed just now.
+func (r *Routing) Avoid(target member.Target) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.failed[target] = r.opts.Clock.Now()
+}
+
+func (r *Routing) need(ctx context.Context, service ident.Service) route.Need {
+	now := r.opts.Clock.Now()
+	need := route.Need{
+		Age:      r.opts.View().Services[service].GetAge().AsDuration(),
+		Zone:     r.opts.Zone,
+		Region:   r.opts.Region,
+		Since:    now,
+		Deadline: now.Add(time.Minute),
+		Busy:     busyReplica,
+		Turn:     r.turn.Add(1),
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		need.Deadline = now.Add(time.Until(deadline))
+	}
+	return need
+}
+
+func (r *Routing) choose(ctx context.Context, service ident.Service, need route.Need) (entry.Choice, error) {
+	for {
+		changed := r.opts.Changed()
+		next := r.opts.Tracker.Next(service)
+		report, err := r.opts.Tracker.Latest(ctx, service)
+		if err != nil {
+			return entry.Choice{}, trace.Wrap(sqlstate.New(sqlstate.NoPrimary, &rejectedError{service, route.CauseUnconfirmed}))
+		}
+		now := r.opts.Clock.Now()
+		group := r.group(now, service, report)
+		switch d := route.Choose(now, need, group).(type) {
+		case route.ToReplica:
+			return entry.Choice{Target: member.Target{Service: service, Upstream: d.Upstream}, Replica: true}, nil
+		case route.ToPrimary:
+			return entry.Choice{Target: member.Target{Service: service, Upstream: d.Upstream}, Term: group.Term}, nil
+		case route.Reject:
+			return entry.Choice{}, trace.Wrap(sqlstate.New(sqlstate.NoPrimary, &rejectedError{service, d.Cause}))
+		case route.Wait:
+			wait(ctx, min(maxWait, d.Until.Sub(now)), changed, next)
+		}
+	}
+}
+
+func wait(ctx context.Context, longest time.Duration, changed, next <-chan struct{}) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-next:
+	case <-ctx.Done():
+	}
+}
+
+// group joins the control state and the observers' last report.
+func (r *Routing) group(now ident.Time, service ident.Service, report tracker.Report) route.Group {
+	view := r.opts.View()
+	state := view.Groups[service]
+	group := route.Group{
+		Term:      ident.Term(report.GetTerm()),
+		Primary:   ident.Upstream(report.GetPrimary()),
+		Confirmed: report.GetConfirmed() && now.Sub(report.Asked) < confirmedFor,
+	}
+	if ident.Term(state.GetTerm()) > group.Term {
+		group.Term = ident.Term(state.GetTerm())
+		group.Primary = ident.Upstream(state.GetPrimary())
+		group.Confirmed = false
+	}
+	for _, m := range state.GetMembers() {
+		group.Members = append(group.Members, r.candidate(now, view, service, m, report))
+	}
+	return group
+}
+
+func (r *Routing) candidate(now ident.Time, view *member.View, service ident.Service, m *fleetpb.Member, report tracker.Report) route.Candidate {
+	target := member.Target{Service: service, Upstream: ident.Upstream(m.GetUpstream())}
+	c := route.Candidate{
+		Upstream:    target.Upstream,
+		Zone:        ident.Zone(m.GetZone()),
+		Region:      ident.Region(m.GetRegion()),
+		Announced:   view.Announced[target],
+		Leaving:     m.GetLeaving(),
+		ZoneOut:     view.ZonesOut[ident.Zone(m.GetZone())],
+		Outstanding: r.opts.Load.Outstanding(target),
+	}
+	for _, held := range report.GetHeld() {
+		if held.GetUpstream() != m.GetUpstream() {
+			continue
+		}
+		position := held.GetPosition()
+		c.Position = ident.Position{Term: ident.Term(position.GetTerm()), LSN: ident.LSN(position.GetLsn())}
+		c.Age = time.Duration(held.GetAgeMs())*time.Millisecond + now.Sub(report.Asked)
+		c.Reachable = held.GetReachable() && !r.avoided(target, now, report.GetPrimary())
+	}
+	return c
+}
+
+// avoided reports whether a replica failed lately; the primary is never avoided, since nothing can take its place.
+func (r *Routing) avoided(target member.Target, now ident.Time, primary string) bool {
+	if string(target.Upstream) == primary {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at, failed := r.failed[target]
+	if !failed {
+		return false
+	}
+	if now.Sub(at) > avoidFor {
+		delete(r.failed, target)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/host/switchover/doc.go
@@ -0,0 +1,2 @@
+// Package switchover runs the failover decisions of all groups while this host is the control leader.
+package switchover
--- a/host/upstream/conn.go
+++ b/host/upstream/conn.go
@@ -23,7 +23,7 @@
 	positionParameter = "tamarack.position"
 	// dirty stands for session state that no list of settings describes.
 	dirty = "\x00dirty"
-	// maxPrepared bounds the statements prepared on one connection; beyond it the connection is cleaned.
+	// maxPrepared bounds the statements prepared on one connection; beyond it DISCARD ALL drops them.
 	maxPrepared = 512
 )
 
@@ -199,6 +199,9 @@
 // NoteUnnamed records what the unnamed statement holds.
 func (c *Conn) NoteUnnamed(name string) { c.unnamed = name }
 
+// Dirty reports whether the connection has session state, or too many prepared statements, of earlier callers.
+func (c *Conn) Dirty() bool { return c.settings != "" || len(c.prepared) > maxPrepared }
+
 // MarkDirty makes the next Configure clean the connection.
 func (c *Conn) MarkDirty() { c.settings = dirty }
 
@@ -216,7 +219,7 @@
 
 // Usable reports whether an idle connection is still open, by looking for an end of file without reading.
 func (c *Conn) Usable() bool {
-	if c.stale.Load() || !c.Idle() || len(c.prepared) > maxPrepared {
+	if c.stale.Load() || !c.Idle() {
 		return false
 	}
 	raw, err := c.socket.(syscall.Conn).SyscallConn()
@@ -235,7 +238,7 @@
 
 // Configure cleans the connection and runs the session settings that a caller made.
 func (c *Conn) Configure(settings []string, joined string) error {
-	if c.settings == joined {
+	if c.settings == joined && len(c.prepared) <= maxPrepared {
 		return nil
 	}
 	c.prepared = make(map[string]bool)
--- a/host/upstream/pool.go
+++ b/host/upstream/pool.go
@@ -3,29 +3,43 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/queue"
+	"tamarackshunt.dev/fleet/sqlstate"
+	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/member"
 )
 
 // Options holds what NewPool needs.
 type Options struct {
 	Credential Credential
+	Clock      *clock.Clock
 	View       func() *member.View
+	// Urgent asks for a sync at once, since an upstream without allotment has work.
+	Urgent func()
 }
 
-// Pool hands out connections to upstreams within this host's allotment.
-type Pool struct {
-	opts  Options
-	mutex sync.Mutex
-	lanes map[member.Target]*lane
+// MovedError says that queued work has to choose its upstream again, because the group or its zones changed.
+type MovedError struct {
+	Target member.Target
 }
 
-// lane is the part of a pool for one upstream.
-type lane struct {
-	mutex sync.Mutex
-	idle  []*Conn
-	slots chan struct{}
+func (e *MovedError) Error() string {
+	return "the upstream " + string(e.Target.Upstream) + " of " + string(e.Target.Service) + " has another role now"
+}
+
+// Pool hands out connections to upstreams within this host's allotment, fairly by team.
+type Pool struct {
+	opts    Options
+	mutex   sync.Mutex
+	lanes   map[member.Target]*lane
+	leaving bool
+	group   sync.WaitGroup
 }
 
 // NewPool returns an empty pool.
@@ -33,37 +47,99 @@
 	return &Pool{opts: opts, lanes: make(map[member.Target]*lane)}
 }
 
-// Acquire returns a connection for one transaction; before it returns nothing was sent.
-func (p *Pool) Acquire(ctx context.Context, target member.Target, _ ident.Team) (*Conn, error) {
+// Acquire waits for a connection for one transaction; an error means that nothing was sent.
+func (p *Pool) Acquire(ctx context.Context, target member.Target, team ident.Team) (*Conn, error) {
 	l := p.lane(target)
+	deadline := p.opts.Clock.Now().Add(time.Hour)
+	if at, ok := ctx.Deadline(); ok {
+		deadline = p.opts.Clock.Now().Add(time.Until(at))
+	}
+	w, err := l.enqueue(team, deadline)
+	if err != nil {
+		return nil, rejection(err)
+	}
 	select {
-	case l.slots <- struct{}{}:
+	case got := <-w.result:
+		return got.conn, rejection(got.err)
 	case <-ctx.Done():
-		return nil, ctx.Err()
 	}
-	if conn := l.take(); conn != nil {
-		return conn, nil
+	if !l.cancel(w) {
+		// The connection was assigned at the same moment, so it goes back unused.
+		if got := <-w.result; got.conn != nil {
+			l.release(got.conn)
+		}
+	}
+	return nil, trace.Wrap(ctx.Err())
+}
+
+// rejection tells a caller why queued work was dropped.
+func rejection(err error) error {
+	dropped, ok := err.(*queue.Dropped)
+	if !ok {
+		return trace.Wrap(err)
 	}
-	address := p.opts.View().Member(target).GetAddress()
-	conn, err := Dial(ctx, address, target.Service, p.opts.Credential)
-	if err != nil {
-		<-l.slots
-		return nil, err
+	if dropped.Cause == queue.CauseDeadline {
+		return trace.Wrap(sqlstate.New(sqlstate.DeadlinePassed, dropped))
 	}
-	return conn, nil
+	return trace.Wrap(sqlstate.New(sqlstate.QueueFull, dropped))
 }
 
-// Release takes a connection back; one that is not idle or not usable is closed.
+// Release takes a connection back; one in an unknown state is closed, one with session state is cleaned.
 func (p *Pool) Release(target member.Target, conn *Conn) {
-	l := p.lane(target)
-	if conn.Usable() {
-		l.mutex.Lock()
-		l.idle = append(l.idle, conn)
-		l.mutex.Unlock()
-	} else {
-		conn.Close()
+	p.lane(target).release(conn)
+}
+
+// Outstanding returns the statements queued or running at an upstream.
+func (p *Pool) Outstanding(target member.Target) int {
+	p.mutex.Lock()
+	l := p.lanes[target]
+	p.mutex.Unlock()
+	if l == nil {
+		return 0
+	}
+	return l.outstanding()
+}
+
+// Report adds this host's demand for connections to a sync.
+func (p *Pool) Report(request *fleetpb.SyncRequest) {
+	for target, l := range p.all() {
+		demand := l.demand()
+		demand.Service = string(target.Service)
+		demand.Upstream = string(target.Upstream)
+		request.Demand = append(request.Demand, demand)
+	}
+}
+
+// Adopt takes the allotments and weights of a new view; a view whose lease has ended allots nothing.
+func (p *Pool) Adopt(view *member.View) {
+	weights := make(map[ident.Team]uint32, len(view.Teams))
+	for name, team := range view.Teams {
+		weights[name] = max(1, team.GetWeight())
+	}
+	for _, l := range p.all() {
+		l.adopt(view, weights)
+	}
+}
+
+// Close stops handing out connections and closes them as they come back.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	p.leaving = true
+	p.mutex.Unlock()
+	for _, l := range p.all() {
+		l.leave()
 	}
-	<-l.slots
+	p.group.Wait()
+}
+
+func (p *Pool) all() map[member.Target]*lane {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	lanes := make(map[member.Target]*lane, len(p.lanes))
+	for target, l := range p.lanes {
+		lanes[target] = l
+	}
+	return lanes
 }
 
 func (p *Pool) lane(target member.Target) *lane {
@@ -71,23 +147,20 @@
 	defer p.mutex.Unlock()
 	l := p.lanes[target]
 	if l == nil {
-		l = &lane{slots: make(chan struct{}, max(1, p.opts.View().Allotments[target]))}
+		l = newLane(p, target)
 		p.lanes[target] = l
+		p.opts.Urgent()
 	}
 	return l
 }
 
-func (l *lane) take() *Conn {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for len(l.idle) > 0 {
-		last := len(l.idle) - 1
-		conn := l.idle[last]
-		l.idle = l.idle[:last]
-		if conn.Usable() {
-			return conn
-		}
-		conn.Close()
+// dial opens a connection to an upstream at the address in the current view.
+func (p *Pool) dial(target member.Target) (*Conn, error) {
+	found := p.opts.View().Member(target)
+	if found == nil {
+		return nil, trace.Wrap(&ConnectError{Address: string(target.Upstream), Cause: trace.NotFound("not a member of its group")})
 	}
-	return nil
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	return Dial(ctx, found.GetAddress(), target.Service, p.opts.Credential)
 }
