Add the operators' program

tamarack checks and applies configurations, gives and withdraws keys, and shows status, events and service levels. It follows the leader that an answer names and repeats a call with the same request id after a lost answer. Key ids are hexadecimal now, since an id that begins with a dash reads as an option.

--- a/fleet/control/world_test.go
+++ b/fleet/control/world_test.go
@@ -191,8 +191,8 @@
 	return &fleetpb.Change{Kind: &fleetpb.Change_Join{Join: &fleetpb.Join{Service: service, Member: m}}}
 }
 
-func leave(service, upstream string, remove bool) *fleetpb.Change {
-	return &fleetpb.Change{Kind: &fleetpb.Change_Leave{Leave: &fleetpb.Leave{Service: service, Upstream: upstream, Remove: remove}}}
+func leave(upstream string, remove bool) *fleetpb.Change {
+	return &fleetpb.Change{Kind: &fleetpb.Change_Leave{Leave: &fleetpb.Leave{Service: "orders", Upstream: upstream, Remove: remove}}}
 }
 
 func keepers(epoch uint64, settled bool, hosts ...string) *fleetpb.Change {
--- a/fleet/key/key.go
+++ b/fleet/key/key.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"regexp"
@@ -15,7 +16,7 @@
 
 // Sizes of a key's parts.
 const (
-	idBytes     = 10
+	idBytes     = 8
 	secretBytes = 32 // 256 random bits cannot be guessed, so a plain hash without salt or stretching suffices
 )
 
@@ -54,7 +55,7 @@
 	if _, err := io.ReadFull(random, secret); err != nil {
 		return Key{}, trace.Wrap(err, "reading random bytes for a secret")
 	}
-	return hold(ident.KeyID(encoding.EncodeToString(id)), secret), nil
+	return hold(ident.KeyID(hex.EncodeToString(id)), secret), nil
 }
 
 // Parse reads the written form id.secret, or returns a FormError.
--- a/fleet/key/key_test.go
+++ b/fleet/key/key_test.go
@@ -16,7 +16,9 @@
 
 func generate(t *testing.T, seed byte) key.Key {
 	t.Helper()
-	k, err := key.Generate(bytes.NewReader(bytes.Repeat([]byte{seed}, 64)))
+	// The id differs from the secret, so that a test can tell which of them is shown.
+	random := append(bytes.Repeat([]byte{^seed}, 8), bytes.Repeat([]byte{seed}, 32)...)
+	k, err := key.Generate(bytes.NewReader(random))
 	require.NoError(t, err)
 	return k
 }
--- /dev/null
+++ b/operator/command/command.go
@@ -0,0 +1,170 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/settings"
+	"tamarackshunt.dev/operator/client"
+)
+
+// Exit codes of the program.
+const (
+	ExitDone     = 0
+	ExitFailure  = 1
+	ExitUsage    = 2
+	ExitRaced    = 3
+	ExitNoLeader = 4
+)
+
+const about = `Changes and shows the configuration of a fleet.
+
+Every command but check talks to the control leader, and finds it through the control hosts of the settings file:
+
+  control: [10.0.0.1:7400, 10.0.1.1:7400, 10.0.2.1:7400]
+  secret: the operator secret of the fleet
+
+A call whose answer is lost is repeated under the same request id, so that it takes effect once.
+
+Exit codes:
+  0  done
+  1  failure, such as a mistake in the configuration
+  2  wrong usage
+  3  another configuration was applied first
+  4  no control leader was reached`
+
+// options are the command line.
+type options struct {
+	Settings string        `short:"s" long:"settings" env:"TAMARACK_SETTINGS" value-name:"FILE" description:"YAML settings file"`
+	Timeout  time.Duration `long:"timeout" default:"20s" value-name:"TIME" description:"time to reach the control leader"`
+
+	Check   checkCommand   `command:"check" description:"Check a configuration without applying it"`
+	Apply   applyCommand   `command:"apply" description:"Apply a configuration"`
+	Key     keyCommand     `command:"key" description:"Give and withdraw keys"`
+	Status  statusCommand  `command:"status" description:"Show whether the configuration is met"`
+	Explain explainCommand `command:"explain" description:"Show recent events and decisions"`
+	Report  reportCommand  `command:"report" description:"Show the service levels"`
+}
+
+// Program is where the commands write and take random bytes from.
+type Program struct {
+	Out    io.Writer
+	Err    io.Writer
+	Random io.Reader
+}
+
+// command is a command of the program.
+type command interface {
+	run(ctx context.Context, p *session) error
+}
+
+// session is one run of a command.
+type session struct {
+	Program
+	options *options
+}
+
+// exitError ends the program with a code of its own.
+type exitError struct {
+	code  int
+	cause string
+}
+
+func (e *exitError) Error() string {
+	return e.cause
+}
+
+// Run runs the command that the arguments name and returns the exit code.
+func Run(ctx context.Context, program Program, arguments []string) int {
+	if program.Random == nil {
+		program.Random = rand.Reader
+	}
+	opts := &options{}
+	parser := flags.NewNamedParser("tamarack", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", opts); err != nil {
+		_, _ = fmt.Fprintln(program.Err, err)
+		return ExitFailure
+	}
+	parser.LongDescription = about
+	var chosen command
+	var extra []string
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
+		chosen, _ = c.(command)
+		extra = rest
+		return nil
+	}
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		if flags.WroteHelp(err) {
+			_, _ = fmt.Fprintln(program.Out, err)
+			return ExitDone
+		}
+		_, _ = fmt.Fprintln(program.Err, err)
+		return ExitUsage
+	}
+	if len(extra) > 0 {
+		_, _ = fmt.Fprintf(program.Err, "unexpected argument %q, see tamarack --help\n", extra[0])
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(ctx, opts.Timeout)
+	defer cancel()
+	return exit(program, chosen.run(ctx, &session{Program: program, options: opts}))
+}
+
+func exit(program Program, err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	_, _ = fmt.Fprintln(program.Err, trace.UserMessage(err))
+	var own *exitError
+	var noLeader *client.NoLeaderError
+	switch {
+	case errors.As(err, &own):
+		return own.code
+	case errors.As(err, &noLeader):
+		return ExitNoLeader
+	default:
+		return ExitFailure
+	}
+}
+
+// client reads the settings and returns a client for the fleet's control hosts.
+func (s *session) client() (*client.Client, error) {
+	if s.options.Settings == "" {
+		return nil, &exitError{ExitUsage, "no settings file, expected --settings FILE or TAMARACK_SETTINGS"}
+	}
+	var read fleetpb.OperatorSettings
+	if err := settings.Read(s.options.Settings, &read); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return client.New(client.Options{Control: read.GetControl(), Secret: read.GetSecret()}), nil
+}
+
+// requestID returns the id that an operator gave, or a random one.
+func (s *session) requestID(given string) (string, error) {
+	if given != "" {
+		return given, nil
+	}
+	var raw [12]byte
+	if _, err := io.ReadFull(s.Random, raw[:]); err != nil {
+		return "", trace.Wrap(err, "reading random bytes for a request id")
+	}
+	return hex.EncodeToString(raw[:]), nil
+}
+
+func (s *session) say(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.Out, format+"\n", arguments...)
+}
+
+// note writes what is not the result, so that the output can be used by other programs.
+func (s *session) note(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.Err, format+"\n", arguments...)
+}
