--- /dev/null
+++ b/host/deps.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/session"
+	"tamarackshunt.dev/host/acknowledge"
+	"tamarackshunt.dev/host/allotment"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/controller"
+	"tamarackshunt.dev/host/entry"
+	"tamarackshunt.dev/host/keeper"
+	"tamarackshunt.dev/host/lending"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/observer"
+	"tamarackshunt.dev/host/quota"
+	"tamarackshunt.dev/host/replica"
+	"tamarackshunt.dev/host/routing"
+	"tamarackshunt.dev/host/switchover"
+	"tamarackshunt.dev/host/tracker"
+	"tamarackshunt.dev/host/upstream"
+)
+
+// defaultGrace is the time for running transactions to finish at shutdown.
+const defaultGrace = 10 * time.Second
+
+// deps holds the parts of one host; it is built once.
+type deps struct {
+	settings    *fleetpb.HostSettings
+	incarnation ident.Incarnation
+	clock       *clock.Clock
+	member      *member.Member
+	tracker     *tracker.Tracker
+	observer    *observer.Observer
+	keeper      *keeper.Node
+	quota       *quota.Quota
+	pool        *upstream.Pool
+	entry       *entry.Server
+	control     *controlRole
+	server      *http.Server
+	listener    net.Listener
+	stop        context.CancelFunc
+	running     parts
+}
+
+// controlRole holds the parts of a host with a data folder.
+type controlRole struct {
+	controller *controller.Controller
+	switchover *switchover.Switchover
+	replica    *replica.Replica
+}
+
+// build makes and starts all parts of a host.
+func build(settings *fleetpb.HostSettings) (*deps, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &deps{
+		settings: settings,
+		// The wall clock orders the starts of a host that keeps nothing on disk.
+		incarnation: ident.Incarnation(time.Now().UnixNano()),
+		clock:       clock.New(),
+		stop:        stop,
+	}
+	d.buildPath()
+	if settings.GetData() != "" {
+		if err := d.buildControl(); err != nil {
+			stop()
+			return nil, trace.Wrap(err)
+		}
+	}
+	if err := d.listen(); err != nil {
+		stop()
+		return nil, trace.Wrap(err)
+	}
+	if err := d.start(ctx); err != nil {
+		stop()
+		return nil, trace.Wrap(err)
+	}
+	return d, nil
+}
+
+// buildPath makes the parts of the request path.
+func (d *deps) buildPath() {
+	s := d.settings
+	fleet := fleetView{d}
+	secret := s.GetSecrets().GetFleet()
+	d.tracker = tracker.New(tracker.Options{Clock: d.clock, Secret: secret, Observers: fleet.Observers})
+	d.observer = observer.New(observer.Options{
+		Self: ident.Host(s.GetHost()), Fleet: fleet, Secret: secret,
+		User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(),
+	})
+	d.keeper = keeper.New(keeper.Options{
+		Self: session.Member{
+			Host: ident.Host(s.GetHost()), Incarnation: d.incarnation, Zone: ident.Zone(s.GetZone()), Peer: s.GetPeer(),
+		},
+		Fleet: fleet, Secret: secret, Zones: []ident.Zone{ident.Zone(s.GetZone())},
+	})
+	d.quota = quota.New(quota.Options{
+		Host: ident.Host(s.GetHost()), Incarnation: d.incarnation, Fleet: fleet, Secret: secret,
+	})
+	d.pool = upstream.NewPool(upstream.Options{
+		Credential: upstream.Credential{User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword()},
+		Clock:      d.clock,
+		View:       fleet.view,
+		Urgent:     func() { d.member.Urgent() },
+	})
+}
+
+// buildControl makes the parts of the control role.
+func (d *deps) buildControl() error {
+	s := d.settings
+	role := &controlRole{switchover: switchover.New(switchover.Options{
+		Clock: d.clock.Now, User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(),
+	})}
+	var err error
+	role.controller, err = controller.New(controller.Options{
+		Host: ident.Host(s.GetHost()), Secrets: s.GetSecrets(), Clock: d.clock.Now,
+		Parts: controller.Parts{Failover: role.switchover, Tokens: lending.New(), Connections: allotment.New()},
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	role.replica, err = replica.New(replica.Options{
+		Host: ident.Host(s.GetHost()), Peer: s.GetPeer(), Hosts: s.GetControl(), Replacement: s.GetReplacement(),
+		Folder: s.GetData(), Secret: s.GetSecrets().GetFleet(), Seed: uint64(d.incarnation),
+		Machine: role.controller.Machine(), Clock: d.clock.Now,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.control = role
+	return nil
+}
+
+func (d *deps) listen() error {
+	address := d.settings.GetListen()
+	if address == "" {
+		address = d.settings.GetPeer()
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	d.listener = listener
+	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: 5 * time.Second}
+	return nil
+}
+
+// handler serves peers, operators, announcements, metrics and the balancer on one address.
+func (d *deps) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(d.keeper.Handler())
+	mux.Handle(fleetpb.ObserverPathPrefix, d.observer.Handler())
+	announce := fleetView{d}.announce
+	if d.control != nil {
+		mux.Handle(fleetpb.ControlPathPrefix, d.control.controller.Handler())
+		mux.Handle(fleetpb.QuorumPathPrefix, d.control.replica.Handler())
+		announce = d.control.controller.Announce
+	}
+	mux.Handle("/announce", controller.AnnounceHandler(d.settings.GetSecrets().GetAnnounce(), announce))
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if d.entry == nil || !d.entry.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// start runs all parts; the member comes last, since its first view reaches the others.
+func (d *deps) start(ctx context.Context) error {
+	fleet := fleetView{d}
+	if d.control != nil {
+		d.control.switchover.Start(d.control.controller.Propose)
+		d.control.controller.Start(controlLog{d.control.replica})
+	}
+	reports := []member.Report{fleet, d.pool}
+	var view func() *member.View
+	if d.settings.GetCaller() != "" {
+		server, err := d.newEntry(func() *member.View { return view() })
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		d.entry = server
+		reports = append(reports, server)
+	}
+	d.member = member.New(member.Options{
+		Settings: d.settings, Incarnation: d.incarnation, Clock: d.clock, Reports: reports,
+		Adopted: d.adopt,
+		Expired: func() { d.pool.Adopt(&member.View{}) },
+	})
+	view = d.member.View
+	d.running.start(ctx, d.observer.Run, d.keeper.Run, d.quota.Run)
+	if d.entry != nil {
+		d.entry.Start()
+	}
+	d.running.group.Go(func() {
+		if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "serving peers ended")
+		}
+	})
+	return nil
+}
+
+func (d *deps) newEntry(view func() *member.View) (*entry.Server, error) {
+	fleet := fleetView{d}
+	chooser := routing.New(routing.Options{
+		Clock: d.clock, View: view, Changed: fleet.Changed, Tracker: d.tracker, Positions: fleet, Load: d.pool,
+		Zone: ident.Zone(d.settings.GetZone()), Region: ident.Region(d.settings.GetRegion()),
+	})
+	return entry.New(entry.Options{
+		Settings: d.settings, Clock: d.clock, View: view, Chooser: chooser, Quota: gate{d.quota}, Pool: d.pool,
+		Ack: acknowledge.New(d.clock, d.tracker, d.keeper),
+	})
+}
+
+// adopt tells the parts of a new view before the host reports that it has adopted it.
+func (d *deps) adopt(view *member.View) {
+	d.keeper.Adopt(session.Conditions{View: session.NewView(view.Keepers), Lease: view.Expires})
+	d.pool.Adopt(view)
+}
+
+// shutdown ends the host without cutting a request: callers first, then what their requests need.
+func (d *deps) shutdown() {
+	grace := d.settings.GetGrace().AsDuration()
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	d.member.Leave()
+	if d.entry != nil {
+		d.entry.Shutdown(grace)
+	}
+	d.pool.Close()
+	d.stop()
+	d.running.wait()
+	d.tracker.Close()
+	d.member.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if d.control != nil {
+		d.closeControl(ctx)
+	}
+	if err := d.server.Shutdown(ctx); err != nil {
+		klog.InfoS("peers were cut at shutdown", "err", err)
+	}
+	d.running.group.Wait()
+}
+
+func (d *deps) closeControl(ctx context.Context) {
+	d.control.controller.Close()
+	d.control.switchover.Close()
+	if err := d.control.replica.Close(ctx); err != nil {
+		klog.ErrorS(err, "closing the control log")
+	}
+}
+
+// failed is closed when the control log has ended by itself, as after a failure of its disk.
+func (d *deps) failed() <-chan struct{} {
+	if d.control == nil {
+		return nil
+	}
+	return d.control.replica.Done()
+}
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -301,6 +301,7 @@
 	})
 	require.NoError(t, err)
 	f.server = server
+	server.Start()
 	return f
 }
 
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -243,6 +243,10 @@
 	if err != nil {
 		return &unsentError{err}
 	}
+	if !c.server.opts.View().Valid(c.server.opts.Clock.Now()) {
+		c.server.opts.Pool.Release(choice.Target, conn)
+		return reject(sqlstate.NoLease, "the lease ended while the statement waited")
+	}
 	c.hold(choice.Target, conn)
 	if err := c.prepareConn(ctx, conn); err != nil {
 		c.endTransaction()
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -90,6 +90,7 @@
 	metrics  *counters
 	tallies  *tallies
 	draining atomic.Bool
+	ctx      context.Context
 	stop     context.CancelFunc
 	done     chan struct{}
 	group    sync.WaitGroup
@@ -101,13 +102,12 @@
 	callers, unknownService, wrongKey *metrics.Counter
 }
 
-// New listens for callers and serves them until Shutdown.
+// New listens for callers; Start serves them.
 func New(opts Options) (*Server, error) {
 	listener, err := net.Listen("tcp", opts.Settings.GetCaller())
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
 		opts:     opts,
 		listener: listener,
@@ -117,14 +117,18 @@
 			wrongKey:       metrics.GetOrCreateCounter("tamarack_wrong_key_total"),
 		},
 		tallies: newTallies(),
-		stop:    stop,
 		done:    make(chan struct{}),
 		callers: make(map[uint32]*caller),
 	}
-	go s.accept(ctx)
+	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s, nil
 }
 
+// Start serves callers until Shutdown.
+func (s *Server) Start() {
+	go s.accept(s.ctx)
+}
+
 // Done is closed when the last caller has gone after Shutdown.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
--- /dev/null
+++ b/host/fleet.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/observer"
+	"tamarackshunt.dev/host/peer"
+)
+
+// fleetView shows this host's copy of the control state to the parts that need a piece of it.
+type fleetView struct {
+	deps *deps
+}
+
+func (f fleetView) view() *member.View { return f.deps.member.View() }
+
+// Now returns the host's logical time.
+func (f fleetView) Now() ident.Time { return f.deps.clock.Now() }
+
+// Services returns the services of the text in force, in order.
+func (f fleetView) Services() []ident.Service {
+	var names []ident.Service
+	for name := range f.view().Services {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// Current returns the confirmed position of a service's primary.
+func (f fleetView) Current(ctx context.Context, service ident.Service) (ident.Position, error) {
+	return f.deps.tracker.Current(ctx, service)
+}
+
+// Owner returns the peer address of the owner of all teams, which is the control leader.
+func (f fleetView) Owner() string { return f.deps.member.Leader() }
+
+// Moved makes the next sync look for the leader, which the owner is.
+func (f fleetView) Moved(string) { f.deps.member.Urgent() }
+
+// Changed returns a channel that is closed at the next view.
+func (f fleetView) Changed() <-chan struct{} { return f.deps.member.Changed() }
+
+// Groups returns the groups as observers need them.
+func (f fleetView) Groups() []observer.Group {
+	view := f.view()
+	var groups []observer.Group
+	for name, state := range view.Groups {
+		service := view.Services[name]
+		if service == nil {
+			continue
+		}
+		groups = append(groups, observerGroup(name, service, state))
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Service < groups[j].Service })
+	return groups
+}
+
+func observerGroup(name ident.Service, service *fleetpb.Service, state *fleetpb.Group) observer.Group {
+	base := state.GetBase()
+	group := observer.Group{
+		Service: name,
+		Size:    int(service.GetUpstreams()),
+		Term:    ident.Term(state.GetTerm()),
+		Primary: ident.Upstream(state.GetPrimary()),
+		Base:    ident.Position{Term: ident.Term(base.GetTerm()), LSN: ident.LSN(base.GetLsn())},
+	}
+	for _, m := range state.GetMembers() {
+		group.Members = append(group.Members, observer.Member{Upstream: ident.Upstream(m.GetUpstream()), Address: m.GetAddress()})
+	}
+	return group
+}
+
+// Hosts returns the live hosts.
+func (f fleetView) Hosts() []observer.Host {
+	var hosts []observer.Host
+	for _, h := range f.view().Hosts {
+		hosts = append(hosts, observer.Host{ID: ident.Host(h.GetHost()), Zone: ident.Zone(h.GetZone()), Peer: h.GetPeer()})
+	}
+	return hosts
+}
+
+// Observers returns the peer addresses of a service's observers, those of this host's zone first.
+func (f fleetView) Observers(service ident.Service) []string {
+	chosen := observer.Choose(service, f.Hosts())
+	own := ident.Zone(f.deps.settings.GetZone())
+	sort.SliceStable(chosen, func(i, j int) bool { return chosen[i].Zone == own && chosen[j].Zone != own })
+	addresses := make([]string, 0, len(chosen))
+	for _, host := range chosen {
+		addresses = append(addresses, host.Peer)
+	}
+	return addresses
+}
+
+// Position returns the position of a session's last write, or false when no holder told it.
+func (f fleetView) Position(ctx context.Context, session ident.Session) (ident.Position, bool) {
+	position, err := f.deps.keeper.Position(ctx, session)
+	return position, err == nil
+}
+
+// announceTimeout bounds the passing on of an announcement.
+const announceTimeout = 2 * time.Second
+
+// announce passes an announcement on to the control leader.
+func (f fleetView) announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+	leader := f.deps.member.Leader()
+	if leader == "" {
+		return nil, trace.ConnectionProblem(nil, "no control leader is known")
+	}
+	client := peer.NewClient(f.deps.settings.GetSecrets().GetFleet(), announceTimeout)
+	defer client.CloseIdleConnections()
+	answer, err := fleetpb.NewControlProtobufClient(peer.URL(leader), client).Announce(ctx, request)
+	return answer, trace.Wrap(err)
+}
+
+// Report adds what this host observes of upstreams to a sync.
+func (f fleetView) Report(request *fleetpb.SyncRequest) {
+	request.Observed = f.deps.observer.Observed()
+}
--- /dev/null
+++ b/host/gate.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/sqlstate"
+	"tamarackshunt.dev/host/quota"
+)
+
+// gate turns the quota's refusals into what callers are told.
+type gate struct {
+	quota *quota.Quota
+}
+
+// Take waits for one request's worth of a team's rate.
+func (g gate) Take(ctx context.Context, team ident.Team) error {
+	err := g.quota.Take(ctx, team)
+	var exceeded *limit.Exceeded
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &exceeded):
+		return trace.Wrap(sqlstate.New(sqlstate.DeadlinePassed, err))
+	case exceeded.Cause == limit.CauseNoOwner:
+		return trace.Wrap(sqlstate.New(sqlstate.TokensUnavailable, exceeded))
+	}
+	return trace.Wrap(sqlstate.New(sqlstate.RateExceeded, exceeded))
+}
--- a/host/member/member.go
+++ b/host/member/member.go
@@ -38,6 +38,8 @@
 	Reports     []Report
 	// Adopted is called with each new view before the next sync reports its epoch as adopted.
 	Adopted func(*View)
+	// Expired is called once when the lease ends.
+	Expired func()
 }
 
 // Member is the part of a host that syncs with the control leader.
@@ -140,6 +142,8 @@
 		Known:        uint64(view.Version),
 		AdoptedEpoch: view.Keepers.GetEpoch(),
 		Leaving:      m.leaving.Load(),
+		ControlOnly:  s.GetCaller() == "",
+		Digest:       view.Digest,
 	}
 	for _, report := range m.opts.Reports {
 		report.Report(request)
@@ -177,9 +181,7 @@
 func (m *Member) adopt(answer *fleetpb.SyncResponse, sent ident.Time) {
 	lease := time.Duration(answer.GetLeaseMs()) * time.Millisecond
 	view := m.View().next(answer, sent.Add(lease))
-	if m.opts.Adopted != nil {
-		m.opts.Adopted(view)
-	}
+	m.opts.Adopted(view)
 	m.view.Store(view)
 	fresh := make(chan struct{})
 	close(*m.changed.Swap(&fresh))
@@ -193,6 +195,7 @@
 func (m *Member) noteExpiry() {
 	if m.serving && !m.View().Valid(m.opts.Clock.Now()) {
 		m.serving = false
+		m.opts.Expired()
 		klog.InfoS("lease ended, rejecting requests", "host", m.opts.Settings.GetHost())
 	}
 }
--- a/host/member/view.go
+++ b/host/member/view.go
@@ -22,7 +22,9 @@
 	Hosts      []*fleetpb.Alive
 	Allotments map[Target]int
 	Announced  map[Target]bool
-	Expires    ident.Time
+	// Digest stands for Hosts and Announced, which a sync leaves out when they have not changed.
+	Digest  uint64
+	Expires ident.Time
 }
 
 // Target names one upstream of one service.
@@ -68,15 +70,13 @@
 func (v *View) next(answer *fleetpb.SyncResponse, expires ident.Time) *View {
 	n := *v
 	n.Expires = expires
-	n.Hosts = answer.GetHosts()
 	n.Allotments = make(map[Target]int, len(answer.GetAllotments()))
 	for _, a := range answer.GetAllotments() {
 		target := Target{ident.Service(a.GetService()), ident.Upstream(a.GetUpstream())}
 		n.Allotments[target] = int(a.GetConnections())
 	}
-	n.Announced = make(map[Target]bool, len(answer.GetUpstreams()))
-	for _, name := range answer.GetUpstreams() {
-		n.Announced[parseTarget(name)] = true
+	if answer.GetDigest() != v.Digest {
+		n.applyLists(answer)
 	}
 	if state := answer.GetState(); state != nil {
 		n.apply(state)
@@ -84,6 +84,15 @@
 	return &n
 }
 
+func (v *View) applyLists(answer *fleetpb.SyncResponse) {
+	v.Digest = answer.GetDigest()
+	v.Hosts = answer.GetHosts()
+	v.Announced = make(map[Target]bool, len(answer.GetUpstreams()))
+	for _, name := range answer.GetUpstreams() {
+		v.Announced[parseTarget(name)] = true
+	}
+}
+
 func (v *View) apply(state *fleetpb.State) {
 	if state.GetFull() {
 		v.Groups = nil
--- a/host/tracker/tracker.go
+++ b/host/tracker/tracker.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// Current returns the primary's position, requested after the call began and confirmed by a majority of its group.
+func (t *Tracker) Current(ctx context.Context, service ident.Service) (ident.Position, error) {
+	request := &fleetpb.PositionsRequest{Service: string(service), Fresh: true, WaitMs: uint32(waitQuiet / time.Millisecond)}
+	var last error
+	for _, address := range t.opts.Observers(service) {
+		answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+		if err == nil && answer.GetConfirmed() {
+			return ident.Position{Term: ident.Term(answer.GetCurrent().GetTerm()), LSN: ident.LSN(answer.GetCurrent().GetLsn())}, nil
+		}
+		last = err
+	}
+	return ident.Position{}, trace.Wrap(&UnconfirmedError{Service: service, Cause: last})
+}
+
+// UnconfirmedError says that no observer could confirm the primary of a service.
+type UnconfirmedError struct {
+	Service ident.Service
+	// Cause is the last observer's failure; nil when it answered without a confirmation.
+	Cause error
+}
+
+func (e *UnconfirmedError) Error() string {
+	return fmt.Sprintf("no observer confirms the primary of service %q: %v", e.Service, e.Cause)
+}
+
 // holds reports whether a majority holds the position under its own term.
 func holds(report Report, position ident.Position) (bool, error) {
 	term := ident.Term(report.GetTerm())
--- a/host/upstream/pool.go
+++ b/host/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -74,8 +75,8 @@
 
 // rejection tells a caller why queued work was dropped.
 func rejection(err error) error {
-	dropped, ok := err.(*queue.Dropped)
-	if !ok {
+	var dropped *queue.Dropped
+	if !errors.As(err, &dropped) {
 		return trace.Wrap(err)
 	}
 	if dropped.Cause == queue.CauseDeadline {
