Cover the remaining mechanisms of the control state by tests

A sync that has nothing to learn no longer walks all keys.

A control call looked at the leadership twice, and could be answered by a leader that had left office in between; it now looks once.

--- a/fleet/control/hosts.go
+++ b/fleet/control/hosts.go
@@ -47,8 +47,8 @@
 	digest    uint64
 }
 
-// Sync answers a host's sync: what changed, and a lease for the time from sending the request. The lease ends at most one
-// Lease after the time until which no other host can lead, so that a new leader that waits a Lease has outlived it.
+// Sync answers a host's sync: what changed, and a lease for the time from sending the request. Leases are granted only
+// while no other host can lead, so that a new leader that waits a Lease has outlived all of them.
 func (l *Leader) Sync(now ident.Time, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, []Action, error) {
 	if err := l.serving(now); err != nil {
 		return nil, nil, trace.Wrap(err)
@@ -68,12 +68,11 @@
 		l.decideEpoch(now)
 		return &fleetpb.SyncResponse{}, l.take(), nil
 	}
-	lease := min(Lease, l.office.Until.Add(Lease).Sub(now))
-	l.extend(now, h, lease)
+	l.extend(now, h)
 	l.decideEpoch(now)
 	response := &fleetpb.SyncResponse{
 		State:   l.machine.Delta(ident.Version(request.GetKnown())),
-		LeaseMs: uint32(lease / time.Millisecond),
+		LeaseMs: uint32(Lease / time.Millisecond),
 	}
 	l.list(now, request, response)
 	return response, l.take(), nil
@@ -138,8 +137,8 @@
 	}
 }
 
-func (l *Leader) extend(now ident.Time, h *host, lease time.Duration) {
-	h.expires = max(h.expires, now.Add(lease))
+func (l *Leader) extend(now ident.Time, h *host) {
+	h.expires = now.Add(Lease)
 	if !h.live {
 		h.live = true
 		l.lists = nil
--- a/fleet/control/leader_test.go
+++ b/fleet/control/leader_test.go
@@ -134,6 +134,7 @@
 func TestLeasesAcrossLeaders(t *testing.T) {
 	w := newWorld(t)
 	w.text("a1", 0, yaml)
+	require.Equal(t, "done", w.outcome(join("orders", member("u1", "north"))))
 	w.host("h1", "north")
 	w.host("h2", "south")
 	w.run(3*time.Second, "h1 h2", "")
@@ -160,6 +161,7 @@
 	response, err := w.sync(w.hosts["h1"])
 	require.NoError(t, err)
 	require.Len(t, response.GetHosts(), 2, "h2 counts as alive")
+	require.Equal(t, []string{"orders/u1"}, response.GetUpstreams(), "u1 counts as announced")
 	w.run(control.Lease-250*time.Millisecond, "h1", "")
 	require.Equal(t, epoch, w.machine.Keepers().GetEpoch(), "no host is declared gone within a lease")
 	w.run(time.Second, "h1", "")
@@ -180,6 +182,13 @@
 	require.NoError(t, err)
 	require.Empty(t, response.GetHosts(), "an idle host's answer does not repeat the list of hosts")
 	require.Nil(t, response.GetState().GetText())
+	w.run(10*time.Second, "h1", "")
+	response, err = w.sync(w.hosts["h1"])
+	require.NoError(t, err)
+	require.Empty(t, response.GetUpstreams(), "u1 was not announced again")
+
+	w.carry(w.leader.SetOffice(w.now, control.Office{Leads: true, Since: w.now, Until: w.now.Add(time.Hour)}))
+	require.Empty(t, w.leader.Status(w.now).GetHosts(), "a new office does not rely on hosts that were heard of in the last one")
 }
 
 // Guards the sums in reports: counts that are taken twice after a late sync, lost at a host's restart, or counted again by
@@ -189,24 +198,25 @@
 	leader := control.NewLeader(control.LeaderOptions{Host: "c1", Machine: machine, Meter: meter})
 	leader.SetOffice(0, control.Office{Leads: true, Until: ident.Time(time.Hour)})
 	now := ident.Time(0)
-	sync := func(incarnation, reads uint64) {
+	sync := func(incarnation, replica, primary uint64) {
 		now = now.Add(250 * time.Millisecond)
 		_, _, err := leader.Sync(now, &fleetpb.SyncRequest{Host: "h1", Incarnation: incarnation, Tallies: []*fleetpb.Tally{
-			{Team: "brno", Asked: reads, Served: reads, ReadsReplica: reads},
+			{Team: "brno", Asked: replica + primary, Served: replica + primary, ReadsReplica: replica, ReadsPrimary: primary},
 		}})
 		require.NoError(t, err)
 	}
 	counted := func() string {
 		return strings.Join(strings.Fields(strings.Split(leader.Report(now), "WRITES\n")[1]), " ")
 	}
-	sync(1, 1000)
+	sync(1, 1000, 0)
 	require.False(t, meter.Measure(now, burn.Slow).ReplicaShare.Known, "an earlier leader counted these")
-	sync(1, 1100)
-	sync(1, 1050)
-	sync(1, 1200)
-	require.Equal(t, "brno 1200 1200 0 0 0 1200 0 0", counted())
-	sync(2, 30)
-	sync(2, 50)
-	require.Equal(t, "brno 50 50 0 0 0 50 0 0", counted(), "sums are since the hosts' starts")
-	require.Equal(t, 1.0, meter.Measure(now, burn.Slow).ReplicaShare.Amount)
+	sync(1, 1100, 0)
+	sync(1, 1050, 0)
+	sync(1, 1100, 100)
+	require.Equal(t, "brno 1200 1200 0 0 0 1100 100 0", counted())
+	require.Equal(t, 0.5, meter.Measure(now, burn.Slow).ReplicaShare.Amount)
+	sync(2, 30, 0)
+	sync(2, 130, 100)
+	require.Equal(t, "brno 230 230 0 0 0 130 100 0", counted(), "sums are since the hosts' starts")
+	require.Equal(t, 0.5, meter.Measure(now, burn.Slow).ReplicaShare.Amount)
 }
--- a/fleet/control/machine_test.go
+++ b/fleet/control/machine_test.go
@@ -128,6 +128,25 @@
 	w.golden("keys")
 }
 
+// Guards invariant 6 on a host that was away for long: a delta that has forgotten the key's withdrawal.
+func TestForgottenWithdrawal(t *testing.T) {
+	w := newWorld(t)
+	w.text("a1", 0, yaml)
+	first := newKey(t, 1)
+	w.apply(give("k1", first, "brno"))
+	known := w.machine.Version()
+	w.apply(withdraw("k2", first))
+	after := w.machine.Version()
+	for i := range 4096 {
+		hash := first.Hash()
+		id := fmt.Sprintf("k-%d", i)
+		w.apply(&fleetpb.Change{Kind: &fleetpb.Change_Give{Give: &fleetpb.GiveKeyRequest{Id: "g" + id, Team: "brno", Key: id, Hash: hash[:]}}})
+		w.apply(&fleetpb.Change{Kind: &fleetpb.Change_Withdraw{Withdraw: &fleetpb.WithdrawKeyRequest{Id: "w" + id, Key: id}}})
+	}
+	require.True(t, w.machine.Delta(known).GetFull())
+	require.False(t, w.machine.Delta(after).GetFull())
+}
+
 // Guards invariant 14 and the failure "restarts after hundreds of changes": a state that differs after a restart, that
 // forgets answers, or that gives deltas which miss a change.
 func TestRestartAfter300Changes(t *testing.T) {
@@ -157,6 +176,7 @@
 		}
 	}
 	require.NoError(t, twin.Restore(between))
+	require.Contains(t, twin.Apply(1, attempt("orders", 1000)).(*fleetpb.Outcome).GetProblem(), "already applied")
 	for i, change := range changes[201:] {
 		// Index 1 was the text, so that changes[i] is at index i+2.
 		require.True(t, proto.Equal(answers[201+i], twin.Apply(uint64(201+i+2), change)), "change %d", 201+i)
--- a/fleet/control/snapshot.go
+++ b/fleet/control/snapshot.go
@@ -17,9 +17,12 @@
 // listed as withdrawn.
 func (m *Machine) Delta(known ident.Version) *fleetpb.State {
 	state := &fleetpb.State{Version: uint64(m.version), TextVersion: m.text.GetVersion()}
-	if known == 0 || known < m.oldest {
+	switch {
+	case known == 0 || known < m.oldest:
 		known = 0
 		state.Full = true
+	case known == m.version:
+		return state // what most syncs get
 	}
 	after := uint64(known)
 	if m.text.GetChanged() > after {
--- a/host/controller/controller.go
+++ b/host/controller/controller.go
@@ -139,7 +139,7 @@
 		select {
 		case <-ticker.C:
 			c.mu.Lock()
-			now := c.refresh()
+			now, _ := c.refresh()
 			c.act(c.leader.Tick(now))
 			c.mu.Unlock()
 		case <-c.stop:
@@ -164,14 +164,14 @@
 	}
 }
 
-// refresh takes over what the log says about the leadership and returns the time; the caller holds the lock.
-func (c *Controller) refresh() ident.Time {
+// refresh takes over what the log says about the leadership, and returns it with the time; the caller holds the lock.
+func (c *Controller) refresh() (ident.Time, Leadership) {
 	now := c.options.Clock()
-	var office control.Office
+	var leadership Leadership
 	if c.log != nil {
-		l := c.log.Leadership()
-		office = control.Office{Leads: l.Leads, Since: l.Since, Until: l.Until}
+		leadership = c.log.Leadership()
 	}
+	office := control.Office{Leads: leadership.Leads, Since: leadership.Since, Until: leadership.Until}
 	c.act(c.leader.SetOffice(now, office))
 	changed := office.Leads != c.office.Leads || office.Leads && office.Since != c.office.Since
 	c.office = office
@@ -181,7 +181,7 @@
 		}
 		c.tellState(now)
 	}
-	return now
+	return now, leadership
 }
 
 // tellState gives the parts the state; the caller holds the lock.
--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -35,13 +35,11 @@
 func (c *Controller) lead(run func(now ident.Time)) (leader string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.refresh()
-	if c.log == nil {
-		return "", unavailable("the control log is not running yet")
-	}
-	leadership := c.log.Leadership()
+	now, leadership := c.refresh()
 	switch {
-	case leadership.Leads && now < c.office.Until:
+	case c.log == nil:
+		return "", unavailable("the control log is not running yet")
+	case leadership.Leads && now < leadership.Until:
 		run(now)
 		return "", nil
 	case leadership.Leads:
