--- a/load/launch/control.go
+++ b/load/launch/control.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
+	"crypto/rand"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/key"
 )
 
 const (
@@ -155,11 +156,14 @@
 
 // GiveKey issues a further key to a team and returns it in the form id.secret.
 func (f *Fleet) GiveKey(ctx context.Context, team string) (string, error) {
-	id, secret := newSecret()[:16], newSecret()
-	hash := sha256.Sum256([]byte(secret))
-	request := &fleetpb.GiveKeyRequest{Id: newSecret(), Team: team, Key: id, Hash: hash[:]}
-	err := f.changeKey(ctx, func(c fleetpb.Control) (*fleetpb.KeyResponse, error) { return c.GiveKey(ctx, request) })
-	return id + "." + secret, err
+	issued, err := key.Generate(rand.Reader)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	hash := issued.Hash()
+	request := &fleetpb.GiveKeyRequest{Id: newSecret(), Team: team, Key: string(issued.ID), Hash: hash[:]}
+	err = f.changeKey(ctx, func(c fleetpb.Control) (*fleetpb.KeyResponse, error) { return c.GiveKey(ctx, request) })
+	return issued.Written(), err
 }
 
 // WithdrawKey revokes a key in the form id.secret.
