--- a/fleet/quorum/lead.go
+++ b/fleet/quorum/lead.go
@@ -152,10 +152,12 @@
 	p.next += uint64(len(entries))
 }
 
-// sendSnapshot sends the snapshot, or an empty heartbeat while an earlier one is unanswered.
+// sendSnapshot sends the snapshot, or an empty heartbeat to a member that does not answer or still has to answer an
+// earlier snapshot.
 func (n *Node) sendSnapshot(member *fleetpb.Voter, p *progress, beat bool) {
 	snapshot := n.log.snapshot
-	if p.snapshot != 0 && n.now.Sub(p.snapshotSent) < n.bounds.SnapshotRetry {
+	unanswered := p.snapshot != 0 && n.now.Sub(p.snapshotSent) < n.bounds.SnapshotRetry
+	if unanswered || !n.active(p) {
 		if beat {
 			n.sendNow(member.GetMember(), member.GetPeer(), &fleetpb.Message{
 				Kind: &fleetpb.Message_Append{Append: &fleetpb.Append{Round: n.office.round}},
--- a/fleet/quorum/member_test.go
+++ b/fleet/quorum/member_test.go
@@ -138,6 +138,7 @@
 // against membership changes of two terms that form disjoint majorities.
 func TestNewLeaderCommitsItsOwnTermFirst(t *testing.T) {
 	m := newMember(t)
+	require.Contains(t, m.receive("b", 5, &fleetpb.Append{PrevIndex: 3, PrevTerm: 5, Commit: 1}), "applies 1")
 	m.lead()
 	require.Empty(t, m.receive("b", 6, &fleetpb.AppendAnswer{Success: true, Match: 3, Round: 1}))
 	require.Contains(t, m.take(quorum.Admit{ID: 1, Host: "d", Peer: "d"}), "in progress")
--- a/fleet/quorum/random_test.go
+++ b/fleet/quorum/random_test.go
@@ -24,7 +24,7 @@
 		s.bounds.Compact, s.bounds.Trailing, s.bounds.Batch = 16, 4, 8
 		s.loss = float64(rapid.IntRange(0, 30).Draw(t, "loss")) / 100
 		for _, name := range s.names {
-			s.start(name, false)
+			s.start(name)
 		}
 		steps := rapid.IntRange(30, 90).Draw(t, "steps")
 		for i := range steps {
@@ -64,7 +64,7 @@
 		if h.node != nil {
 			s.crash(name)
 		} else {
-			s.start(name, false)
+			s.start(name)
 		}
 	case "wipe":
 		if s.repaired() && h.node != nil {
@@ -82,7 +82,7 @@
 	s.tell("all are connected")
 	for _, name := range s.names {
 		if s.hosts[name].node == nil {
-			s.start(name, false)
+			s.start(name)
 		}
 	}
 }
@@ -94,7 +94,7 @@
 		return false
 	}
 	for _, name := range s.names {
-		if !s.votes(name) || s.lastOf(s.hosts[name]) < uint64(len(s.chosen)) {
+		if !s.votes(name) || s.hosts[name].applied < uint64(len(s.chosen)) {
 			return false
 		}
 	}
@@ -133,8 +133,7 @@
 	require.Empty(t, s.broken, s.story.String())
 	leader := s.leader()
 	s.propose(leader, "last", 0, "text")
-	s.run(time.Second)
-	require.Contains(t, s.acked, "last", s.story.String())
+	s.until("the last change is applied everywhere", func() bool { return slices.Contains(s.acked, "last") && s.repaired() })
 	for _, name := range s.names {
 		for _, id := range s.acked {
 			require.Contains(t, s.hosts[name].machine.answers, id, "%s lost an acknowledged change\n%s", name, s.story.String())
--- a/fleet/quorum/session_test.go
+++ b/fleet/quorum/session_test.go
@@ -20,7 +20,7 @@
 
 func begin(s *sim) string {
 	for _, name := range s.names {
-		s.start(name, false)
+		s.start(name)
 	}
 	leader := s.elect()
 	s.run(time.Second)
@@ -70,7 +70,7 @@
 		s.crash(name)
 	}
 	for _, name := range s.names {
-		s.start(name, false)
+		s.start(name)
 		require.Positive(t, s.hosts[name].snap.GetIndex())
 	}
 	s.elect()
@@ -108,7 +108,7 @@
 	s.wipe(lost)
 	s.propose(leader, "op2", 1, "accepted while a disk is lost")
 	s.run(time.Second)
-	s.start(lost, false)
+	s.start(lost)
 	s.until("the replacement votes", func() bool { return s.votes(lost) })
 	s.run(200 * time.Millisecond)
 	s.crash(leader)
@@ -157,16 +157,16 @@
 }
 
 func playFounding(t *testing.T, s *sim) {
-	s.start("a", false)
-	s.start("b", false)
+	s.start("a")
+	s.start("b")
 	s.run(time.Minute)
 	require.Empty(t, s.leader(), "a log was founded without all initial hosts")
 	s.crash("b")
 	s.run(5 * time.Second)
-	s.start("c", false)
+	s.start("c")
 	s.run(time.Minute)
 	require.Empty(t, s.leader(), "a log was founded with a host that is down")
-	s.start("b", false)
+	s.start("b")
 	leader := s.elect()
 	s.propose(leader, "op1", 0, "first")
 	s.run(time.Second)
@@ -175,8 +175,8 @@
 		s.crash(name)
 		s.wipe(name)
 	}
-	s.start("a", false)
-	s.start("b", false)
+	s.start("a")
+	s.start("b")
 	s.run(time.Minute)
 	require.Empty(t, s.leader())
 	require.Equal(t, quorum.Outsider, s.hosts["a"].node.Status().Role)
--- a/fleet/quorum/sim_test.go
+++ b/fleet/quorum/sim_test.go
@@ -83,7 +83,9 @@
 	life  int
 	calls map[uint64]call
 	last  uint64
-	role  string
+	// Index up to which the machine holds the log.
+	applied uint64
+	role    string
 }
 
 type call struct {
@@ -144,7 +146,7 @@
 	s.broken = append(s.broken, fmt.Sprintf(format, args...))
 }
 
-func (s *sim) start(name string, replacement bool) {
+func (s *sim) start(name string) {
 	h := s.hosts[name]
 	if h.member == "" {
 		s.wiped++
@@ -158,20 +160,19 @@
 		peers = append(peers, &fleetpb.Voter{Host: peer, Peer: peer})
 	}
 	node, actions, err := quorum.New(s.now, quorum.Options{
-		Self:        &fleetpb.Voter{Host: name, Peer: name, Member: h.member},
-		Hosts:       peers,
-		Replacement: replacement,
-		Seed:        7,
-		Bounds:      s.bounds,
-		Hard:        h.hard,
-		Snapshot:    h.snap,
-		Entries:     slices.Clone(h.log),
+		Self:     &fleetpb.Voter{Host: name, Peer: name, Member: h.member},
+		Hosts:    peers,
+		Seed:     7,
+		Bounds:   s.bounds,
+		Hard:     h.hard,
+		Snapshot: h.snap,
+		Entries:  slices.Clone(h.log),
 	})
 	if err != nil {
 		s.fault("%s: %v", name, err)
 		return
 	}
-	h.node, h.calls, h.role = node, map[uint64]call{}, ""
+	h.node, h.calls, h.role, h.applied = node, map[uint64]call{}, "", 0
 	h.machine = &machine{answers: map[string]*fleetpb.ApplyResponse{}}
 	s.perform(h, actions)
 	s.after(quorum.DefaultBounds.Tick, func() { s.tick(h, h.life) })
@@ -245,7 +246,7 @@
 		case quorum.Apply:
 			s.apply(h, action.Entries)
 		case quorum.Restore:
-			h.machine = restoreMachine(action.Snapshot.GetState())
+			h.machine, h.applied = restoreMachine(action.Snapshot.GetState()), action.Snapshot.GetIndex()
 			s.tell("%s restores snapshot %d, text %q at version %d", h.name, action.Snapshot.GetIndex(), h.machine.text, h.machine.version)
 		case quorum.Summarize:
 			s.after(0, func() { s.step(h, quorum.Compact{Index: action.Index, State: h.machine.snapshot()}) })
@@ -357,6 +358,10 @@
 			s.fault("%s applies %v, but %v was applied before", h.name, entry, chosen)
 		}
 		s.chosen[entry.Index] = entry
+		if entry.Index != h.applied+1 {
+			s.fault("%s applies %d after %d", h.name, entry.Index, h.applied)
+		}
+		h.applied = entry.Index
 		answer := h.machine.apply(entry.GetChange())
 		for id, c := range h.calls {
 			if c.index != entry.Index {
