--- a/fleet/store/store_test.go
+++ b/fleet/store/store_test.go
@@ -81,7 +81,7 @@
 	require.NoError(t, s.Close())
 	s, got, err := open(folder)
 	require.NoError(t, err)
-	defer s.Close()
+	t.Cleanup(func() { _ = s.Close() })
 	require.False(t, got.Created)
 	requireEqual(t, &store.State{Member: state.Member, Hard: state.Hard, Snapshot: reset, Entries: entries(101, 102, 4)}, got, "reset")
 
@@ -90,7 +90,7 @@
 	require.NoError(t, os.RemoveAll(folder))
 	again, fresh, err := store.Open(store.Options{Folder: folder, Host: "a", Incarnation: 8})
 	require.NoError(t, err)
-	defer again.Close()
+	t.Cleanup(func() { _ = again.Close() })
 	require.True(t, fresh.Created)
 	require.NotEqual(t, state.Member, fresh.Member)
 }
@@ -157,7 +157,7 @@
 			s, got, err := open(folder)
 			if tt.kind == nil {
 				require.NoError(t, err)
-				defer s.Close()
+				t.Cleanup(func() { _ = s.Close() })
 				requireEqual(t, want, got, tt.name)
 				return
 			}
