--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -252,13 +252,12 @@
 	b.lower(now.Add(AskPeriod))
 }
 
-// Expire returns the waiting requests whose time has passed; they are refused.
-func (b *Borrower) Expire(now ident.Time) []Outcome {
-	var outcomes []Outcome
-	for _, p := range b.sorted() {
-		outcomes = append(outcomes, p.expire(now)...)
-	}
-	return outcomes
+// Expire returns the team's waiting requests whose time has passed; they are refused.
+func (b *Borrower) Expire(now ident.Time, team ident.Team) []Outcome {
+	p := b.purse(team)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse(now)
 }
 
 // Held returns the tokens of the team that may be spent at now.
--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -43,7 +43,7 @@
 					w.mail = append(w.mail, w.mail[rapid.IntRange(0, n-1).Draw(r, "again")])
 				}
 			case 3:
-				w.outcomes(host, w.borrowers[host].Expire(w.now))
+				w.expire(host)
 			}
 			for range rapid.IntRange(0, 20).Draw(r, "requests") {
 				w.take(host, "stalls")
@@ -80,7 +80,7 @@
 		}
 		w.deliver(5 * ms)
 		for h := range w.borrowers {
-			w.outcomes(h, w.borrowers[h].Expire(w.now))
+			w.expire(h)
 			if w.ask(h, 5*ms, 5*ms) {
 				asks++
 			}
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -197,12 +197,6 @@
 	}
 }
 
-func (p *purse) expire(now ident.Time) []Outcome {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.refuse(now)
-}
-
 func (p *purse) refuse(now ident.Time) []Outcome {
 	var outcomes []Outcome
 	p.waiters = slices.DeleteFunc(p.waiters, func(w waiter) bool {
--- a/fleet/limit/world_test.go
+++ b/fleet/limit/world_test.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// expire refuses the requests of all teams that have waited too long on the host.
+func (w *world) expire(host int) {
+	for team := range w.rules {
+		w.outcomes(host, w.borrowers[host].Expire(w.now, team))
+	}
+}
+
 // excess returns the largest number of tokens by which any window of a team's spending exceeds burst + rate x window.
 func (w *world) excess(team ident.Team) float64 {
 	rule := w.rules[team]
--- a/fleet/pool/allocator_test.go
+++ b/fleet/pool/allocator_test.go
@@ -54,72 +54,103 @@
 	lease       ident.Time
 }
 
+// report is a report of a host on its way to the leader, or back with the allotment.
+type report struct {
+	host        int
+	incarnation ident.Incarnation
+	demand      *fleetpb.Demand
+	lease       ident.Time
+	allotted    int
+}
+
+// fleet is an allocator with its hosts and the messages that come late.
+type fleet struct {
+	now       ident.Time
+	allocator *pool.Allocator
+	users     [4]user
+	requests  []report
+	responses []report
+}
+
+func (f *fleet) report(host int, wanted uint32) report {
+	u := &f.users[host]
+	u.seq++
+	return report{host: host, incarnation: u.incarnation, lease: f.now + 2000*ms, demand: &fleetpb.Demand{
+		Wanted: wanted, Open: uint32(u.open), Allotted: uint32(u.allotted), Seq: u.seq,
+	}}
+}
+
+func (f *fleet) answer(r report) report {
+	r.allotted = f.allocator.Report(f.now, ident.Host(fmt.Sprint(r.host)), r.incarnation, r.demand, f.now+2000*ms)
+	return r
+}
+
+func (f *fleet) apply(r report) {
+	u := &f.users[r.host]
+	if r.incarnation == u.incarnation && r.demand.GetSeq() == u.seq && f.now < r.lease {
+		u.allotted, u.lease = r.allotted, max(u.lease, r.lease)
+	}
+}
+
+// expire closes the connections of hosts whose lease has ended.
+func (f *fleet) expire() {
+	for i := range f.users {
+		if f.now >= f.users[i].lease {
+			f.users[i].open, f.users[i].allotted = 0, 0
+		}
+	}
+}
+
 // Guards against more open connections over all hosts than the upstream accepts, with lost, late and crossed reports,
 // restarted hosts, ended leases and a new leader.
 func TestAllocationNeverExceedsTheLimit(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		const limit = 16
-		type response struct {
-			host        int
-			incarnation ident.Incarnation
-			seq         uint64
-			allotted    int
-			lease       ident.Time
-		}
-		type request struct {
-			host        int
-			incarnation ident.Incarnation
-			demand      *fleetpb.Demand
-			sent        ident.Time
-		}
-		var now ident.Time
-		users := make([]user, 4)
-		var requests []request
-		var responses []response
-		a := pool.NewAllocator(pool.AllocatorOptions{Limit: limit})
+		f := &fleet{allocator: pool.NewAllocator(pool.AllocatorOptions{Limit: limit})}
 		for range rapid.IntRange(20, 200).Draw(r, "steps") {
-			now += ident.Time(rapid.Int64Range(0, int64(300*ms)).Draw(r, "pass"))
-			i := rapid.IntRange(0, len(users)-1).Draw(r, "host")
-			for j := range users {
-				if now >= users[j].lease {
-					users[j].open, users[j].allotted = 0, 0
+			f.now += ident.Time(rapid.Int64Range(0, int64(200*ms)).Draw(r, "pass"))
+			f.expire()
+			i := rapid.IntRange(0, len(f.users)-1).Draw(r, "host")
+			u := &f.users[i]
+			wanted := func() uint32 { return rapid.SampledFrom([]uint32{0, 3, 20}).Draw(r, "wanted") }
+			switch rapid.SampledFrom([]string{
+				"sync", "sync", "sync", "sync", "open", "open", "close", "lose response", "delay request", "delay response",
+				"late request", "late response", "restart", "leader",
+			}).Draw(r, "event") {
+			case "sync":
+				f.apply(f.answer(f.report(i, wanted())))
+			case "open":
+				u.open = max(u.open, u.allotted)
+			case "close":
+				u.open = rapid.IntRange(0, u.open).Draw(r, "open")
+			case "lose response":
+				f.answer(f.report(i, wanted()))
+			case "delay request":
+				f.requests = append(f.requests, f.report(i, wanted()))
+			case "delay response":
+				f.responses = append(f.responses, f.answer(f.report(i, wanted())))
+			case "late request":
+				if n := len(f.requests); n > 0 {
+					f.apply(f.answer(f.requests[rapid.IntRange(0, n-1).Draw(r, "late")]))
 				}
-			}
-			u := &users[i]
-			switch rapid.IntRange(0, 12).Draw(r, "event") {
-			case 0:
-				users[i] = user{incarnation: u.incarnation + 1}
-			case 1:
-				a = pool.NewAllocator(pool.AllocatorOptions{Limit: limit, Quiet: now + 2000*ms})
-				requests, responses = nil, nil
-			case 2, 3:
-				u.open = rapid.IntRange(0, max(u.open, u.allotted)).Draw(r, "open")
-			case 4, 5, 6, 7:
-				u.seq++
-				requests = append(requests, request{i, u.incarnation, &fleetpb.Demand{
-					Wanted: rapid.Uint32Range(0, 20).Draw(r, "wanted"), Open: uint32(u.open), Allotted: uint32(u.allotted), Seq: u.seq,
-				}, now})
-			case 8, 9, 10:
-				if n := len(requests); n > 0 {
-					q := requests[rapid.IntRange(0, n-1).Draw(r, "request")]
-					got := a.Report(now, ident.Host(fmt.Sprint(q.host)), q.incarnation, q.demand, now+2000*ms)
-					responses = append(responses, response{q.host, q.incarnation, q.demand.GetSeq(), got, q.sent + 2000*ms})
+			case "late response":
+				if n := len(f.responses); n > 0 {
+					f.apply(f.responses[rapid.IntRange(0, n-1).Draw(r, "late")])
 				}
-			default:
-				if n := len(responses); n > 0 {
-					p := responses[rapid.IntRange(0, n-1).Draw(r, "response")]
-					h := &users[p.host]
-					if p.incarnation == h.incarnation && p.seq == h.seq && now < p.lease {
-						h.allotted, h.lease = p.allotted, max(h.lease, p.lease)
-					}
+			case "restart":
+				f.users[i] = user{incarnation: u.incarnation + 1}
+			case "leader":
+				if rapid.IntRange(0, 3).Draw(r, "elect") == 0 {
+					f.allocator = pool.NewAllocator(pool.AllocatorOptions{Limit: limit, Quiet: f.now + 2000*ms})
+					f.requests = nil
 				}
 			}
 			sum := 0
-			for j := range users {
-				sum += max(users[j].open, users[j].allotted)
+			for _, u := range f.users {
+				sum += max(u.open, u.allotted)
 			}
 			if sum > limit-pool.Reserved {
-				r.Fatalf("%d connections may be open, %d are allowed: %+v", sum, limit-pool.Reserved, users)
+				r.Fatalf("%d connections may be open, %d are allowed: %+v", sum, limit-pool.Reserved, f.users)
 			}
 		}
 	})
--- /dev/null
+++ b/host/keeper/node.go
@@ -0,0 +1,190 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/session"
+	"tamarackshunt.dev/host/bearer"
+)
+
+// Timing of floors.
+const (
+	// floorTimeout ends one request for a primary's position.
+	floorTimeout = 500 * time.Millisecond
+	// floorRetry is the time between attempts while a floor is missing.
+	floorRetry = 100 * time.Millisecond
+)
+
+// Counters of what went wrong.
+var (
+	floorFailures = metrics.NewCounter("tamarack_keeper_floor_failures_total")
+	putFailures   = metrics.NewCounter("tamarack_keeper_put_failures_total")
+	getFailures   = metrics.NewCounter("tamarack_keeper_get_failures_total")
+	unrecorded    = metrics.NewCounter("tamarack_keeper_unrecorded_total")
+	unavailable   = metrics.NewCounter("tamarack_keeper_unavailable_total")
+)
+
+// Fleet is what a node needs of the rest of its host.
+type Fleet interface {
+	// Now returns the host's logical time.
+	Now() ident.Time
+	// Services returns the services of the configuration in force.
+	Services() []ident.Service
+	// Current returns the position of the service's primary, requested after the call began and confirmed under the
+	// primary's current term by a majority of its group.
+	Current(ctx context.Context, service ident.Service) (ident.Position, error)
+}
+
+// Options configure a node.
+type Options struct {
+	Self  session.Member
+	Fleet Fleet
+	// Secret is the fleet's secret.
+	Secret string
+	// Zones lists availability zones by preference for reads, the host's own first.
+	Zones []ident.Zone
+	// Sessions bounds the positions that the node keeps for each service; 0 means session.DefaultSessions.
+	Sessions int
+	// Transport carries calls to peers; nil means one of the node's own.
+	Transport http.RoundTripper
+}
+
+// Node is one host's part in keeping session positions.
+type Node struct {
+	opts    Options
+	keeper  *session.Keeper
+	client  *http.Client
+	peers   sync.Map // address to fleetpb.Keepers
+	mu      sync.Mutex
+	current session.Conditions
+	changed chan struct{}
+}
+
+// New returns a node without a lease or an epoch.
+func New(opts Options) *Node {
+	base := opts.Transport
+	if base == nil {
+		// Every write calls each zone's holder, so many calls to one peer run at a time.
+		base = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	}
+	return &Node{
+		opts:    opts,
+		keeper:  session.NewKeeper(session.KeeperOptions{Self: opts.Self, Sessions: opts.Sessions}),
+		client:  &http.Client{Transport: bearer.Transport(opts.Secret, base)},
+		changed: make(chan struct{}),
+	}
+}
+
+// Handler returns the path prefix and the handler of the Keepers service, guarded by the fleet's secret.
+func (n *Node) Handler() (string, http.Handler) {
+	server := fleetpb.NewKeepersServer(service{n})
+	return server.PathPrefix(), bearer.Guard(n.opts.Secret, server)
+}
+
+// Adopt takes over a view of the keeper epochs and a lease. The host reports an epoch as adopted only after this call,
+// and calls it for every renewal of its lease.
+func (n *Node) Adopt(c session.Conditions) {
+	n.keeper.Adopt(c.View)
+	n.keeper.Lease(c.Lease)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.current = c
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// conditions returns the present conditions and a channel that is closed when they change.
+func (n *Node) conditions() (session.Conditions, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.current, n.changed
+}
+
+// Run reads the floors that the keeper wants, until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	retry := time.NewTicker(floorRetry)
+	defer retry.Stop()
+	for {
+		_, changed := n.conditions()
+		missing := n.readFloors(ctx)
+		var again <-chan time.Time
+		if missing {
+			again = retry.C
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-again:
+		}
+	}
+}
+
+// readFloors reads the missing floors at the same time and reports whether some are still missing.
+func (n *Node) readFloors(ctx context.Context) bool {
+	epoch, wanted := n.keeper.FloorsWanted(n.opts.Fleet.Services())
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, name := range wanted {
+		wait.Go(func() {
+			position, err := n.opts.Fleet.Current(ctx, name)
+			if err != nil {
+				floorFailures.Inc()
+				return
+			}
+			n.keeper.SetFloor(name, epoch, position)
+		})
+	}
+	wait.Wait()
+	_, wanted = n.keeper.FloorsWanted(n.opts.Fleet.Services())
+	return len(wanted) > 0
+}
+
+// peer returns the keeper at an address; the node's own is called without a connection.
+func (n *Node) peer(m session.Member) fleetpb.Keepers {
+	if m.Host == n.opts.Self.Host {
+		return service{n}
+	}
+	if client, found := n.peers.Load(m.Peer); found {
+		return client.(fleetpb.Keepers)
+	}
+	client, _ := n.peers.LoadOrStore(m.Peer, fleetpb.NewKeepersProtobufClient("http://"+m.Peer, n.client))
+	return client.(fleetpb.Keepers)
+}
+
+// service is the server side of the Keepers service.
+type service struct{ node *Node }
+
+// Put records a position.
+func (s service) Put(_ context.Context, request *fleetpb.PutRequest) (*fleetpb.PutResponse, error) {
+	return s.node.keeper.Put(request), nil
+}
+
+// Get looks a position up.
+func (s service) Get(_ context.Context, request *fleetpb.GetRequest) (*fleetpb.GetResponse, error) {
+	return s.node.keeper.Get(s.node.opts.Fleet.Now(), request), nil
+}
+
+// sleep returns a channel that gets a value at the logical time until.
+func (n *Node) sleep(until ident.Time) *time.Timer {
+	return time.NewTimer(max(0, until.Sub(n.opts.Fleet.Now())))
+}
+
+// Unavailable is the failure to look a position up; the read goes to the primary.
+type Unavailable struct {
+	session.NoHolder
+}
+
+// Error names the holders that were asked.
+func (u *Unavailable) Error() string {
+	return fmt.Sprintf("no holder of keeper epoch %d answered with authority, asked %v", u.Epoch, u.Asked)
+}
