--- a/standin/ledger/file.go
+++ b/standin/ledger/file.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// frameHeader is the length and the checksum before each entry, four bytes each.
-	frameHeader = 8
-	// maxFrame bounds the length of an entry, so that a damaged length is found.
-	maxFrame = 16 << 20
+	// frameHeader is the length, its checksum and the checksum of the entry, four bytes each. The length has its own, since
+	// a damaged length would otherwise look like a last entry that was written only in part.
+	frameHeader = 12
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -32,7 +31,7 @@
 	return trace.BadParameter("record file %s is damaged at byte %d: %s", e.Path, e.Offset, e.Reason).Error()
 }
 
-// File is a record file: frames of length, CRC-32C and a FileEntry.
+// File is a record file: frames of length, CRC-32C of both length and entry, and a FileEntry.
 type File struct {
 	file *os.File
 }
@@ -66,16 +65,16 @@
 	var entries []*fleetpb.FileEntry
 	offset := 0
 	for len(data)-offset >= frameHeader {
-		size := int(binary.BigEndian.Uint32(data[offset:]))
-		if size > maxFrame {
-			return nil, 0, trace.Wrap(&CorruptError{path, offset, "the length is out of range"})
+		length := data[offset : offset+4]
+		if crc32.Checksum(length, castagnoli) != binary.BigEndian.Uint32(data[offset+4:]) {
+			return nil, 0, trace.Wrap(&CorruptError{path, offset, "the checksum of the length differs"})
 		}
-		end := offset + frameHeader + size
+		end := offset + frameHeader + int(binary.BigEndian.Uint32(length))
 		if end > len(data) {
 			return entries, offset, nil
 		}
 		payload := data[offset+frameHeader : end]
-		if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[offset+4:]) {
+		if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[offset+8:]) {
 			if end == len(data) {
 				return entries, offset, nil
 			}
@@ -99,7 +98,9 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		data = binary.BigEndian.AppendUint32(data, uint32(len(payload)))
+		length := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+		data = append(data, length...)
+		data = binary.BigEndian.AppendUint32(data, crc32.Checksum(length, castagnoli))
 		data = binary.BigEndian.AppendUint32(data, crc32.Checksum(payload, castagnoli))
 		data = append(data, payload...)
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -84,7 +84,7 @@
 				return trace.Wrap(err)
 			}
 		}
-		go s.serve(conn)
+		go s.ServeConn(conn)
 	}
 }
 
@@ -100,7 +100,8 @@
 	return s.running.Load() == 0 && !s.ledger.State().Primary
 }
 
-func (s *Server) serve(conn net.Conn) {
+// ServeConn serves one connection until it ends.
+func (s *Server) ServeConn(conn net.Conn) {
 	defer conn.Close()
 	if s.faults.callersCut() {
 		return
--- a/standin/server/session.go
+++ b/standin/server/session.go
@@ -189,6 +189,9 @@
 		return ss.flush()
 	case *pgproto3.Sync:
 		ss.skip = false
+		if ss.tx == nil {
+			clear(ss.portals)
+		}
 		return ss.ready()
 	case *pgproto3.Terminate:
 		return net.ErrClosed
