--- a/load/commands.go
+++ b/load/commands.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	defer e.Close()
+	defer e.End()
 	path, err := e.Fleet.WriteRunning()
 	if err != nil {
 		return err
--- a/load/launch/process.go
+++ b/load/launch/process.go
@@ -46,7 +46,8 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	defer log.Close()
+	// The process keeps its own copy of the file.
+	defer func() { _ = log.Close() }()
 	cmd := exec.Command(p.program, "--settings", p.settings)
 	cmd.Stdout = log
 	cmd.Stderr = log
--- a/load/main.go
+++ b/load/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -80,18 +81,15 @@
 }
 
 func exitCode(err error) int {
-	switch err.(type) {
-	case nil:
+	var usage *flags.Error
+	switch {
+	case err == nil:
 		return 0
-	case *flags.Error:
+	case errors.As(err, &usage), trace.IsBadParameter(err):
 		return exitUsage
-	}
-	if trace.IsCompareFailed(err) {
+	case trace.IsCompareFailed(err):
 		return exitVerdict
 	}
-	if trace.IsBadParameter(err) {
-		return exitUsage
-	}
 	return exitFailure
 }
 
--- a/load/measure/capacity.go
+++ b/load/measure/capacity.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	defer e.Close()
+	defer e.End()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	c := &capacity{Experiment: e, ctx: ctx}
--- a/load/measure/compare.go
+++ b/load/measure/compare.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	defer e.Close()
+	defer e.End()
 	sides, err := compareSides(ctx, e)
 	if err != nil {
 		return err
@@ -257,7 +257,7 @@
 	if err := lookUps(ctx, active[0], time.Now().Add(compareRound), latency); err != nil {
 		return err
 	}
-	cpu := after.Sub(before).CPU / time.Duration(n) / time.Duration(idleObserve/time.Second)
+	cpu := after.Sub(before).CPU / time.Duration(n) / (idleObserve / time.Second)
 	t.Add(s.name, n, fmt.Sprintf("%.1f KiB", float64(after.RSS-empty.RSS)/float64(n)/1024), cpu, micros(latency.ValueAtQuantile(50)))
 	return nil
 }
--- a/load/measure/measure.go
+++ b/load/measure/measure.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	defer e.Close()
+	defer e.End()
 	m := &run{Experiment: e, opts: opts}
 	var results []Result
 	for _, each := range measures {
--- a/load/relay/owner.go
+++ b/load/relay/owner.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return ""
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	suffix := fmt.Sprintf(":%04X", port)
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
--- a/load/scenario/experiment.go
+++ b/load/scenario/experiment.go
@@ -42,8 +42,7 @@
 	Seed uint64
 	// Users is the number of sessions for each service and team.
 	Users int
-	// Writes is the share of writes in percent.
-	Writes int
+	workload.Mix
 	// Pace is the least time between requests of a session.
 	Pace time.Duration
 	// Requests ends each session after so many requests; 0 means that only Stop ends it.
@@ -52,6 +51,7 @@
 	// Sessions replaces the sessions of all services and teams; Pick replaces the choice of hosts.
 	Sessions []workload.Session
 	Pick     func(random int) string
+	Sticky   bool
 	// Balanced sends requests only to hosts that answer /ready.
 	Balanced bool
 	Observe  func(workload.Sample)
@@ -104,7 +104,7 @@
 	limited, stop := context.WithTimeout(e.ctx, startLimit)
 	defer stop()
 	runner, err := workload.Start(limited, workload.Options{
-		Seed: load.Seed, Sessions: sessions, Pick: pick, Writes: load.Writes, Pace: load.Pace,
+		Seed: load.Seed, Sessions: sessions, Pick: pick, Sticky: load.Sticky, Mix: load.Mix, Pace: load.Pace,
 		Requests: load.Requests, Simple: load.Simple, Observe: load.Observe,
 	})
 	if err != nil {
@@ -212,6 +212,9 @@
 	return e.Fleet.Close()
 }
 
+// End is Close for deferred calls after an error that is more important than that of Close.
+func (e *Experiment) End() { _ = e.Close() }
+
 // Discard removes the folder with settings, logs and data, after Close.
 func (e *Experiment) Discard() error {
 	return trace.ConvertSystemError(os.RemoveAll(e.Fleet.Dir))
--- a/load/workload/run.go
+++ b/load/workload/run.go
@@ -44,8 +44,9 @@
 	Sessions []Session
 	// Pick returns the address of an entry host for a random number.
 	Pick func(random int) string
-	// Writes is the share of writes in percent.
-	Writes int
+	// Sticky sessions stay at the host that Pick returns for their index.
+	Sticky bool
+	Mix    Mix
 	// Pace is the least time from one request of a session to its next.
 	Pace time.Duration
 	// Requests ends a session after so many requests; 0 means that only Stop ends it.
--- a/load/workload/schedule.go
+++ b/load/workload/schedule.go
@@ -40,21 +40,29 @@
 	percent        = 100
 )
 
+// Mix says what sessions do.
+type Mix struct {
+	// Writes is the share of writes in percent.
+	Writes int
+	// Plain leaves out transactions, so that each write is one statement.
+	Plain bool
+}
+
 // Schedule is the sequence of requests of one session; equal seeds and names give equal schedules.
 type Schedule struct {
 	random *rand.Rand
 	name   string
-	writes int
+	mix    Mix
 	next   int
 	known  []string
 }
 
-// NewSchedule returns the schedule of the session with an index; writes is the share of writes in percent.
-func NewSchedule(seed uint64, index int, session ident.Session, writes int) *Schedule {
+// NewSchedule returns the schedule of the session with an index.
+func NewSchedule(seed uint64, index int, session ident.Session, mix Mix) *Schedule {
 	return &Schedule{
 		random: rand.New(rand.NewPCG(seed, uint64(index))),
 		name:   fmt.Sprintf("%s.%s.%s.%d", session.Service, session.Team, session.User, seed),
-		writes: writes,
+		mix:    mix,
 	}
 }
 
@@ -62,10 +70,10 @@
 func (s *Schedule) Next() Request {
 	r := Request{Host: s.random.IntN(1 << 16)}
 	switch {
-	case len(s.known) == 0 || s.random.IntN(percent) < s.writes:
+	case len(s.known) == 0 || s.random.IntN(percent) < s.mix.Writes:
 		r.Kind = Insert
 		n := 1
-		if s.random.IntN(percent) < transactionPercent {
+		if !s.mix.Plain && s.random.IntN(percent) < transactionPercent {
 			r.Kind, n = Transaction, transactionRecords
 		}
 		for range n {
--- a/load/workload/session.go
+++ b/load/workload/session.go
@@ -33,13 +33,14 @@
 	session  ident.Session
 	key      string
 	schedule *Schedule
+	index    int
 	conns    map[string]*pgx.Conn
 }
 
 func newClient(r *Runner, index int, s Session) *client {
 	return &client{
-		runner: r, session: s.Session, key: s.Key, conns: make(map[string]*pgx.Conn),
-		schedule: NewSchedule(r.opts.Seed, index, s.Session, r.opts.Writes),
+		runner: r, index: index, session: s.Session, key: s.Key, conns: make(map[string]*pgx.Conn),
+		schedule: NewSchedule(r.opts.Seed, index, s.Session, r.opts.Mix),
 	}
 }
 
@@ -71,6 +72,7 @@
 // conn returns the connection to a host; one that the host closed meanwhile is replaced, as a driver's pool does.
 func (c *client) conn(ctx context.Context, address string) (*pgx.Conn, error) {
 	if conn := c.conns[address]; conn != nil {
+		//nolint:staticcheck // Ping is a statement, which the host would count against the team's rate.
 		if !conn.IsClosed() && conn.PgConn().CheckConn() == nil {
 			return conn, nil
 		}
@@ -99,11 +101,19 @@
 	}
 }
 
+// host returns what Pick chooses a host by.
+func (c *client) host(random int) int {
+	if c.runner.opts.Sticky {
+		return c.index
+	}
+	return random
+}
+
 // open creates the session's counter, trying hosts in turn.
 func (c *client) open(ctx context.Context) error {
 	var last error
 	for ctx.Err() == nil {
-		address := c.runner.opts.Pick(c.schedule.random.IntN(1 << 16))
+		address := c.runner.opts.Pick(c.host(c.schedule.random.IntN(1 << 16)))
 		conn, err := c.conn(ctx, address)
 		if err == nil {
 			_, err = conn.Exec(ctx, sqlOpen, account(c.session))
@@ -122,7 +132,7 @@
 func (c *client) do(r Request) Sample {
 	ctx, stop := context.WithTimeout(context.Background(), requestTimeout)
 	defer stop()
-	address := c.runner.opts.Pick(r.Host)
+	address := c.runner.opts.Pick(c.host(r.Host))
 	started := time.Now()
 	span := history.Span{Start: c.runner.log.Tick()}
 	conn, err := c.conn(ctx, address)
@@ -145,7 +155,8 @@
 	span.End = c.runner.log.Tick()
 	elapsed := time.Since(started)
 	c.record(r, span, found, outcome, err)
-	if err != nil {
+	// A connection in the middle of something cannot be used for the next request.
+	if err != nil && conn != nil && (conn.IsClosed() || conn.PgConn().TxStatus() != 'I') {
 		c.drop(ctx, address)
 	}
 	return Sample{Session: c.session, Address: address, Kind: r.Kind, At: c.runner.now(), Elapsed: elapsed, Code: Code(err), Err: err}
