--- /dev/null
+++ b/fleet/control/applied.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"fmt"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/burn"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// Applied follows a change that the Machine has just applied with the given answer. Every control host calls it, so that
+// Explain can report changes from before a leader took office.
+func (l *Leader) Applied(now ident.Time, change *fleetpb.Change, answer proto.Message) []Action {
+	if refused, isText := answer.(*fleetpb.ApplyResponse); isText && refused.GetRaced() {
+		request := change.GetApply().GetId()
+		l.refuse(now, upstreamID{"request", ident.Upstream(request)},
+			fmt.Sprintf("lost to request %s: %s", refused.GetWinner(), refused.GetProblems()[0]))
+	}
+	// Changes that were refused, or made before, leave the version as it was.
+	if l.machine.Version() != l.version {
+		l.lists = nil
+		l.changed(now, change)
+	}
+	l.follow(now)
+	l.decideEpoch(now)
+	return l.take()
+}
+
+func (l *Leader) changed(now ident.Time, change *fleetpb.Change) {
+	switch kind := change.GetKind().(type) {
+	case *fleetpb.Change_Apply:
+		l.record(now, KindText, fmt.Sprintf("version %d", l.machine.TextVersion()),
+			fmt.Sprintf("%s applied by request %s", kind.Apply.GetFile(), kind.Apply.GetId()))
+	case *fleetpb.Change_Give:
+		l.record(now, KindKey, kind.Give.GetTeam()+"/"+kind.Give.GetKey(), "given by request "+kind.Give.GetId())
+	case *fleetpb.Change_Withdraw:
+		l.record(now, KindKey, kind.Withdraw.GetKey(), "withdrawn by request "+kind.Withdraw.GetId())
+	case *fleetpb.Change_Attempt:
+		l.attempted(now, kind.Attempt)
+	case *fleetpb.Change_Promoted:
+		l.promoted(now, kind.Promoted)
+	case *fleetpb.Change_Join:
+		member := kind.Join.GetMember()
+		l.record(now, KindMember, kind.Join.GetService()+"/"+member.GetUpstream(),
+			fmt.Sprintf("joined at %s in zone %s", member.GetAddress(), member.GetZone()))
+	case *fleetpb.Change_Leave:
+		cause := "marked as leaving"
+		if kind.Leave.GetRemove() {
+			cause = "removed"
+		}
+		l.record(now, KindMember, kind.Leave.GetService()+"/"+kind.Leave.GetUpstream(), cause)
+	case *fleetpb.Change_Keepers:
+		clear(l.proposed)
+		cause := fmt.Sprintf("started with %d keepers", len(l.machine.Keepers().GetCurrent()))
+		if kind.Keepers.GetSettled() {
+			cause = "settled"
+		}
+		l.record(now, KindEpoch, strconv.FormatUint(kind.Keepers.GetEpoch(), 10), cause)
+	}
+}
+
+// attempted notes since when a group has no primary: since the last answer of the old one.
+func (l *Leader) attempted(now ident.Time, a *fleetpb.Attempt) {
+	service := ident.Service(a.GetService())
+	l.record(now, KindAttempt, a.GetService(), fmt.Sprintf("term %d reserved: %s", a.GetTerm(), a.GetCause()))
+	group := l.machine.Group(service)
+	if _, running := l.outage[service]; running || group.GetTerm() == 0 {
+		return
+	}
+	l.outage[service] = now
+	if u := l.upstreams[upstreamID{service, ident.Upstream(group.GetPrimary())}]; u != nil && u.observed {
+		l.outage[service] = u.contact
+	}
+}
+
+func (l *Leader) promoted(now ident.Time, p *fleetpb.Promoted) {
+	service := ident.Service(p.GetService())
+	since, running := l.outage[service]
+	delete(l.outage, service)
+	if !running {
+		l.record(now, KindPromoted, p.GetService()+"/"+p.GetUpstream(), fmt.Sprintf("primary under term %d", p.GetTerm()))
+		return
+	}
+	gap := now.Sub(since)
+	l.meter.Gap(now, gap)
+	l.record(now, KindPromoted, p.GetService()+"/"+p.GetUpstream(),
+		fmt.Sprintf("primary under term %d, %d ms after the last contact with the old one", p.GetTerm(), gap.Milliseconds()))
+}
+
+// Restored follows a snapshot that the Machine has just restored.
+func (l *Leader) Restored(now ident.Time) []Action {
+	l.lists = nil
+	clear(l.outage)
+	l.follow(now)
+	return l.take()
+}
+
+// follow notices a new version and a new text, by a change or a restored snapshot.
+func (l *Leader) follow(now ident.Time) {
+	l.version = l.machine.Version()
+	text := l.machine.Text()
+	if text == l.text {
+		return
+	}
+	before := map[string]bool{}
+	for _, z := range l.text.GetZones() {
+		before[z.GetName()] = z.GetOut()
+	}
+	for _, z := range text.GetZones() {
+		if before[z.GetName()] == z.GetOut() {
+			continue
+		}
+		cause := "returned to service"
+		if z.GetOut() {
+			cause = "taken out of service"
+		}
+		l.record(now, KindZone, z.GetName(), cause)
+		l.meter.ZoneChanged(now)
+	}
+	l.text = text
+	l.lists = nil
+	var limits []burn.Limit
+	for _, t := range text.GetTeams() {
+		limits = append(limits, burn.Limit{
+			Team: ident.Team(t.GetName()), Rate: float64(t.GetRate()), Burst: float64(t.GetBurst()), Weight: float64(t.GetWeight()),
+		})
+	}
+	l.meter.SetLimits(limits)
+}
--- a/host/entry/rejection.go
+++ b/host/entry/rejection.go
@@ -3,35 +3,47 @@
 import (
 	"fmt"
 
+	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"tamarackshunt.dev/fleet/sqlstate"
 )
 
-// Rejection is an answer of the host itself in place of an upstream's.
-type Rejection struct {
-	Code    string
-	Message string
-	// Fatal rejections close the caller's connection.
-	Fatal bool
+// response returns a rejection as callers get it: without its cause, but with whether the statement ran.
+func response(r *sqlstate.Rejection) *pgproto3.ErrorResponse {
+	row := r.Row()
+	return &pgproto3.ErrorResponse{
+		Severity:            string(row.Severity),
+		SeverityUnlocalized: string(row.Severity),
+		Code:                row.Code,
+		Message:             row.Message,
+		Detail:              detail(row.Ran),
+	}
 }
 
-func (r *Rejection) Error() string {
-	return fmt.Sprintf("%s (%s)", r.Message, r.Code)
+func detail(ran sqlstate.Ran) string {
+	switch ran {
+	case sqlstate.NotRun:
+		return "The statement was not run."
+	case sqlstate.Unknown:
+		return "The statement may have taken effect; look before repeating it."
+	default:
+		return "The statement has no lasting effect."
+	}
 }
 
-func (r *Rejection) response() *pgproto3.ErrorResponse {
-	severity := "ERROR"
-	if r.Fatal {
-		severity = "FATAL"
-	}
-	return &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: r.Code, Message: r.Message}
+func fatal(r *sqlstate.Rejection) bool {
+	return r.Row().Severity == sqlstate.Fatal
 }
 
-// notRun makes a rejection of a statement that was never sent.
-func notRun(code, format string, args ...any) *Rejection {
-	return &Rejection{Code: code, Message: fmt.Sprintf(format, args...) + "; the statement was not run"}
+// reject makes a rejection whose cause is a sentence for operators.
+func reject(reason sqlstate.Reason, format string, args ...any) error {
+	return trace.Wrap(sqlstate.New(reason, &causeError{fmt.Sprintf(format, args...)}))
 }
 
-// unknownOutcome makes the answer to a statement that was sent and whose effect is not known.
-func unknownOutcome(cause error) *Rejection {
-	return &Rejection{Code: "08007", Message: fmt.Sprintf("the outcome of the statement is unknown: %v", cause)}
+// causeError is the cause of a rejection, in words.
+type causeError struct {
+	text string
 }
+
+func (e *causeError) Error() string { return e.text }
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -17,6 +17,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
@@ -51,7 +52,7 @@
 
 // Quota counts requests against a team's rate and burst over the fleet.
 type Quota interface {
-	// Take waits for one request's worth, or returns a Rejection that says not run.
+	// Take waits for one request's worth, or returns a sqlstate.Rejection.
 	Take(ctx context.Context, team ident.Team) error
 }
 
@@ -78,7 +79,8 @@
 	Quota    Quota
 	Ack      Acknowledger
 	Pool     Pool
-	Events   func(kind, subject, cause string)
+	// Events takes what explain tells operators; nil drops it.
+	Events func(kind, subject, cause string)
 }
 
 // Server accepts callers.
@@ -88,6 +90,7 @@
 	metrics  *counters
 	tallies  *tallies
 	draining atomic.Bool
+	ctx      context.Context
 	stop     context.CancelFunc
 	done     chan struct{}
 	group    sync.WaitGroup
@@ -99,13 +102,12 @@
 	callers, unknownService, wrongKey *metrics.Counter
 }
 
-// New listens for callers and serves them until Shutdown.
+// New listens for callers; Start serves them.
 func New(opts Options) (*Server, error) {
 	listener, err := net.Listen("tcp", opts.Settings.GetCaller())
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
 		opts:     opts,
 		listener: listener,
@@ -115,14 +117,18 @@
 			wrongKey:       metrics.GetOrCreateCounter("tamarack_wrong_key_total"),
 		},
 		tallies: newTallies(),
-		stop:    stop,
 		done:    make(chan struct{}),
 		callers: make(map[uint32]*caller),
 	}
-	go s.accept(ctx)
+	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s, nil
 }
 
+// Start serves callers until Shutdown.
+func (s *Server) Start() {
+	go s.accept(s.ctx)
+}
+
 // Done is closed when the last caller has gone after Shutdown.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
@@ -250,12 +256,19 @@
 			return view, nil
 		}
 		if time.Now().After(deadline) || s.draining.Load() {
-			return nil, notRun("57P03", "the host has no valid copy of the control state")
+			return nil, reject(sqlstate.NoLease, "no valid copy of the control state within %v", patience)
 		}
 		time.Sleep(viewPoll)
 	}
 }
 
+// note passes a rejection on to explain.
+func (s *Server) note(kind string, session ident.Session, err error) {
+	if s.opts.Events != nil {
+		s.opts.Events(kind, string(session.Team), session.String()+": "+err.Error())
+	}
+}
+
 func (s *Server) zoneInService(view *member.View) bool {
 	return !view.ZonesOut[ident.Zone(s.opts.Settings.GetZone())]
 }
--- a/host/entry/settings.go
+++ b/host/entry/settings.go
@@ -11,13 +11,8 @@
 // maxSettings bounds what one caller may set; beyond it SET is rejected.
 const maxSettings = 64
 
-// add keeps a SET statement, or forgets all of them at DISCARD ALL and RESET ALL.
+// add keeps a SET or RESET statement, and reports whether there was room for it.
 func (s *settings) add(sql string) bool {
-	words := strings.Fields(strings.ToLower(strings.TrimRight(sql, "; \t\n")))
-	if len(words) == 2 && (words[0] == "discard" || words[0] == "reset") && words[1] == "all" {
-		*s = settings{}
-		return true
-	}
 	if len(s.statements) >= maxSettings {
 		return false
 	}
@@ -25,3 +20,43 @@
 	s.joined = strings.Join(s.statements, "\x00")
 	return true
 }
+
+// keywords returns the first words of a statement in lower case, without the semicolon.
+func keywords(sql string) []string {
+	return strings.Fields(strings.ToLower(strings.TrimRight(strings.TrimSpace(sql), "; \t\n")))
+}
+
+// sessionStatement runs a statement on session state that the host keeps itself, and returns its command tag.
+// The tag is empty when the statement needs state that only one upstream connection would hold.
+func (c *caller) sessionStatement(sql string) (tag string, room bool) {
+	words := keywords(sql)
+	if len(words) < 2 {
+		return "", true
+	}
+	switch words[0] {
+	case "set":
+		return "SET", c.settings.add(sql)
+	case "reset":
+		if words[1] == "all" {
+			c.settings = settings{}
+			return "RESET", true
+		}
+		return "RESET", c.settings.add(sql)
+	case "discard":
+		c.settings = settings{}
+		c.statements = make(map[string]*statement)
+		return "DISCARD " + strings.ToUpper(words[1]), true
+	case "deallocate":
+		c.deallocate(words[len(words)-1])
+		return "DEALLOCATE", true
+	}
+	return "", true
+}
+
+func (c *caller) deallocate(name string) {
+	if name == "all" {
+		c.statements = make(map[string]*statement)
+		return
+	}
+	delete(c.statements, strings.Trim(name, `"`))
+}
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/member"
 )
 
@@ -28,7 +29,7 @@
 // errCancelled ends a connection that carried only a cancel request.
 var errCancelled = errors.New("cancel request handled")
 
-var errShutdown = &Rejection{Code: "57P01", Message: "the host is shutting down", Fatal: true}
+var errShutdown = sqlstate.New(sqlstate.ShuttingDown, nil)
 
 func (c *caller) start(ctx context.Context) error {
 	c.socket.SetDeadline(time.Now().Add(startupTimeout))
@@ -47,7 +48,7 @@
 	for {
 		message, err := c.backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, &Rejection{Code: "08P01", Message: "this is not a PostgreSQL startup message", Fatal: true}
+			return nil, reject(sqlstate.ProtocolViolation, "no startup message: %v", err)
 		}
 		switch m := message.(type) {
 		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
@@ -60,7 +61,7 @@
 		case *pgproto3.StartupMessage:
 			return m, nil
 		default:
-			return nil, &Rejection{Code: "08P01", Message: fmt.Sprintf("startup message %T is not supported", m), Fatal: true}
+			return nil, reject(sqlstate.ProtocolViolation, "startup message %T", m)
 		}
 	}
 }
@@ -70,7 +71,7 @@
 	name := ident.Route(startup.Parameters["database"])
 	user := ident.User(startup.Parameters["user"])
 	if user == "" {
-		return &Rejection{Code: "28000", Message: "the startup message names no user", Fatal: true}
+		return reject(sqlstate.ProtocolViolation, "the startup message names no user")
 	}
 	if name == "" {
 		name = ident.Route(user)
@@ -82,10 +83,10 @@
 	found, ok := view.Routes[name]
 	if !ok {
 		c.server.metrics.unknownService.Inc()
-		return &Rejection{Code: "3D000", Message: fmt.Sprintf("service %q does not exist", name), Fatal: true}
+		return reject(sqlstate.UnknownService, "%q", name)
 	}
 	if !c.server.zoneInService(view) {
-		return &Rejection{Code: "57P01", Message: "the host's availability zone is out of service", Fatal: true}
+		return reject(sqlstate.ShuttingDown, "the host's availability zone is out of service")
 	}
 	c.route = found
 	team := found.Team
@@ -111,14 +112,14 @@
 	}
 	password, ok := message.(*pgproto3.PasswordMessage)
 	if !ok {
-		return "", &Rejection{Code: "08P01", Message: "a password message was expected", Fatal: true}
+		return "", reject(sqlstate.ProtocolViolation, "message %T in place of the password", message)
 	}
-	c.key = parseCredential(password.Password)
-	team, err := c.key.check(view)
+	id, team, err := view.Keys.Check(password.Password)
 	if err != nil {
 		c.server.metrics.wrongKey.Inc()
-		return "", err
+		return "", keyRejection(err)
 	}
+	c.key = id
 	return team, nil
 }
 
@@ -130,3 +131,12 @@
 	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
 	return c.send(c.ready())
 }
+
+// keyRejection tells a withdrawn key from a wrong one.
+func keyRejection(err error) error {
+	var revoked *key.RevokedError
+	if errors.As(err, &revoked) {
+		return trace.Wrap(sqlstate.New(sqlstate.RevokedKey, err))
+	}
+	return trace.Wrap(sqlstate.New(sqlstate.WrongKey, err))
+}
