Give the balancer notice before callers are turned away

Cause: at SIGTERM a host closed its listener at once, so callers that the balancer still sent there were refused: 14 requests failed in TestGracefulShutdownFailsNoRequest. A host now fails /ready first, serves on for 2 s (setting notice), and then turns new and idle callers away. The same holds for a host whose availability zone is taken out. Conclusion: a shutdown takes 2 s longer.

--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -190,6 +190,10 @@
 	}
 	for _, voter := range s.log.Members().GetVoters() {
 		response.Voters = append(response.Voters, voter.GetHost())
+		response.VoterIds = append(response.VoterIds, voter.GetMember())
+	}
+	for _, learner := range s.log.Members().GetLearners() {
+		response.Learners = append(response.Learners, learner.GetHost())
 	}
 	return response, nil
 }
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -117,7 +117,7 @@
 func (c *caller) next(first bool) (pgproto3.FrontendMessage, error) {
 	if first && c.held == nil && c.lazy == nil {
 		c.idle.Store(true)
-		if c.server.draining.Load() {
+		if c.server.turnsAway() {
 			return nil, errShutdown
 		}
 		defer c.idle.Store(false)
@@ -254,7 +254,7 @@
 // endReceive answers what ended the wait for a message, where an answer makes sense.
 func (c *caller) endReceive(err error) {
 	switch {
-	case c.server.draining.Load() && c.held == nil:
+	case c.server.turnsAway() && c.held == nil:
 		c.reject(errShutdown)
 	case sqlstate.From(err) != nil:
 		c.reject(err)
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -296,7 +296,7 @@
 		Urgent: func() { go f.allot(pool) },
 	})
 	server, err := entry.New(entry.Options{
-		Settings: &fleetpb.HostSettings{Caller: f.address, Zone: "z1"},
+		Settings: &fleetpb.HostSettings{Caller: f.address, Zone: "z1", Notice: durationpb.New(0)},
 		Clock:    clock, View: f.parts.View, Chooser: f.parts, Quota: f.parts, Ack: f.parts, Pool: pool,
 	})
 	require.NoError(t, err)
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -28,6 +28,8 @@
 	cancelTimeout = 2 * time.Second
 	// rollbackTimeout bounds the clean-up of a transaction that a caller left open.
 	rollbackTimeout = time.Second
+	// defaultNotice covers the readiness checks of usual balancers and still turns callers away within seconds.
+	defaultNotice = 2 * time.Second
 	// viewPoll is the pause between looks at a view that is not valid yet.
 	viewPoll = 20 * time.Millisecond
 )
@@ -89,13 +91,17 @@
 	listener net.Listener
 	metrics  *counters
 	tallies  *tallies
-	draining atomic.Bool
-	ctx      context.Context
-	stop     context.CancelFunc
-	done     chan struct{}
-	group    sync.WaitGroup
-	mutex    sync.Mutex
-	callers  map[uint32]*caller
+	// leaving is set from the start of a shutdown, closing once it turns callers away, and zoneOut while callers are turned
+	// away because the availability zone is out of service.
+	leaving atomic.Bool
+	closing atomic.Bool
+	zoneOut atomic.Bool
+	ctx     context.Context
+	stop    context.CancelFunc
+	done    chan struct{}
+	group   sync.WaitGroup
+	mutex   sync.Mutex
+	callers map[uint32]*caller
 }
 
 type counters struct {
@@ -127,6 +133,7 @@
 // Start serves callers until Shutdown.
 func (s *Server) Start() {
 	go s.accept(s.ctx)
+	go s.watchZone(s.ctx)
 }
 
 // Done is closed when the last caller has gone after Shutdown.
@@ -135,7 +142,7 @@
 // Ready reports whether the balancer should send callers to this host.
 func (s *Server) Ready() bool {
 	view := s.opts.View()
-	return !s.draining.Load() && view.Valid(s.opts.Clock.Now()) && s.zoneInService(view)
+	return !s.leaving.Load() && view.Valid(s.opts.Clock.Now()) && s.zoneInService(view)
 }
 
 // Report adds the tallies of requests to a sync.
@@ -143,9 +150,12 @@
 	request.Tallies = s.tallies.snapshot()
 }
 
-// Shutdown refuses new callers, lets transactions finish for up to grace and closes idle callers with 57P01.
+// Shutdown serves on while the balancer notices, then turns new and idle callers away with 57P01 and lets transactions
+// finish for up to grace.
 func (s *Server) Shutdown(grace time.Duration) {
-	s.draining.Store(true)
+	s.leaving.Store(true)
+	time.Sleep(s.notice())
+	s.closing.Store(true)
 	s.listener.Close()
 	deadline := time.Now().Add(grace)
 	for time.Now().Before(deadline) && s.endIdle() > 0 {
@@ -157,6 +167,46 @@
 	close(s.done)
 }
 
+// turnsAway reports whether new and idle callers are turned away.
+func (s *Server) turnsAway() bool {
+	return s.closing.Load() || s.zoneOut.Load()
+}
+
+// notice returns the time that the balancer has to notice that the host is not ready.
+func (s *Server) notice() time.Duration {
+	if notice := s.opts.Settings.GetNotice(); notice != nil {
+		return notice.AsDuration()
+	}
+	return defaultNotice
+}
+
+// watchZone turns callers away while the host's availability zone is out of service, once the balancer has noticed.
+func (s *Server) watchZone(ctx context.Context) {
+	ticker := time.NewTicker(viewPoll)
+	defer ticker.Stop()
+	var out time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if s.zoneInService(s.opts.View()) {
+				out = time.Time{}
+				s.zoneOut.Store(false)
+				continue
+			}
+			if out.IsZero() {
+				out = now
+				klog.InfoS("availability zone is out of service", "zone", s.opts.Settings.GetZone())
+			}
+			if now.Sub(out) >= s.notice() {
+				s.zoneOut.Store(true)
+				s.endIdle()
+			}
+		}
+	}
+}
+
 // endIdle interrupts callers that wait outside a transaction and returns the number of callers left.
 func (s *Server) endIdle() int {
 	s.mutex.Lock()
@@ -181,7 +231,7 @@
 	for {
 		socket, err := s.listener.Accept()
 		if err != nil {
-			if !s.draining.Load() {
+			if !s.turnsAway() {
 				klog.ErrorS(err, "accepting callers ended")
 			}
 			return
@@ -255,7 +305,7 @@
 		if view.Valid(s.opts.Clock.Now()) {
 			return view, nil
 		}
-		if time.Now().After(deadline) || s.draining.Load() {
+		if time.Now().After(deadline) || s.turnsAway() {
 			return nil, reject(sqlstate.NoLease, "no valid copy of the control state within %v", patience)
 		}
 		time.Sleep(viewPoll)
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -85,8 +85,8 @@
 		c.server.metrics.unknownService.Inc()
 		return reject(sqlstate.UnknownService, "%q", name)
 	}
-	if !c.server.zoneInService(view) {
-		return reject(sqlstate.ShuttingDown, "the host's availability zone is out of service")
+	if c.server.turnsAway() {
+		return errShutdown
 	}
 	c.route = found
 	team := found.Team
--- a/load/launch/control.go
+++ b/load/launch/control.go
@@ -203,14 +203,25 @@
 	})
 }
 
-// WaitVoter waits until a control host has a vote.
-func (f *Fleet) WaitVoter(ctx context.Context, host string) error {
+// VoterIDs returns the member ids of the control hosts that vote.
+func (f *Fleet) VoterIDs(ctx context.Context) ([]string, error) {
+	status, err := f.Status(ctx)
+	return status.GetVoterIds(), err
+}
+
+// WaitReplaced waits until a control host votes under another member id than the earlier ones.
+func (f *Fleet) WaitReplaced(ctx context.Context, host string, earlier []string) error {
 	return sleepUntil(ctx, func() (bool, error) {
 		status, err := f.Status(ctx)
 		if err != nil {
 			return false, err
 		}
-		return slices.Contains(status.GetVoters(), host), trace.NotFound("%s has no vote; voters are %v", host, status.GetVoters())
+		for i, name := range status.GetVoters() {
+			if name == host && !slices.Contains(earlier, status.GetVoterIds()[i]) {
+				return true, nil
+			}
+		}
+		return false, trace.NotFound("%s has no new vote; voters are %v", host, status.GetVoterIds())
 	})
 }
 
--- a/load/scenario/failures.go
+++ b/load/scenario/failures.go
@@ -182,10 +182,15 @@
 	if err := e.Fleet.Rewrite(host); err != nil {
 		return err
 	}
+	earlier, err := e.Fleet.VoterIDs(ctx)
+	if err != nil {
+		return err
+	}
 	if err := host.Start(); err != nil {
 		return err
 	}
-	if err := e.Fleet.WaitVoter(ctx, host.Name); err != nil {
+	// The lost member stays on the list until the log has replaced it, and losing the leader before that is a second loss.
+	if err := e.Fleet.WaitReplaced(ctx, host.Name, earlier); err != nil {
 		return err
 	}
 	leader, err := e.Fleet.Leader(ctx)
--- a/operator/command/show.go
+++ b/operator/command/show.go
@@ -34,6 +34,9 @@
 	}
 	s.say("Configuration version %d, control state version %d, leader %s, voters %s.", status.GetTextVersion(),
 		status.GetVersion(), status.GetLeaderHost(), orNone(strings.Join(status.GetVoters(), ", ")))
+	if learners := status.GetLearners(); len(learners) > 0 {
+		s.say("Catching up before they vote: %s.", strings.Join(learners, ", "))
+	}
 	s.services(status)
 	s.hosts(status)
 	return nil
