Explain why requests were rejected

Cause: explain knew only the control leader's events. Each host now sends its rejections with its next sync, grouped by service, team and reason, and the leader keeps them apart from changes of state. Ruled out: a log line for each rejection, which a burst would multiply. Conclusion: tamarack explain TEAM answers with counts and the last cause.

--- a/fleet/control/action.go
+++ b/fleet/control/action.go
@@ -42,6 +42,7 @@
 	KindEpoch
 	KindRefused
 	KindStatus
+	KindRejected
 )
 
 //go:generate enumer -type Kind -trimprefix Kind -transform lower
@@ -50,6 +51,8 @@
 type Event struct {
 	At   ident.Time
 	Kind Kind
+	// Host is the host that rejected requests; empty for the leader's own events.
+	Host ident.Host
 	// Subject is a name or several joined by slashes, such as service/upstream.
 	Subject string
 	Cause   string
--- a/fleet/control/hosts.go
+++ b/fleet/control/hosts.go
@@ -62,6 +62,7 @@
 	}
 	l.heard(now, h, request)
 	l.count(now, h, request.GetTallies())
+	l.reject(now, ident.Host(request.GetHost()), request.GetRejections())
 	l.observe(now, request)
 	if request.GetGone() {
 		l.dismiss(now, h)
--- a/fleet/control/kind_enumer.go
+++ b/fleet/control/kind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _KindName = "leadertextzonekeyattemptpromotedmemberupstreamhostepochrefusedstatus"
+const _KindName = "leadertextzonekeyattemptpromotedmemberupstreamhostepochrefusedstatusrejected"
 
-var _KindIndex = [...]uint8{0, 6, 10, 14, 17, 24, 32, 38, 46, 50, 55, 62, 68}
+var _KindIndex = [...]uint8{0, 6, 10, 14, 17, 24, 32, 38, 46, 50, 55, 62, 68, 76}
 
-const _KindLowerName = "leadertextzonekeyattemptpromotedmemberupstreamhostepochrefusedstatus"
+const _KindLowerName = "leadertextzonekeyattemptpromotedmemberupstreamhostepochrefusedstatusrejected"
 
 func (i Kind) String() string {
 	if i < 0 || i >= Kind(len(_KindIndex)-1) {
@@ -36,9 +36,10 @@
 	_ = x[KindEpoch-(9)]
 	_ = x[KindRefused-(10)]
 	_ = x[KindStatus-(11)]
+	_ = x[KindRejected-(12)]
 }
 
-var _KindValues = []Kind{KindLeader, KindText, KindZone, KindKey, KindAttempt, KindPromoted, KindMember, KindUpstream, KindHost, KindEpoch, KindRefused, KindStatus}
+var _KindValues = []Kind{KindLeader, KindText, KindZone, KindKey, KindAttempt, KindPromoted, KindMember, KindUpstream, KindHost, KindEpoch, KindRefused, KindStatus, KindRejected}
 
 var _KindNameToValueMap = map[string]Kind{
 	_KindName[0:6]:   KindLeader,
@@ -53,6 +54,7 @@
 	_KindName[50:55]: KindEpoch,
 	_KindName[55:62]: KindRefused,
 	_KindName[62:68]: KindStatus,
+	_KindName[68:76]: KindRejected,
 }
 
 var _KindLowerNameToValueMap = map[string]Kind{
@@ -68,6 +70,7 @@
 	_KindLowerName[50:55]: KindEpoch,
 	_KindLowerName[55:62]: KindRefused,
 	_KindLowerName[62:68]: KindStatus,
+	_KindLowerName[68:76]: KindRejected,
 }
 
 var _KindNames = []string{
@@ -83,6 +86,7 @@
 	_KindName[50:55],
 	_KindName[55:62],
 	_KindName[62:68],
+	_KindName[68:76],
 }
 
 // KindString retrieves an enum value from the enum constants string name.
--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -23,9 +23,6 @@
 	contactWait = 1500 * time.Millisecond
 )
 
-// eventsKept is the number of events that Explain can report.
-const eventsKept = 2048
-
 // Office is what the control log says about this control host's leadership.
 type Office struct {
 	// Leads is set while this host leads and has applied every change of earlier leaders.
@@ -67,10 +64,10 @@
 	text    *fleetpb.Text
 	// outage tells since when a group has no primary.
 	outage map[ident.Service]ident.Time
-	events []Event
-	// oldest is the index of the oldest event once the ring is full.
-	oldest  int
-	actions []Action
+	events ring
+	// rejections are apart from events, so that a burst of them does not push out changes of state.
+	rejections ring
+	actions    []Action
 }
 
 // NewLeader returns a Leader out of office.
@@ -155,12 +152,7 @@
 func (l *Leader) record(now ident.Time, kind Kind, subject, cause string) {
 	event := Event{At: now, Kind: kind, Subject: subject, Cause: cause}
 	l.actions = append(l.actions, Record{Event: event})
-	if len(l.events) < eventsKept {
-		l.events = append(l.events, event)
-		return
-	}
-	l.events[l.oldest] = event
-	l.oldest = (l.oldest + 1) % eventsKept
+	l.events.add(event)
 }
 
 // take returns the collected actions.
--- a/fleet/control/status.go
+++ b/fleet/control/status.go
@@ -170,13 +170,7 @@
 // Explain returns the recent events about a subject, oldest first; an empty subject means all events. For a service whose
 // text is not met it adds what keeps it from being met.
 func (l *Leader) Explain(now ident.Time, subject string) []Event {
-	var found []Event
-	for i := range l.events {
-		event := l.events[(l.oldest+i)%len(l.events)]
-		if about(event, subject) {
-			found = append(found, event)
-		}
-	}
+	found := append(l.events.about(subject), l.rejections.about(subject)...)
 	for _, s := range l.machine.Text().GetServices() {
 		if l.office.Leads && (subject == "" || s.GetName() == subject) {
 			if status := l.serviceStatus(now, s); !status.GetMet() {
--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -206,7 +206,7 @@
 		for _, event := range s.leader.Explain(now, request.GetSubject()) {
 			response.Events = append(response.Events, &fleetpb.Event{
 				UnixMs:  uint64(wall.Add(-now.Sub(event.At)).UnixMilli()),
-				Host:    string(s.options.Host),
+				Host:    string(eventHost(event, s.options.Host)),
 				Kind:    event.Kind.String(),
 				Subject: event.Subject,
 				Cause:   event.Cause,
@@ -220,6 +220,13 @@
 	return response, nil
 }
 
+func eventHost(event control.Event, leader ident.Host) ident.Host {
+	if event.Host != "" {
+		return event.Host
+	}
+	return leader
+}
+
 // Report returns the service levels as text.
 func (s service) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	response := &fleetpb.ReportResponse{}
--- a/host/deps.go
+++ b/host/deps.go
@@ -24,6 +24,7 @@
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/observer"
 	"tamarackshunt.dev/host/quota"
+	"tamarackshunt.dev/host/rejections"
 	"tamarackshunt.dev/host/replica"
 	"tamarackshunt.dev/host/routing"
 	"tamarackshunt.dev/host/switchover"
@@ -45,6 +46,7 @@
 	keeper      *keeper.Node
 	quota       *quota.Quota
 	pool        *upstream.Pool
+	rejections  *rejections.Log
 	entry       *entry.Server
 	control     *controlRole
 	server      *http.Server
@@ -68,6 +70,7 @@
 		// The wall clock orders the starts of a host that keeps nothing on disk.
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
 		clock:       clock.New(),
+		rejections:  rejections.New(ident.Host(settings.GetHost())),
 		stop:        stop,
 	}
 	d.buildPath()
@@ -183,7 +186,7 @@
 		d.control.switchover.Start(d.control.controller.Propose)
 		d.control.controller.Start(controlLog{d.control.replica})
 	}
-	reports := []member.Report{fleet, d.pool}
+	reports := []member.Report{fleet, d.pool, d.rejections}
 	var view func() *member.View
 	if d.settings.GetCaller() != "" {
 		server, err := d.newEntry(func() *member.View { return view() })
@@ -219,7 +222,8 @@
 	})
 	return entry.New(entry.Options{
 		Settings: d.settings, Clock: d.clock, View: view, Chooser: chooser, Quota: gate{d.quota}, Pool: d.pool,
-		Ack: acknowledge.New(d.clock, d.tracker, d.keeper),
+		Rejected: d.rejections.Add,
+		Ack:      acknowledge.New(d.clock, d.tracker, d.keeper),
 	})
 }
 
@@ -227,6 +231,7 @@
 func (d *deps) adopt(view *member.View) {
 	d.keeper.Adopt(session.Conditions{View: session.NewView(view.Keepers), Lease: view.Expires})
 	d.pool.Adopt(view)
+	d.rejections.Delivered()
 }
 
 // shutdown ends the host without cutting a request: callers first, then what their requests need.
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -221,8 +221,9 @@
 // unknownStatement answers a reference to a statement that does not exist and skips to the next Sync.
 // In a transaction the upstream answers instead, since its error also fails the transaction.
 func (c *caller) unknownStatement(b *batch, name string) error {
-	c.server.note("rejected", c.session, reject(sqlstate.UnknownStatement, "statement %q", name))
-	if err := c.send(response(sqlstate.New(sqlstate.UnknownStatement, nil))); err != nil {
+	rejection := sqlstate.New(sqlstate.UnknownStatement, &causeError{"statement " + name})
+	c.server.note(c.session, rejection)
+	if err := c.send(response(rejection)); err != nil {
 		return err
 	}
 	*b = batch{}
@@ -270,6 +271,7 @@
 	if rejection == nil {
 		return
 	}
+	c.server.note(c.session, rejection)
 	last := response(rejection)
 	last.Severity = string(sqlstate.Fatal)
 	last.SeverityUnlocalized = last.Severity
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -357,7 +357,9 @@
 }
 
 func (c *caller) countRejected(r *request, rejection *sqlstate.Rejection) {
-	c.server.note("rejected", c.session, rejection)
+	if !fatal(rejection) {
+		c.server.note(c.session, rejection)
+	}
 	row := rejection.Row()
 	if !r.counted && row.Ran != sqlstate.Unknown {
 		return
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -81,8 +81,8 @@
 	Quota    Quota
 	Ack      Acknowledger
 	Pool     Pool
-	// Events takes what explain tells operators; nil drops it.
-	Events func(kind, subject, cause string)
+	// Rejected takes what explain tells operators; nil drops it.
+	Rejected func(session ident.Session, rejection *sqlstate.Rejection)
 }
 
 // Server accepts callers.
@@ -313,9 +313,9 @@
 }
 
 // note passes a rejection on to explain.
-func (s *Server) note(kind string, session ident.Session, err error) {
-	if s.opts.Events != nil {
-		s.opts.Events(kind, string(session.Team), session.String()+": "+err.Error())
+func (s *Server) note(session ident.Session, rejection *sqlstate.Rejection) {
+	if s.opts.Rejected != nil {
+		s.opts.Rejected(session, rejection)
 	}
 }
 
--- /dev/null
+++ b/host/rejections/doc.go
@@ -0,0 +1,2 @@
+// Package rejections collects why this host rejected requests, for the explain command.
+package rejections
--- /dev/null
+++ b/host/rejections/rejections.go
@@ -0,0 +1,91 @@
+package rejections
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/sqlstate"
+)
+
+// maxGroups bounds the groups of rejections that one sync carries, so that control traffic stays small under overload.
+const maxGroups = 16
+
+// Log groups rejections by session's service and team, and reason, until a sync has told the control leader.
+type Log struct {
+	host    ident.Host
+	mutex   sync.Mutex
+	pending map[group]*tally
+	// sent is what the sync under way carries; it counts as pending again until Delivered.
+	sent map[group]*tally
+}
+
+type group struct {
+	service ident.Service
+	team    ident.Team
+	reason  sqlstate.Reason
+}
+
+type tally struct {
+	count int
+	last  time.Time
+	cause string
+}
+
+// New returns an empty log.
+func New(host ident.Host) *Log {
+	return &Log{host: host, pending: make(map[group]*tally)}
+}
+
+// Add notes one rejection of a session's request.
+func (l *Log) Add(session ident.Session, rejection *sqlstate.Rejection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	key := group{session.Service, session.Team, rejection.Reason}
+	t := l.pending[key]
+	if t == nil {
+		if len(l.pending) >= maxGroups {
+			return
+		}
+		t = &tally{}
+		l.pending[key] = t
+	}
+	t.count++
+	t.last = time.Now()
+	t.cause = "user " + string(session.User) + ": " + rejection.Error()
+}
+
+// Report adds what has not been delivered to a sync.
+func (l *Log) Report(request *fleetpb.SyncRequest) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for key, t := range l.sent {
+		if newer := l.pending[key]; newer != nil {
+			newer.count += t.count
+			continue
+		}
+		l.pending[key] = t
+	}
+	l.sent = l.pending
+	l.pending = make(map[group]*tally)
+	for key, t := range l.sent {
+		request.Rejections = append(request.Rejections, &fleetpb.Event{
+			UnixMs:  uint64(t.last.UnixMilli()),
+			Host:    string(l.host),
+			Kind:    "rejected",
+			Subject: string(key.service) + "/" + string(key.team),
+			Cause:   fmt.Sprintf("%d times %s, last %s", t.count, key.reason, t.cause),
+		})
+	}
+	sort.Slice(request.Rejections, func(i, j int) bool { return request.Rejections[i].Subject < request.Rejections[j].Subject })
+}
+
+// Delivered forgets what the last sync carried.
+func (l *Log) Delivered() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sent = nil
+}
