Replay the counterexamples of the specifications with the Go decisions

models/traces writes the shortest counterexample of each broken variant as test data. The Go code leaves each one at some step, and neither invariant is violated. The variant in which the previous holder keeps its authority first let any keeper answer; it now stands for the holder of the previous epoch only.

--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -213,3 +213,54 @@
 		})
 	}
 }
+
+// Guards invariants 7 and 9 against answers of the owner that come late, twice or for another request: their tokens are
+// not spent, and no request gets the token of another one.
+func TestStoryOfLateAndCrossedAnswers(t *testing.T) {
+	var out bytes.Buffer
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "entry", Incarnation: 1})
+	now := 100 * ms
+	say := func(what string, outcomes []limit.Outcome) {
+		fmt.Fprintf(&out, "%4d ms  %-44s holds %d;", now/ms, what, b.Held(now, "stalls"))
+		for _, o := range outcomes {
+			if o.Refused != nil {
+				fmt.Fprintf(&out, " request %d is refused: %v", o.ID, o.Refused)
+				continue
+			}
+			fmt.Fprintf(&out, " request %d runs", o.ID)
+		}
+		fmt.Fprintln(&out)
+	}
+	answer := func(seq uint64, amount uint32) *fleetpb.BorrowResponse {
+		return &fleetpb.BorrowResponse{Seq: seq, LifetimeMs: 500, Lent: []*fleetpb.Tokens{{Team: "stalls", Amount: amount, Loan: seq}}}
+	}
+	take := func() {
+		decision, _ := b.Take(now, "stalls", now+2000*ms)
+		say(fmt.Sprintf("a request comes: %T%v", decision, decision), nil)
+	}
+	take()
+	take()
+	first := b.Ask(now)
+	b.Lost(now)
+	say("request 1 to the owner gets no answer", nil)
+	now += 60 * ms
+	second := b.Ask(now)
+	require.NotEqual(t, first.GetSeq(), second.GetSeq())
+	now += 10 * ms
+	say("answer 2 lends 1", b.Answer(now, answer(second.GetSeq(), 1)))
+	say("answer 2 again", b.Answer(now, answer(second.GetSeq(), 1)))
+	now += 10 * ms
+	say("answer 1 lends 2, late", b.Answer(now, answer(first.GetSeq(), 2)))
+	say("answer 9 was never asked for", b.Answer(now, answer(9, 5)))
+	now = 599 * ms
+	say("the loan of answer 1 lives", nil)
+	now = 600 * ms
+	say("it ends 500 ms after request 1", nil)
+	take()
+	third := b.Ask(now)
+	now += 500 * ms
+	say("answer 3 lends 4, too late", b.Answer(now, answer(third.GetSeq(), 4)))
+	now += 500 * ms
+	say("the request has waited for 1 s", b.Expire(now, "stalls"))
+	goldie.New(t).Assert(t, "crossed", out.Bytes())
+}
--- /dev/null
+++ b/fleet/limit/replay_test.go
@@ -0,0 +1,194 @@
+package limit_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+)
+
+// Scale of models/slices.pml: a tick is half of a lifetime, and one token comes in with each tick.
+const (
+	tick  = ident.Time(limit.Lifetime / 2)
+	burst = 3
+	rate  = 4
+)
+
+// replay runs the steps of a counterexample of models/slices.pml with the Go owner and borrowers. Reports are made from
+// the trace, since a borrower chooses by itself what it gives back.
+type replay struct {
+	bytes.Buffer
+	now         ident.Time
+	owner       *limit.Owner
+	borrowers   [2]*limit.Borrower
+	incarnation [2]ident.Incarnation
+	requests    [2]*fleetpb.BorrowRequest
+	responses   [2]*fleetpb.BorrowResponse
+	loans       [2]uint64
+	// window has a token at every spending exactly if every window holds.
+	window     int
+	deviations int
+}
+
+func newReplay() *replay {
+	r := &replay{window: burst}
+	r.change(-100 * tick)
+	for i := range r.borrowers {
+		r.start(i)
+	}
+	return r
+}
+
+func (r *replay) change(since ident.Time) {
+	r.owner = limit.NewOwner(limit.OwnerOptions{Since: since})
+	r.owner.SetRules(since, map[ident.Team]limit.Rule{"stalls": {Rate: rate, Burst: burst}})
+}
+
+func (r *replay) start(i int) {
+	r.borrowers[i] = limit.NewBorrower(limit.BorrowerOptions{Host: host(i), Incarnation: r.incarnation[i]})
+}
+
+func host(i int) ident.Host { return ident.Host(fmt.Sprint("entry", i)) }
+
+func (r *replay) other(format string, args ...any) string {
+	r.deviations++
+	return "DIFFERS: " + fmt.Sprintf(format, args...)
+}
+
+// take takes a token; a request that would wait goes away.
+func (r *replay) take(i int) bool {
+	decision, _ := r.borrowers[i].Take(r.now, "stalls", r.now+tick)
+	if w, ok := decision.(limit.Wait); ok {
+		r.borrowers[i].Cancel("stalls", w.ID)
+		return false
+	}
+	return true
+}
+
+// ask has three requests that make the borrower ask and then go away, so that the tokens are kept.
+func (r *replay) ask(i int) string {
+	b := r.borrowers[i]
+	var ids []limit.WaiterID
+	for range burst {
+		decision, _ := b.Take(r.now, "stalls", r.now+tick)
+		ids = append(ids, decision.(limit.Wait).ID)
+	}
+	r.requests[i] = b.Ask(r.now)
+	for _, id := range ids {
+		b.Cancel("stalls", id)
+	}
+	r.loans[i] = r.requests[i].GetSeq()
+	return "asks"
+}
+
+func (r *replay) lend(i, amount int) string {
+	request := proto.Clone(r.requests[i]).(*fleetpb.BorrowRequest)
+	request.Wanted = []*fleetpb.Tokens{{Team: "stalls", Amount: uint32(amount), Waiting: uint32(amount)}}
+	r.responses[i] = r.owner.Borrow(r.now, request)
+	got := 0
+	for _, l := range r.responses[i].GetLent() {
+		got += int(l.GetAmount())
+	}
+	if got != amount {
+		return r.other("lends %d", got)
+	}
+	return "lends"
+}
+
+func (r *replay) receive(i, amount int) string {
+	r.borrowers[i].Answer(r.now, r.responses[i])
+	if got := r.borrowers[i].Held(r.now, "stalls"); int(got) != amount {
+		return r.other("holds %d", got)
+	}
+	return "holds them"
+}
+
+func (r *replay) spend(t *testing.T, i int) string {
+	if !r.take(i) {
+		return r.other("has no token")
+	}
+	require.Positive(t, r.window, "more tokens are spent than burst and rate allow")
+	r.window--
+	return "spends"
+}
+
+func (r *replay) deliver(i, held, returned int) string {
+	before := r.owner.Balance(r.now, "stalls")
+	r.owner.Borrow(r.now, &fleetpb.BorrowRequest{
+		Host: string(host(i)), Incarnation: uint64(r.incarnation[i]), Seq: 1 << 20,
+		Held:     []*fleetpb.Tokens{{Team: "stalls", Loan: r.loans[i], Amount: uint32(held)}},
+		Returned: []*fleetpb.Tokens{{Team: "stalls", Loan: r.loans[i], Amount: uint32(returned)}},
+	})
+	after := r.owner.Balance(r.now, "stalls")
+	return fmt.Sprintf("bucket %d -> %d, lent %d -> %d", before.Bucket, after.Bucket, before.Lent, after.Lent)
+}
+
+func (r *replay) step(t *testing.T, line string) string {
+	var verb string
+	var a, b, c int
+	_, _ = fmt.Sscan(line+" 0 0 0", &verb, &a, &b, &c)
+	switch verb {
+	case "tick":
+		r.now += tick
+		r.window = min(burst, r.window+1)
+		return fmt.Sprintf("bucket %d", r.owner.Balance(r.now, "stalls").Bucket)
+	case "ask":
+		return r.ask(a)
+	case "lend":
+		return r.lend(a, b)
+	case "receive":
+		return r.receive(a, b)
+	case "spend":
+		return r.spend(t, a)
+	case "return":
+		// The token leaves the borrower without a request that runs.
+		if !r.take(a) {
+			return r.other("has no token")
+		}
+		return "gives one back"
+	case "report", "lose":
+		return "on its way"
+	case "deliver":
+		return r.deliver(a, b, c)
+	case "restart":
+		r.incarnation[a]++
+		r.start(a)
+		return "no tokens"
+	case "change":
+		r.change(r.now)
+		return "empty bucket"
+	}
+	t.Fatalf("unknown step %q", line)
+	return ""
+}
+
+// Guards invariant 7 against Go decisions that lack a rule which models/slices.pml shows to be needed: in each
+// counterexample the Go code takes another step somewhere, and no window exceeds rate and burst.
+func TestReplayOfCounterexamples(t *testing.T) {
+	traces, err := filepath.Glob("testdata/replay/*.trace")
+	require.NoError(t, err)
+	require.NotEmpty(t, traces)
+	for _, path := range traces {
+		variant := strings.TrimSuffix(filepath.Base(path), ".trace")
+		t.Run(variant, func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			r := newReplay()
+			for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+				_, _ = fmt.Fprintf(r, "%-14s %s\n", line, r.step(t, line))
+			}
+			require.Positive(t, r.deviations, "the Go code follows the broken variant to its end")
+			goldie.New(t, goldie.WithFixtureDir("testdata/replay")).Assert(t, variant, r.Bytes())
+		})
+	}
+}
--- /dev/null
+++ b/fleet/session/replay_test.go
@@ -0,0 +1,236 @@
+package session_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/session"
+)
+
+// replay runs the steps of a counterexample of models/session.pml with the Go decisions: keepers 0 and 1, and the
+// writer as host 2. Control's steps are taken as the trace has them.
+type replay struct {
+	bytes.Buffer
+	now         ident.Time
+	sets        map[ident.Epoch]*session.Set
+	epoch       ident.Epoch
+	settled     bool
+	incarnation [2]ident.Incarnation
+	keepers     [2]*session.Keeper
+	writerView  *session.View
+	writerLease ident.Time
+	reading     [2]ident.Epoch
+	read        [2]ident.Position
+	committed   ident.Position
+	writer      *session.Writer
+	due         map[ident.Host]session.Member
+	responses   map[ident.Host]*fleetpb.PutResponse
+	confirmed   bool
+	deviations  int
+}
+
+const forever = ident.Time(1) << 60
+
+func (r *replay) member(k int) session.Member {
+	return session.Member{Host: ident.Host(fmt.Sprint("k", k)), Incarnation: r.incarnation[k], Zone: "z"}
+}
+
+// holder is the keeper that an epoch names: K0, K1, K0.
+func holder(epoch ident.Epoch) int { return int(epoch+1) % 2 }
+
+func newReplay() *replay {
+	r := &replay{
+		sets: map[ident.Epoch]*session.Set{}, epoch: 1, settled: true, writerLease: forever,
+		due: map[ident.Host]session.Member{}, responses: map[ident.Host]*fleetpb.PutResponse{},
+	}
+	r.name(1)
+	for k := range r.keepers {
+		r.start(k)
+		r.keepers[k].Adopt(r.view(1, true))
+		r.keepers[k].Lease(forever)
+		r.keepers[k].SetFloor("ledger", 1, ident.Position{})
+	}
+	r.writerView = r.view(1, true)
+	return r
+}
+
+func (r *replay) start(k int) {
+	r.keepers[k] = session.NewKeeper(session.KeeperOptions{Self: r.member(k), Sessions: 64})
+}
+
+func (r *replay) name(epoch ident.Epoch) {
+	r.sets[epoch] = session.NewSet(epoch, []session.Member{r.member(holder(epoch))})
+}
+
+func (r *replay) view(epoch ident.Epoch, settled bool) *session.View {
+	v := &session.View{Current: r.sets[epoch], Settled: settled}
+	if !settled {
+		v.Previous = r.sets[epoch-1]
+	}
+	return v
+}
+
+// other notes that the Go decisions do not take the step of the trace.
+func (r *replay) other(format string, args ...any) string {
+	r.deviations++
+	return "DIFFERS: " + fmt.Sprintf(format, args...)
+}
+
+func (r *replay) sync(host int, epoch ident.Epoch, settled bool) string {
+	v := r.view(epoch, settled)
+	if host == 2 {
+		r.writerView, r.writerLease = v, forever
+		return "writer adopts"
+	}
+	r.keepers[host].Adopt(v)
+	r.keepers[host].Lease(forever)
+	return "keeper adopts"
+}
+
+func (r *replay) readFloor(k int) string {
+	epoch, wanted := r.keepers[k].FloorsWanted([]ident.Service{"ledger"})
+	if len(wanted) == 0 {
+		return r.other("wants no floor")
+	}
+	r.reading[k], r.read[k] = epoch, r.committed
+	return "reads " + r.committed.String()
+}
+
+func (r *replay) setFloor(k int) string {
+	if r.reading[k] == 0 {
+		return r.other("has no floor to set")
+	}
+	r.keepers[k].SetFloor("ledger", r.reading[k], r.read[k])
+	return "sets " + r.read[k].String()
+}
+
+// next asks the writer for its step and notes the Puts that it sends.
+func (r *replay) next() session.WriteAction {
+	action := r.writer.Next(r.now, session.Conditions{View: r.writerView, Lease: r.writerLease})
+	if send, ok := action.(session.SendPuts); ok {
+		for _, m := range send.To {
+			r.due[m.Host] = m
+		}
+	}
+	return action
+}
+
+func (r *replay) put(k int) string {
+	r.next()
+	m, found := r.due[r.member(k).Host]
+	if !found {
+		return r.other("writer sends nothing to k%d", k)
+	}
+	response := r.keepers[k].Put(r.writer.Request(r.writerView.Epoch()))
+	r.responses[m.Host] = response
+	return fmt.Sprintf("recorded %t", response.GetRecorded())
+}
+
+func (r *replay) answer(k int) string {
+	host := r.member(k).Host
+	response, found := r.responses[host]
+	if !found {
+		return r.other("no answer is on its way")
+	}
+	r.writer.Answered(r.now, r.due[host], response)
+	return "taken"
+}
+
+func (r *replay) acknowledge() string {
+	action := r.next()
+	if _, ok := action.(session.Acknowledge); ok {
+		r.confirmed = true
+		return "acknowledged"
+	}
+	return r.other("writer does not acknowledge: %T", action)
+}
+
+func (r *replay) get(t *testing.T, k int) string {
+	response := r.keepers[k].Get(r.now, &fleetpb.GetRequest{Session: session.Message(name(1))})
+	if !response.GetAuthoritative() {
+		return r.other("keeper has no authority")
+	}
+	got := session.PositionOf(response.GetPosition())
+	if r.confirmed {
+		require.True(t, got.Covers(r.committed), "the read misses an acknowledged write")
+	}
+	return "answers " + got.String()
+}
+
+func (r *replay) step(t *testing.T, line string) string {
+	var verb string
+	var a, b, c int
+	_, _ = fmt.Sscan(line+" 0 0 0", &verb, &a, &b, &c)
+	switch verb {
+	case "epoch":
+		r.epoch, r.settled = ident.Epoch(a), false
+		r.name(r.epoch)
+		return "named"
+	case "settle":
+		r.settled = true
+		return "settled"
+	case "sync":
+		return r.sync(a, ident.Epoch(b), c == 1)
+	case "lapse":
+		if a == 2 {
+			r.writerLease = 0
+		} else {
+			r.keepers[a].Lease(0)
+		}
+		return "lease ends"
+	case "restart":
+		r.incarnation[a]++
+		r.reading[a] = 0
+		r.start(a)
+		return "empty table"
+	case "read":
+		return r.readFloor(a)
+	case "floor":
+		return r.setFloor(a)
+	case "commit":
+		r.committed = at(1)
+		r.writer = session.NewWriter(name(1), r.committed, forever)
+		return "committed at " + r.committed.String()
+	case "put":
+		return r.put(a)
+	case "answer":
+		return r.answer(a)
+	case "acknowledge":
+		return r.acknowledge()
+	case "get":
+		return r.get(t, a)
+	}
+	t.Fatalf("unknown step %q", line)
+	return ""
+}
+
+// Guards invariant 1 against Go decisions that lack a rule which models/session.pml shows to be needed: in each
+// counterexample the Go code takes another step somewhere, and no read misses an acknowledged write.
+func TestReplayOfCounterexamples(t *testing.T) {
+	traces, err := filepath.Glob("testdata/replay/*.trace")
+	require.NoError(t, err)
+	require.NotEmpty(t, traces)
+	for _, path := range traces {
+		variant := strings.TrimSuffix(filepath.Base(path), ".trace")
+		t.Run(variant, func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			r := newReplay()
+			for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+				r.now++
+				_, _ = fmt.Fprintf(r, "%-14s %s\n", line, r.step(t, line))
+			}
+			require.Positive(t, r.deviations, "the Go code follows the broken variant to its end")
+			goldie.New(t, goldie.WithFixtureDir("testdata/replay")).Assert(t, variant, r.Bytes())
+		})
+	}
+}
--- a/models/session.pml
+++ b/models/session.pml
@@ -15,7 +15,7 @@
 // broken: NO_EPOCH_CHECK   (acknowledges with the holders of the epoch in which the write was committed)
 // broken: ONE_EPOCH        (records with the new holder only while the new epoch is not settled)
 // broken: EARLY_FLOOR      (a new holder reads its floor before the epoch is settled)
-// broken: KEEPS_AUTHORITY  (the previous holder answers in an epoch in which it is not the holder)
+// broken: KEEPS_AUTHORITY  (the holder of the previous epoch still answers in the next one)
 // broken: IGNORES_RESTART  (a restarted holder takes itself for its earlier start and answers from its empty table)
 // broken: IGNORES_GAP      (a keeper that missed an epoch takes itself for its holder throughout)
 
@@ -66,7 +66,7 @@
 #define SLOT(e) (HOLDER(e) * 2 + named[e])
 
 #ifdef KEEPS_AUTHORITY
-#define THROUGH(k, e) (adopted[k] < (e) || floor[k] > (e) || HOLDS(k, e) || (e) == adopted[k])
+#define THROUGH(k, e) (adopted[k] < (e) || floor[k] > (e) || HOLDS(k, e) || ((e) > 1 && (e) == adopted[k] && HOLDS(k, (e) - 1)))
 #else
 #define THROUGH(k, e) (adopted[k] < (e) || floor[k] > (e) || HOLDS(k, e))
 #endif
