--- a/host/bearer/bearer.go
+++ b/host/bearer/bearer.go
@@ -1,4 +1,3 @@
-// Package bearer guards calls between processes of the fleet with a shared secret.
 package bearer
 
 import (
--- /dev/null
+++ b/host/bearer/doc.go
@@ -0,0 +1,2 @@
+// Package bearer guards calls between processes of the fleet with a shared secret.
+package bearer
