Replay the counterexamples of the log's variants against the Go code

A session for a host replaced by another one is added, and a check that concurrent proposals share syncs.

--- a/fleet/quorum/session_test.go
+++ b/fleet/quorum/session_test.go
@@ -37,6 +37,7 @@
 		{"race", "14: of two operators with equal expected versions exactly one succeeds", playRace},
 		{"resend", "11: a request that is sent again after a lost answer runs once and gets the same answer", playResend},
 		{"handover", "14: a leader that shuts down hands over, and claims nothing after that", playHandover},
+		{"newhost", "14: a host that is not coming back is replaced by another one, which votes only when admitted and caught up", playNewHost},
 		{"founding", "14: a host whose data was removed founds no second log", playFounding},
 	}
 	for _, tt := range sessions {
@@ -156,6 +157,34 @@
 	s.texts(t, "first", s.names...)
 }
 
+func playNewHost(t *testing.T, s *sim) {
+	leader := begin(s)
+	s.propose(leader, "op1", 0, "first")
+	s.run(time.Second)
+	lost := s.others(leader)[0]
+	s.crash(lost)
+	s.names = append(s.names, "d")
+	s.hosts["d"] = &host{name: "d"}
+	s.start("d")
+	s.run(time.Second)
+	require.Contains(t, s.hosts["d"].node.Status().Problem, "admit it first")
+	s.tell("operator admits d")
+	s.step(s.hosts[leader], quorum.Admit{ID: 1, Host: "d", Peer: "d"})
+	s.until("d votes", func() bool { return s.votes("d") })
+	s.run(time.Second)
+	s.tell("operator removes %s", lost)
+	s.step(s.hosts[leader], quorum.Remove{ID: 2, Host: lost})
+	s.run(time.Second)
+	s.start(lost)
+	s.run(10 * time.Second)
+	require.Contains(t, s.hosts[lost].node.Status().Problem, "removed or replaced")
+	require.Equal(t, leader, s.leader(), "the removed host disturbed the leader")
+	s.crash(leader)
+	s.propose(s.elect(), "op2", 1, "second")
+	s.run(time.Second)
+	s.texts(t, "second", "d")
+}
+
 func playFounding(t *testing.T, s *sim) {
 	s.start("a")
 	s.start("b")
--- /dev/null
+++ b/fleet/quorum/trace_test.go
@@ -0,0 +1,303 @@
+package quorum_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/quorum"
+)
+
+// replay drives nodes through the steps of a counterexample of models/log.pml. Each host has its own clock, so that a
+// step of the model, which knows no time, is refused for a rule of the log and not for its moment.
+type replay struct {
+	t     *testing.T
+	hosts map[string]*host
+	clock map[string]ident.Time
+	// Messages on their way, by sender and peer address.
+	sent map[[2]string][]*fleetpb.Message
+	// The host whose writes are not synced, and the writes.
+	held     string
+	unsynced []quorum.Persist
+	story    strings.Builder
+	chosen   map[uint64]*fleetpb.Entry
+	answers  map[string]string
+	dead     map[string]bool
+}
+
+func newReplay(t *testing.T) *replay {
+	t.Helper()
+	r := &replay{
+		t:       t,
+		hosts:   map[string]*host{},
+		clock:   map[string]ident.Time{},
+		sent:    map[[2]string][]*fleetpb.Message{},
+		chosen:  map[uint64]*fleetpb.Entry{},
+		answers: map[string]string{},
+		dead:    map[string]bool{},
+	}
+	voters := &fleetpb.Voters{}
+	for _, name := range []string{"a", "b", "c"} {
+		voters.Voters = append(voters.Voters, &fleetpb.Voter{Host: name, Peer: name, Member: name + "/1"})
+	}
+	first := &fleetpb.Entry{Index: 1, Term: 1, Change: &fleetpb.Change{Kind: &fleetpb.Change_Voters{Voters: voters}}}
+	for _, name := range []string{"a", "b", "c"} {
+		r.hosts[name] = &host{name: name, member: name + "/1", log: []*fleetpb.Entry{first}, hard: &fleetpb.HardState{Term: 1, Fleet: 1}}
+		r.start(name)
+	}
+	r.hosts["d"] = &host{name: "c", member: "c/2", hard: &fleetpb.HardState{}}
+	r.start("d")
+	r.elect("a", "b")
+	return r
+}
+
+func (r *replay) tell(format string, args ...any) {
+	fmt.Fprintf(&r.story, "    "+format+"\n", args...)
+}
+
+func (r *replay) start(name string) {
+	h := r.hosts[name]
+	r.clock[name] = r.clock[name].Add(time.Second)
+	node, actions, err := quorum.New(r.clock[name], quorum.Options{
+		Self:  &fleetpb.Voter{Host: h.name, Peer: name, Member: h.member},
+		Hosts: []*fleetpb.Voter{{Host: "a", Peer: "a"}, {Host: "b", Peer: "b"}, {Host: "c", Peer: "c"}},
+		Hard:  h.hard, Entries: slices.Clone(h.log),
+	})
+	require.NoError(r.t, err)
+	h.node, h.machine = node, &machine{answers: map[string]*fleetpb.ApplyResponse{}}
+	r.perform(name, actions)
+}
+
+func (r *replay) step(name string, inputs ...quorum.Input) {
+	if !r.dead[name] {
+		r.perform(name, r.hosts[name].node.Step(r.clock[name], inputs...))
+	}
+}
+
+func (r *replay) perform(name string, actions []quorum.Action) {
+	h := r.hosts[name]
+	for _, action := range actions {
+		switch action := action.(type) {
+		case quorum.Persist:
+			if r.held == name {
+				r.unsynced = append(r.unsynced, action)
+				continue
+			}
+			if action.Hard != nil {
+				h.hard = action.Hard
+			}
+			if len(action.Entries) > 0 {
+				h.log = append(slices.Clone(h.log[:action.Entries[0].Index-1]), action.Entries...)
+			}
+			r.step(name, quorum.Persisted{Seq: action.Seq})
+		case quorum.Send:
+			way := [2]string{name, action.Peer}
+			r.sent[way] = append(r.sent[way], proto.CloneOf(action.Message))
+		case quorum.Apply:
+			r.apply(name, action.Entries)
+		case quorum.Proposed:
+			if action.Err != nil {
+				r.tell("%s refuses: %v", name, action.Err)
+			}
+		case quorum.RoleChange:
+			if role := fmt.Sprintf("%s in term %d", action.Status.Role, action.Status.Term); role != h.role {
+				r.tell("%s is %s", name, role)
+				h.role = role
+			}
+		}
+	}
+}
+
+func (r *replay) apply(name string, entries []*fleetpb.Entry) {
+	for _, entry := range entries {
+		if chosen := r.chosen[entry.Index]; chosen != nil {
+			require.True(r.t, proto.Equal(chosen, entry), "%s applies another entry at %d", name, entry.Index)
+		}
+		r.chosen[entry.Index] = entry
+		answer := r.hosts[name].machine.apply(entry.GetChange())
+		if answer == nil {
+			continue
+		}
+		id, outcome := entry.GetChange().GetApply().GetId(), fmt.Sprintf("accepted %t at version %d", answer.Accepted, answer.Version)
+		if earlier := r.answers[id]; earlier != "" {
+			require.Equal(r.t, earlier, outcome, "a resent request got another answer")
+		}
+		r.answers[id] = outcome
+		r.tell("%s applies %s: %s", name, id, outcome)
+	}
+}
+
+// deliver passes the messages of a kind from one member to another; the rest of them is lost.
+func (r *replay) deliver(from, to string, keep func(*fleetpb.Message) bool) {
+	way := [2]string{from, to}
+	messages := r.sent[way]
+	r.sent[way] = nil
+	for _, m := range messages {
+		if keep(m) {
+			r.step(to, quorum.Receive{Message: m})
+		}
+	}
+}
+
+func anything(*fleetpb.Message) bool { return true }
+
+// elect lets a member stand for election and reach one other member.
+func (r *replay) elect(name, voter string) {
+	r.clock[name] = r.clock[name].Add(2 * time.Second)
+	r.clock[voter] = r.clock[voter].Add(600 * time.Millisecond)
+	clear(r.sent)
+	r.step(name, quorum.Tick{})
+	for range 2 {
+		r.deliver(name, voter, func(m *fleetpb.Message) bool { return m.GetAppend() == nil })
+		r.deliver(voter, name, anything)
+	}
+	if r.hosts[name].node.Status().Role != quorum.Leader {
+		r.tell("%s is not elected", name)
+	}
+}
+
+// exchange lets a leader bring another member to the end of its log, if it still leads.
+func (r *replay) exchange(leader, to string) {
+	node := r.hosts[leader].node
+	clear(r.sent)
+	for range 6 {
+		if node.Status().Role != quorum.Leader {
+			r.tell("%s does not lead", leader)
+			return
+		}
+		r.beat(leader)
+		r.deliver(leader, to, anything)
+		r.deliver(to, leader, anything)
+	}
+}
+
+// beat lets a heartbeat interval pass for a leader.
+func (r *replay) beat(leader string) {
+	r.clock[leader] = r.clock[leader].Add(quorum.DefaultBounds.Heartbeat)
+	r.step(leader, quorum.Tick{})
+}
+
+// change lets the replacement d report to a leader that has not heard c for long, and the leader do what it will.
+func (r *replay) change(leader string) {
+	for range 12 {
+		r.beat(leader)
+		for _, other := range []string{"a", "b", "d"} {
+			if other != leader && r.hosts[other].node.Status().Term <= r.hosts[leader].node.Status().Term {
+				r.heartbeats(leader, other)
+			}
+		}
+	}
+	r.clock["d"] = r.clock["d"].Add(time.Second)
+	r.step("d", quorum.Tick{})
+	r.deliver("d", leader, anything)
+	voters := r.hosts[leader].node.Members()
+	r.tell("%s has voters %s, learners %s", leader, ids(voters.GetVoters()), ids(voters.GetLearners()))
+}
+
+// heartbeats passes on heartbeats without entries, so that a leader stays confirmed and logs stay as the model has them.
+func (r *replay) heartbeats(leader, other string) {
+	for _, m := range r.sent[[2]string{leader, other}] {
+		if m.GetAppend() != nil {
+			m.GetAppend().Entries = nil
+		}
+	}
+	r.deliver(leader, other, func(m *fleetpb.Message) bool { return m.GetAppend() != nil })
+	r.deliver(other, leader, anything)
+}
+
+// lose ends c; the host comes back as d, under the old address too.
+func (r *replay) lose() {
+	r.dead["c"] = true
+	r.hosts["c"], r.clock["c"] = r.hosts["d"], r.clock["d"]
+	r.dead["c"] = false
+}
+
+// crash restarts a member without what was not synced.
+func (r *replay) crash(name string) {
+	r.held, r.unsynced = "", nil
+	r.start(name)
+}
+
+func (r *replay) do(words []string) {
+	switch words[0] {
+	case "elect":
+		r.elect(words[1], words[2])
+	case "append", "depose":
+		r.exchange(words[1], words[2])
+	case "commit":
+		r.tell("%s holds %d entries, applied up to %d", words[1], len(r.hosts[words[1]].log), len(r.chosen))
+	case "propose":
+		id := map[string]string{"6": "opA", "7": "opB"}[words[2]]
+		r.step(words[1], quorum.Propose{ID: 1, Change: &fleetpb.Change{Kind: &fleetpb.Change_Apply{
+			Apply: &fleetpb.ApplyText{Id: id, Source: []byte("text of " + id)},
+		}}})
+	case "change":
+		r.change(words[1])
+	case "lose":
+		r.lose()
+	case "crash":
+		r.crash(words[1])
+	case "die":
+		r.dead[words[1]] = true
+	case "silent":
+	default:
+		require.Fail(r.t, "unknown step", words[0])
+	}
+}
+
+// holds reports whether a step is the one whose write the later crash of a member loses.
+func holds(steps []string, at int, variant string) string {
+	kind := map[string]string{"UNSYNCED": "append", "VOTE_LOST": "elect"}[variant]
+	for i := at + 1; i < len(steps); i++ {
+		words := strings.Fields(steps[i])
+		if words[0] == "crash" && kind != "" && strings.HasPrefix(steps[at], kind) && strings.Fields(steps[at])[2] == words[1] {
+			return words[1]
+		}
+		if words[0] == kind && words[2] == strings.Fields(steps[at])[2%len(strings.Fields(steps[at]))] {
+			return ""
+		}
+	}
+	return ""
+}
+
+// Guards against a schedule that breaks a variant of the log without one of its rules, and that breaks the Go code too:
+// two different entries at one place, two accepted operators, or two answers to one request (invariant 14).
+func TestTraces(t *testing.T) {
+	paths, err := filepath.Glob("testdata/trace/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		variant := strings.TrimSuffix(filepath.Base(path), ".txt")
+		t.Run(variant, func(t *testing.T) {
+			content, err := os.ReadFile(path)
+			require.NoError(t, err)
+			r := newReplay(t)
+			steps := strings.Split(strings.TrimSpace(string(content)), "\n")
+			for i, step := range steps {
+				if held := holds(steps, i, variant); held != "" {
+					r.held = held
+				}
+				fmt.Fprintf(&r.story, "%s\n", step)
+				r.do(strings.Fields(step))
+			}
+			accepted := 0
+			for _, outcome := range r.answers {
+				if strings.HasPrefix(outcome, "accepted true") {
+					accepted++
+				}
+			}
+			require.LessOrEqual(t, accepted, 1)
+			goldie.New(t).Assert(t, "trace/"+variant, []byte("Invariant 14, counterexample of the variant "+variant+"\n\n"+r.story.String()))
+		})
+	}
+}
--- a/host/replica/replica_test.go
+++ b/host/replica/replica_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -185,10 +186,12 @@
 }
 
 // Guards against a single control host that loses acknowledged changes at a restart, and against concurrent proposals
-// that do not all get their own answers.
+// that do not share syncs or do not all get their own answers.
 func TestOneMemberRestarts(t *testing.T) {
 	hosts := fleet(t, "a")
 	first := leader(t, hosts...)
+	syncs := metrics.GetOrCreateCounter("tamarack_log_syncs_total")
+	before := syncs.Get()
 	var calls sync.WaitGroup
 	versions := make([]uint64, 300)
 	for i := range versions {
@@ -200,6 +203,7 @@
 		})
 	}
 	calls.Wait()
+	require.Less(t, syncs.Get()-before, uint64(len(versions)), "concurrent proposals do not share syncs")
 	held := first.machine.held()
 	require.Len(t, held, len(versions))
 	for i, version := range versions {
