--- a/host/replica/loop.go
+++ b/host/replica/loop.go
@@ -60,7 +60,9 @@
 	return inputs
 }
 
+// perform publishes the new status first: a leader that hands over must not count as confirmed once its message leaves.
 func (r *Replica) perform(actions []quorum.Action) {
+	r.publish()
 	for _, action := range actions {
 		switch action := action.(type) {
 		case quorum.Persist:
@@ -70,14 +72,12 @@
 		case quorum.Proposed:
 			r.waiting.proposed(action)
 		case quorum.RoleChange:
-			r.publish()
 			s := action.Status
 			klog.InfoS("Control log role", "host", r.options.Host, "role", s.Role, "term", s.Term, "leader", s.Leader, "ready", s.Ready, "problem", s.Problem)
 		case quorum.Apply, quorum.Restore, quorum.Summarize:
 			r.applies.push(action)
 		}
 	}
-	r.publish()
 }
 
 func (r *Replica) publish() {
