--- a/host/replica/replica_test.go
+++ b/host/replica/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -107,6 +109,16 @@
 	require.NoError(t, h.replica.Close(ctx))
 }
 
+// freeze lets calls to the host hang until their callers give up.
+func (h *host) freeze() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+}
+
 // fleet starts control hosts on addresses of the loopback interface.
 func fleet(t *testing.T, names ...string) []*host {
 	t.Helper()
@@ -185,10 +197,12 @@
 }
 
 // Guards against a single control host that loses acknowledged changes at a restart, and against concurrent proposals
-// that do not all get their own answers.
+// that do not share syncs or do not all get their own answers.
 func TestOneMemberRestarts(t *testing.T) {
 	hosts := fleet(t, "a")
 	first := leader(t, hosts...)
+	syncs := metrics.GetOrCreateCounter("tamarack_log_syncs_total")
+	before := syncs.Get()
 	var calls sync.WaitGroup
 	versions := make([]uint64, 300)
 	for i := range versions {
@@ -200,6 +214,7 @@
 		})
 	}
 	calls.Wait()
+	require.Less(t, syncs.Get()-before, uint64(len(versions)), "concurrent proposals do not share syncs")
 	held := first.machine.held()
 	require.Len(t, held, len(versions))
 	for i, version := range versions {
@@ -243,6 +258,39 @@
 	old.stop(t)
 }
 
+// Guards against a frozen peer that delays the others, a proposal on a follower that is lost without a word, and a leader
+// without a majority that answers or stays confirmed.
+func TestFrozenPeers(t *testing.T) {
+	hosts := fleet(t, "a", "b", "c")
+	lead := leader(t, hosts...)
+	var followers []*host
+	for _, h := range hosts {
+		if h != lead {
+			followers = append(followers, h)
+		}
+	}
+	followers[0].freeze()
+	give(t, "k1", lead)
+	requireHeld(t, []string{"k1"}, lead, followers[1])
+	_, err := followers[1].replica.Propose(t.Context(), change("k2"))
+	notLeader := &replica.NotLeaderError{}
+	require.ErrorAs(t, err, &notLeader)
+	require.Equal(t, lead.peer, notLeader.Leader)
+
+	followers[1].freeze()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = lead.replica.Propose(ctx, change("k3"))
+	require.ErrorAs(t, err, new(*replica.UnknownOutcomeError))
+	require.Eventually(t, func() bool {
+		l := lead.replica.Leadership()
+		return !l.Leads && !l.Confirmed && l.Leader == ""
+	}, wait, 10*time.Millisecond)
+	for _, h := range hosts {
+		h.stop(t)
+	}
+}
+
 // Guards against messages of processes that do not hold the fleet secret.
 func TestHandlerRequiresTheSecret(t *testing.T) {
 	h := fleet(t, "a")[0]
