--- a/fleet/failover/event.go
+++ b/fleet/failover/event.go
@@ -57,7 +57,7 @@
 		Primary ident.Upstream
 		// Attempt is the highest reserved term.
 		Attempt ident.Term
-		// Observers is the number of hosts that observe the group; 0 means three.
+		// Observers is the number of availability zones with hosts that observe the group; 0 means three.
 		Observers int
 	}
 	// Observed is an observer's report on one upstream.
--- a/fleet/failover/group.go
+++ b/fleet/failover/group.go
@@ -14,7 +14,7 @@
 	silence = time.Second
 	// viewAge is the time for which a report counts; hosts report every 250 ms.
 	viewAge = 1500 * time.Millisecond
-	// defaultObservers is the number of hosts that observe a group.
+	// defaultObservers is the number of availability zones from which a group is observed.
 	defaultObservers = 3
 	// backoffLeast and backoffMost bound the pause between attempts.
 	backoffLeast = 100 * time.Millisecond
--- a/fleet/failover/story_test.go
+++ b/fleet/failover/story_test.go
@@ -107,6 +107,12 @@
 			require.False(t, a.state.Primary)
 			require.False(t, a.holds(9001))
 		}},
+		{"primary-restarts", "Invariant 2: no write is acknowledged by an old primary. The primary restarts, and is no primary then.", func(t *testing.T, w *world) {
+			w.upstreams["a"].restart()
+			w.say("a restarts")
+			w.run(4 * time.Second)
+			require.Greater(t, w.control.Term, ident.Term(1))
+		}},
 		{"new-leader", "Invariant 2: no write is acknowledged by an old primary. The control leader stops after it fenced.", func(t *testing.T, w *world) {
 			w.upstreams["a"].down = true
 			w.upstreams["b"].cut = true
@@ -149,7 +155,7 @@
 		w.step(w.control)
 		for range 30 {
 			u := w.upstreams[w.names()[random.IntN(3)]]
-			switch random.IntN(6) {
+			switch random.IntN(7) {
 			case 0:
 				u.down = !u.down
 			case 1:
@@ -162,6 +168,8 @@
 				w.lost = !w.lost
 			case 5:
 				w.step(failover.Zones{Out: []ident.Zone{u.member.Zone}})
+			case 6:
+				u.restart()
 			}
 			w.run(time.Duration(random.IntN(1500)) * time.Millisecond)
 			lost, twice := w.missing()
--- a/fleet/failover/world_test.go
+++ b/fleet/failover/world_test.go
@@ -37,6 +37,11 @@
 	u.state.Last = p
 }
 
+// restart keeps the log and the term, as a record file does, but not the role.
+func (u *upstream) restart() {
+	u.state.Primary, u.state.Following, u.draining = false, false, false
+}
+
 func (u *upstream) holds(write int) bool {
 	return slices.ContainsFunc(u.log, func(r record) bool { return r.write == write })
 }
--- a/fleet/group/group.go
+++ b/fleet/group/group.go
@@ -255,6 +255,16 @@
 	return record.Term == p.Base.Term && record.LSN <= p.Base.LSN && p.Majority.LSN > p.Base.LSN
 }
 
+// Acknowledged returns the position that reads of a session must cover once the write of a record is acknowledged. It is of
+// the current term also for a record of an older one: a primary between the two, which was never recorded, may have had
+// replicas without the record.
+func (p Positions) Acknowledged(record ident.Position) (ident.Position, bool) {
+	if !p.Holds(record) {
+		return ident.Position{}, false
+	}
+	return ident.Position{Term: p.Term, LSN: record.LSN}, true
+}
+
 // Lost reports whether it will never be known that a majority holds the record at a position.
 func (p Positions) Lost(record ident.Position) bool {
 	return record.Term < p.Term && (record.Term != p.Base.Term || record.LSN > p.Base.LSN)
--- a/host/observer/observer.go
+++ b/host/observer/observer.go
@@ -55,6 +55,7 @@
 type Observer struct {
 	options Options
 	start   time.Time
+	urgent  chan struct{}
 
 	mu      sync.Mutex
 	watches map[ident.Service]*watch
@@ -62,7 +63,7 @@
 
 // New returns an observer that is not yet running.
 func New(options Options) *Observer {
-	return &Observer{options: options, start: time.Now(), watches: map[ident.Service]*watch{}}
+	return &Observer{options: options, start: time.Now(), urgent: make(chan struct{}, 1), watches: map[ident.Service]*watch{}}
 }
 
 func (o *Observer) now() ident.Time {
@@ -130,6 +131,12 @@
 	return o.watches[service]
 }
 
+// Urgent returns a channel that gets a value when an upstream begins to refuse connections, so that the host can send its
+// next sync at once.
+func (o *Observer) Urgent() <-chan struct{} {
+	return o.urgent
+}
+
 // Observed returns what the next sync reports, in the order of services and members.
 func (o *Observer) Observed() []*fleetpb.Observed {
 	o.mu.Lock()
--- a/host/observer/probe.go
+++ b/host/observer/probe.go
@@ -49,6 +49,7 @@
 func (p *probe) run(ctx context.Context) {
 	defer close(p.done)
 	var conn *pgconn.PgConn
+	refused := false
 	for ctx.Err() == nil {
 		var err error
 		if conn == nil {
@@ -57,8 +58,16 @@
 		if err == nil {
 			err = p.poll(ctx, conn)
 		}
+		before := refused
+		refused = errors.Is(err, syscall.ECONNREFUSED)
 		if err != nil && ctx.Err() == nil {
-			p.watch.report(group.Failed{Upstream: p.upstream, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+			p.watch.report(group.Failed{Upstream: p.upstream, Refused: refused})
+		}
+		if refused && !before {
+			select {
+			case p.watch.observer.urgent <- struct{}{}:
+			default:
+			}
 		}
 		if err != nil && conn != nil {
 			hangUp(conn)
--- a/host/promotion/failover_test.go
+++ b/host/promotion/failover_test.go
@@ -37,6 +37,7 @@
 	member failover.Member
 	faults *server.Faults
 	ledger *ledger.Ledger
+	server *server.Server
 }
 
 // fault changes the faults of the upstream.
@@ -140,6 +141,7 @@
 		})
 		go func() { _ = s.Serve(listener) }()
 		t.Cleanup(s.Close)
+		u.server = s
 		f.upstreams[name] = u
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -296,6 +298,25 @@
 	require.Equal(t, old.ledger.Ends(), f.primary().ledger.Ends())
 }
 
+// Guards against a stopped primary that is not reported as refusing connections, which would delay every failover.
+func TestStoppedPrimaryIsReportedAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.ready(t)
+	old := f.primary()
+	old.server.Close()
+	for _, o := range f.observers {
+		select {
+		case <-o.Urgent():
+		case <-time.After(patience):
+			require.Fail(t, "no observer reported the refused connection")
+		}
+	}
+	require.Eventually(t, func() bool { return f.primary().member != old.member }, patience, 10*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, f.write(ctx, "after"))
+}
+
 // Guards against positions that are given to whoever asks, and a floor that is older than its request.
 func TestPositionsAreGuardedAndFresh(t *testing.T) {
 	f := newFleet(t)
