Poll upstreams with prepared statements

Cause: an idle host may use 11 KB/s for control traffic, and observing one group took more than that. Ruled out: polling less often, because the age of data and the confirmation of the primary come from these polls. Conclusion: a replica is no longer asked for replicas of its own.

--- a/host/observer/probe.go
+++ b/host/observer/probe.go
@@ -21,6 +21,19 @@
 	answerLimit = time.Second
 )
 
+// Names of the prepared statements. Sending these instead of the text, without a description of the rows, keeps the
+// traffic of an idle observer low.
+const (
+	stateName       = "s"
+	replicationName = "r"
+)
+
+// connection is a connection with its prepared statements.
+type connection struct {
+	*pgconn.PgConn
+	state, replication *pgconn.StatementDescription
+}
+
 // probe is the one connection to an upstream.
 type probe struct {
 	watch    *watch
@@ -29,6 +42,8 @@
 	wake     chan struct{}
 	cancel   context.CancelFunc
 	done     chan struct{}
+	// primary is set while the upstream says that it is primary; only then its replicas are asked for.
+	primary bool
 }
 
 func startProbe(ctx context.Context, w *watch, m Member) *probe {
@@ -48,7 +63,7 @@
 
 func (p *probe) run(ctx context.Context) {
 	defer close(p.done)
-	var conn *pgconn.PgConn
+	var conn *connection
 	refused := false
 	for ctx.Err() == nil {
 		var err error
@@ -81,7 +96,7 @@
 }
 
 // hangUp closes a connection without waiting for an upstream that may not answer.
-func hangUp(conn *pgconn.PgConn) {
+func hangUp(conn *connection) {
 	ctx, cancel := context.WithTimeout(context.Background(), idlePoll)
 	defer cancel()
 	_ = conn.Close(ctx)
@@ -101,7 +116,7 @@
 	}
 }
 
-func (p *probe) connect(ctx context.Context) (*pgconn.PgConn, error) {
+func (p *probe) connect(ctx context.Context) (*connection, error) {
 	options := p.watch.observer.options
 	config, err := pgconn.ParseConfig("sslmode=disable application_name=tamarack-observer")
 	if err != nil {
@@ -113,32 +128,51 @@
 	config.User, config.Password, config.Database = options.User, options.Password, "tamarack"
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	return pgconn.ConnectConfig(ctx, config)
+	conn := &connection{}
+	if conn.PgConn, err = pgconn.ConnectConfig(ctx, config); err != nil {
+		return nil, err
+	}
+	if conn.state, err = conn.Prepare(ctx, stateName, group.StateStatement, nil); err == nil {
+		conn.replication, err = conn.Prepare(ctx, replicationName, group.ReplicationStatement, nil)
+	}
+	if err != nil {
+		hangUp(conn)
+		return nil, err
+	}
+	return conn, nil
 }
 
-// poll reads the state of the upstream and its replicas in one round trip.
-func (p *probe) poll(ctx context.Context, conn *pgconn.PgConn) error {
+// poll reads the state of the upstream, and the replicas of a primary, in one round trip.
+func (p *probe) poll(ctx context.Context, conn *connection) error {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	sent := p.watch.observer.now()
-	results, err := conn.Exec(ctx, group.StateStatement+";"+group.ReplicationStatement).ReadAll()
+	batch := &pgconn.Batch{}
+	batch.ExecStatement(conn.state, nil, nil, nil)
+	if p.primary {
+		batch.ExecStatement(conn.replication, nil, nil, nil)
+	}
+	results, err := conn.ExecBatch(ctx, batch).ReadAll()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if len(results) != 2 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+	if len(results) == 0 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
 		return trace.BadParameter("upstream %s answered with an unknown state", p.upstream)
 	}
 	state, err := group.ParseState(string(results[0].Rows[0][0]))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	for _, values := range results[1].Rows {
-		row, err := group.ParseRow(values)
-		if err != nil {
-			return trace.Wrap(err)
+	for _, result := range results[1:] {
+		for _, values := range result.Rows {
+			row, err := group.ParseRow(values)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			state.Rows = append(state.Rows, row)
 		}
-		state.Rows = append(state.Rows, row)
 	}
+	p.primary = state.Primary
 	state.Upstream, state.Sent = p.upstream, sent
 	p.watch.report(state)
 	return nil
