--- a/fleet/failover/group.go
+++ b/fleet/failover/group.go
@@ -14,7 +14,7 @@
 	silence = time.Second
 	// viewAge is the time for which a report counts; hosts report every 250 ms.
 	viewAge = 1500 * time.Millisecond
-	// defaultObservers is the number of hosts that observe a group.
+	// defaultObservers is the number of availability zones from which a group is observed.
 	defaultObservers = 3
 	// backoffLeast and backoffMost bound the pause between attempts.
 	backoffLeast = 100 * time.Millisecond
@@ -129,6 +129,7 @@
 }
 
 func (g *Group) advance() {
+	g.announcedMembers()
 	if g.attempt == nil {
 		g.consider()
 	}
@@ -136,7 +137,6 @@
 		g.advanceAttempt()
 		return
 	}
-	g.announcedMembers()
 	if g.control.Term > 0 && g.control.Attempt == g.control.Term {
 		g.keepFollowing()
 		g.changeMembers()
