--- a/load/launch/control.go
+++ b/load/launch/control.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// callTimeout bounds one operator call to a control host.
-	callTimeout = 2 * time.Second
+	// callTimeout bounds one operator call to a control host; a frozen one must not hold up the next for long.
+	callTimeout = time.Second
 	// pollInterval is the pause between looks at the state of a fleet.
 	pollInterval = 50 * time.Millisecond
 )
--- a/load/launch/ready.go
+++ b/load/launch/ready.go
@@ -16,6 +16,9 @@
 // Serve brings a started fleet into service: it applies the configuration, gives the keys and waits until each service
 // has a primary and each host is ready.
 func (f *Fleet) Serve(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go f.watch(ctx, stop)
 	steps := []func(context.Context) error{f.Apply, f.GiveKeys, f.waitPrimaries, f.WaitReady}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -25,6 +28,15 @@
 	return nil
 }
 
+// watch calls stop when a process has ended by itself.
+func (f *Fleet) watch(ctx context.Context, stop func()) {
+	for pause(ctx) == nil {
+		if f.CheckRunning() != nil {
+			stop()
+		}
+	}
+}
+
 func (f *Fleet) waitPrimaries(ctx context.Context) error {
 	for _, service := range f.Services() {
 		if _, _, err := f.Primary(ctx, service, 0); err != nil {
--- a/load/workload/session.go
+++ b/load/workload/session.go
@@ -15,7 +15,7 @@
 	// dialTimeout bounds opening a connection to a host, which may be frozen.
 	dialTimeout = 2 * time.Second
 	// requestTimeout exceeds the deadline of services, so that the host's own answer arrives first.
-	requestTimeout = 10 * time.Second
+	requestTimeout = 7 * time.Second
 )
 
 // Statements of the workload.
