Acknowledge by the group's rule across terms, and vouch for floors only when fresh

A position was given up as soon as the term moved on, although the new primary may hold it; a position recorded under an older term could be met by a replica of a primary in between; and a floor was taken from an answer that an observer gave after its wait, up to 2 s old. A host was also ready before the first keeper epoch, and a fleet with fewer than three hosts could not gather votes against a primary. Ruled out: recording positions only after replication, which would add a round trip between regions to each write.

--- a/host/acknowledge/acknowledge.go
+++ b/host/acknowledge/acknowledge.go
@@ -16,8 +16,8 @@
 
 // Replication tells when a majority holds a position.
 type Replication interface {
-	// WaitMajority returns once a majority of the group holds the position under its term.
-	WaitMajority(ctx context.Context, service ident.Service, position ident.Position) error
+	// WaitMajority returns once a majority of the group holds the record, with the position that reads must cover.
+	WaitMajority(ctx context.Context, service ident.Service, record ident.Position) (ident.Position, error)
 }
 
 // Acknowledger waits for replication and for the holders of the session's position.
@@ -33,15 +33,21 @@
 }
 
 // Acknowledge waits for both at once; after an error the outcome of the write is unknown to its caller.
-func (a *Acknowledger) Acknowledge(ctx context.Context, session ident.Session, position ident.Position) error {
+func (a *Acknowledger) Acknowledge(ctx context.Context, session ident.Session, record ident.Position) error {
 	wait := defaultWait
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = time.Until(deadline)
 	}
-	recording := a.keeper.Record(ctx, session, position, a.clock.Now().Add(wait))
-	if err := a.replication.WaitMajority(ctx, session.Service, position); err != nil {
+	deadline := a.clock.Now().Add(wait)
+	recording := a.keeper.Record(ctx, session, record, deadline)
+	position, err := a.replication.WaitMajority(ctx, session.Service, record)
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	if position != record {
+		// Replicas of a primary between the two terms may lack the record, so reads must ask for the current term.
+		recording = a.keeper.Record(ctx, session, position, deadline)
+	}
 	// The epoch and the lease are checked last, since they may have changed during the wait for replication.
 	return trace.Wrap(recording.Confirm(ctx))
 }
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -142,7 +142,9 @@
 // Ready reports whether the balancer should send callers to this host.
 func (s *Server) Ready() bool {
 	view := s.opts.View()
-	return !s.leaving.Load() && view.Valid(s.opts.Clock.Now()) && s.zoneInService(view)
+	// Before the first keeper epoch no write could be acknowledged.
+	serving := view.Valid(s.opts.Clock.Now()) && view.Keepers.GetEpoch() > 0
+	return !s.leaving.Load() && serving && s.zoneInService(view)
 }
 
 // Report adds the tallies of requests to a sync.
--- a/host/switchover/switchover.go
+++ b/host/switchover/switchover.go
@@ -22,6 +22,10 @@
 	tick = 50 * time.Millisecond
 	// proposeTimeout bounds one proposal to the control log.
 	proposeTimeout = 2 * time.Second
+	// maxObservers is the number of hosts that observe a group when there are enough.
+	maxObservers = 3
+	// hostLease is the time without a sync after which a host counts as gone.
+	hostLease = 2 * time.Second
 )
 
 var (
@@ -57,9 +61,12 @@
 	since  ident.Time
 	runner *promotion.Runner
 	groups map[ident.Service]*failover.Group
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
+	// synced is when each host sent its last sync, and observers the number of observers that groups were told.
+	synced    map[ident.Host]ident.Time
+	observers int
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
 }
 
 // New returns a part of the controller that decides nothing before Start.
@@ -123,7 +130,7 @@
 
 func (s *Switchover) newOffice(since ident.Time) *office {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &office{since: since, groups: make(map[ident.Service]*failover.Group), ctx: ctx, cancel: cancel}
+	o := &office{since: since, groups: make(map[ident.Service]*failover.Group), synced: make(map[ident.Host]ident.Time), ctx: ctx, cancel: cancel}
 	o.runner = promotion.New(promotion.Options{
 		User:     s.opts.User,
 		Password: s.opts.Password,
@@ -179,7 +186,7 @@
 	for name, size := range sizes {
 		service := ident.Service(name)
 		s.step(now, service, zones)
-		s.step(now, service, failover.ControlOf(states[name], size, 0))
+		s.step(now, service, failover.ControlOf(states[name], size, s.office.observers))
 	}
 	for service := range s.office.groups {
 		if _, named := sizes[string(service)]; !named {
@@ -192,11 +199,33 @@
 func (s *Switchover) Observed(now ident.Time, host ident.Host, zone ident.Zone, observed []*fleetpb.Observed) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.noteHost(now, host)
 	for _, o := range observed {
 		s.stepKnown(now, ident.Service(o.GetService()), failover.ObservedOf(host, zone, o))
 	}
 }
 
+// noteHost counts the hosts that can observe, since a small fleet has fewer observers than a majority is counted of.
+func (s *Switchover) noteHost(now ident.Time, host ident.Host) {
+	o := s.office
+	if o == nil {
+		return
+	}
+	o.synced[host] = now
+	if now < o.since.Add(hostLease) {
+		return
+	}
+	for name, at := range o.synced {
+		if now.Sub(at) > hostLease {
+			delete(o.synced, name)
+		}
+	}
+	if count := min(maxObservers, len(o.synced)); count != o.observers {
+		o.observers = count
+		s.giveState(now)
+	}
+}
+
 // Announced takes an announcement that the controller accepted.
 func (s *Switchover) Announced(now ident.Time, request *fleetpb.AnnounceRequest) {
 	s.mutex.Lock()
--- a/host/tracker/tracker.go
+++ b/host/tracker/tracker.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/group"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/peer"
@@ -106,22 +107,27 @@
 	return changed
 }
 
-// WaitMajority returns once a majority of the group holds the position under its term.
-func (t *Tracker) WaitMajority(ctx context.Context, service ident.Service, position ident.Position) error {
+// WaitMajority returns once a majority of the group holds the record at a position. The returned position is what reads of
+// the session must cover; it has the current term when the term has moved on meanwhile.
+func (t *Tracker) WaitMajority(ctx context.Context, service ident.Service, record ident.Position) (ident.Position, error) {
 	f := t.follower(service)
-	f.want(position)
-	defer f.unwant(position)
+	f.want(record)
+	defer f.unwant(record)
 	for {
 		report, changed := f.latest()
 		if report.PositionsResponse != nil {
-			if held, err := holds(report, position); held || err != nil {
-				return err
+			positions := group.PositionsOf(report.PositionsResponse)
+			if position, acknowledged := positions.Acknowledged(record); acknowledged {
+				return position, nil
+			}
+			if positions.Lost(record) {
+				return ident.Position{}, trace.Wrap(&SupersededError{record, positions.Term})
 			}
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
+			return ident.Position{}, trace.Wrap(ctx.Err())
 		}
 	}
 }
@@ -131,8 +137,11 @@
 	request := &fleetpb.PositionsRequest{Service: string(service), Fresh: true, WaitMs: uint32(waitQuiet / time.Millisecond)}
 	var last error
 	for _, address := range t.opts.Observers(service) {
+		asked := t.opts.Clock.Now()
 		answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
-		if err == nil && answer.GetConfirmed() {
+		// After its wait an observer answers with what it knew before, which does not cover the latest writes.
+		known := time.Duration(answer.GetKnownMs()) * time.Millisecond
+		if err == nil && answer.GetConfirmed() && known <= t.opts.Clock.Now().Sub(asked) {
 			return ident.Position{Term: ident.Term(answer.GetCurrent().GetTerm()), LSN: ident.LSN(answer.GetCurrent().GetLsn())}, nil
 		}
 		last = err
@@ -151,16 +160,6 @@
 	return fmt.Sprintf("no observer confirms the primary of service %q: %v", e.Service, e.Cause)
 }
 
-// holds reports whether a majority holds the position under its own term.
-func holds(report Report, position ident.Position) (bool, error) {
-	term := ident.Term(report.GetTerm())
-	if term > position.Term {
-		return false, trace.Wrap(&SupersededError{position, term})
-	}
-	majority := report.GetMajority()
-	return term == position.Term && majority.GetTerm() == uint64(term) && majority.GetLsn() >= uint64(position.LSN), nil
-}
-
 func (t *Tracker) follower(service ident.Service) *follower {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
