--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -164,8 +164,11 @@
 	switch word {
 	case "begin":
 		s.status = 'T'
-	case "commit", "rollback":
+	case "commit":
 		s.status = 'I'
+	case "rollback":
+		s.status = 'I'
+		s.wrote = false
 	case "insert":
 		if s.fake.refuses() {
 			s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "25006", Message: "read-only"})
@@ -261,6 +264,7 @@
 	parts    *fakeParts
 	server   *entry.Server
 	address  string
+	keys     []*fleetpb.KeyEntry
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -269,7 +273,8 @@
 	written, err := key.Parse(testKey)
 	require.NoError(t, err)
 	hash := written.Hash()
-	keys.Update(&fleetpb.State{Full: true, Keys: []*fleetpb.KeyEntry{{Id: "k1", Team: "members", Hash: hash[:]}}})
+	f.keys = []*fleetpb.KeyEntry{{Id: "k1", Team: "members", Hash: hash[:]}}
+	keys.Update(&fleetpb.State{Full: true, Keys: f.keys})
 	target := member.Target{Service: testService, Upstream: "u1"}
 	service := &fleetpb.Service{Name: testService, Deadline: durationpb.New(20 * time.Second)}
 	f.parts = &fakeParts{view: &member.View{
