--- a/host/entry/story_test.go
+++ b/host/entry/story_test.go
@@ -80,8 +80,8 @@
 	s.say("acknowledged positions: %v", s.f.parts.acked)
 }
 
-func (s *story) caller(options string) *pgx.Conn {
-	return s.f.connect(s.t, testService, testKey, "&default_query_exec_mode=simple_protocol"+options)
+func (s *story) caller() *pgx.Conn {
+	return s.f.connect(s.t, testService, testKey, "&default_query_exec_mode=simple_protocol")
 }
 
 func (s *story) end(name string) {
@@ -91,7 +91,7 @@
 // Guards against a proxy that dies within a transaction, or its caller, leaving that transaction open upstream.
 func TestStoryCallerDiesInTransaction(t *testing.T) {
 	s := newStory(t, "a transaction whose caller is gone is rolled back and nothing of it is acknowledged (3, no doubled record)")
-	anna, ben := s.caller(""), s.caller("")
+	anna, ben := s.caller(), s.caller()
 	s.do("anna", anna, "begin")
 	s.do("anna", anna, "insert stall 7")
 	s.say("anna's device loses power")
@@ -106,7 +106,7 @@
 // Guards against a revoked key, or a host that hears nothing of revocations, going on to serve.
 func TestStoryKeyWithdrawn(t *testing.T) {
 	s := newStory(t, "a withdrawn key stops on live connections, also on a host that is cut off from control (6, 10)")
-	anna, ben := s.caller(""), s.caller("")
+	anna, ben := s.caller(), s.caller()
 	s.do("anna", anna, "insert order 1")
 	s.say("an operator withdraws the key; the next sync tells the host")
 	s.f.parts.view.Keys.Update(&fleetpb.State{Withdrawn: []string{"k1"}})
@@ -125,7 +125,7 @@
 // Guards against an answer that comes late, after its caller was told that the outcome is unknown, reaching anybody.
 func TestStoryLateAnswers(t *testing.T) {
 	s := newStory(t, "late and crossed answers reach no other caller, and a lost write is sent once (9, 11)")
-	anna, ben := s.caller(""), s.caller("")
+	anna, ben := s.caller(), s.caller()
 	s.say("anna's statement is slow; ben's is sent on another connection and overtakes it")
 	late := make(chan string, 1)
 	go func() {
@@ -150,7 +150,7 @@
 // Guards against a shutdown that cuts a running transaction or takes new ones.
 func TestStoryShutdown(t *testing.T) {
 	s := newStory(t, "a graceful shutdown cuts no request (13)")
-	anna, ben := s.caller(""), s.caller("")
+	anna, ben := s.caller(), s.caller()
 	s.do("ben", ben, "begin")
 	s.do("ben", ben, "insert stamp 1")
 	s.say("the host gets SIGTERM")
@@ -169,7 +169,7 @@
 // Guards against a write that a replaced primary took being told as done.
 func TestStoryOldPrimary(t *testing.T) {
 	s := newStory(t, "no write is acknowledged by an old primary; its outcome is told as unknown (2)")
-	ben := s.caller("")
+	ben := s.caller()
 	s.do("ben", ben, "insert rental 1")
 	s.say("the primary is cut off, and a majority is fenced under term 2: term 1 can gather no majority any more")
 	s.f.parts.mutex.Lock()
