--- a/load/measure/shares.go
+++ b/load/measure/shares.go
@@ -39,17 +39,25 @@
 type served struct {
 	mutex            sync.Mutex
 	done, rate, rest map[ident.Team]int
-	from             ident.Time
+	// all counts the requests served since the start, without regard to reset.
+	all  map[ident.Team]int
+	from ident.Time
 }
 
 func newServed() *served {
-	return &served{done: make(map[ident.Team]int), rate: make(map[ident.Team]int), rest: make(map[ident.Team]int)}
+	return &served{
+		done: make(map[ident.Team]int), rate: make(map[ident.Team]int),
+		rest: make(map[ident.Team]int), all: make(map[ident.Team]int),
+	}
 }
 
 func (s *served) observe(sample workload.Sample) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	team := sample.Session.Team
+	if sample.Code == "" {
+		s.all[team]++
+	}
 	switch {
 	case sample.At < s.from:
 	case sample.Code == "":
@@ -93,6 +101,8 @@
 	m.Pause(2 * time.Second)
 	counts.reset(m.Runner.Now())
 	m.Pause(shareTime)
+	m.Runner.Stop()
+	elapsed := time.Duration(m.Runner.Now())
 	if err := m.finish(); err != nil {
 		return Result{}, err
 	}
@@ -103,15 +113,15 @@
 			within += counts.done[ident.Team(team.GetName())]
 		}
 	}
-	rate := teams[greedyTeam(teams)].GetRate()
-	name := ident.Team(teams[greedyTeam(teams)].GetName())
-	asked := float64(counts.done[name]+counts.rate[name]) / shareTime.Seconds()
+	team := teams[greedyTeam(teams)]
+	name := ident.Team(team.GetName())
+	allowed := float64(team.GetBurst()) + float64(team.GetRate())*elapsed.Seconds()
 	split, total := equalSplit(teams, len(m.Fleet.Hosts))
 	return Result{
 		Name: fmt.Sprintf("wrongful rejections, team %s with %d sessions, %d%% of sessions at one host", name, greedySessions, skew),
-		Value: fmt.Sprintf("%d of %d; %s asks %.0f/s and gets %.0f/s of its rate of %d/s", wrongful, wrongful+within, name,
-			asked, float64(counts.done[name])/shareTime.Seconds(), rate),
-		Bound: "0", Met: wrongful == 0 && within > 0,
+		Value: fmt.Sprintf("%d of %d; %s: %d served of %.0f allowed, %d rejected", wrongful, wrongful+within, name,
+			counts.all[name], allowed, counts.rate[name]),
+		Bound: "0, within rate and burst", Met: wrongful == 0 && within > 0 && float64(counts.all[name]) <= allowed,
 		Baselines: []string{fmt.Sprintf("fixed equal split: %d of %d (simulation of the same arrivals)", split, total)},
 	}, nil
 }
