--- a/load/measure/grow.go
+++ b/load/measure/grow.go
@@ -12,7 +12,7 @@
 	"tamarackshunt.dev/fleet/ident"
 )
 
-// fakeHosts is the incarnation that hosts without a process show.
+// fakeIncarnation is the incarnation that hosts without a process show.
 const fakeIncarnation = 1
 
 // fleetSecret adds the hosts' secret to calls.
