End callers without a startup message at shutdown

Cause: a connection that was accepted but had sent nothing kept a shutdown waiting for the startup timeout of 10 s; it counted as busy. Ruled out: a shorter startup timeout, which slow devices need. Conclusion: such a caller is now turned away like an idle one.

--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -67,7 +67,14 @@
 
 func (c *caller) serve(ctx context.Context) {
 	defer c.close()
-	if err := c.start(ctx); err != nil {
+	// A caller that has not shown its key yet must not keep a shutdown waiting.
+	c.idle.Store(true)
+	err := c.start(ctx)
+	c.idle.Store(false)
+	if err != nil {
+		if c.server.turnsAway() {
+			err = errShutdown
+		}
 		c.reject(err)
 		return
 	}
--- a/host/entry/story_test.go
+++ b/host/entry/story_test.go
@@ -155,7 +155,12 @@
 	s.do("ben", ben, "insert stamp 1")
 	s.say("the host gets SIGTERM")
 	go s.f.server.Shutdown(time.Minute)
-	require.Eventually(t, func() bool { _, err := net.Dial("tcp", s.f.address); return err != nil }, time.Minute, time.Millisecond)
+	// A caller that never sends its startup message must not hold up the shutdown.
+	silent, err := net.Dial("tcp", s.f.address)
+	if err == nil {
+		defer silent.Close()
+	}
+	require.Eventually(t, func() bool { return refused(s.f.address) }, time.Minute, time.Millisecond)
 	s.say("new callers are refused")
 	s.do("anna", anna, "insert stamp 2")
 	s.do("ben", ben, "insert stamp 3")
@@ -179,3 +184,12 @@
 	require.Equal(t, []ident.Position{{Term: 1, LSN: 1}, {Term: 1, LSN: 2}}, s.f.parts.acked, "the host asked for both")
 	s.end("old_primary")
 }
+
+func refused(address string) bool {
+	socket, err := net.Dial("tcp", address)
+	if err != nil {
+		return true
+	}
+	socket.Close()
+	return false
+}
