Keep a transaction movable until it executes, and rejected until it ends

And a statement that the host rejected at the start of a transaction left the caller outside of it, so that its COMMIT was answered as done. Ruled out: sending the whole transaction again, which may have run in part. Measured: TestPreparingDoesNotBeginATransaction and TestCommitAfterRejection fail before and pass after; go test -race -count=3 ./host/entry passes. Conclusion: BEGIN waits for the first statement that executes; a rejected transaction answers 25P02 and then ROLLBACK, as PostgreSQL does.

--- a/fleet/sqlstate/reason_enumer.go
+++ b/fleet/sqlstate/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
+const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknown"
 
-var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 247, 263, 278}
+var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 253, 266, 282, 297}
 
-const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
+const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknown"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -42,12 +42,13 @@
 	_ = x[ProtocolViolation-(15)]
 	_ = x[UnknownStatement-(16)]
 	_ = x[LimitExceeded-(17)]
-	_ = x[UpstreamLost-(18)]
-	_ = x[TransactionLost-(19)]
-	_ = x[OutcomeUnknown-(20)]
+	_ = x[TransactionAborted-(18)]
+	_ = x[UpstreamLost-(19)]
+	_ = x[TransactionLost-(20)]
+	_ = x[OutcomeUnknown-(21)]
 }
 
-var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, UpstreamLost, TransactionLost, OutcomeUnknown}
+var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, TransactionAborted, UpstreamLost, TransactionLost, OutcomeUnknown}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:10]:    QueueFull,
@@ -68,9 +69,10 @@
 	_ReasonName[185:203]: ProtocolViolation,
 	_ReasonName[203:220]: UnknownStatement,
 	_ReasonName[220:234]: LimitExceeded,
-	_ReasonName[234:247]: UpstreamLost,
-	_ReasonName[247:263]: TransactionLost,
-	_ReasonName[263:278]: OutcomeUnknown,
+	_ReasonName[234:253]: TransactionAborted,
+	_ReasonName[253:266]: UpstreamLost,
+	_ReasonName[266:282]: TransactionLost,
+	_ReasonName[282:297]: OutcomeUnknown,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -92,9 +94,10 @@
 	_ReasonLowerName[185:203]: ProtocolViolation,
 	_ReasonLowerName[203:220]: UnknownStatement,
 	_ReasonLowerName[220:234]: LimitExceeded,
-	_ReasonLowerName[234:247]: UpstreamLost,
-	_ReasonLowerName[247:263]: TransactionLost,
-	_ReasonLowerName[263:278]: OutcomeUnknown,
+	_ReasonLowerName[234:253]: TransactionAborted,
+	_ReasonLowerName[253:266]: UpstreamLost,
+	_ReasonLowerName[266:282]: TransactionLost,
+	_ReasonLowerName[282:297]: OutcomeUnknown,
 }
 
 var _ReasonNames = []string{
@@ -116,9 +119,10 @@
 	_ReasonName[185:203],
 	_ReasonName[203:220],
 	_ReasonName[220:234],
-	_ReasonName[234:247],
-	_ReasonName[247:263],
-	_ReasonName[263:278],
+	_ReasonName[234:253],
+	_ReasonName[253:266],
+	_ReasonName[266:282],
+	_ReasonName[282:297],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/fleet/sqlstate/sqlstate.go
+++ b/fleet/sqlstate/sqlstate.go
@@ -29,6 +29,7 @@
 	ProtocolViolation
 	UnknownStatement
 	LimitExceeded
+	TransactionAborted
 	UpstreamLost
 	TransactionLost
 	OutcomeUnknown
@@ -145,6 +146,10 @@
 		Code: "54000", Severity: Fatal, Ran: NotRun, Message: "a limit of the proxy is exceeded",
 		Advice: "The caller sent too many messages before a Sync, or made too many session settings.",
 	},
+	TransactionAborted: {
+		Code: "25P02", Severity: Error, Ran: NotRun, Message: "the transaction was rejected; statements are ignored until it ends",
+		Advice: "An earlier statement of the transaction was rejected; the caller has to end the transaction and start again.",
+	},
 	UpstreamLost: {
 		Code: "08006", Severity: Error, Ran: Failed, Message: "the connection to the database was lost while it answered a read",
 		Advice: "A part of the response had gone to the caller, or no other upstream could run the read.",
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -48,6 +48,8 @@
 
 	// lazy is a BEGIN that was answered here and goes to an upstream with the next statement.
 	lazy *lazyBegin
+	// aborted is set while a transaction that was rejected before it reached an upstream has not been ended by the caller.
+	aborted bool
 	// held is the connection of the open transaction.
 	held    *upstream.Conn
 	release func()
@@ -122,7 +124,7 @@
 
 // next receives one message; outside a transaction and a batch a shutdown may end the wait.
 func (c *caller) next(first bool) (pgproto3.FrontendMessage, error) {
-	if first && c.held == nil && c.lazy == nil {
+	if first && c.held == nil && c.lazy == nil && !c.aborted {
 		c.idle.Store(true)
 		if c.server.turnsAway() {
 			return nil, errShutdown
@@ -249,6 +251,8 @@
 	switch {
 	case c.held != nil:
 		return c.held.Status()
+	case c.aborted:
+		return 'E'
 	case c.lazy != nil:
 		return 'T'
 	}
--- a/host/entry/entry_test.go
+++ b/host/entry/entry_test.go
@@ -15,6 +15,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/member"
 )
 
@@ -124,6 +125,42 @@
 	require.Len(t, f.parts.acked, 1)
 }
 
+// Guards switchovers against drivers that prepare within a transaction: preparing must not begin it on a draining primary,
+// which would reject the first write of a transaction that can no longer move.
+func TestPreparingDoesNotBeginATransaction(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	tx, err := conn.Begin(t.Context())
+	require.NoError(t, err)
+	_, err = tx.Prepare(t.Context(), "s1", "insert prepared")
+	require.NoError(t, err)
+	require.Zero(t, f.upstream.count("run begin"))
+	require.Equal(t, byte('T'), conn.PgConn().TxStatus())
+	_, err = tx.Exec(t.Context(), "s1")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(t.Context()))
+	require.Equal(t, 1, f.upstream.count("run begin"))
+	require.Len(t, f.parts.acked, 1)
+}
+
+// Guards against a commit that is told as done although a statement of its transaction was rejected.
+func TestCommitAfterRejection(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	tx, err := conn.Begin(t.Context())
+	require.NoError(t, err)
+	f.parts.reject(sqlstate.New(sqlstate.RateExceeded, nil))
+	_, err = tx.Exec(t.Context(), "insert rejected")
+	requireCode(t, err, "53400")
+	f.parts.reject(nil)
+	_, err = tx.Exec(t.Context(), "insert ignored")
+	requireCode(t, err, "25P02")
+	require.ErrorIs(t, tx.Commit(t.Context()), pgx.ErrTxCommitRollback)
+	_, err = conn.Exec(t.Context(), "insert after")
+	require.NoError(t, err)
+	require.Zero(t, f.upstream.count("insert rejected")+f.upstream.count("insert ignored"))
+}
+
 // Guards invariant 3: transactions of different callers share connections and never mix.
 func TestTransactionsDoNotMix(t *testing.T) {
 	f := newFixture(t)
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -17,6 +17,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/key"
+	"tamarackshunt.dev/fleet/sqlstate"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/entry"
 	"tamarackshunt.dev/host/member"
@@ -223,7 +224,7 @@
 	view      *member.View
 	acked     []ident.Position
 	ackError  error
-	rejection error
+	rejection *sqlstate.Rejection
 }
 
 func (p *fakeParts) View() *member.View {
@@ -250,7 +251,20 @@
 
 func (p *fakeParts) Avoid(member.Target) {}
 
-func (p *fakeParts) Take(context.Context, ident.Team) error { return p.rejection }
+func (p *fakeParts) Take(context.Context, ident.Team) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.rejection == nil {
+		return nil
+	}
+	return p.rejection
+}
+
+func (p *fakeParts) reject(rejection *sqlstate.Rejection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rejection = rejection
+}
 
 func (p *fakeParts) Acknowledge(_ context.Context, _ ident.Session, position ident.Position) error {
 	p.mutex.Lock()
--- a/host/entry/outbox.go
+++ b/host/entry/outbox.go
@@ -21,6 +21,8 @@
 	// write answers stay held from the first completed command on, until the write is acknowledged.
 	write bool
 	sent  bool
+	// status replaces the transaction status of the upstream while the caller's BEGIN has not been sent; 0 leaves it.
+	status byte
 	// completed counts commands that the upstream completed.
 	completed int
 	// failure is the first error of the upstream.
@@ -33,6 +35,10 @@
 		o.completed++
 	case *pgproto3.ErrorResponse:
 		o.noteFailure(m)
+	case *pgproto3.ReadyForQuery:
+		if o.status != 0 {
+			message = &pgproto3.ReadyForQuery{TxStatus: o.status}
+		}
 	}
 	buf, err := message.Encode(o.buf)
 	if err != nil {
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -56,6 +56,9 @@
 func (c *caller) runNew(ctx context.Context, b *batch) error {
 	r := &request{batch: b, counted: b.runs, started: time.Now(), read: c.isRead(b)}
 	out := &outbox{socket: c.socket, write: !r.read}
+	if c.preparesOnly(b) {
+		out.status = 'T'
+	}
 	err := c.admitRequest(ctx, r)
 	if err == nil {
 		limited, stop := context.WithDeadline(ctx, r.deadline)
@@ -69,7 +72,16 @@
 	return c.finish(r, out, err)
 }
 
+// preparesOnly reports whether a batch before the first statement of a transaction executes nothing. Its BEGIN then waits
+// for that statement, so that a draining primary can still reject the transaction as a whole.
+func (c *caller) preparesOnly(b *batch) bool {
+	return c.lazy != nil && !b.runs && !b.flush
+}
+
 func (c *caller) isRead(b *batch) bool {
+	if c.preparesOnly(b) {
+		return true
+	}
 	if c.lazy != nil {
 		return c.lazy.readOnly
 	}
@@ -248,7 +260,7 @@
 		return reject(sqlstate.NoLease, "the lease ended while the statement waited")
 	}
 	c.hold(choice.Target, conn)
-	if err := c.prepareConn(ctx, conn); err != nil {
+	if err := c.prepareConn(ctx, conn, !c.preparesOnly(r.batch)); err != nil {
 		c.endTransaction()
 		return &unsentError{err}
 	}
@@ -261,15 +273,15 @@
 	return c.settle(ctx, r, out)
 }
 
-// prepareConn brings the caller's session settings and its delayed BEGIN to the connection.
-func (c *caller) prepareConn(ctx context.Context, conn *upstream.Conn) error {
+// prepareConn brings the caller's session settings, and its delayed BEGIN when begin is set, to the connection.
+func (c *caller) prepareConn(ctx context.Context, conn *upstream.Conn, begin bool) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		conn.SetDeadline(deadline)
 	}
 	if err := conn.Configure(c.settings.statements, c.settings.joined); err != nil {
 		return err
 	}
-	if c.lazy == nil {
+	if c.lazy == nil || !begin {
 		return nil
 	}
 	return conn.Exec(c.lazy.sql)
@@ -314,6 +326,7 @@
 		// Part of an answer has gone out, so an error in its place would be read as part of it.
 		return trace.Wrap(err)
 	}
+	c.aborted = c.lazy != nil
 	c.lazy = nil
 	if r.batch.flush {
 		c.failed = true
--- a/host/entry/transaction.go
+++ b/host/entry/transaction.go
@@ -20,6 +20,9 @@
 			return true, c.send(c.ready())
 		}
 	}
+	if c.aborted {
+		return true, c.answerAborted(b)
+	}
 	switch {
 	case c.lazy == nil && (b.single(route.KindBegin) || b.single(route.KindBeginReadOnly)):
 		c.lazy = &lazyBegin{sql: b.query, readOnly: b.class.Kind == route.KindBeginReadOnly}
@@ -36,6 +39,19 @@
 	return false, nil
 }
 
+// answerAborted answers within a rejected transaction: as PostgreSQL does, it ignores statements until the transaction ends,
+// and tells a commit that the transaction was rolled back.
+func (c *caller) answerAborted(b *batch) error {
+	if b.single(route.KindCommit) || b.single(route.KindRollback) {
+		c.aborted = false
+		return c.complete("ROLLBACK")
+	}
+	if b.class.Kind == route.KindCommit || b.class.Kind == route.KindRollback {
+		c.aborted = false
+	}
+	return c.refuse(sqlstate.TransactionAborted)
+}
+
 // answerSession answers a statement on session state; state that cannot follow the caller is not supported.
 func (c *caller) answerSession(b *batch) error {
 	if !b.single(route.KindSessionState) {
@@ -128,7 +144,9 @@
 	if refusedAsWrite(out) && !r.held {
 		return nil
 	}
-	c.lazy = nil
+	if !c.preparesOnly(r.batch) {
+		c.lazy = nil
+	}
 	if r.batch.class.Effect != route.EffectNone {
 		conn.MarkDirty()
 	}
