--- /dev/null
+++ b/host/member/view_test.go
@@ -0,0 +1,100 @@
+package member
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/key"
+)
+
+// show writes a view in a fixed order.
+func show(v *View) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "version %d text %d expires %d digest %d epoch %d\n", v.Version, v.TextVersion, v.Expires, v.Digest, v.Keepers.GetEpoch())
+	for _, name := range slices.Sorted(maps.Keys(v.Groups)) {
+		fmt.Fprintf(&b, "  group %s term %d primary %s\n", name, v.Groups[name].GetTerm(), v.Groups[name].GetPrimary())
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.Routes)) {
+		fmt.Fprintf(&b, "  route %s %+v\n", name, v.Routes[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.ZonesOut)) {
+		fmt.Fprintf(&b, "  zone %s out %v\n", name, v.ZonesOut[name])
+	}
+	for _, id := range []ident.KeyID{"k1", "k2"} {
+		fmt.Fprintf(&b, "  key %s valid %v\n", id, v.Keys.Valid(id, "brno"))
+	}
+	for _, host := range v.Hosts {
+		fmt.Fprintf(&b, "  host %s\n", host.GetHost())
+	}
+	for _, upstream := range []ident.Upstream{"o1", "o2"} {
+		target := Target{"orders", upstream}
+		fmt.Fprintf(&b, "  upstream %s announced %v in service %v allotted %d\n", upstream, v.Announced[target], v.InService(target), v.Allotments[target])
+	}
+	return b.String()
+}
+
+// Guards against a delta that drops what it does not name, a withdrawn key that stays valid, lists that vanish when their
+// digest is unchanged, allotments that outlive the answer that gave them, and groups that outlive a full state.
+func TestNext(t *testing.T) {
+	text := func(out bool) *fleetpb.Text {
+		return &fleetpb.Text{
+			Zones:    []*fleetpb.Zone{{Name: "north", Out: out}},
+			Services: []*fleetpb.Service{{Name: "orders", Routes: []*fleetpb.Route{{Name: "menu", Open: true, Readonly: true, Team: "brno"}}}},
+		}
+	}
+	group := func(service string, term uint64, primary string) *fleetpb.Group {
+		return &fleetpb.Group{Service: service, Term: term, Primary: primary, Members: []*fleetpb.Member{
+			{Upstream: "o1", Zone: "north"}, {Upstream: "o2", Zone: "south"},
+		}}
+	}
+	keyEntry := func(id string) *fleetpb.KeyEntry {
+		return &fleetpb.KeyEntry{Id: id, Team: "brno", Hash: make([]byte, len(key.Hash{}))}
+	}
+	steps := []struct {
+		name   string
+		answer *fleetpb.SyncResponse
+	}{
+		{"full state", &fleetpb.SyncResponse{
+			State: &fleetpb.State{
+				Full: true, Version: 5, TextVersion: 2, Text: text(false), Keepers: &fleetpb.KeeperSet{Epoch: 3},
+				Groups: []*fleetpb.Group{group("orders", 1, "o1"), group("dues", 4, "d1")},
+				Keys:   []*fleetpb.KeyEntry{keyEntry("k1"), keyEntry("k2")},
+			},
+			Digest: 7, Hosts: []*fleetpb.Alive{{Host: "e1"}}, Upstreams: []string{"orders/o1", "orders/o2"},
+			Allotments: []*fleetpb.Allotment{{Service: "orders", Upstream: "o1", Connections: 3}},
+		}},
+		{"delta with a new primary and a withdrawn key, lists left out", &fleetpb.SyncResponse{
+			State:  &fleetpb.State{Version: 6, Groups: []*fleetpb.Group{group("orders", 2, "o2")}, Withdrawn: []string{"k1"}},
+			Digest: 7, Allotments: []*fleetpb.Allotment{{Service: "orders", Upstream: "o2", Connections: 2}},
+		}},
+		{"zone out of service", &fleetpb.SyncResponse{State: &fleetpb.State{Version: 7, TextVersion: 3, Text: text(true)}, Digest: 7}},
+		{"nothing new", &fleetpb.SyncResponse{Digest: 7}},
+		{"an upstream is silent", &fleetpb.SyncResponse{Digest: 8, Upstreams: []string{"orders/o1"}}},
+		{"full state without a group and without keys", &fleetpb.SyncResponse{
+			State:  &fleetpb.State{Full: true, Version: 9, TextVersion: 3, Text: text(false), Groups: []*fleetpb.Group{group("orders", 2, "o2")}},
+			Digest: 8,
+		}},
+	}
+	view := &View{Keys: key.NewTable()}
+	var all bytes.Buffer
+	for i, step := range steps {
+		before := *view
+		shown := show(&View{Groups: before.Groups, Announced: before.Announced, ZonesOut: before.ZonesOut, Keys: key.NewTable()})
+		next := view.next(step.answer, ident.Time(100*(i+1)))
+		require.Equal(t, shown, show(&View{Groups: view.Groups, Announced: view.Announced, ZonesOut: view.ZonesOut, Keys: key.NewTable()}),
+			"a view that others read was changed")
+		view = next
+		fmt.Fprintf(&all, "%s\n  %s", step.name, show(view))
+	}
+	goldie.New(t).Assert(t, "next", all.Bytes())
+	require.True(t, view.Valid(599))
+	require.False(t, view.Valid(600), "valid at the end of the lease")
+}
