Store a view before the parts adopt it

Cause: member called Adopted first and stored the view afterwards. Adopted makes queued work choose again when the primary changes (MovedError), and that work could still find the old view and queue at the old primary, where nothing would move it again.

Ruled out: storing first lets a request see the new view before the keeper does; the keeper checks its own conditions, and the next sync reports the epoch only after Adopted returns, since one loop does both.

Before: TestAdoptedViewIsCurrent fails, Adopted sees the view before. After: it passes.

--- a/host/member/member.go
+++ b/host/member/member.go
@@ -181,8 +181,9 @@
 func (m *Member) adopt(answer *fleetpb.SyncResponse, sent ident.Time) {
 	lease := time.Duration(answer.GetLeaseMs()) * time.Millisecond
 	view := m.View().next(answer, sent.Add(lease))
-	m.opts.Adopted(view)
+	// Work that Adopted makes choose again must not find the view before.
 	m.view.Store(view)
+	m.opts.Adopted(view)
 	fresh := make(chan struct{})
 	close(*m.changed.Swap(&fresh))
 	if !m.serving && view.Valid(m.opts.Clock.Now()) {
--- a/host/member/member_test.go
+++ b/host/member/member_test.go
@@ -148,3 +148,25 @@
 	view := m.View()
 	require.LessOrEqual(t, uint64(view.Expires), uint64(view.Version)+uint64(lease))
 }
+
+// Guards against parts that act on the view before: work that Adopted makes choose again would choose the old primary.
+func TestAdoptedViewIsCurrent(t *testing.T) {
+	e := &events{}
+	leader := serve(t, e, "leader")
+	leader.answer = grant(time.Hour)
+	opts := options(e, leader)
+	started := make(chan *member.Member, 1)
+	seen := make(chan bool, 1)
+	opts.Adopted = func(view *member.View) {
+		m := <-started
+		started <- m
+		select {
+		case seen <- m.View() == view:
+		default:
+		}
+	}
+	m := member.New(opts)
+	started <- m
+	defer m.Close()
+	require.True(t, <-seen)
+}
