Report the end of a lease after each failed call

Cause: the end of a lease was looked for only after all control hosts had been tried, 400 ms each. The host kept its connections for that time, while the leader already allots them to others.

Ruled out: a timer at the end of the lease, which needs a second goroutine beside the loop; calls cut at the end of the lease, which would end an attempt that may renew it. The report may still be late by one call (400 ms).

Before: with two silent control hosts the report came after two more calls (TestLeaseEndIsReportedOnce). After: it comes right after the call during which the lease ended.

--- a/host/member/member.go
+++ b/host/member/member.go
@@ -165,6 +165,7 @@
 		cancel()
 		if err != nil {
 			m.leader.Store("")
+			m.noteExpiry()
 			continue
 		}
 		if answer.GetState() == nil && answer.GetLeaseMs() == 0 {
@@ -192,7 +193,8 @@
 	}
 }
 
-// noteExpiry logs once that the lease has ended.
+// noteExpiry reports and logs once that the lease has ended. It runs after each failed call: trying all silent control
+// hosts takes longer, and the leader gives this host's connections to others from the lease end on.
 func (m *Member) noteExpiry() {
 	if m.serving && !m.View().Valid(m.opts.Clock.Now()) {
 		m.serving = false
--- a/host/member/member_test.go
+++ b/host/member/member_test.go
@@ -170,3 +170,25 @@
 	defer m.Close()
 	require.True(t, <-seen)
 }
+
+// Guards against a lease end that is reported late, never or repeatedly while all control hosts are silent: the leader
+// gives the connections of the host to others from the lease end on. It comes before the other control hosts are tried.
+func TestLeaseEndIsReportedOnce(t *testing.T) {
+	e := &events{}
+	first, second := serve(t, e, "first"), serve(t, e, "second")
+	granted := false
+	first.answer = func(ctx context.Context, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, error) {
+		if granted {
+			return silent(ctx, request)
+		}
+		granted = true
+		return grant(time.Minute/300)(ctx, request)
+	}
+	m := member.New(options(e, first, second))
+	defer m.Close()
+	e.wait(t, "expired", 1)
+	require.Equal(t, []string{"first", "adopted", "first", "expired"}, e.all()[:4])
+	e.wait(t, "second", 2)
+	require.Equal(t, 1, e.count("expired"))
+	require.False(t, m.View().Valid(m.View().Expires))
+}
