Send the last sync also when a sync was under way

Cause: Close cancels the running sync; the failed call made the member forget the leader, and the last sync, which says that the host is gone, was not sent. Its connections and keeper entries stayed until its lease ended.

Ruled out: letting the running sync finish, which would hold a shutdown by up to 400 ms for each control host. A cancelled call is now ignored, even if it was answered: the last sync follows at once.

Before: TestLastSync/during_a_sync fails, no last sync arrives. After: it passes.

--- a/host/member/member.go
+++ b/host/member/member.go
@@ -163,6 +163,10 @@
 		call, cancel := context.WithTimeout(ctx, syncTimeout)
 		answer, err := m.client(address).Sync(call, m.request())
 		cancel()
+		if ctx.Err() != nil {
+			// Close has ended the call, so it says nothing of the leader, which the last sync goes to.
+			return
+		}
 		if err != nil {
 			m.leader.Store("")
 			m.noteExpiry()
--- a/host/member/member_test.go
+++ b/host/member/member_test.go
@@ -192,3 +192,38 @@
 	require.Equal(t, 1, e.count("expired"))
 	require.False(t, m.View().Valid(m.View().Expires))
 }
+
+// Guards against a host that leaves without telling the leader, whose connections and tokens then stay taken for a lease:
+// also when it leaves while a sync is under way.
+func TestLastSync(t *testing.T) {
+	tests := []struct {
+		name   string
+		during bool
+	}{{"between syncs", false}, {"during a sync", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &events{}
+			leader := serve(t, e, "leader")
+			granted := false
+			leader.answer = func(ctx context.Context, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, error) {
+				if request.GetLeaving() {
+					e.add("leaving")
+				}
+				if granted && tt.during {
+					return silent(ctx, request)
+				}
+				granted = true
+				return grant(time.Hour)(ctx, request)
+			}
+			m := member.New(options(e, leader))
+			e.wait(t, "adopted", 1)
+			m.Leave()
+			e.wait(t, "leaving", 1)
+			m.Close()
+			<-m.Done()
+			require.Equal(t, 1, e.count("leader gone"))
+			all := e.all()
+			require.Equal(t, "leader gone", all[len(all)-1])
+		})
+	}
+}
