Test the pool of connections to an upstream

Cause: package upstream had no tests. A small upstream in the process notes each statement with the number of its connection, so that cleaning, replacement of closed connections, moved work, cancelled waits, allotments and refused connections are seen from its side.

--- /dev/null
+++ b/host/upstream/pool_test.go
@@ -0,0 +1,343 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/member"
+	"tamarackshunt.dev/host/upstream"
+)
+
+// patience bounds a wait for something that must happen; no test depends on its length.
+const patience = 20 * time.Second
+
+var target = member.Target{Service: "orders", Upstream: "o1"}
+
+// server is an upstream that accepts every statement and notes it with the number of its connection.
+type server struct {
+	address  string
+	mutex    sync.Mutex
+	received []string
+	sockets  map[int]net.Conn
+	last     int
+	most     int
+}
+
+func newServer(t *testing.T) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &server{address: listener.Addr().String(), sockets: make(map[int]net.Conn)}
+	t.Cleanup(func() {
+		listener.Close()
+		s.closeAll()
+	})
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(socket)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(socket net.Conn) {
+	defer socket.Close()
+	backend := pgproto3.NewBackend(socket, socket)
+	startup, err := backend.ReceiveStartupMessage()
+	if _, ok := startup.(*pgproto3.StartupMessage); err != nil || !ok {
+		return
+	}
+	id := s.add(socket)
+	defer s.remove(id)
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(id), SecretKey: []byte{1, 2, 3, 4}})
+	status := byte('I')
+	for {
+		backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+		if backend.Flush() != nil {
+			return
+		}
+		message, err := backend.Receive()
+		query, ok := message.(*pgproto3.Query)
+		if err != nil || !ok {
+			return
+		}
+		s.note(id, query.String)
+		if query.String == "BEGIN" {
+			status = 'T'
+		}
+		backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+	}
+}
+
+func (s *server) add(socket net.Conn) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.last++
+	s.sockets[s.last] = socket
+	s.most = max(s.most, len(s.sockets))
+	return s.last
+}
+
+func (s *server) remove(id int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.sockets, id)
+}
+
+func (s *server) note(id int, sql string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.received = append(s.received, fmt.Sprintf("%d %s", id, sql))
+}
+
+func (s *server) closeAll() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, socket := range s.sockets {
+		socket.Close()
+	}
+}
+
+func (s *server) log() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.received)
+}
+
+// open returns the connections open now and the most that were open at a time.
+func (s *server) open() (now, most int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.sockets), s.most
+}
+
+// view names the server as the member o1 of its group.
+func view(address string, connections int, change func(*member.View)) *member.View {
+	v := &member.View{
+		Groups: map[ident.Service]*fleetpb.Group{"orders": {Service: "orders", Term: 1, Primary: "o1", Members: []*fleetpb.Member{
+			{Upstream: "o1", Address: address},
+		}}},
+		Announced:  map[member.Target]bool{target: true},
+		Allotments: map[member.Target]int{target: connections},
+	}
+	if change != nil {
+		change(v)
+	}
+	return v
+}
+
+// newPool returns a pool without allotments.
+func newPool(t *testing.T, address string) *upstream.Pool {
+	v := view(address, 0, nil)
+	p := upstream.NewPool(upstream.Options{Clock: clock.New(), View: func() *member.View { return v }, Urgent: func() {}})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// acquire gets the first connection: the call makes the lane, which the next view gives its allotment.
+func acquire(t *testing.T, p *upstream.Pool, v *member.View) *upstream.Conn {
+	t.Helper()
+	result := start(t.Context(), p)
+	require.Eventually(t, func() bool { return p.Outstanding(target) > 0 }, patience, time.Millisecond)
+	p.Adopt(v)
+	got := <-result
+	require.NoError(t, got.err)
+	return got.conn
+}
+
+type acquired struct {
+	conn *upstream.Conn
+	err  error
+}
+
+func start(ctx context.Context, p *upstream.Pool) <-chan acquired {
+	result := make(chan acquired, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		conn, err := p.Acquire(ctx, target, "brno")
+		result <- acquired{conn, err}
+	}()
+	return result
+}
+
+// Guards against a caller that gets a connection with the session state, the open transaction or the late cancel request of
+// the caller before.
+func TestConnectionsComeBackClean(t *testing.T) {
+	tests := []struct {
+		name string
+		use  func(t *testing.T, conn *upstream.Conn)
+		want []string
+	}{
+		{"clean", func(*testing.T, *upstream.Conn) {}, []string{"1 SELECT 1"}},
+		{"session state", func(_ *testing.T, conn *upstream.Conn) { conn.MarkDirty() }, []string{"1 DISCARD ALL", "1 SELECT 1"}},
+		{"settings", func(t *testing.T, conn *upstream.Conn) {
+			require.NoError(t, conn.Configure([]string{"SET a=1"}, "a=1"))
+		}, []string{"1 DISCARD ALL", "1 SET a=1", "1 DISCARD ALL", "1 SELECT 1"}},
+		{"prepared statements", func(_ *testing.T, conn *upstream.Conn) {
+			for i := range 600 {
+				conn.NotePrepared(fmt.Sprint(i))
+			}
+		}, []string{"1 DISCARD ALL", "1 SELECT 1"}},
+		{"open transaction", func(t *testing.T, conn *upstream.Conn) { require.NoError(t, conn.Exec("BEGIN")) },
+			[]string{"1 BEGIN", "2 SELECT 1"}},
+		{"cancel request", func(t *testing.T, conn *upstream.Conn) {
+			conn.Begin()
+			require.NoError(t, conn.Cancel(t.Context()))
+			conn.End()
+		}, []string{"2 SELECT 1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			p := newPool(t, s.address)
+			conn := acquire(t, p, view(s.address, 1, nil))
+			tt.use(t, conn)
+			p.Release(target, conn)
+			got := <-start(t.Context(), p)
+			require.NoError(t, got.err)
+			require.False(t, got.conn.Dirty())
+			require.NoError(t, got.conn.Exec("SELECT 1"))
+			require.Equal(t, tt.want, s.log())
+			p.Release(target, got.conn)
+		})
+	}
+}
+
+// Guards against a statement that is lost on a connection that the upstream closed while it was idle.
+func TestClosedConnectionIsNotHandedOut(t *testing.T) {
+	s := newServer(t)
+	p := newPool(t, s.address)
+	first := acquire(t, p, view(s.address, 1, nil))
+	p.Release(target, first)
+	s.closeAll()
+	require.Eventually(t, func() bool { return !first.Usable() }, patience, time.Millisecond)
+	got := <-start(t.Context(), p)
+	require.NoError(t, got.err)
+	require.NotSame(t, first, got.conn)
+	require.NoError(t, got.conn.Exec("SELECT 1"))
+	p.Release(target, got.conn)
+}
+
+// Guards against queued work that runs at an upstream which is no longer the one that it chose, and against work that
+// chooses again without a reason.
+func TestQueuedWorkChoosesAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*member.View)
+		moved  bool
+	}{
+		{"primary", func(v *member.View) { v.Groups["orders"].Primary = "o2" }, true},
+		{"term", func(v *member.View) { v.Groups["orders"].Term = 2 }, true},
+		{"announcement", func(v *member.View) { v.Announced = nil }, true},
+		{"lease", func(v *member.View) { *v = member.View{} }, true},
+		{"other group", func(v *member.View) { v.Groups["dues"] = &fleetpb.Group{Term: 7} }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			p := newPool(t, s.address)
+			conn := acquire(t, p, view(s.address, 1, nil))
+			waiting := start(t.Context(), p)
+			require.Eventually(t, func() bool { return p.Outstanding(target) == 2 }, patience, time.Millisecond)
+			p.Adopt(view(s.address, 1, tt.change))
+			if tt.moved {
+				var moved *upstream.MovedError
+				require.ErrorAs(t, (<-waiting).err, &moved)
+				p.Release(target, conn)
+				return
+			}
+			require.Equal(t, 2, p.Outstanding(target))
+			p.Release(target, conn)
+			got := <-waiting
+			require.Same(t, conn, got.conn)
+			p.Release(target, got.conn)
+		})
+	}
+}
+
+// Guards against a connection that is lost when its caller gives up at the moment of the assignment, or while it waits.
+func TestCancelledWaitGivesBack(t *testing.T) {
+	s := newServer(t)
+	p := newPool(t, s.address)
+	conn := acquire(t, p, view(s.address, 1, nil))
+	ctx, cancel := context.WithCancel(t.Context())
+	waiting := start(ctx, p)
+	require.Eventually(t, func() bool { return p.Outstanding(target) == 2 }, patience, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, (<-waiting).err, context.Canceled)
+	require.Equal(t, 1, p.Outstanding(target))
+	p.Release(target, conn)
+	// Each call finds both a connection and the end of its context, and select takes either.
+	for range 100 {
+		got, err := p.Acquire(ctx, target, "brno")
+		if err == nil {
+			p.Release(target, got)
+		}
+		require.Zero(t, p.Outstanding(target))
+	}
+	got := <-start(t.Context(), p)
+	require.Same(t, conn, got.conn)
+	p.Release(target, got.conn)
+}
+
+// Guards against more connections than the leader allots, also after it lowered the number or the lease ended.
+func TestAllotmentBoundsConnections(t *testing.T) {
+	s := newServer(t)
+	p := newPool(t, s.address)
+	p.Release(target, acquire(t, p, view(s.address, 2, nil)))
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 20 {
+				got := <-start(t.Context(), p)
+				if got.err != nil || got.conn.Exec("SELECT 1") != nil {
+					t.Error("no connection", got.err)
+					return
+				}
+				p.Release(target, got.conn)
+			}
+		})
+	}
+	group.Wait()
+	_, most := s.open()
+	require.Equal(t, 2, most)
+	for _, allotted := range []int{1, 0} {
+		p.Adopt(view(s.address, allotted, nil))
+		require.Eventually(t, func() bool {
+			now, _ := s.open()
+			return now == allotted
+		}, patience, time.Millisecond)
+	}
+}
+
+// Guards against work that waits until its deadline at an upstream that refuses connections.
+func TestRefusedConnectionFailsQueuedWork(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	p := newPool(t, address)
+	waiting := []<-chan acquired{start(t.Context(), p), start(t.Context(), p), start(t.Context(), p)}
+	require.Eventually(t, func() bool { return p.Outstanding(target) == 3 }, patience, time.Millisecond)
+	p.Adopt(view(address, 2, nil))
+	for _, each := range waiting {
+		var refused *upstream.ConnectError
+		require.ErrorAs(t, (<-each).err, &refused)
+	}
+}
