--- /dev/null
+++ b/host/tracker/tracker_test.go
@@ -0,0 +1,189 @@
+package tracker_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/tracker"
+)
+
+const (
+	secret = "fleet-secret-0000"
+	// patience bounds a wait for something that must happen; no test depends on its length.
+	patience = 20 * time.Second
+)
+
+// answer is what an observer does with a question.
+type answer func(ctx context.Context, request *fleetpb.PositionsRequest) (*fleetpb.PositionsResponse, error)
+
+// observer answers by a function, which a test may replace.
+type observer struct {
+	address   string
+	mutex     sync.Mutex
+	questions []*fleetpb.PositionsRequest
+	answer    answer
+}
+
+func (o *observer) Positions(ctx context.Context, request *fleetpb.PositionsRequest) (*fleetpb.PositionsResponse, error) {
+	o.mutex.Lock()
+	o.questions = append(o.questions, request)
+	answer := o.answer
+	o.mutex.Unlock()
+	return answer(ctx, request)
+}
+
+func (o *observer) set(answer answer) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.answer = answer
+}
+
+// requests returns what the observer was asked.
+func (o *observer) requests() []*fleetpb.PositionsRequest {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return append([]*fleetpb.PositionsRequest(nil), o.questions...)
+}
+
+func newObserver(t *testing.T, answer answer) *observer {
+	o := &observer{answer: answer}
+	server := httptest.NewServer(peer.Guard(fleetpb.NewObserverServer(o), secret))
+	t.Cleanup(server.Close)
+	o.address = strings.TrimPrefix(server.URL, "http://")
+	return o
+}
+
+func says(response *fleetpb.PositionsResponse) answer {
+	return func(context.Context, *fleetpb.PositionsRequest) (*fleetpb.PositionsResponse, error) {
+		return response, nil
+	}
+}
+
+func fails(context.Context, *fleetpb.PositionsRequest) (*fleetpb.PositionsResponse, error) {
+	return nil, twirp.NotFoundError("this host does not observe")
+}
+
+func newTracker(t *testing.T, observers ...*observer) *tracker.Tracker {
+	var addresses []string
+	for _, o := range observers {
+		addresses = append(addresses, o.address)
+	}
+	tr := tracker.New(tracker.Options{
+		Clock: clock.New(), Secret: secret, Observers: func(ident.Service) []string { return addresses },
+	})
+	t.Cleanup(tr.Close)
+	return tr
+}
+
+func at(term, lsn uint64) *fleetpb.Position { return &fleetpb.Position{Term: term, Lsn: lsn} }
+
+// Guards against an acknowledgement of a record that no majority holds or that a promotion has dropped, and against a write
+// that waits on after its record is known to be lost.
+func TestWaitMajority(t *testing.T) {
+	record := ident.Position{Term: 1, LSN: 50}
+	tests := []struct {
+		name       string
+		report     *fleetpb.PositionsResponse
+		want       ident.Position
+		superseded ident.Term
+	}{
+		{name: "acknowledged", report: &fleetpb.PositionsResponse{Term: 1, Majority: at(1, 50)}, want: record},
+		{name: "not yet held", report: &fleetpb.PositionsResponse{Term: 1, Majority: at(1, 49)}},
+		{name: "later term holds it", report: &fleetpb.PositionsResponse{Term: 3, Base: at(1, 60), Majority: at(3, 61)}, want: ident.Position{Term: 3, LSN: 50}},
+		{name: "later term not yet held", report: &fleetpb.PositionsResponse{Term: 3, Base: at(1, 60), Majority: at(3, 60)}},
+		{name: "later term without it", report: &fleetpb.PositionsResponse{Term: 2, Base: at(1, 49), Majority: at(2, 70)}, superseded: 2},
+		{name: "earlier term", report: &fleetpb.PositionsResponse{Term: 0}},
+		{name: "nothing known"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reply := answer(fails)
+			if tt.report != nil {
+				reply = says(tt.report)
+			}
+			tr := newTracker(t, newObserver(t, reply))
+			waits := tt.want == ident.Position{} && tt.superseded == 0
+			wait := patience
+			if waits {
+				wait = 50 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), wait)
+			defer cancel()
+			got, err := tr.WaitMajority(ctx, "orders", record)
+			require.Equal(t, tt.want, got)
+			var superseded *tracker.SupersededError
+			switch {
+			case waits:
+				require.ErrorIs(t, err, context.DeadlineExceeded)
+			case tt.superseded != 0:
+				require.ErrorAs(t, err, &superseded)
+				require.Equal(t, tt.superseded, superseded.Term)
+			default:
+				require.NoError(t, err)
+			}
+		})
+	}
+}
+
+// Guards against a floor below a write that was acknowledged before the question: by an unconfirmed primary, or by an
+// answer that the observer knew before it was asked.
+func TestCurrent(t *testing.T) {
+	fresh := &fleetpb.PositionsResponse{Current: at(2, 70), Confirmed: true}
+	old := &fleetpb.PositionsResponse{Current: at(2, 60), Confirmed: true, KnownMs: uint64(time.Hour / time.Millisecond)}
+	unconfirmed := &fleetpb.PositionsResponse{Current: at(2, 80)}
+	tests := []struct {
+		name      string
+		observers []answer
+		found     bool
+	}{
+		{"fresh", []answer{says(fresh)}, true},
+		{"older than the question", []answer{says(old)}, false},
+		{"unconfirmed", []answer{says(unconfirmed)}, false},
+		{"next observer", []answer{fails, says(old), says(fresh)}, true},
+		{"none", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var observers []*observer
+			for _, answer := range tt.observers {
+				observers = append(observers, newObserver(t, answer))
+			}
+			got, err := newTracker(t, observers...).Current(t.Context(), "orders")
+			if tt.found {
+				require.NoError(t, err)
+				require.Equal(t, ident.Position{Term: 2, LSN: 70}, got)
+				require.True(t, observers[len(observers)-1].requests()[0].GetFresh())
+				return
+			}
+			var missing *tracker.UnconfirmedError
+			require.ErrorAs(t, err, &missing)
+		})
+	}
+}
+
+// Guards against a tracker that stays with an observer that has failed, or never returns to a former one.
+func TestNextObserverAfterFailure(t *testing.T) {
+	first, second := newObserver(t, fails), newObserver(t, says(&fleetpb.PositionsResponse{Term: 1}))
+	tr := newTracker(t, first, second)
+	report, err := tr.Latest(t.Context(), "orders")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, report.GetTerm())
+	require.Len(t, first.requests(), 1)
+	second.set(fails)
+	first.set(says(&fleetpb.PositionsResponse{Term: 2}))
+	require.Eventually(t, func() bool {
+		report, err := tr.Latest(t.Context(), "orders")
+		return err == nil && report.GetTerm() == 2
+	}, patience, time.Millisecond)
+}
