Confirm nothing that is older than a question for a fresh position

Cause: an observer that cannot get a fresh position in time answers with what it knew before, still marked as confirmed, and leaves the age to the asker. known_ms is cut to whole milliseconds, so the asker accepted an answer that was up to one millisecond older than its question; a floor could then lack a write that was acknowledged in that time.

Ruled out: rounding known_ms up, which refuses fresh answers on round trips shorter than a millisecond; a finer unit in the message, which hosts of both versions would read differently.

Before (fix disabled): TestOlderAnswerConfirmsNothing/just_before_the_question fails. After: it passes, as do host/promotion and host/keeper with -race.

--- a/host/observer/serve.go
+++ b/host/observer/serve.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	first, changed := w.positions()
 	if r.GetWaitMs() == 0 || met(r, first, arrived) {
-		return first.Response(name, arrived), nil
+		return response(r, first, arrived, arrived), nil
 	}
 	w.waiting.Add(1)
 	defer w.waiting.Add(-1)
@@ -65,7 +65,7 @@
 		case <-changed:
 		case <-ctx.Done():
 			p, _ := w.positions()
-			return p.Response(name, s.observer.now()), nil
+			return response(r, p, arrived, s.observer.now()), nil
 		}
 		var p group.Positions
 		p, changed = w.positions()
@@ -75,11 +75,21 @@
 		changes := p.Majority != first.Majority || p.Current != first.Current || p.Term != first.Term
 		untilChanged := !r.GetFresh() && r.GetWanted() == nil && changes
 		if untilChanged || met(r, p, arrived) {
-			return p.Response(name, s.observer.now()), nil
+			return response(r, p, arrived, s.observer.now()), nil
 		}
 	}
 }
 
+// response returns what is known as a message. An answer older than a question for a fresh one confirms nothing: known_ms
+// counts whole milliseconds, so the asker alone would accept an answer up to one millisecond older than its question.
+func response(r *fleetpb.PositionsRequest, p group.Positions, arrived, now ident.Time) *fleetpb.PositionsResponse {
+	answer := p.Response(ident.Service(r.GetService()), now)
+	if r.GetFresh() && !met(r, p, arrived) {
+		answer.Confirmed = false
+	}
+	return answer
+}
+
 // met reports whether the positions answer the request. Waiting for a record that was lost with its term would be in vain.
 func met(r *fleetpb.PositionsRequest, p group.Positions, arrived ident.Time) bool {
 	if r.GetFresh() {
