End the choice of an upstream with its context

Cause: the loop that waits for a replica or a primary did not look at its context. Once the context was cancelled, each wait returned at once, and the loop used a whole core until the statement's deadline, or for a minute without one.

Ruled out: a check at the start of the loop, which would reject a statement that can be served without waiting.

Before: TestCancelledWaitEnds fails after its 20 s. After: host/routing takes below a second in all, two runs with -race.

--- a/host/routing/routing.go
+++ b/host/routing/routing.go
@@ -140,6 +140,10 @@
 		case route.Reject:
 			return entry.Choice{}, trace.Wrap(sqlstate.New(sqlstate.NoPrimary, &rejectedError{service, d.Cause}))
 		case route.Wait:
+			if ctx.Err() != nil {
+				// The wait would return at once and again until the statement's deadline.
+				return entry.Choice{}, trace.Wrap(sqlstate.New(sqlstate.NoPrimary, &rejectedError{service, d.Cause}))
+			}
 			wait(ctx, min(maxWait, d.Until.Sub(now)), changed, next)
 		}
 	}
--- a/host/routing/routing_test.go
+++ b/host/routing/routing_test.go
@@ -181,3 +181,25 @@
 	w.set(report(3, "o3", 50, 50))
 	require.Equal(t, entry.Choice{Target: target("o3"), Term: 3}, <-chosen)
 }
+
+// Guards against a loop without a pause until the deadline after the caller has gone.
+func TestCancelledWaitEnds(t *testing.T) {
+	w := newWorld()
+	w.report.Confirmed = false
+	r := newRouting(t, w)
+	_, _ = r.Primary(within(t, short), service)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.Primary(ctx, service)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		var rejected *sqlstate.Rejection
+		require.ErrorAs(t, err, &rejected)
+	case <-time.After(patience):
+		require.Fail(t, "the wait goes on after its context ended")
+	}
+}
