--- /dev/null
+++ b/host/lending/lending_test.go
@@ -0,0 +1,50 @@
+package lending_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/host/lending"
+)
+
+// Guards against tokens lent twice: by a host that does not lead, by a new leader before the loans of an earlier one have
+// expired or from a full bucket, and by a leader that starts anew without a change of office.
+func TestOffice(t *testing.T) {
+	const (
+		first  = ident.Time(time.Second)
+		second = ident.Time(60 * time.Second)
+		burst  = 50
+	)
+	l := lending.New()
+	seq := uint64(0)
+	borrow := func(now ident.Time) uint32 {
+		seq++
+		answer := l.Borrow(now, &fleetpb.BorrowRequest{
+			Host: "e1", Incarnation: 1, Seq: seq, Wanted: []*fleetpb.Tokens{{Team: "brno", Amount: 1000, Waiting: 1000}},
+		})
+		lent := uint32(0)
+		for _, tokens := range answer.GetLent() {
+			lent += tokens.GetAmount()
+		}
+		return lent
+	}
+	l.SetState(1, &fleetpb.Text{Teams: []*fleetpb.Team{{Name: "brno", Rate: 10, Burst: burst}}}, nil)
+	require.Zero(t, borrow(first), "lent without office")
+	l.SetOffice(first, control.Office{Leads: true, Since: first})
+	require.Zero(t, borrow(first.Add(limit.Lifetime-1)), "lent beside loans of an earlier owner")
+	full := first.Add(30 * time.Second)
+	require.EqualValues(t, burst, borrow(full))
+	l.SetOffice(full, control.Office{Leads: true, Since: first, Until: full})
+	require.Zero(t, borrow(full), "the bucket was filled without a change of office")
+	l.SetOffice(second, control.Office{})
+	require.Zero(t, borrow(second), "lent after the office ended")
+	l.SetOffice(second, control.Office{Leads: true, Since: second})
+	require.Zero(t, borrow(second.Add(limit.Lifetime-1)))
+	require.LessOrEqual(t, borrow(second.Add(limit.Lifetime+100*time.Millisecond)), uint32(1), "the bucket did not start empty")
+}
