--- a/host/routing/routing_test.go
+++ b/host/routing/routing_test.go
@@ -33,7 +33,9 @@
 
 var session = ident.Session{Service: service, Team: "brno", User: "ema"}
 
-func target(name ident.Upstream) member.Target { return member.Target{Service: service, Upstream: name} }
+func target(name ident.Upstream) member.Target {
+	return member.Target{Service: service, Upstream: name}
+}
 
 // world is what the chooser is told: by the observer, the control state and the keepers.
 type world struct {
@@ -50,7 +52,9 @@
 	return w.report, nil
 }
 
-func (w *world) Position(context.Context, ident.Session) (ident.Position, bool) { return w.position, w.known }
+func (w *world) Position(context.Context, ident.Session) (ident.Position, bool) {
+	return w.position, w.known
+}
 
 func (w *world) Outstanding(member.Target) int { return 0 }
 
