--- a/host/member/member.go
+++ b/host/member/member.go
@@ -163,8 +163,13 @@
 		call, cancel := context.WithTimeout(ctx, syncTimeout)
 		answer, err := m.client(address).Sync(call, m.request())
 		cancel()
+		if ctx.Err() != nil {
+			// Close has ended the call, so it says nothing of the leader, which the last sync goes to.
+			return
+		}
 		if err != nil {
 			m.leader.Store("")
+			m.noteExpiry()
 			continue
 		}
 		if answer.GetState() == nil && answer.GetLeaseMs() == 0 {
@@ -181,8 +186,9 @@
 func (m *Member) adopt(answer *fleetpb.SyncResponse, sent ident.Time) {
 	lease := time.Duration(answer.GetLeaseMs()) * time.Millisecond
 	view := m.View().next(answer, sent.Add(lease))
-	m.opts.Adopted(view)
+	// Work that Adopted makes choose again must not find the view before.
 	m.view.Store(view)
+	m.opts.Adopted(view)
 	fresh := make(chan struct{})
 	close(*m.changed.Swap(&fresh))
 	if !m.serving && view.Valid(m.opts.Clock.Now()) {
@@ -191,7 +197,8 @@
 	}
 }
 
-// noteExpiry logs once that the lease has ended.
+// noteExpiry reports and logs once that the lease has ended. It runs after each failed call: trying all silent control
+// hosts takes longer, and the leader gives this host's connections to others from the lease end on.
 func (m *Member) noteExpiry() {
 	if m.serving && !m.View().Valid(m.opts.Clock.Now()) {
 		m.serving = false
