Write service levels as an HTML page with plots

Operators saw the service levels only as a table of two windows, without when a level was missed. Windows of a meter that led before are cleared at a new term of office, since another leader counted in between; the report says since when its leader counts. The text field of ReportResponse is unchanged.

--- a/fleet/burn/meter.go
+++ b/fleet/burn/meter.go
@@ -8,9 +8,10 @@
 
 // Lengths of the windows and of their buckets.
 const (
-	Fast   = 5 * time.Minute
-	Slow   = time.Hour
-	bucket = 10 * time.Second
+	Fast = 5 * time.Minute
+	Slow = time.Hour
+	// Bucket is the resolution of the windows and of Series.
+	Bucket = 10 * time.Second
 	// zoneChange is how long after a zone left or returned failed requests count against that change.
 	zoneChange = time.Minute
 	// step is the time over which a team's tokens are followed; hosts report several times in it.
@@ -57,11 +58,12 @@
 	tokens map[ident.Team]*tokens
 	zoneAt ident.Time
 	zoned  bool
+	began  ident.Time
 }
 
 // New returns a meter without counts.
 func New() *Meter {
-	return &Meter{slots: make([]slot, Slow/bucket), limits: map[ident.Team]Limit{}, tokens: map[ident.Team]*tokens{}}
+	return &Meter{slots: make([]slot, Slow/Bucket), limits: map[ident.Team]Limit{}, tokens: map[ident.Team]*tokens{}}
 }
 
 // SetLimits replaces the limits of teams.
@@ -115,7 +117,7 @@
 func (m *Meter) window(now ident.Time, length time.Duration) []*slot {
 	last := numberOf(now)
 	var found []*slot
-	for number := max(last-int64(length/bucket)+1, 0); number <= last; number++ {
+	for number := max(last-int64(length/Bucket)+1, 0); number <= last; number++ {
 		s := &m.slots[int(number%int64(len(m.slots)))]
 		if s.number == number && s.teams != nil {
 			found = append(found, s)
@@ -126,7 +128,7 @@
 
 // numberOf counts buckets from the start of logical time, which is never negative in a process.
 func numberOf(now ident.Time) int64 {
-	return int64(max(now, 0)) / int64(bucket)
+	return int64(max(now, 0)) / int64(Bucket)
 }
 
 // got returns the requests that took a token.
--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -99,6 +99,8 @@
 	switch {
 	case office.Leads && (!before.Leads || before.Since != office.Since):
 		l.clear()
+		// Another leader may have counted since this host last led, so windows with a hole in them would mislead.
+		l.meter.Restart(now)
 		l.record(now, KindLeader, string(l.host), "took office")
 	case !office.Leads && before.Leads:
 		l.clear()
--- a/fleet/control/status.go
+++ b/fleet/control/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tamarackshunt.dev/fleet/burn"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 )
@@ -192,6 +193,11 @@
 	return slices.Contains(strings.FieldsFunc(event.Cause, func(r rune) bool { return strings.ContainsRune(" ,:;", r) }), subject)
 }
 
+// Meter returns the measures of the service levels; it is as unsafe for concurrent use as the leader.
+func (l *Leader) Meter() *burn.Meter {
+	return l.meter
+}
+
 // Report returns the service levels and what each team's requests came to, summed over the hosts that this leader knows.
 func (l *Leader) Report(now ident.Time) string {
 	var b strings.Builder
--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -230,7 +230,7 @@
 // Report returns the service levels as text.
 func (s service) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
 	response := &fleetpb.ReportResponse{}
-	leader, err := s.lead(func(now ident.Time) { response.Text = s.leader.Report(now) })
+	leader, err := s.lead(func(now ident.Time) { s.report(now, time.Now(), response) })
 	if err != nil {
 		return nil, err
 	}
--- a/host/main.go
+++ b/host/main.go
@@ -28,8 +28,8 @@
 Exit codes: 0 after a graceful end or a successful --check, 1 after a failure, 2 for wrong usage.`
 
 type options struct {
-	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"YAML settings file"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
+	Settings flags.Filename `long:"settings" short:"s" required:"true" value-name:"FILE" description:"YAML settings file"`
+	Check    bool           `long:"check" description:"check the settings and exit"`
 }
 
 func main() {
@@ -50,10 +50,10 @@
 
 func run(opts options) error {
 	var s fleetpb.HostSettings
-	if err := settings.Read(opts.Settings, &s); err != nil {
+	if err := settings.Read(string(opts.Settings), &s); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := checkSettings(opts.Settings, &s); err != nil {
+	if err := checkSettings(string(opts.Settings), &s); err != nil {
 		return err
 	}
 	if opts.Check {
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -40,12 +40,14 @@
   1  failure, such as a mistake in the configuration
   2  wrong usage
   3  another configuration was applied first
-  4  no control leader was reached`
+  4  no control leader was reached
+
+Sourcing docs/completion.bash in bash completes commands, options and files.`
 
 // options are the command line.
 type options struct {
-	Settings string        `short:"s" long:"settings" env:"TAMARACK_SETTINGS" value-name:"FILE" description:"YAML settings file"`
-	Timeout  time.Duration `long:"timeout" default:"20s" value-name:"TIME" description:"time to reach the control leader"`
+	Settings flags.Filename `short:"s" long:"settings" env:"TAMARACK_SETTINGS" value-name:"FILE" description:"YAML settings file"`
+	Timeout  time.Duration  `long:"timeout" default:"20s" value-name:"TIME" description:"time to reach the control leader"`
 
 	Check   checkCommand   `command:"check" description:"Check a configuration without applying it"`
 	Apply   applyCommand   `command:"apply" description:"Apply a configuration"`
@@ -102,6 +104,13 @@
 		extra = rest
 		return nil
 	}
+	completing := false
+	parser.CompletionHandler = func(items []flags.Completion) {
+		completing = true
+		for _, item := range items {
+			_, _ = fmt.Fprintln(program.Out, item.Item)
+		}
+	}
 	if _, err := parser.ParseArgs(arguments); err != nil {
 		if flags.WroteHelp(err) {
 			_, _ = fmt.Fprintln(program.Out, err)
@@ -110,6 +119,9 @@
 		_, _ = fmt.Fprintln(program.Err, err)
 		return ExitUsage
 	}
+	if completing {
+		return ExitDone
+	}
 	if len(extra) > 0 {
 		_, _ = fmt.Fprintf(program.Err, "unexpected argument %q, see tamarack --help\n", extra[0])
 		return ExitUsage
@@ -142,7 +154,7 @@
 		return nil, &exitError{ExitUsage, "no settings file, expected --settings FILE or TAMARACK_SETTINGS"}
 	}
 	var read fleetpb.OperatorSettings
-	if err := settings.Read(s.options.Settings, &read); err != nil {
+	if err := settings.Read(string(s.options.Settings), &read); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return client.New(client.Options{Control: read.GetControl(), Secret: read.GetSecret()}), nil
--- a/operator/command/command_test.go
+++ b/operator/command/command_test.go
@@ -81,7 +81,10 @@
 }
 
 func (f *fake) Report(context.Context, *fleetpb.ReportRequest) (*fleetpb.ReportResponse, error) {
-	return &fleetpb.ReportResponse{Text: "SERVICE LEVEL  5 MIN\n"}, nil
+	return &fleetpb.ReportResponse{
+		Text: "SERVICE LEVEL  5 MIN\n", LeaderHost: "c1", SinceUnixMs: 1767225600123, UnixMs: 1767225700123,
+		Levels: []*fleetpb.Level{{Name: "worst-served team"}},
+	}, nil
 }
 
 // handler serves the leader, and cuts the connection instead of answering while answers are to be lost.
@@ -206,6 +209,9 @@
 	o.run("explain", "orders")
 	o.run("explain", "nothing")
 	o.run("report")
+	o.run("report", "--html", "levels.html")
+	require.FileExists(t, "levels.html")
+	o.run("report", "--html", "missing/levels.html")
 	o.run("status", "--settings", "wrong.yaml")
 	o.run("apply", "--timeout", "600ms", "--settings", "lost.yaml", "--id", "tuesday", "--expect", "1", "fleet.yaml")
 	require.Empty(t, o.run("key", "give", "brno", "--timeout", "600ms", "--settings", "lost.yaml"))
--- a/operator/command/show.go
+++ b/operator/command/show.go
@@ -1,17 +1,24 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/operator/page"
 )
 
+// pageMode lets other users read a page, which holds no secrets.
+const pageMode = 0o644
+
 type statusCommand struct {
 	Source bool `long:"source" description:"print the YAML configuration in force instead"`
 }
@@ -123,7 +130,9 @@
 	return trace.Wrap(w.Flush())
 }
 
-type reportCommand struct{}
+type reportCommand struct {
+	HTML flags.Filename `long:"html" value-name:"FILE" description:"write an HTML page with plots over the last hour to a file"`
+}
 
 // Execute is called by go-flags only when no command handler is set.
 func (c *reportCommand) Execute([]string) error { return nil }
@@ -137,6 +146,28 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if c.HTML != "" {
+		return s.page(string(c.HTML), answer)
+	}
+	if since := answer.GetSinceUnixMs(); since > 0 {
+		s.say("Counted since %s by leader %s; earlier leaders counted what came before.\n", page.Moment(since), answer.GetLeaderHost())
+	}
 	_, err = fmt.Fprint(s.Out, answer.GetText())
 	return trace.Wrap(err)
 }
+
+// page writes a report to a file, which stays as it was when the page cannot be made.
+func (s *session) page(file string, report *fleetpb.ReportResponse) error {
+	if len(report.GetLevels()) == 0 {
+		return &exitError{ExitFailure, "the control leader is older than this program and sends no service levels for a page"}
+	}
+	var b bytes.Buffer
+	if err := page.Write(&b, report); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := os.WriteFile(file, b.Bytes(), pageMode); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s.note("The service levels are in %s.", file)
+	return nil
+}
--- a/operator/command/text.go
+++ b/operator/command/text.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/text"
@@ -16,7 +17,7 @@
 
 type checkCommand struct {
 	Args struct {
-		File string `positional-arg-name:"FILE" description:"YAML configuration"`
+		File flags.Filename `positional-arg-name:"FILE" description:"YAML configuration"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -24,7 +25,7 @@
 func (c *checkCommand) Execute([]string) error { return nil }
 
 func (c *checkCommand) run(_ context.Context, s *session) error {
-	_, parsed, err := read(c.Args.File)
+	_, parsed, err := read(string(c.Args.File))
 	if err != nil {
 		return err
 	}
@@ -56,7 +57,7 @@
 	Expect uint64 `long:"expect" value-name:"N" required:"yes" description:"version that is in force now, as status shows it; 0 before the first one"`
 	ID     string `long:"id" value-name:"ID" description:"request id, to repeat an earlier apply whose outcome is unknown; random by default"`
 	Args   struct {
-		File string `positional-arg-name:"FILE" description:"YAML configuration"`
+		File flags.Filename `positional-arg-name:"FILE" description:"YAML configuration"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -64,7 +65,7 @@
 func (c *applyCommand) Execute([]string) error { return nil }
 
 func (c *applyCommand) run(ctx context.Context, s *session) error {
-	source, _, err := read(c.Args.File)
+	source, _, err := read(string(c.Args.File))
 	if err != nil {
 		return err
 	}
@@ -76,7 +77,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	answer, err := leader.Apply(ctx, &fleetpb.ApplyRequest{Id: id, Expected: c.Expect, Source: source, File: c.Args.File})
+	answer, err := leader.Apply(ctx, &fleetpb.ApplyRequest{Id: id, Expected: c.Expect, Source: source, File: string(c.Args.File)})
 	var unreached *client.NoLeaderError
 	if errors.As(err, &unreached) {
 		return &exitError{ExitNoLeader, fmt.Sprintf(
--- /dev/null
+++ b/operator/page/doc.go
@@ -0,0 +1,2 @@
+// Package page writes the service levels of a report as one self-contained HTML page.
+package page
