Check that every invariant's test fails without its mechanism

Cause: a test that never failed proves little. The command proofs removes one mechanism at a time in a copy of the repository and runs its test. Ruled out: switches in the product that turn mechanisms off.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := fleet host load operator schema standin
+MODULES := fleet host load operator proofs schema standin
 PROGRAMS := host:tamarack-host operator:tamarack standin:tamarack-standin load:tamarack-load
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint
--- /dev/null
+++ b/proofs/main.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Root string `long:"root" default:"." description:"folder of the repository"`
+}
+
+const description = `Removes each mechanism of proofs/removals.go in a copy of the repository and runs the test that guards it.
+
+Exit codes: 0 when every test fails without its mechanism, 1 when one passes or cannot be run, 2 for wrong usage.`
+
+func main() {
+	var opts options
+	parser := flags.NewParser(&opts, flags.Default)
+	parser.LongDescription = description
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(opts.Root); err != nil {
+		fmt.Fprintln(os.Stderr, "proofs:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+func run(root string) error {
+	copied, err := os.MkdirTemp("", "tamarack-proofs-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(copied) }()
+	if err := copyTree(root, copied); err != nil {
+		return trace.Wrap(err)
+	}
+	passed := 0
+	for _, r := range removals {
+		ok, err := check(copied, r)
+		if err != nil {
+			return trace.Wrap(err, "invariant %d, %s", r.invariant, r.what)
+		}
+		verdict := "fails without it, as it should"
+		if !ok {
+			verdict = "PASSES without it"
+			passed++
+		}
+		fmt.Printf("invariant %2d: %s: %s %s\n", r.invariant, r.what, r.pkg, verdict)
+	}
+	if passed > 0 {
+		return trace.CompareFailed("%d tests do not notice that their mechanism is missing", passed)
+	}
+	return nil
+}
+
+// copyTree copies the Go modules of the repository without programs and git data.
+func copyTree(root, to string) error {
+	for _, name := range []string{"fleet", "host", "load", "operator", "proofs", "schema", "standin"} {
+		if err := os.CopyFS(filepath.Join(to, name), os.DirFS(filepath.Join(root, name))); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	work, err := os.ReadFile(filepath.Join(root, "go.work"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.WriteFile(filepath.Join(to, "go.work"), work, 0o600))
+}
+
+// check reports whether the test fails without the mechanism; a copy that does not build is an error.
+func check(root string, r removal) (bool, error) {
+	path := filepath.Join(root, r.file)
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return false, trace.ConvertSystemError(err)
+	}
+	if strings.Count(string(source), r.old) != 1 {
+		return false, trace.NotFound("%s does not hold %q exactly once", r.file, r.old)
+	}
+	changed := strings.Replace(string(source), r.old, r.put, 1)
+	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
+		return false, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.WriteFile(path, source, 0o600) }()
+	if output, err := goCommand(root, "test", "-run", "^$", r.pkg); err != nil {
+		return false, trace.BadParameter("the copy does not build: %s", output)
+	}
+	_, err = goCommand(root, "test", "-count=1", "-timeout=120s", "-run", r.test, r.pkg)
+	return err != nil, nil
+}
+
+func goCommand(root string, args ...string) (string, error) {
+	command := exec.Command("go", args...)
+	command.Dir = root
+	output, err := command.CombinedOutput()
+	return string(output), trace.Wrap(err)
+}
--- /dev/null
+++ b/proofs/removals.go
@@ -0,0 +1,107 @@
+package main
+
+// removal takes one mechanism out of the code.
+type removal struct {
+	// invariant is the number in section 2 of docs/design.md.
+	invariant int
+	what      string
+	file      string
+	old       string
+	put       string
+	// pkg and test name the test that must fail.
+	pkg  string
+	test string
+}
+
+var removals = []removal{
+	{
+		1, "writers record with the holders of the previous epoch until the next is settled",
+		"fleet/session/view.go", "if v.Settled || v.Previous == nil {", "if v != nil {",
+		"./fleet/session", ".",
+	},
+	{
+		1, "reads go only to replicas that cover the session's position",
+		"fleet/route/choose.go", "case !c.Position.Covers(need.Position):", "case false:",
+		"./fleet/route", ".",
+	},
+	{
+		2, "a write counts as held only under the current term",
+		"fleet/group/group.go", "if record.Term == p.Term {", "if record.Term <= p.Term {",
+		"./host/promotion", ".",
+	},
+	{
+		2, "promotion needs a majority of fenced members",
+		"fleet/failover/attempt.go", "if n < g.majority() {", "if n < 1 {",
+		"./fleet/failover", ".",
+	},
+	{
+		3, "a transaction whose caller is gone is rolled back before its connection is used again",
+		"host/entry/transaction.go", "if !conn.Stale() && !conn.Idle() {\n\t\trollback(conn)\n\t}", "",
+		"./host/entry", "CallerDies|DoNotMix",
+	},
+	{
+		4, "a key is compared with its hash",
+		"fleet/key/table.go", "case known && same:", "case known && (same || !same):",
+		"./host/entry", "Startup",
+	},
+	{
+		5, "the startup message to upstreams holds nothing of the caller",
+		"host/upstream/conn.go", `"database": string(service)}`, `"database": string(service), "options": "c2VjcmV0LW9mLXRoZS1tZW1iZXItMzItYnl0ZXMtb2s"}`,
+		"./host/entry", "Startup",
+	},
+	{
+		6, "a live connection asks for its key's validity before each batch",
+		"host/entry/run.go", "if !view.Keys.Valid(c.key, c.session.Team) {", "if false {",
+		"./host/entry", "Withdrawn",
+	},
+	{
+		6, "a host whose lease has ended serves nothing",
+		"host/member/view.go", "return v.Text != nil && now < v.Expires", "return v.Text != nil",
+		"./host/entry", "Withdrawn",
+	},
+	{
+		7, "tokens on loan leave no room in the bucket",
+		"fleet/limit/bucket.go", "b.lent -= b.loans[n].owed\n", "b.lent -= 2 * b.loans[n].owed\n",
+		"./fleet/limit", ".",
+	},
+	{
+		8, "upstreams of an availability zone that is out get no work",
+		"fleet/route/choose.go", "!c.Leaving && !c.ZoneOut", "!c.Leaving",
+		"./fleet/route", ".",
+	},
+	{
+		9, "a connection that a cancel request named is not used again",
+		"host/upstream/conn.go", "c.stale.Store(true)\n\tvar dialer", "var dialer",
+		"./host/entry", "Cancel",
+	},
+	{
+		10, "a statement that was sent is never told as not run",
+		"host/entry/run.go", "return sqlstate.New(sqlstate.OutcomeUnknown, err)", "return sqlstate.New(sqlstate.NoConnection, err)",
+		"./host/entry", "Lost",
+	},
+	{
+		11, "only failures before anything was sent are tried again",
+		"host/entry/run.go", "case isUnsent(err) && sqlstate.From(err) == nil && ctx.Err() == nil:", "case ctx.Err() == nil:",
+		"./host/entry", "LostStatements",
+	},
+	{
+		12, "leaving upstreams get no work",
+		"fleet/route/choose.go", "!c.Leaving && !c.ZoneOut", "!c.ZoneOut",
+		"./fleet/route", ".",
+	},
+	{
+		13, "a shutdown waits for running transactions",
+		"host/entry/server.go", "for time.Now().Before(deadline) && s.endIdle() > 0 {", "for s.endIdle() < 0 {",
+		"./host/entry", "Shutdown",
+	},
+	{
+		14, "a text applies only over the version that its operator expected",
+		"fleet/control/operators.go", "if apply.GetExpected() != m.text.GetVersion() {", "if false {",
+		"./fleet/control", ".",
+	},
+	{
+		14, "the log commits only what a majority has synced",
+		"fleet/quorum/lead.go", "return n.disk.index", "return 1 << 40",
+		"./fleet/quorum", ".",
+	},
+}
