Make the tests of office changes notice a replaced owner and a late end

Cause: with the owner replaced at each notice of the same office, and with the running proposal not cancelled, the tests still passed; both were found by changing the code.

Before: both changes survive.

--- a/host/lending/lending_test.go
+++ b/host/lending/lending_test.go
@@ -19,6 +19,7 @@
 	const (
 		first  = ident.Time(time.Second)
 		second = ident.Time(60 * time.Second)
+		rate   = 10
 		burst  = 50
 	)
 	l := lending.New()
@@ -34,14 +35,17 @@
 		}
 		return lent
 	}
-	l.SetState(1, &fleetpb.Text{Teams: []*fleetpb.Team{{Name: "brno", Rate: 10, Burst: burst}}}, nil)
+	l.SetState(1, &fleetpb.Text{Teams: []*fleetpb.Team{{Name: "brno", Rate: rate, Burst: burst}}}, nil)
 	require.Zero(t, borrow(first), "lent without office")
 	l.SetOffice(first, control.Office{Leads: true, Since: first})
 	require.Zero(t, borrow(first.Add(limit.Lifetime-1)), "lent beside loans of an earlier owner")
 	full := first.Add(30 * time.Second)
 	require.EqualValues(t, burst, borrow(full))
-	l.SetOffice(full, control.Office{Leads: true, Since: first, Until: full})
-	require.Zero(t, borrow(full), "the bucket was filled without a change of office")
+	require.Zero(t, borrow(full), "lent more than the burst")
+	later := full.Add(time.Second)
+	l.SetOffice(later, control.Office{Leads: true, Since: first, Until: later})
+	// Live loans count against the burst, so the bucket fills from their end on, half a second before.
+	require.EqualValues(t, rate/2, borrow(later), "the bucket was replaced without a change of office")
 	l.SetOffice(second, control.Office{})
 	require.Zero(t, borrow(second), "lent after the office ended")
 	l.SetOffice(second, control.Office{Leads: true, Since: second})
--- a/host/switchover/switchover_test.go
+++ b/host/switchover/switchover_test.go
@@ -101,6 +101,7 @@
 
 	w.SetOffice(w.now, control.Office{Leads: true, Since: w.now})
 	<-early.ctx.Done()
+	require.ErrorIs(t, early.ctx.Err(), context.Canceled, "the proposal went on until its timeout")
 	require.NotSame(t, old, w.office)
 	require.Empty(t, w.office.synced)
 	late := w.attempt(t)
