--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -194,8 +194,10 @@
 				conn.NotePrepared(fmt.Sprint(i))
 			}
 		}, []string{"1 DISCARD ALL", "1 SELECT 1"}},
-		{"open transaction", func(t *testing.T, conn *upstream.Conn) { require.NoError(t, conn.Exec("BEGIN")) },
-			[]string{"1 BEGIN", "2 SELECT 1"}},
+		{
+			"open transaction", func(t *testing.T, conn *upstream.Conn) { require.NoError(t, conn.Exec("BEGIN")) },
+			[]string{"1 BEGIN", "2 SELECT 1"},
+		},
 		{"cancel request", func(t *testing.T, conn *upstream.Conn) {
 			conn.Begin()
 			require.NoError(t, conn.Cancel(t.Context()))
