Explain rejections and changes of primary in order and by cause

Explain listed rejections after later events, found nothing for the kind status, and did not say which primary was replaced or why. Events are now ordered by time, show the host that reported them, and a promotion names the old primary and the cause. The new texts of hosts were tested by unit tests, not yet seen on a running fleet.

--- a/fleet/burn/burn_test.go
+++ b/fleet/burn/burn_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/burn"
 	"tamarackshunt.dev/fleet/ident"
@@ -64,3 +65,27 @@
 	tell("an hour later all is forgotten")
 	goldie.New(t).Assert(t, "report", []byte(story.String()))
 }
+
+// Guards the plots: points of an idle time, of an earlier hour or at the wrong time, and levels in another order than those
+// of the table.
+func TestSeries(t *testing.T) {
+	m := burn.New()
+	m.Count(0, "brno", burn.Counts{Asked: 10, Served: 10, ReadsPrimary: 10})
+	now := ident.Time(time.Hour)
+	m.Count(now, "brno", burn.Counts{Asked: 10, Served: 10, ReadsReplica: 10})
+	now = now.Add(3 * burn.Bucket)
+	m.Count(now, "brno", burn.Counts{Asked: 10, Served: 10, ReadsReplica: 5, ReadsPrimary: 5})
+	m.Gap(now.Add(time.Second), 2*time.Second)
+	now = now.Add(2 * time.Second)
+	series := m.Series(now)
+	for i, level := range m.Levels(now) {
+		switch level.Name {
+		case "reads served by replicas":
+			require.Equal(t, burn.Series{{At: ident.Time(time.Hour), Amount: 1}, {At: ident.Time(time.Hour + 3*burn.Bucket), Amount: 0.5}}, series[i])
+		case "failover gap, median", "failover gap, longest":
+			require.Equal(t, burn.Series{{At: ident.Time(time.Hour + 3*burn.Bucket), Amount: 2}}, series[i])
+		default:
+			require.Empty(t, series[i], level.Name)
+		}
+	}
+}
--- a/fleet/control/applied.go
+++ b/fleet/control/applied.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// outage is a time for which a group has no primary.
+type outage struct {
+	since ident.Time
+	// primary is the one before, and cause is that of the first attempt to replace it.
+	primary string
+	cause   string
+}
+
 // attempted notes since when a group has no primary: since the last answer of the old one.
 func (l *Leader) attempted(now ident.Time, a *fleetpb.Attempt) {
 	service := ident.Service(a.GetService())
@@ -70,24 +78,29 @@
 	if _, running := l.outage[service]; running || group.GetTerm() == 0 {
 		return
 	}
-	l.outage[service] = now
+	o := outage{since: now, primary: group.GetPrimary(), cause: a.GetCause()}
 	if u := l.upstreams[upstreamID{service, ident.Upstream(group.GetPrimary())}]; u != nil && u.observed {
-		l.outage[service] = u.contact
+		o.since = u.contact
 	}
+	l.outage[service] = o
 }
 
 func (l *Leader) promoted(now ident.Time, p *fleetpb.Promoted) {
 	service := ident.Service(p.GetService())
-	since, running := l.outage[service]
+	o, running := l.outage[service]
 	delete(l.outage, service)
 	if !running {
 		l.record(now, KindPromoted, p.GetService()+"/"+p.GetUpstream(), fmt.Sprintf("primary under term %d", p.GetTerm()))
 		return
 	}
-	gap := now.Sub(since)
+	gap := now.Sub(o.since)
 	l.meter.Gap(now, gap)
-	l.record(now, KindPromoted, p.GetService()+"/"+p.GetUpstream(),
-		fmt.Sprintf("primary under term %d, %d ms after the last contact with the old one", p.GetTerm(), gap.Milliseconds()))
+	before := "in place of " + o.primary
+	if o.primary == p.GetUpstream() {
+		before = "again"
+	}
+	l.record(now, KindPromoted, p.GetService()+"/"+p.GetUpstream(), fmt.Sprintf(
+		"primary under term %d %s, %d ms after the last contact with the old one; cause: %s", p.GetTerm(), before, gap.Milliseconds(), o.cause))
 }
 
 // Restored follows a snapshot that the Machine has just restored.
--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -62,8 +62,8 @@
 	// version and text are those that the leader has followed.
 	version ident.Version
 	text    *fleetpb.Text
-	// outage tells since when a group has no primary.
-	outage map[ident.Service]ident.Time
+	// outage holds the groups without a primary.
+	outage map[ident.Service]outage
 	events ring
 	// rejections are apart from events, so that a burst of them does not push out changes of state.
 	rejections ring
@@ -76,7 +76,7 @@
 		host:    options.Host,
 		machine: options.Machine,
 		meter:   options.Meter,
-		outage:  map[ident.Service]ident.Time{},
+		outage:  map[ident.Service]outage{},
 	}
 	l.clear()
 	return l
--- a/fleet/control/leader_test.go
+++ b/fleet/control/leader_test.go
@@ -220,3 +220,54 @@
 	require.Equal(t, "brno 230 230 0 0 0 130 100 0", counted(), "sums are since the hosts' starts")
 	require.Equal(t, 0.5, meter.Measure(now, burn.Slow).ReplicaShare.Amount)
 }
+
+// Guards against a host that leads again and counts what another leader counted in between, or that shows windows with a
+// hole in them as whole.
+func TestCountsAfterReturnToOffice(t *testing.T) {
+	machine, meter := control.NewMachine(), burn.New()
+	leader := control.NewLeader(control.LeaderOptions{Host: "c1", Machine: machine, Meter: meter})
+	sync := func(now ident.Time, replica, primary uint64) {
+		_, _, err := leader.Sync(now, &fleetpb.SyncRequest{Host: "h1", Incarnation: 1, Tallies: []*fleetpb.Tally{
+			{Team: "brno", Asked: replica + primary, Served: replica + primary, ReadsReplica: replica, ReadsPrimary: primary},
+		}})
+		require.NoError(t, err)
+	}
+	until := ident.Time(time.Hour)
+	leader.SetOffice(0, control.Office{Leads: true, Until: until})
+	sync(ident.Time(time.Second), 0, 0)
+	sync(ident.Time(2*time.Second), 0, 500)
+	require.Zero(t, meter.Measure(ident.Time(2*time.Second), burn.Slow).ReplicaShare.Amount)
+	leader.SetOffice(ident.Time(3*time.Second), control.Office{})
+	back := ident.Time(9 * time.Second)
+	leader.SetOffice(back, control.Office{Leads: true, Since: back, Until: until})
+	sync(back, 0, 9000)
+	require.False(t, meter.Measure(back, burn.Slow).ReplicaShare.Known)
+	sync(back.Add(time.Second), 100, 9000)
+	require.Equal(t, 1.0, meter.Measure(back.Add(time.Second), burn.Slow).ReplicaShare.Amount)
+	require.Equal(t, back, meter.Began())
+}
+
+// Guards the order and the subjects of explain: rejections that come after later events, and the kind "status" or the name
+// of an upstream that finds nothing.
+func TestExplainOrder(t *testing.T) {
+	w := newWorld(t)
+	w.text("a1", 0, yaml)
+	require.Equal(t, "done", w.outcome(join("orders", member("u1", "north"))))
+	w.host("h1", "north")
+	w.hosts["h1"].Rejections = []*fleetpb.Event{{Subject: "orders/brno", Cause: "once rate_exceeded"}}
+	w.run(250*time.Millisecond, "h1", "")
+	w.hosts["h1"].Rejections = nil
+	w.run(3*time.Second, "h1", "")
+	require.Equal(t, "done", w.outcome(attempt("orders", 1)))
+	require.Equal(t, "done", w.outcome(promoted("orders", 1, "u1")))
+	at := map[control.Kind]int{}
+	for i, event := range w.leader.Explain(w.now, "") {
+		at[event.Kind] = i
+	}
+	require.Less(t, at[control.KindRejected], at[control.KindPromoted])
+	require.Less(t, at[control.KindPromoted], at[control.KindStatus])
+	require.NotEmpty(t, w.leader.Explain(w.now, "status"))
+	w.run(time.Minute, "h1", "")
+	about := w.leader.Explain(w.now, "u1")
+	require.Equal(t, control.KindStatus, about[len(about)-1].Kind, "u1 is not announced")
+}
--- a/fleet/control/status.go
+++ b/fleet/control/status.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -69,7 +70,12 @@
 		return fmt.Sprintf("no primary yet, %d of %d upstreams are announced", l.announced(now, service), s.GetUpstreams())
 	}
 	if group.GetAttempt() > group.GetTerm() {
-		return fmt.Sprintf("no primary, a promotion under term %d is running", group.GetAttempt())
+		alive, all := l.announced(now, service), max(int(s.GetUpstreams()), len(group.GetMembers()))
+		reason := fmt.Sprintf("no primary, a promotion under term %d is running with %d of %d upstreams", group.GetAttempt(), alive, all)
+		if needed := all/2 + 1; alive < needed {
+			reason += fmt.Sprintf(" and waits for %d of them", needed)
+		}
+		return reason
 	}
 	member := MemberOf(group, group.GetPrimary())
 	id := upstreamID{service, ident.Upstream(group.GetPrimary())}
@@ -168,17 +174,21 @@
 	return []string{fmt.Sprintf("version %d of the text has not reached host %s", l.machine.TextVersion(), strings.Join(behind, ", "))}
 }
 
-// Explain returns the recent events about a subject, oldest first; an empty subject means all events. For a service whose
-// text is not met it adds what keeps it from being met.
+// Explain returns the recent events about a subject, oldest first; an empty subject means all events. It ends with what
+// keeps services from being met, as far as that is about the subject.
 func (l *Leader) Explain(now ident.Time, subject string) []Event {
 	found := append(l.events.about(subject), l.rejections.about(subject)...)
 	for _, s := range l.machine.Text().GetServices() {
-		if l.office.Leads && (subject == "" || s.GetName() == subject) {
-			if status := l.serviceStatus(now, s); !status.GetMet() {
-				found = append(found, Event{At: now, Kind: KindStatus, Subject: s.GetName(), Cause: "not met: " + status.GetReason()})
-			}
+		if !l.office.Leads {
+			break
+		}
+		status := l.serviceStatus(now, s)
+		event := Event{At: now, Kind: KindStatus, Subject: s.GetName(), Cause: "not met: " + status.GetReason()}
+		if !status.GetMet() && about(event, subject) {
+			found = append(found, event)
 		}
 	}
+	slices.SortStableFunc(found, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return found
 }
 
--- a/fleet/failover/detect.go
+++ b/fleet/failover/detect.go
@@ -78,7 +78,7 @@
 	var faults []string
 	for zone, h := range latest {
 		if f := g.fault(g.views[g.control.Primary][h]); f != "" {
-			faults = append(faults, fmt.Sprintf("%s by %s in %s", f, h, zone))
+			faults = append(faults, fmt.Sprintf("%s as seen by %s in zone %s", f, h, zone))
 		}
 	}
 	observers := g.control.Observers
@@ -101,9 +101,9 @@
 	c := g.control
 	switch {
 	case c.Attempt > c.Term:
-		cause := fmt.Sprintf("term %d was reserved without a promotion", c.Attempt)
+		cause := fmt.Sprintf("term %d ended without a promotion", c.Attempt)
 		if g.cause != "" {
-			cause += "; first: " + g.cause
+			cause += "; first cause: " + g.cause
 		}
 		g.start(&attempt{cause: cause})
 	case c.Term == 0:
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -32,9 +32,21 @@
 	Waited time.Duration
 }
 
-// Error names the team, the wait and the cause.
+// Error names the team, the cause and the wait.
 func (e *Exceeded) Error() string {
-	return fmt.Sprintf("team %s got no token within %v: %s", e.Team, e.Waited, e.Cause)
+	switch e.Cause {
+	case CauseNoOwner:
+		return fmt.Sprintf("team %s got no token within %v, since the owner of its tokens does not answer", e.Team, rounded(e.Waited))
+	case CauseCrowded:
+		return fmt.Sprintf("team %s has as many requests waiting for tokens on this host as it may", e.Team)
+	default:
+		return fmt.Sprintf("team %s is above its rate and got no token within %v", e.Team, rounded(e.Waited))
+	}
+}
+
+// rounded leaves out what says nothing to operators.
+func rounded(waited time.Duration) time.Duration {
+	return waited.Round(time.Millisecond)
 }
 
 // purse holds one team's tokens and waiting requests on one host.
--- a/host/controller/controller_test.go
+++ b/host/controller/controller_test.go
@@ -154,6 +154,10 @@
 	report, err := client.Report(operator, &fleetpb.ReportRequest{})
 	require.NoError(t, err)
 	require.Contains(t, report.GetText(), "reads served by replicas")
+	require.Equal(t, "reads served by replicas", report.GetLevels()[0].GetName())
+	require.Equal(t, "c1", report.GetLeaderHost())
+	require.LessOrEqual(t, report.GetSinceUnixMs(), report.GetUnixMs())
+	require.NotZero(t, report.GetSinceUnixMs())
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/host/rejections/rejections.go
+++ b/host/rejections/rejections.go
@@ -77,12 +77,19 @@
 			Host:    string(l.host),
 			Kind:    "rejected",
 			Subject: string(key.service) + "/" + string(key.team),
-			Cause:   fmt.Sprintf("%d times %s, last %s", t.count, key.reason, t.cause),
+			Cause:   fmt.Sprintf("%s %s, last for %s", times(t.count), key.reason, t.cause),
 		})
 	}
 	sort.Slice(request.Rejections, func(i, j int) bool { return request.Rejections[i].Subject < request.Rejections[j].Subject })
 }
 
+func times(n int) string {
+	if n == 1 {
+		return "once"
+	}
+	return fmt.Sprintf("%d times", n)
+}
+
 // Delivered forgets what the last sync carried.
 func (l *Log) Delivered() {
 	l.mutex.Lock()
--- a/operator/command/command_test.go
+++ b/operator/command/command_test.go
@@ -76,7 +76,7 @@
 		return &fleetpb.ExplainResponse{}, nil
 	}
 	return &fleetpb.ExplainResponse{Events: []*fleetpb.Event{
-		{UnixMs: 1767225600123, Kind: "promoted", Subject: "orders/u2", Cause: "primary under term 4"},
+		{UnixMs: 1767225600123, Host: "c1", Kind: "promoted", Subject: "orders/u2", Cause: "primary under term 4"},
 	}}, nil
 }
 
--- a/operator/command/show.go
+++ b/operator/command/show.go
@@ -123,9 +123,10 @@
 		return nil
 	}
 	w := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "TIME\tEVENT\tSUBJECT\tREPORTED BY\tCAUSE")
 	for _, event := range answer.GetEvents() {
 		at := time.UnixMilli(int64(event.GetUnixMs())).UTC().Format("2006-01-02T15:04:05.000Z")
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", at, event.GetKind(), event.GetSubject(), event.GetCause())
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", at, event.GetKind(), event.GetSubject(), orDash(event.GetHost()), event.GetCause())
 	}
 	return trace.Wrap(w.Flush())
 }
