--- /dev/null
+++ b/fleet/certificate/doc.go
@@ -0,0 +1,2 @@
+// Package certificate holds the TLS certificates of a process and reads their files again when they are renewed.
+package certificate
--- a/fleet/sqlstate/reason_enumer.go
+++ b/fleet/sqlstate/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
+const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknowntls_required"
 
-var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 247, 263, 278}
+var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 247, 263, 278, 290}
 
-const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknown"
+const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededupstream_losttransaction_lostoutcome_unknowntls_required"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -45,9 +45,10 @@
 	_ = x[UpstreamLost-(18)]
 	_ = x[TransactionLost-(19)]
 	_ = x[OutcomeUnknown-(20)]
+	_ = x[TLSRequired-(21)]
 }
 
-var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, UpstreamLost, TransactionLost, OutcomeUnknown}
+var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, UpstreamLost, TransactionLost, OutcomeUnknown, TLSRequired}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:10]:    QueueFull,
@@ -71,6 +72,7 @@
 	_ReasonName[234:247]: UpstreamLost,
 	_ReasonName[247:263]: TransactionLost,
 	_ReasonName[263:278]: OutcomeUnknown,
+	_ReasonName[278:290]: TLSRequired,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -95,6 +97,7 @@
 	_ReasonLowerName[234:247]: UpstreamLost,
 	_ReasonLowerName[247:263]: TransactionLost,
 	_ReasonLowerName[263:278]: OutcomeUnknown,
+	_ReasonLowerName[278:290]: TLSRequired,
 }
 
 var _ReasonNames = []string{
@@ -119,6 +122,7 @@
 	_ReasonName[234:247],
 	_ReasonName[247:263],
 	_ReasonName[263:278],
+	_ReasonName[278:290],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/fleet/sqlstate/sqlstate.go
+++ b/fleet/sqlstate/sqlstate.go
@@ -32,6 +32,7 @@
 	UpstreamLost
 	TransactionLost
 	OutcomeUnknown
+	TLSRequired
 )
 
 // Ran says whether the statement ran.
@@ -157,6 +158,10 @@
 		Code: "08007", Severity: Error, Ran: Unknown, Message: "the outcome of the statement is unknown",
 		Advice: "The statement was sent, but its result or its replication was not confirmed before the deadline.",
 	},
+	TLSRequired: {
+		Code: "28000", Severity: Fatal, Ran: NotRun, Message: "this host accepts only connections with TLS",
+		Advice: "The caller did not ask for TLS; see tls.caller.plaintext for devices that cannot use it.",
+	},
 }
 
 // Of returns the row of a reason.
--- a/host/check.go
+++ b/host/check.go
@@ -13,14 +13,21 @@
 	if s.GetCaller() == "" && s.GetData() == "" {
 		return trace.BadParameter("%s: the host needs caller (an address for callers) or data (a folder), or both", path)
 	}
-	fields := []struct{ name, address string }{
-		{"caller", s.GetCaller()}, {"peer", s.GetPeer()}, {"listen", s.GetListen()},
+	if err := checkTLS(s.GetTls()); err != nil {
+		return trace.BadParameter("%s: tls: %s", path, err.Error())
+	}
+	peers := s.GetTls().GetAuthority() != ""
+	fields := []struct {
+		name, address string
+		secured       bool
+	}{
+		{"caller", s.GetCaller(), s.GetTls().GetCaller() != nil}, {"peer", s.GetPeer(), peers}, {"listen", s.GetListen(), peers},
 	}
 	for _, field := range fields {
 		if field.address == "" {
 			continue
 		}
-		if err := checkLoopback(field.address); err != nil {
+		if err := checkAddress(field.address, field.secured); err != nil {
 			return trace.BadParameter("%s: %s: %s", path, field.name, err.Error())
 		}
 	}
@@ -38,8 +45,22 @@
 	return trace.BadParameter("%s: control: a host with a data folder is one of the control hosts, expected an entry for %q", path, s.GetHost())
 }
 
-// checkLoopback rejects addresses that other machines reach, since there is no TLS yet.
-func checkLoopback(address string) error {
+// checkTLS rejects a certificate without its key or authority, since the host would then start without TLS.
+func checkTLS(t *fleetpb.HostTLS) error {
+	set := 0
+	for _, file := range []string{t.GetCertificate(), t.GetKey(), t.GetAuthority()} {
+		if file != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		return trace.BadParameter("expected certificate, key and authority, or none of them")
+	}
+	return nil
+}
+
+// checkAddress rejects addresses that other machines reach unless connections to them are secured.
+func checkAddress(address string, secured bool) error {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return trace.BadParameter("%q is not an IP address with a port", address)
@@ -48,8 +69,8 @@
 	if ip == nil {
 		return trace.BadParameter("%q does not begin with an IP address", address)
 	}
-	if !ip.IsLoopback() {
-		return trace.BadParameter("%q is not a loopback address; without TLS only loopback is listened on", address)
+	if !secured && !ip.IsLoopback() {
+		return trace.BadParameter("%q is not a loopback address; without certificates only loopback is listened on", address)
 	}
 	return nil
 }
--- a/host/controller/announce.go
+++ b/host/controller/announce.go
@@ -4,14 +4,18 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/host/peer"
 )
 
+// forwardTimeout bounds the passing on of an announcement to the leader.
+const forwardTimeout = 2 * time.Second
+
 // maxAnnouncement bounds the body of an announcement in bytes.
 const maxAnnouncement = 64 << 10
 
@@ -41,9 +45,8 @@
 
 // AnnounceHandler serves POST /announce to upstreams that show the announcement key, on control hosts and on others.
 func AnnounceHandler(key string, announce Announcer) http.Handler {
-	want := secretOf(key)
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if !shown(request, want) {
+		if !peer.Shows(request, key) {
 			announceDenied.Inc()
 			answer(w, http.StatusUnauthorized, Announced{Problem: "wrong or missing announcement key"})
 			return
@@ -101,12 +104,8 @@
 	if err != nil || response.GetLeader() == "" {
 		return response, trace.Wrap(err)
 	}
-	header := http.Header{"Authorization": {"Bearer " + c.options.Secrets.GetFleet()}}
-	ctx, err = twirp.WithHTTPRequestHeaders(ctx, header)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	client := fleetpb.NewControlProtobufClient("http://"+response.GetLeader(), c.options.Client)
+	peers := c.options.Peers
+	client := fleetpb.NewControlProtobufClient(peers.URL(response.GetLeader()), peers.Client(forwardTimeout))
 	response, err = client.Announce(ctx, request)
 	return response, trace.Wrap(err)
 }
--- a/host/controller/controller.go
+++ b/host/controller/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -15,6 +14,7 @@
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/peer"
 )
 
 const (
@@ -39,8 +39,8 @@
 	// Clock is the logical time by which the control log counts too.
 	Clock func() ident.Time
 	Parts Parts
-	// Client calls other control hosts; nil means one with a timeout of two seconds.
-	Client *http.Client
+	// Peers carries calls to other control hosts, and admits those of hosts.
+	Peers *peer.Network
 }
 
 // Controller is the control role of one host. Its methods may be called from several goroutines.
@@ -68,12 +68,11 @@
 		return nil, trace.BadParameter("a controller needs a host")
 	case options.Secrets.GetFleet() == "" || options.Secrets.GetOperator() == "" || options.Secrets.GetAnnounce() == "":
 		return nil, trace.BadParameter("a controller needs the fleet secret, the operator secret and the announcement key")
+	case options.Peers == nil:
+		return nil, trace.BadParameter("a controller needs its peers")
 	case options.Clock == nil:
 		return nil, trace.BadParameter("a controller needs a clock")
 	}
-	if options.Client == nil {
-		options.Client = &http.Client{Timeout: 2 * time.Second}
-	}
 	machine := control.NewMachine()
 	return &Controller{
 		options: options,
--- a/host/controller/controller_test.go
+++ b/host/controller/controller_test.go
@@ -18,6 +18,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/controller"
+	"tamarackshunt.dev/host/peer"
 )
 
 const yaml = `zones: [{name: north, region: moravia}]
@@ -76,7 +77,8 @@
 func serve(t *testing.T, p controller.Parts, log func(*controller.Controller, func() ident.Time) controller.Log) *httptest.Server {
 	start := time.Now()
 	clock := func() ident.Time { return ident.Time(time.Since(start)) }
-	c, err := controller.New(controller.Options{Host: "c1", Secrets: secrets, Clock: clock, Parts: p})
+	peers := peer.New(peer.Options{Secret: secrets.GetFleet()})
+	c, err := controller.New(controller.Options{Host: "c1", Secrets: secrets, Clock: clock, Parts: p, Peers: peers})
 	require.NoError(t, err)
 	mux := http.NewServeMux()
 	mux.Handle(fleetpb.ControlPathPrefix, c.Handler())
--- a/host/controller/handler.go
+++ b/host/controller/handler.go
@@ -1,15 +1,13 @@
 package controller
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/twitchtv/twirp"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/host/peer"
 )
 
 // maxRequest bounds a request's body in bytes; the largest one holds a text.
@@ -17,48 +15,31 @@
 
 var unauthenticated = metrics.NewCounter(`tamarack_control_unauthenticated_total`)
 
-// secret is a shared secret that requests show as "Authorization: Bearer".
-type secret [sha256.Size]byte
-
-func secretOf(text string) secret {
-	return sha256.Sum256([]byte("Bearer " + text))
-}
-
-// shown reports whether a request shows one of the secrets. All of them are compared, by hashes of equal length, so that
-// the time taken tells nothing about a secret.
-func shown(request *http.Request, accepted ...secret) bool {
-	got := sha256.Sum256([]byte(request.Header.Get("Authorization")))
-	match := 0
-	for _, want := range accepted {
-		match |= subtle.ConstantTimeCompare(got[:], want[:])
-	}
-	return match == 1
-}
-
-// Handler serves the Control service under its twirp path.
+// Handler serves the Control service under its twirp path. Methods that are not listed are refused.
 func (c *Controller) Handler() http.Handler {
 	server := fleetpb.NewControlServer(service{c})
-	fleet, operator, announce := secretOf(c.options.Secrets.GetFleet()), secretOf(c.options.Secrets.GetOperator()),
-		secretOf(c.options.Secrets.GetAnnounce())
-	accepted := map[string][]secret{
-		"Sync":        {fleet},
-		"Borrow":      {fleet},
-		"Announce":    {fleet, announce},
-		"Apply":       {operator},
-		"GiveKey":     {operator},
-		"WithdrawKey": {operator},
-		"Status":      {operator},
-		"Explain":     {operator},
-		"Report":      {operator},
+	host := c.options.Peers.Admit
+	operator := peer.Secrets(c.options.Secrets.GetOperator())
+	accepted := map[string]peer.Check{
+		"Sync":        host,
+		"Borrow":      host,
+		"Announce":    peer.Any(host, peer.Secrets(c.options.Secrets.GetAnnounce())),
+		"Apply":       operator,
+		"GiveKey":     operator,
+		"WithdrawKey": operator,
+		"Status":      operator,
+		"Explain":     operator,
+		"Report":      operator,
 	}
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		method := strings.TrimPrefix(request.URL.Path, fleetpb.ControlPathPrefix)
-		if !shown(request, accepted[method]...) {
-			unauthenticated.Inc()
-			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("wrong or missing secret"))
-			return
+	check := func(r *http.Request) error {
+		method := accepted[strings.TrimPrefix(r.URL.Path, fleetpb.ControlPathPrefix)]
+		if method == nil {
+			method = peer.Any()
 		}
+		return method(r)
+	}
+	return peer.Guard(check, unauthenticated, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		request.Body = http.MaxBytesReader(w, request.Body, maxRequest)
 		server.ServeHTTP(w, request)
-	})
+	}))
 }
--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -65,7 +65,11 @@
 }
 
 // Sync answers an entry host.
-func (s service) Sync(_ context.Context, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, error) {
+func (s service) Sync(ctx context.Context, request *fleetpb.SyncRequest) (*fleetpb.SyncResponse, error) {
+	if err := s.options.Peers.Claim(ctx, request.GetHost()); err != nil {
+		syncsRefused.Inc()
+		return nil, err
+	}
 	var response *fleetpb.SyncResponse
 	var failure error
 	leader, err := s.lead(func(now ident.Time) {
@@ -98,7 +102,10 @@
 }
 
 // Borrow lends tokens of teams.
-func (s service) Borrow(_ context.Context, request *fleetpb.BorrowRequest) (*fleetpb.BorrowResponse, error) {
+func (s service) Borrow(ctx context.Context, request *fleetpb.BorrowRequest) (*fleetpb.BorrowResponse, error) {
+	if err := s.options.Peers.Claim(ctx, request.GetHost()); err != nil {
+		return nil, err
+	}
 	tokens := s.options.Parts.Tokens
 	if tokens == nil {
 		return nil, twirp.Unimplemented.Error("this control host lends no tokens")
--- a/host/deps.go
+++ b/host/deps.go
@@ -23,6 +23,7 @@
 	"tamarackshunt.dev/host/lending"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/observer"
+	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 	"tamarackshunt.dev/host/replica"
 	"tamarackshunt.dev/host/routing"
@@ -39,6 +40,8 @@
 	settings    *fleetpb.HostSettings
 	incarnation ident.Incarnation
 	clock       *clock.Clock
+	secure      *secure
+	peers       *peer.Network
 	member      *member.Member
 	tracker     *tracker.Tracker
 	observer    *observer.Observer
@@ -62,9 +65,17 @@
 
 // build makes and starts all parts of a host.
 func build(settings *fleetpb.HostSettings) (*deps, error) {
+	secure, err := loadSecure(settings)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	d := &deps{
 		settings: settings,
+		secure:   secure,
+		peers: peer.New(peer.Options{
+			Secret: settings.GetSecrets().GetFleet(), Certificates: secure.peer, Control: settings.GetControl(),
+		}),
 		// The wall clock orders the starts of a host that keeps nothing on disk.
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
 		clock:       clock.New(),
@@ -92,23 +103,22 @@
 func (d *deps) buildPath() {
 	s := d.settings
 	fleet := fleetView{d}
-	secret := s.GetSecrets().GetFleet()
-	d.tracker = tracker.New(tracker.Options{Clock: d.clock, Secret: secret, Observers: fleet.Observers})
+	d.tracker = tracker.New(tracker.Options{Clock: d.clock, Peers: d.peers, Observers: fleet.Observers})
 	d.observer = observer.New(observer.Options{
-		Self: ident.Host(s.GetHost()), Fleet: fleet, Secret: secret,
-		User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(),
+		Self: ident.Host(s.GetHost()), Fleet: fleet, Peers: d.peers,
+		User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(), TLS: d.secure.upstream,
 	})
 	d.keeper = keeper.New(keeper.Options{
 		Self: session.Member{
 			Host: ident.Host(s.GetHost()), Incarnation: d.incarnation, Zone: ident.Zone(s.GetZone()), Peer: s.GetPeer(),
 		},
-		Fleet: fleet, Secret: secret, Zones: []ident.Zone{ident.Zone(s.GetZone())},
+		Fleet: fleet, Peers: d.peers, Zones: []ident.Zone{ident.Zone(s.GetZone())},
 	})
 	d.quota = quota.New(quota.Options{
-		Host: ident.Host(s.GetHost()), Incarnation: d.incarnation, Fleet: fleet, Secret: secret,
+		Host: ident.Host(s.GetHost()), Incarnation: d.incarnation, Fleet: fleet, Peers: d.peers,
 	})
 	d.pool = upstream.NewPool(upstream.Options{
-		Credential: upstream.Credential{User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword()},
+		Credential: upstream.Credential{User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(), TLS: d.secure.upstream},
 		Clock:      d.clock,
 		View:       fleet.view,
 		Urgent:     func() { d.member.Urgent() },
@@ -119,11 +129,11 @@
 func (d *deps) buildControl() error {
 	s := d.settings
 	role := &controlRole{switchover: switchover.New(switchover.Options{
-		Clock: d.clock.Now, User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(),
+		Clock: d.clock.Now, User: s.GetSecrets().GetUser(), Password: s.GetSecrets().GetPassword(), TLS: d.secure.upstream,
 	})}
 	var err error
 	role.controller, err = controller.New(controller.Options{
-		Host: ident.Host(s.GetHost()), Secrets: s.GetSecrets(), Clock: d.clock.Now,
+		Host: ident.Host(s.GetHost()), Secrets: s.GetSecrets(), Clock: d.clock.Now, Peers: d.peers,
 		Parts: controller.Parts{Failover: role.switchover, Tokens: lending.New(), Connections: allotment.New()},
 	})
 	if err != nil {
@@ -131,7 +141,7 @@
 	}
 	role.replica, err = replica.New(replica.Options{
 		Host: ident.Host(s.GetHost()), Peer: s.GetPeer(), Hosts: s.GetControl(), Replacement: s.GetReplacement(),
-		Folder: s.GetData(), Secret: s.GetSecrets().GetFleet(), Seed: uint64(d.incarnation),
+		Folder: s.GetData(), Peers: d.peers, Seed: uint64(d.incarnation),
 		Machine: role.controller.Machine(), Clock: d.clock.Now,
 	})
 	if err != nil {
@@ -146,12 +156,12 @@
 	if address == "" {
 		address = d.settings.GetPeer()
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := d.peers.Listen(address)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return trace.Wrap(err)
 	}
 	d.listener = listener
-	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: 5 * time.Second}
+	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: 5 * time.Second, ErrorLog: peer.ErrorLog()}
 	return nil
 }
 
@@ -194,7 +204,7 @@
 		reports = append(reports, server)
 	}
 	d.member = member.New(member.Options{
-		Settings: d.settings, Incarnation: d.incarnation, Clock: d.clock, Reports: reports,
+		Settings: d.settings, Peers: d.peers, Incarnation: d.incarnation, Clock: d.clock, Reports: reports,
 		Adopted: d.adopt,
 		Expired: func() { d.pool.Adopt(&member.View{}) },
 	})
@@ -219,7 +229,7 @@
 	})
 	return entry.New(entry.Options{
 		Settings: d.settings, Clock: d.clock, View: view, Chooser: chooser, Quota: gate{d.quota}, Pool: d.pool,
-		Ack: acknowledge.New(d.clock, d.tracker, d.keeper),
+		Ack: acknowledge.New(d.clock, d.tracker, d.keeper), TLS: d.secure.caller,
 	})
 }
 
@@ -253,6 +263,7 @@
 		klog.InfoS("peers were cut at shutdown", "err", err)
 	}
 	d.running.group.Wait()
+	d.peers.Close()
 }
 
 func (d *deps) closeControl(ctx context.Context) {
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -31,7 +31,9 @@
 
 // caller serves one connection of a caller.
 type caller struct {
-	server  *Server
+	server *Server
+	// raw is the TCP connection under socket; they are the same without TLS. Other goroutines use raw only.
+	raw     net.Conn
 	socket  net.Conn
 	backend *pgproto3.Backend
 	pid     uint32
@@ -277,8 +279,8 @@
 	if c.send(last) != nil {
 		return
 	}
-	if tcp, ok := c.socket.(*net.TCPConn); ok {
-		tcp.CloseWrite()
+	if half, ok := c.socket.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_, _ = io.Copy(io.Discard, c.socket)
 }
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -12,9 +12,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
-	"github.com/jackc/pgx/v5/pgproto3"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/sqlstate"
@@ -79,6 +79,8 @@
 	Quota    Quota
 	Ack      Acknowledger
 	Pool     Pool
+	// TLS holds the certificate that callers see; nil means connections without TLS.
+	TLS *certificate.Store
 	// Events takes what explain tells operators; nil drops it.
 	Events func(kind, subject, cause string)
 }
@@ -99,7 +101,7 @@
 }
 
 type counters struct {
-	callers, unknownService, wrongKey *metrics.Counter
+	callers, handshakes, plaintext, refusedPlaintext, unknownService, wrongKey *metrics.Counter
 }
 
 // New listens for callers; Start serves them.
@@ -112,9 +114,12 @@
 		opts:     opts,
 		listener: listener,
 		metrics: &counters{
-			callers:        metrics.GetOrCreateCounter("tamarack_callers_total"),
-			unknownService: metrics.GetOrCreateCounter("tamarack_unknown_service_total"),
-			wrongKey:       metrics.GetOrCreateCounter("tamarack_wrong_key_total"),
+			callers:          metrics.GetOrCreateCounter("tamarack_callers_total"),
+			handshakes:       metrics.GetOrCreateCounter("tamarack_caller_handshake_errors_total"),
+			plaintext:        metrics.GetOrCreateCounter(`tamarack_plaintext_callers_total{outcome="served"}`),
+			refusedPlaintext: metrics.GetOrCreateCounter(`tamarack_plaintext_callers_total{outcome="refused"}`),
+			unknownService:   metrics.GetOrCreateCounter("tamarack_unknown_service_total"),
+			wrongKey:         metrics.GetOrCreateCounter("tamarack_wrong_key_total"),
 		},
 		tallies: newTallies(),
 		done:    make(chan struct{}),
@@ -163,7 +168,7 @@
 	defer s.mutex.Unlock()
 	for _, c := range s.callers {
 		if c.idle.Load() {
-			c.socket.SetReadDeadline(time.Now())
+			c.raw.SetReadDeadline(time.Now())
 		}
 	}
 	return len(s.callers)
@@ -173,7 +178,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, c := range s.callers {
-		c.socket.Close()
+		c.raw.Close()
 	}
 }
 
@@ -202,12 +207,11 @@
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	backend := pgproto3.NewBackend(socket, socket)
-	backend.SetMaxBodyLen(maxMessage)
 	c := &caller{
 		server:     s,
+		raw:        socket,
 		socket:     socket,
-		backend:    backend,
+		backend:    newBackend(socket),
 		pid:        binary.BigEndian.Uint32(random[:4]),
 		secret:     random[4:],
 		statements: make(map[string]*statement),
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -51,7 +51,11 @@
 			return nil, reject(sqlstate.ProtocolViolation, "no startup message: %v", err)
 		}
 		switch m := message.(type) {
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+		case *pgproto3.SSLRequest:
+			if err := c.startTLS(ctx); err != nil {
+				return nil, err
+			}
+		case *pgproto3.GSSEncRequest:
 			if _, err := c.socket.Write([]byte{'N'}); err != nil {
 				return nil, trace.Wrap(err)
 			}
@@ -59,7 +63,7 @@
 			c.server.cancel(ctx, m.ProcessID, m.SecretKey)
 			return nil, errCancelled
 		case *pgproto3.StartupMessage:
-			return m, nil
+			return m, c.checkPlaintext()
 		default:
 			return nil, reject(sqlstate.ProtocolViolation, "startup message %T", m)
 		}
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -11,7 +11,6 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/observer"
-	"tamarackshunt.dev/host/peer"
 )
 
 // fleetView shows this host's copy of the control state to the parts that need a piece of it.
@@ -114,9 +113,8 @@
 	if leader == "" {
 		return nil, trace.ConnectionProblem(nil, "no control leader is known")
 	}
-	client := peer.NewClient(f.deps.settings.GetSecrets().GetFleet(), announceTimeout)
-	defer client.CloseIdleConnections()
-	answer, err := fleetpb.NewControlProtobufClient(peer.URL(leader), client).Announce(ctx, request)
+	peers := f.deps.peers
+	answer, err := fleetpb.NewControlProtobufClient(peers.URL(leader), peers.Client(announceTimeout)).Announce(ctx, request)
 	return answer, trace.Wrap(err)
 }
 
--- a/host/keeper/keeper_test.go
+++ b/host/keeper/keeper_test.go
@@ -14,8 +14,8 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/session"
-	"tamarackshunt.dev/host/bearer"
 	"tamarackshunt.dev/host/keeper"
+	network "tamarackshunt.dev/host/peer"
 )
 
 const secret = "a-secret-of-the-fleet"
@@ -59,7 +59,7 @@
 		p.member = session.Member{
 			Host: ident.Host("entry-" + zone), Zone: ident.Zone(zone), Peer: strings.TrimPrefix(server.URL, "http://"),
 		}
-		p.node = keeper.New(keeper.Options{Self: p.member, Fleet: f, Secret: secret, Zones: []ident.Zone{ident.Zone(zone)}})
+		p.node = keeper.New(keeper.Options{Self: p.member, Fleet: f, Peers: network.New(network.Options{Secret: secret}), Zones: []ident.Zone{ident.Zone(zone)}})
 		go p.node.Run(ctx)
 		peers = append(peers, p)
 	}
@@ -145,7 +145,7 @@
 	f := &fleet{start: time.Now()}
 	p := start(t, f, "a")[0]
 	for shown, ok := range map[string]bool{secret: true, "other": false} {
-		client := &http.Client{Transport: bearer.Transport(shown, http.DefaultTransport)}
+		client := network.New(network.Options{Secret: shown}).Client(0)
 		_, err := fleetpb.NewKeepersProtobufClient("http://"+p.member.Peer, client).Get(t.Context(), &fleetpb.GetRequest{})
 		require.Equal(t, ok, err == nil, shown)
 	}
--- a/host/keeper/node.go
+++ b/host/keeper/node.go
@@ -12,7 +12,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/session"
-	"tamarackshunt.dev/host/bearer"
+	"tamarackshunt.dev/host/peer"
 )
 
 // Timing of floors.
@@ -29,7 +29,9 @@
 	putFailures   = metrics.NewCounter("tamarack_keeper_put_failures_total")
 	getFailures   = metrics.NewCounter("tamarack_keeper_get_failures_total")
 	unrecorded    = metrics.NewCounter("tamarack_keeper_unrecorded_total")
-	unavailable   = metrics.NewCounter("tamarack_keeper_unavailable_total")
+	// unauthenticated counts calls that were refused.
+	unauthenticated = metrics.NewCounter("tamarack_keeper_unauthenticated_total")
+	unavailable     = metrics.NewCounter("tamarack_keeper_unavailable_total")
 )
 
 // Fleet is what a node needs of the rest of its host.
@@ -47,14 +49,12 @@
 type Options struct {
 	Self  session.Member
 	Fleet Fleet
-	// Secret is the fleet's secret.
-	Secret string
+	// Peers carries calls to other keepers, and admits theirs.
+	Peers *peer.Network
 	// Zones lists availability zones by preference for reads, the host's own first.
 	Zones []ident.Zone
 	// Sessions bounds the positions that the node keeps for each service; 0 means session.DefaultSessions.
 	Sessions int
-	// Transport carries calls to peers; nil means one of the node's own.
-	Transport http.RoundTripper
 }
 
 // Node is one host's part in keeping session positions.
@@ -70,15 +70,10 @@
 
 // New returns a node without a lease or an epoch.
 func New(opts Options) *Node {
-	base := opts.Transport
-	if base == nil {
-		// Every write calls each zone's holder, so many calls to one peer run at a time.
-		base = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
-	}
 	return &Node{
 		opts:    opts,
 		keeper:  session.NewKeeper(session.KeeperOptions{Self: opts.Self, Sessions: opts.Sessions}),
-		client:  &http.Client{Transport: bearer.Transport(opts.Secret, base)},
+		client:  opts.Peers.Client(0),
 		changed: make(chan struct{}),
 	}
 }
@@ -86,7 +81,7 @@
 // Handler returns the path prefix and the handler of the Keepers service, guarded by the fleet's secret.
 func (n *Node) Handler() (string, http.Handler) {
 	server := fleetpb.NewKeepersServer(service{n})
-	return server.PathPrefix(), bearer.Guard(n.opts.Secret, server)
+	return server.PathPrefix(), peer.Guard(n.opts.Peers.Admit, unauthenticated, server)
 }
 
 // Adopt takes over a view of the keeper epochs and a lease. The host reports an epoch as adopted only after this call,
@@ -157,7 +152,7 @@
 	if client, found := n.peers.Load(m.Peer); found {
 		return client.(fleetpb.Keepers)
 	}
-	client, _ := n.peers.LoadOrStore(m.Peer, fleetpb.NewKeepersProtobufClient("http://"+m.Peer, n.client))
+	client, _ := n.peers.LoadOrStore(m.Peer, fleetpb.NewKeepersProtobufClient(n.opts.Peers.URL(m.Peer), n.client))
 	return client.(fleetpb.Keepers)
 }
 
--- a/host/main.go
+++ b/host/main.go
@@ -24,6 +24,7 @@
 
 A host with a caller address in its settings serves callers over the PostgreSQL protocol. A host with a data folder
 takes part in the control log. SIGTERM and SIGINT end it gracefully: running transactions finish, idle callers get 57P01.
+SIGHUP reads the certificates again.
 
 Exit codes: 0 after a graceful end or a successful --check, 1 after a failure, 2 for wrong usage.`
 
@@ -57,22 +58,31 @@
 		return err
 	}
 	if opts.Check {
+		if _, err := loadSecure(&s); err != nil {
+			return trace.Wrap(err)
+		}
 		fmt.Println(opts.Settings, "is valid")
 		return nil
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := build(&s)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	klog.InfoS("host started", "host", s.GetHost(), "caller", s.GetCaller(), "peer", s.GetPeer(), "control", s.GetData() != "")
-	select {
-	case sig := <-signals:
-		klog.InfoS("host shutting down", "signal", sig.String())
-		d.shutdown()
-		return nil
-	case <-d.failed():
-		return trace.Wrap(d.control.replica.Err(), "the control log has failed")
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				d.renew()
+				continue
+			}
+			klog.InfoS("host shutting down", "signal", sig.String())
+			d.shutdown()
+			return nil
+		case <-d.failed():
+			return trace.Wrap(d.control.replica.Err(), "the control log has failed")
+		}
 	}
 }
--- a/host/member/member.go
+++ b/host/member/member.go
@@ -32,7 +32,9 @@
 
 // Options holds what New needs.
 type Options struct {
-	Settings    *fleetpb.HostSettings
+	Settings *fleetpb.HostSettings
+	// Peers carries calls to control hosts.
+	Peers       *peer.Network
 	Incarnation ident.Incarnation
 	Clock       *clock.Clock
 	Reports     []Report
@@ -224,8 +226,8 @@
 	if client, found := m.clients[address]; found {
 		return client
 	}
-	secret := m.opts.Settings.GetSecrets().GetFleet()
-	client := fleetpb.NewControlProtobufClient(peer.URL(address), peer.NewClient(secret, goneTimeout))
+	peers := m.opts.Peers
+	client := fleetpb.NewControlProtobufClient(peers.URL(address), peers.Client(goneTimeout))
 	m.clients[address] = client
 	return client
 }
--- a/host/observer/observer.go
+++ b/host/observer/observer.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/group"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/peer"
 )
 
 // refresh is the time between looks at the fleet without a notice of a change.
@@ -47,8 +49,10 @@
 	Fleet Fleet
 	// User and Password are the credentials at the upstreams.
 	User, Password string
-	// Secret is the fleet secret that peers show.
-	Secret string
+	// TLS holds the authority of upstreams' certificates; nil means connections without TLS.
+	TLS *certificate.Store
+	// Peers admits the calls of other hosts.
+	Peers *peer.Network
 }
 
 // Observer observes the groups for which this host is chosen.
--- a/host/observer/probe.go
+++ b/host/observer/probe.go
@@ -101,6 +101,9 @@
 	if err := setAddress(config, p.address); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if options.TLS != nil {
+		config.TLSConfig = options.TLS.Client(config.Host)
+	}
 	config.User, config.Password, config.Database = options.User, options.Password, "tamarack"
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
--- a/host/observer/serve.go
+++ b/host/observer/serve.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/twitchtv/twirp"
@@ -15,22 +15,18 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/group"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/peer"
 )
 
+var unauthenticated = metrics.NewCounter("tamarack_observer_unauthenticated_total")
+
 // maxWait bounds a long poll.
 const maxWait = 10 * time.Second
 
 // Handler returns the handler of the Observer service, for paths under fleetpb.ObserverPathPrefix.
 func (o *Observer) Handler() http.Handler {
 	server := fleetpb.NewObserverServer(service{o})
-	want := []byte("Bearer " + o.options.Secret)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
-			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the fleet secret is missing or wrong"))
-			return
-		}
-		server.ServeHTTP(w, r)
-	})
+	return peer.Guard(o.options.Peers.Admit, unauthenticated, server)
 }
 
 // service implements fleetpb.Observer.
--- a/host/peer/peer.go
+++ b/host/peer/peer.go
@@ -1,65 +1,127 @@
 package peer
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
+	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
-	"strings"
 	"time"
+
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/certificate"
+	"tamarackshunt.dev/fleet/fleetpb"
+)
+
+const (
+	// idleConnections is the number of idle connections kept for each peer. Every write calls a keeper of each availability
+	// zone, so many calls to one peer run at a time.
+	idleConnections = 64
+	// idleTime is how long a connection stays open without calls.
+	idleTime = time.Minute
+	// dialTimeout bounds a dial with its TLS handshake; both take three round trips of at most 10 ms between regions.
+	dialTimeout = time.Second
 )
 
-// idleConnections is the number of idle connections kept for each peer; keeper calls of many callers share them.
-const idleConnections = 32
+// Options configure a Network.
+type Options struct {
+	// Secret is the fleet secret.
+	Secret string
+	// Certificates of this host; nil means calls without TLS.
+	Certificates *certificate.Store
+	// Control lists the hosts whose certificates must have their names.
+	Control []*fleetpb.ControlHost
+}
 
-const bearer = "Bearer "
+// Network makes and admits the calls between hosts of the fleet. Its methods may be called from several goroutines.
+type Network struct {
+	options   Options
+	transport *http.Transport
+	// control holds the hosts of Options.Control by address, and named the same hosts.
+	control map[string]string
+	named   map[string]bool
+}
 
-// NewClient returns an HTTP client that shows secret and gives up after timeout.
-func NewClient(secret string, timeout time.Duration) *http.Client {
-	transport := &http.Transport{
+// New returns a network without connections.
+func New(options Options) *Network {
+	n := &Network{options: options, control: map[string]string{}, named: map[string]bool{}}
+	for _, host := range options.Control {
+		n.control[host.GetPeer()] = host.GetHost()
+		n.named[host.GetHost()] = true
+	}
+	n.transport = &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialTLSContext:      n.dialTLS,
 		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     30 * time.Second,
+		IdleConnTimeout:     idleTime,
 	}
-	return &http.Client{Transport: authorized{secret, transport}, Timeout: timeout}
+	return n
 }
 
-type authorized struct {
-	secret string
-	next   http.RoundTripper
+// dialTLS connects to a peer and verifies its certificate, with the host's name for a control host of the settings.
+func (n *Network) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	socket, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	config := n.options.Certificates.Client(n.control[address])
+	config.MinVersion = tls.VersionTLS13
+	secured := tls.Client(socket, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		socket.Close()
+		return nil, trace.Wrap(err)
+	}
+	return secured, nil
 }
 
-func (a authorized) RoundTrip(request *http.Request) (*http.Response, error) {
-	request = request.Clone(request.Context())
-	request.Header.Set("Authorization", bearer+a.secret)
-	return a.next.RoundTrip(request)
+// Client returns an HTTP client that shows the fleet secret and gives up after timeout; 0 leaves the time to the contexts
+// of its calls. All clients of a network share connections.
+func (n *Network) Client(timeout time.Duration) *http.Client {
+	return &http.Client{Transport: authorized{n.options.Secret, n.transport}, Timeout: timeout}
 }
 
-// Guard passes requests on that show one of the secrets, and answers 401 to others.
-func Guard(next http.Handler, secrets ...string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !Authorized(r, secrets...) {
-			http.Error(w, "wrong or missing secret", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
+// URL returns the base URL of the peer at an address.
+func (n *Network) URL(address string) string {
+	if n.options.Certificates == nil {
+		return "http://" + address
+	}
+	return "https://" + address
 }
 
-// Authorized reports whether a request shows one of the secrets; it compares in constant time.
-func Authorized(r *http.Request, secrets ...string) bool {
-	shown, found := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
-	if !found {
-		return false
+// Listen returns the listener for the peer address, with TLS when there are certificates.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
 	}
-	got := sha256.Sum256([]byte(shown))
-	matched := 0
-	for _, secret := range secrets {
-		want := sha256.Sum256([]byte(secret))
-		matched |= subtle.ConstantTimeCompare(got[:], want[:])
+	if n.options.Certificates == nil {
+		return listener, nil
 	}
-	return matched == 1
+	return tls.NewListener(listener, n.options.Certificates.Peers()), nil
 }
 
-// URL returns the base URL of the peer at an address.
-func URL(address string) string {
-	return "http://" + address
+// Renewed closes idle connections after a renewal of certificates, so that the next calls use the new ones.
+func (n *Network) Renewed() {
+	n.transport.CloseIdleConnections()
+}
+
+// Close closes idle connections.
+func (n *Network) Close() {
+	n.transport.CloseIdleConnections()
+}
+
+// authorized shows a secret in every request.
+type authorized struct {
+	secret string
+	next   http.RoundTripper
+}
+
+// RoundTrip is part of http.RoundTripper, which must not change the request that it is given.
+func (a authorized) RoundTrip(request *http.Request) (*http.Response, error) {
+	request = request.Clone(request.Context())
+	request.Header.Set("Authorization", bearer+a.secret)
+	return a.next.RoundTrip(request)
 }
--- a/host/promotion/failover_test.go
+++ b/host/promotion/failover_test.go
@@ -22,6 +22,7 @@
 	"tamarackshunt.dev/fleet/group"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/observer"
+	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/promotion"
 	"tamarackshunt.dev/standin/ledger"
 	"tamarackshunt.dev/standin/server"
@@ -144,8 +145,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
+	peers := peer.New(peer.Options{Secret: password})
 	for _, h := range f.Hosts() {
-		o := observer.New(observer.Options{Self: h.ID, Fleet: f, User: "tamarack", Password: password, Secret: password})
+		o := observer.New(observer.Options{Self: h.ID, Fleet: f, User: "tamarack", Password: password, Peers: peers})
 		f.observers = append(f.observers, o)
 		running.Go(func() { o.Run(ctx) })
 	}
--- a/host/promotion/promotion.go
+++ b/host/promotion/promotion.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/failover"
 	"tamarackshunt.dev/fleet/ident"
 )
@@ -26,6 +27,8 @@
 type Options struct {
 	// User and Password are the credentials at the upstreams.
 	User, Password string
+	// TLS holds the authority of upstreams' certificates; nil means connections without TLS.
+	TLS *certificate.Store
 	// Deliver takes each answer; it is called from several goroutines.
 	Deliver func(ident.Service, failover.Answer)
 }
--- a/host/promotion/worker.go
+++ b/host/promotion/worker.go
@@ -151,6 +151,9 @@
 		return trace.Wrap(err)
 	}
 	config.Host, config.Port, config.Fallbacks = host, uint16(n), nil
+	if store := w.runner.options.TLS; store != nil {
+		config.TLSConfig = store.Client(host)
+	}
 	config.User, config.Password, config.Database = w.runner.options.User, w.runner.options.Password, "tamarack"
 	w.conn, err = pgconn.ConnectConfig(ctx, config)
 	return err
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -14,7 +14,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
-	"tamarackshunt.dev/host/bearer"
+	"tamarackshunt.dev/host/peer"
 )
 
 // callTimeout ends one call to the owner. It exceeds the 10 ms between regions by enough for a busy host, and lets a
@@ -45,10 +45,8 @@
 	Host        ident.Host
 	Incarnation ident.Incarnation
 	Fleet       Fleet
-	// Secret is the fleet's secret.
-	Secret string
-	// Transport carries calls to the owner; nil means one of the quota's own.
-	Transport http.RoundTripper
+	// Peers carries calls to the owner.
+	Peers *peer.Network
 }
 
 // Quota is one host's part in the limits of teams.
@@ -65,14 +63,10 @@
 
 // New returns a quota without tokens.
 func New(opts Options) *Quota {
-	base := opts.Transport
-	if base == nil {
-		base = &http.Transport{IdleConnTimeout: time.Minute}
-	}
 	return &Quota{
 		opts:     opts,
 		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation}),
-		client:   &http.Client{Transport: bearer.Transport(opts.Secret, base)},
+		client:   opts.Peers.Client(0),
 		wake:     make(chan struct{}, 1),
 		waiting:  map[limit.WaiterID]chan *limit.Exceeded{},
 		early:    map[limit.WaiterID]*limit.Exceeded{},
@@ -215,7 +209,7 @@
 	if owner == "" {
 		return nil, trace.NotFound("the owner of tokens is not known")
 	}
-	response, err := fleetpb.NewControlProtobufClient("http://"+owner, q.client).Borrow(ctx, request)
+	response, err := fleetpb.NewControlProtobufClient(q.opts.Peers.URL(owner), q.client).Borrow(ctx, request)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/host/quota/quota_test.go
+++ b/host/quota/quota_test.go
@@ -10,12 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
-	"tamarackshunt.dev/host/bearer"
+	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 )
 
@@ -65,13 +66,14 @@
 	f := &fleet{start: time.Now()}
 	c := &control{fleet: f, owner: limit.NewOwner(limit.OwnerOptions{Since: -ident.Time(time.Hour)})}
 	c.owner.SetRules(-ident.Time(time.Hour), map[ident.Team]limit.Rule{"stalls": {Rate: 1, Burst: 20}})
+	peers := peer.New(peer.Options{Secret: secret})
 	serve := func(c *control) string {
-		server := httptest.NewServer(bearer.Guard(secret, fleetpb.NewControlServer(c)))
+		server := httptest.NewServer(peer.Guard(peers.Admit, &metrics.Counter{}, fleetpb.NewControlServer(c)))
 		t.Cleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://")
 	}
 	f.owner = serve(&control{leader: serve(c)})
-	q := quota.New(quota.Options{Host: "entry", Incarnation: 1, Fleet: f, Secret: secret})
+	q := quota.New(quota.Options{Host: "entry", Incarnation: 1, Fleet: f, Peers: peers})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	done := make(chan struct{})
--- a/host/replica/handler.go
+++ b/host/replica/handler.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/twitchtv/twirp"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/host/peer"
 )
 
 // maxRequest bounds a request's body in bytes; the largest one holds a snapshot.
@@ -21,28 +20,28 @@
 	unauthenticated = metrics.NewCounter("tamarack_log_unauthenticated_total")
 )
 
-// Handler serves the Quorum service under its twirp path to callers that show the fleet secret.
+// Handler serves the Quorum service under its twirp path to hosts of the fleet.
 func (r *Replica) Handler() http.Handler {
 	server := fleetpb.NewQuorumServer(service{r})
-	want := sha256.Sum256([]byte("Bearer " + r.options.Secret))
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		// Hashes have equal lengths, so that the comparison tells nothing about the secret's length either.
-		got := sha256.Sum256([]byte(request.Header.Get("Authorization")))
-		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-			unauthenticated.Inc()
-			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("wrong fleet secret"))
-			return
-		}
+	bounded := http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		request.Body = http.MaxBytesReader(w, request.Body, maxRequest)
 		server.ServeHTTP(w, request)
 	})
+	return peer.Guard(r.options.Peers.Admit, unauthenticated, bounded)
 }
 
 // service takes messages of the other members.
 type service struct{ replica *Replica }
 
-// Step queues messages for the loop; it answers before they are handled, and drops them when too many wait.
-func (s service) Step(_ context.Context, in *fleetpb.StepRequest) (*fleetpb.StepResponse, error) {
+// Step queues messages for the loop; it answers before they are handled, and drops them when too many wait. It takes none
+// when one of them has the name of a control host that the caller is not.
+func (s service) Step(ctx context.Context, in *fleetpb.StepRequest) (*fleetpb.StepResponse, error) {
+	for _, m := range in.GetMessages() {
+		if err := s.replica.options.Peers.Claim(ctx, m.GetFrom()); err != nil {
+			unauthenticated.Inc()
+			return nil, err
+		}
+	}
 	for _, m := range in.GetMessages() {
 		select {
 		case <-s.replica.stop:
--- a/host/replica/peers.go
+++ b/host/replica/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/quorum"
+	"tamarackshunt.dev/host/peer"
 )
 
 const (
@@ -33,6 +33,7 @@
 
 // peers holds an outbox for each peer address, so that a frozen peer delays no other one.
 type peers struct {
+	network *peer.Network
 	client  *http.Client
 	stop    chan struct{}
 	parts   *sync.WaitGroup
@@ -41,15 +42,11 @@
 	cancel  context.CancelFunc
 }
 
-func newPeers(secret string, stop chan struct{}, parts *sync.WaitGroup) *peers {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: sendTimeout}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
-	}
+func newPeers(network *peer.Network, stop chan struct{}, parts *sync.WaitGroup) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &peers{
-		client:  &http.Client{Transport: &bearer{secret, transport}},
+		network: network,
+		client:  network.Client(0),
 		stop:    stop,
 		parts:   parts,
 		outbox:  map[string]chan *fleetpb.Message{},
@@ -86,9 +83,9 @@
 }
 
 // deliver passes on one peer's messages; those that collect during a call share the next one.
-func (p *peers) deliver(peer string, box chan *fleetpb.Message) {
+func (p *peers) deliver(address string, box chan *fleetpb.Message) {
 	defer p.parts.Done()
-	client := fleetpb.NewQuorumProtobufClient("http://"+peer, p.client)
+	client := fleetpb.NewQuorumProtobufClient(p.network.URL(address), p.client)
 	for {
 		select {
 		case <-p.stop:
@@ -127,25 +124,3 @@
 	}
 	sent.Add(len(messages))
 }
-
-func (p *peers) close() {
-	p.client.CloseIdleConnections()
-}
-
-// bearer adds the fleet secret to requests.
-type bearer struct {
-	secret    string
-	transport *http.Transport
-}
-
-// RoundTrip implements http.RoundTripper.
-func (b *bearer) RoundTrip(request *http.Request) (*http.Response, error) {
-	request = request.Clone(request.Context())
-	request.Header.Set("Authorization", "Bearer "+b.secret)
-	return b.transport.RoundTrip(request)
-}
-
-// CloseIdleConnections lets http.Client close the connections of the transport.
-func (b *bearer) CloseIdleConnections() {
-	b.transport.CloseIdleConnections()
-}
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -16,6 +16,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/quorum"
 	"tamarackshunt.dev/fleet/store"
+	"tamarackshunt.dev/host/peer"
 )
 
 const (
@@ -48,8 +49,8 @@
 	Replacement bool
 	// Folder is the data folder.
 	Folder string
-	// Secret is the fleet secret.
-	Secret string
+	// Peers carries messages to the other members, and admits theirs.
+	Peers *peer.Network
 	// Seed selects the random election timeouts.
 	Seed    uint64
 	Machine Machine
@@ -150,8 +151,8 @@
 		return trace.BadParameter("a replica needs a host, a peer address and a data folder")
 	case len(options.Hosts) == 0:
 		return trace.BadParameter("a replica needs the initial control hosts")
-	case options.Secret == "":
-		return trace.BadParameter("a replica needs the fleet secret")
+	case options.Peers == nil:
+		return trace.BadParameter("a replica needs its peers")
 	case options.Machine == nil:
 		return trace.BadParameter("a replica needs a machine")
 	}
@@ -186,7 +187,7 @@
 		return trace.Wrap(err)
 	}
 	r.node = node
-	r.peers = newPeers(r.options.Secret, r.stop, &r.parts)
+	r.peers = newPeers(r.options.Peers, r.stop, &r.parts)
 	r.publish()
 	r.parts.Add(3)
 	go r.write()
@@ -325,7 +326,6 @@
 func (r *Replica) finish() {
 	<-r.stop
 	r.parts.Wait()
-	r.peers.close()
 	if err := r.store.Close(); err != nil && r.failure == nil {
 		r.failure = trace.Wrap(err)
 	}
--- a/host/replica/replica_test.go
+++ b/host/replica/replica_test.go
@@ -18,6 +18,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/replica"
 )
 
@@ -89,7 +90,7 @@
 	t.Helper()
 	h.machine = &machine{}
 	r, err := replica.New(replica.Options{
-		Host: ident.Host(h.name), Peer: h.peer, Hosts: h.hosts, Folder: h.folder, Secret: secret, Machine: h.machine,
+		Host: ident.Host(h.name), Peer: h.peer, Hosts: h.hosts, Folder: h.folder, Peers: peer.New(peer.Options{Secret: secret}), Machine: h.machine,
 	})
 	require.NoError(t, err)
 	h.mu.Lock()
--- a/host/switchover/switchover.go
+++ b/host/switchover/switchover.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/failover"
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -38,6 +39,8 @@
 	Clock func() ident.Time
 	// User and Password are the credentials at the upstreams.
 	User, Password string
+	// TLS holds the authority of upstreams' certificates; nil means connections without TLS.
+	TLS *certificate.Store
 }
 
 // Switchover holds the groups of one term of office.
@@ -127,6 +130,7 @@
 	o.runner = promotion.New(promotion.Options{
 		User:     s.opts.User,
 		Password: s.opts.Password,
+		TLS:      s.opts.TLS,
 		Deliver: func(service ident.Service, answer failover.Answer) {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
--- a/host/tracker/tracker.go
+++ b/host/tracker/tracker.go
@@ -42,8 +42,9 @@
 
 // Options holds what New needs.
 type Options struct {
-	Clock  *clock.Clock
-	Secret string
+	Clock *clock.Clock
+	// Peers carries calls to observers.
+	Peers *peer.Network
 	// Observers returns the peer addresses of a service's observers, the nearest first.
 	Observers func(service ident.Service) []string
 }
@@ -64,7 +65,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Tracker{
 		opts:      opts,
-		client:    peer.NewClient(opts.Secret, waitQuiet+callMargin),
+		client:    opts.Peers.Client(waitQuiet + callMargin),
 		ctx:       ctx,
 		stop:      stop,
 		followers: make(map[ident.Service]*follower),
@@ -131,7 +132,7 @@
 	request := &fleetpb.PositionsRequest{Service: string(service), Fresh: true, WaitMs: uint32(waitQuiet / time.Millisecond)}
 	var last error
 	for _, address := range t.opts.Observers(service) {
-		answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+		answer, err := fleetpb.NewObserverProtobufClient(t.opts.Peers.URL(address), t.client).Positions(ctx, request)
 		if err == nil && answer.GetConfirmed() {
 			return ident.Position{Term: ident.Term(answer.GetCurrent().GetTerm()), LSN: ident.LSN(answer.GetCurrent().GetLsn())}, nil
 		}
@@ -206,7 +207,7 @@
 		Wanted:  f.lowestWanted(),
 		WaitMs:  uint32(wait / time.Millisecond),
 	}
-	answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+	answer, err := fleetpb.NewObserverProtobufClient(t.opts.Peers.URL(address), t.client).Positions(ctx, request)
 	if err != nil {
 		if interrupted() {
 			return nil
--- a/host/upstream/conn.go
+++ b/host/upstream/conn.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/ident"
 )
 
@@ -31,6 +32,8 @@
 type Credential struct {
 	User     string
 	Password string
+	// TLS holds the authority of upstreams' certificates; nil means connections without TLS.
+	TLS *certificate.Store
 }
 
 // ConnectError says that no connection to an upstream could be opened, so that nothing was sent.
@@ -48,7 +51,10 @@
 
 // Conn is one connection to an upstream; one goroutine uses it at a time.
 type Conn struct {
+	// raw is the TCP connection under socket, which is the same one without TLS.
+	raw      net.Conn
 	socket   net.Conn
+	tls      *certificate.Store
 	frontend *pgproto3.Frontend
 	address  string
 	pid      uint32
@@ -72,14 +78,17 @@
 		return nil, trace.Wrap(&ConnectError{address, err})
 	}
 	c := &Conn{
-		socket:   socket,
-		frontend: pgproto3.NewFrontend(socket, socket),
+		raw:      socket,
+		tls:      credential.TLS,
 		address:  address,
 		prepared: make(map[string]bool),
 		opened:   time.Now(),
 	}
 	stop := context.AfterFunc(ctx, func() { socket.SetDeadline(time.Now()) })
-	err = c.start(service, credential)
+	if c.socket, err = secure(ctx, socket, address, credential.TLS); err == nil {
+		c.frontend = pgproto3.NewFrontend(c.socket, c.socket)
+		err = c.start(service, credential)
+	}
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -214,15 +223,15 @@
 // Stale reports whether the connection must not be used again.
 func (c *Conn) Stale() bool { return c.stale.Load() }
 
-// Close closes the connection.
-func (c *Conn) Close() error { return trace.Wrap(c.socket.Close()) }
+// Close closes the connection, without a TLS alert that could block on an upstream that does not read.
+func (c *Conn) Close() error { return trace.Wrap(c.raw.Close()) }
 
 // Usable reports whether an idle connection is still open, by looking for an end of file without reading.
 func (c *Conn) Usable() bool {
 	if c.stale.Load() || !c.Idle() {
 		return false
 	}
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	raw, err := c.raw.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -305,13 +314,17 @@
 	// The upstream may handle the request late, so the connection must not run another caller's statement.
 	c.stale.Store(true)
 	var dialer net.Dialer
-	socket, err := dialer.DialContext(ctx, "tcp", c.address)
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return trace.Wrap(&ConnectError{c.address, err})
 	}
-	defer socket.Close()
+	defer raw.Close()
 	if deadline, ok := ctx.Deadline(); ok {
-		socket.SetDeadline(deadline)
+		raw.SetDeadline(deadline)
+	}
+	socket, err := secure(ctx, raw, c.address, c.tls)
+	if err != nil {
+		return trace.Wrap(&ConnectError{c.address, err})
 	}
 	buf, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
 	if err != nil {
