Give the operator's command and the stand-in TLS towards hosts, and test certificates

Cause: operators and announcements call the peer address, which has TLS now. Conclusion: certificate.Hosts carries their calls; a server certificate of the fleet's authority is enough for them, since their settings list addresses only. Measured: go test ./fleet/certificate ./host/peer ./operator/... ./standin/... passes.

--- /dev/null
+++ b/fleet/certificate/certificate_test.go
@@ -0,0 +1,101 @@
+package certificate_test
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/certificate"
+	"tamarackshunt.dev/fleet/certtest"
+)
+
+// Guards against a process that starts with certificates that its peers will refuse, or without the error's file.
+func TestLoad(t *testing.T) {
+	authority, other := certtest.New(t), certtest.New(t)
+	good, goodKey := authority.Issue(certtest.Leaf{Names: []string{"c1"}})
+	expired, expiredKey := authority.Issue(certtest.Leaf{Names: []string{"c1"}, Expired: true})
+	foreign, foreignKey := other.Issue(certtest.Leaf{Names: []string{"c1"}})
+	tests := []struct {
+		name    string
+		files   certificate.Files
+		problem string
+	}{
+		{"complete", certificate.Files{Certificate: good, Key: goodKey, Authority: authority.File, Name: "c1"}, ""},
+		{"without authority", certificate.Files{Certificate: good, Key: goodKey}, ""},
+		{"authority alone", certificate.Files{Authority: authority.File}, ""},
+		{"missing file", certificate.Files{Certificate: good + "x", Key: goodKey}, "no such file"},
+		{"missing key", certificate.Files{Certificate: good}, "no such file"},
+		{"key of another certificate", certificate.Files{Certificate: good, Key: foreignKey}, "private key does not match"},
+		{"expired", certificate.Files{Certificate: expired, Key: expiredKey}, "expired"},
+		{"another host's name", certificate.Files{Certificate: good, Key: goodKey, Name: "c2"}, "not c2"},
+		{"another authority", certificate.Files{Certificate: foreign, Key: foreignKey, Authority: authority.File}, "unknown authority"},
+		{"no certificate in the authority", certificate.Files{Authority: goodKey}, "expected certificates in PEM form"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store, err := certificate.Load(tt.files)
+			if tt.problem == "" {
+				require.NoError(t, err)
+				require.NotNil(t, store)
+				return
+			}
+			require.ErrorContains(t, err, tt.problem)
+			var failure *certificate.Error
+			require.ErrorAs(t, err, &failure)
+			require.NotEmpty(t, failure.File)
+		})
+	}
+}
+
+// serial returns the serial number of the certificate that a server on the configuration shows.
+func serial(t *testing.T, server, client *tls.Config) string {
+	t.Helper()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _ = tls.Server(far, server).HandshakeContext(t.Context()) }()
+	socket := tls.Client(near, client)
+	require.NoError(t, socket.HandshakeContext(t.Context()))
+	return socket.ConnectionState().PeerCertificates[0].SerialNumber.String()
+}
+
+// Guards against a renewal that needs a restart, and against a bad file that takes a working certificate out of use.
+func TestReload(t *testing.T) {
+	authority := certtest.New(t)
+	leaf := certtest.Leaf{Names: []string{"c1"}}
+	file, key := authority.Issue(leaf)
+	store, err := certificate.Load(certificate.Files{Certificate: file, Key: key, Authority: authority.File})
+	require.NoError(t, err)
+	server := store.Callers()
+	first := serial(t, server, store.Client("c1"))
+	authority.Renew(file, key, leaf)
+	require.Equal(t, first, serial(t, server, store.Client("c1")), "nothing is read before Reload")
+	require.NoError(t, store.Reload())
+	second := serial(t, server, store.Client("c1"))
+	require.NotEqual(t, first, second)
+
+	spoilers := map[string]func(){
+		"no certificate":      func() { require.NoError(t, os.WriteFile(file, []byte("x"), 0o600)) },
+		"expired certificate": func() { authority.Renew(file, key, certtest.Leaf{Names: []string{"c1"}, Expired: true}) },
+		"key of the next certificate": func() {
+			authority.Renew(filepath.Join(t.TempDir(), "unused"), key, leaf)
+		},
+		"certificate of another authority": func() { certtest.New(t).Renew(file, key, leaf) },
+		"no authority":                     func() { require.NoError(t, os.Rename(authority.File, authority.File+".away")) },
+	}
+	for name, spoil := range spoilers {
+		spoil()
+		require.Error(t, store.Reload(), name)
+		require.Equal(t, second, serial(t, server, store.Client("c1")), name)
+		if name == "no authority" {
+			require.NoError(t, os.Rename(authority.File+".away", authority.File))
+		}
+	}
+	authority.Renew(file, key, leaf)
+	require.NoError(t, store.Reload())
+	require.NotEqual(t, second, serial(t, server, store.Client("c1")))
+}
--- a/host/peer/peer.go
+++ b/host/peer/peer.go
@@ -60,21 +60,7 @@
 
 // dialTLS connects to a peer and verifies its certificate, with the host's name for a control host of the settings.
 func (n *Network) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	socket, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	config := n.options.Certificates.Client(n.control[address])
-	config.MinVersion = tls.VersionTLS13
-	secured := tls.Client(socket, config)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		socket.Close()
-		return nil, trace.Wrap(err)
-	}
-	return secured, nil
+	return n.options.Certificates.Dial(ctx, network, address, n.control[address], dialTimeout)
 }
 
 // Client returns an HTTP client that shows the fleet secret and gives up after timeout; 0 leaves the time to the contexts
@@ -103,13 +89,8 @@
 	return tls.NewListener(listener, n.options.Certificates.Peers()), nil
 }
 
-// Renewed closes idle connections after a renewal of certificates, so that the next calls use the new ones.
-func (n *Network) Renewed() {
-	n.transport.CloseIdleConnections()
-}
-
-// Close closes idle connections.
-func (n *Network) Close() {
+// CloseIdle closes idle connections, at the end of the host or so that the next calls use renewed certificates.
+func (n *Network) CloseIdle() {
 	n.transport.CloseIdleConnections()
 }
 
--- /dev/null
+++ b/host/peer/tls_test.go
@@ -0,0 +1,165 @@
+package peer_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/certificate"
+	"tamarackshunt.dev/fleet/certtest"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/host/peer"
+)
+
+const secret = "secret-of-the-fleet"
+
+func load(t *testing.T, a *certtest.Authority, leaf certtest.Leaf) *certificate.Store {
+	t.Helper()
+	file, key := a.Issue(leaf)
+	store, err := certificate.Load(certificate.Files{Certificate: file, Key: key, Authority: a.File})
+	require.NoError(t, err)
+	return store
+}
+
+func serve(t *testing.T, listener net.Listener, handler http.Handler) {
+	t.Helper()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, ErrorLog: peer.ErrorLog()}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// pair reads a certificate without the checks of package certificate.
+func pair(t *testing.T, a *certtest.Authority, leaf certtest.Leaf) []tls.Certificate {
+	t.Helper()
+	read, err := tls.LoadX509KeyPair(a.Issue(leaf))
+	require.NoError(t, err)
+	return []tls.Certificate{read}
+}
+
+// Guards against peer services that answer a process without a valid certificate of the fleet, a host that passes for
+// another one, and a balancer, operator or upstream that is refused for having none.
+func TestServerVerifiesPeers(t *testing.T) {
+	authority, other := certtest.New(t), certtest.New(t)
+	network := peer.New(peer.Options{
+		Secret: secret, Certificates: load(t, authority, certtest.Leaf{Names: []string{"c1"}}),
+		Control: []*fleetpb.ControlHost{{Host: "c1", Peer: "127.0.0.1:1"}, {Host: "c2", Peer: "127.0.0.1:2"}},
+	})
+	listener, err := network.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle("/open", ok)
+	mux.Handle("/claim", peer.Guard(network.Admit, &metrics.Counter{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := network.Claim(r.Context(), r.URL.Query().Get("host")); err != nil {
+			_ = twirp.WriteError(w, err)
+		}
+	})))
+	serve(t, listener, mux)
+
+	named := func(names ...string) certtest.Leaf { return certtest.Leaf{Names: names} }
+	const handshake = 0
+	tests := []struct {
+		name         string
+		certificates []tls.Certificate
+		version      uint16
+		secret, path string
+		status       int
+	}{
+		{"control host", pair(t, authority, named("c2")), 0, secret, "/claim?host=c2", http.StatusOK},
+		{"entry host", pair(t, authority, named("e1")), 0, secret, "/claim?host=e1", http.StatusOK},
+		{"entry host under another one's name", pair(t, authority, named("e2")), 0, secret, "/claim?host=e1", http.StatusOK},
+		{"entry host as a control host", pair(t, authority, named("e1")), 0, secret, "/claim?host=c2", http.StatusForbidden},
+		{"control host as another one", pair(t, authority, named("c1")), 0, secret, "/claim?host=c2", http.StatusForbidden},
+		{"wrong secret", pair(t, authority, named("c2")), 0, "another-secret", "/claim?host=c2", http.StatusUnauthorized},
+		{"no certificate", nil, 0, secret, "/claim?host=e1", http.StatusUnauthorized},
+		{"no certificate on an open path", nil, 0, "", "/open", http.StatusOK},
+		{"another authority", pair(t, other, named("c2")), 0, secret, "/claim?host=c2", handshake},
+		{"another authority on an open path", pair(t, other, named("c2")), 0, "", "/open", handshake},
+		{"expired", pair(t, authority, certtest.Leaf{Names: []string{"c2"}, Expired: true}), 0, secret, "/claim?host=c2", handshake},
+		{"TLS 1.2", pair(t, authority, named("c2")), tls.VersionTLS12, secret, "/claim?host=c2", handshake},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			roots := x509.NewCertPool()
+			data, err := os.ReadFile(authority.File)
+			require.NoError(t, err)
+			require.True(t, roots.AppendCertsFromPEM(data))
+			config := &tls.Config{
+				RootCAs: roots, MaxVersion: tt.version,
+				// A certificate is sent even if the server does not name its authority.
+				GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+					if tt.certificates == nil {
+						return &tls.Certificate{}, nil
+					}
+					return &tt.certificates[0], nil
+				},
+			}
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+listener.Addr().String()+tt.path, http.NoBody)
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+tt.secret)
+			response, err := client.Do(request)
+			if tt.status == handshake {
+				require.ErrorContains(t, err, "tls")
+				return
+			}
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, tt.status, response.StatusCode)
+		})
+	}
+}
+
+// Guards against a host that shows the fleet secret to a server that is not the control host at that address, or not a
+// host of the fleet at all.
+func TestClientVerifiesPeers(t *testing.T) {
+	authority, other := certtest.New(t), certtest.New(t)
+	own := load(t, authority, certtest.Leaf{Names: []string{"e1"}})
+	tests := []struct {
+		name    string
+		control bool
+		server  []tls.Certificate
+		version uint16
+		problem string
+	}{
+		{"control host", true, pair(t, authority, certtest.Leaf{Names: []string{"c1"}}), 0, ""},
+		{"another host at a control host's address", true, pair(t, authority, certtest.Leaf{Names: []string{"c2"}}), 0, "not c1"},
+		{"any host elsewhere", false, pair(t, authority, certtest.Leaf{Names: []string{"e7"}}), 0, ""},
+		{"client certificate as a server", false, pair(t, authority, certtest.Leaf{Names: []string{"e7"}, ClientOnly: true}), 0, "key usage"},
+		{"another authority", false, pair(t, other, certtest.Leaf{Names: []string{"e7"}}), 0, "unknown authority"},
+		{"another authority at a control host's address", true, pair(t, other, certtest.Leaf{Names: []string{"c1"}}), 0, "unknown authority"},
+		{"expired", false, pair(t, authority, certtest.Leaf{Names: []string{"e7"}, Expired: true}), 0, "expired"},
+		{"expired control host", true, pair(t, authority, certtest.Leaf{Names: []string{"c1"}, Expired: true}), 0, "expired"},
+		{"TLS 1.2", true, pair(t, authority, certtest.Leaf{Names: []string{"c1"}}), tls.VersionTLS12, "protocol version"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			listener, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: tt.server, MaxVersion: tt.version})
+			require.NoError(t, err)
+			reached := make(chan string, 1)
+			serve(t, listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { reached <- r.Header.Get("Authorization") }))
+			options := peer.Options{Secret: secret, Certificates: own}
+			if tt.control {
+				options.Control = []*fleetpb.ControlHost{{Host: "c1", Peer: listener.Addr().String()}}
+			}
+			network := peer.New(options)
+			defer network.CloseIdle()
+			response, err := network.Client(10 * time.Second).Get(network.URL(listener.Addr().String()))
+			if tt.problem != "" {
+				require.ErrorContains(t, err, tt.problem)
+				require.Empty(t, reached)
+				return
+			}
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, "Bearer "+secret, <-reached)
+		})
+	}
+}
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/twitchtv/twirp"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -30,13 +31,14 @@
 	Control []string
 	// Secret is the operator secret.
 	Secret string
-	// HTTP makes the calls; nil means a client of its own.
-	HTTP *http.Client
+	// Hosts carries the calls; nil means calls without TLS.
+	Hosts *certificate.Hosts
 }
 
 // Client calls the control leader.
 type Client struct {
 	options Options
+	http    *http.Client
 	// leader is the address that answered last, which is tried first.
 	leader string
 }
@@ -68,12 +70,15 @@
 	return fmt.Sprintf("control host %s refused: %s", e.Address, e.Cause)
 }
 
-// New returns a client.
-func New(options Options) *Client {
-	if options.HTTP == nil {
-		options.HTTP = &http.Client{Timeout: attemptTime}
+// New returns a client, or an error when there are certificates that cannot be used.
+func New(options Options) (*Client, error) {
+	if options.Hosts == nil {
+		var err error
+		if options.Hosts, err = certificate.NewHosts(nil); err != nil {
+			return nil, trace.Wrap(err)
+		}
 	}
-	return &Client{options: options}
+	return &Client{options: options, http: options.Hosts.Client(attemptTime)}, nil
 }
 
 // Apply applies a text; the request's id makes repeats harmless. The methods return a NoLeaderError once ctx has ended,
@@ -152,7 +157,7 @@
 	ctx context.Context, address string, causes map[string]string, try func(fleetpb.Control) (led, error),
 ) (led, bool, error) {
 	for range hops {
-		answer, err := try(fleetpb.NewControlProtobufClient("http://"+address, c.options.HTTP))
+		answer, err := try(fleetpb.NewControlProtobufClient(c.options.Hosts.URL(address), c.http))
 		if err != nil {
 			if final(err) {
 				return nil, false, &RefusedError{Address: address, Cause: reason(err)}
--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/settings"
 	"tamarackshunt.dev/operator/client"
@@ -32,6 +33,10 @@
 
   control: [10.0.0.1:7400, 10.0.1.1:7400, 10.0.2.1:7400]
   secret: the operator secret of the fleet
+  tls: {authority: FILE, certificate: FILE, key: FILE}
+
+The last line is for hosts with certificates; authority is the fleet's certificate authority, and the operator's own
+certificate and key may be left out.
 
 A call whose answer is lost is repeated under the same request id, so that it takes effect once.
 
@@ -145,7 +150,11 @@
 	if err := settings.Read(s.options.Settings, &read); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return client.New(client.Options{Control: read.GetControl(), Secret: read.GetSecret()}), nil
+	hosts, err := certificate.NewHosts(read.GetTls())
+	if err != nil {
+		return nil, trace.Wrap(err, "%s", s.options.Settings)
+	}
+	return client.New(client.Options{Control: read.GetControl(), Secret: read.GetSecret(), Hosts: hosts})
 }
 
 // requestID returns the id that an operator gave, or a random one.
--- a/standin/main.go
+++ b/standin/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/settings"
 	"tamarackshunt.dev/standin/ledger"
@@ -61,9 +62,14 @@
 	if err := settings.Read(opts.Settings, &s); err != nil {
 		return trace.Wrap(err)
 	}
+	calls, err := certificate.NewHosts(s.GetTls())
+	if err != nil {
+		return trace.Wrap(err, "%s", opts.Settings)
+	}
 	if opts.Check {
 		return nil
 	}
+	go renew(calls)
 	l, err := openLedger(s.GetData())
 	if err != nil {
 		return trace.Wrap(err)
@@ -85,7 +91,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	announcer := server.NewAnnouncer(s.GetHosts(), s.GetAnnounce(), server.Announcement{
+	announcer := server.NewAnnouncer(calls, s.GetHosts(), s.GetAnnounce(), server.Announcement{
 		Service: s.GetService(), Upstream: s.GetUpstream(), Address: cmp.Or(s.GetAddress(), listener.Addr().String()),
 		Zone: s.GetZone(), Region: s.GetRegion(),
 	}, faults)
@@ -122,6 +128,19 @@
 	return nil
 }
 
+// renew reads the certificates again on each SIGHUP.
+func renew(calls *certificate.Hosts) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		if err := calls.Reload(); err != nil {
+			klog.Errorf("certificates not renewed, the former ones stay in use: %v", err)
+			continue
+		}
+		klog.Info("certificates renewed")
+	}
+}
+
 // leave waits for a signal, announces that the upstream leaves, and closes it once it is a replica without work and no
 // host sends new work to it. A second signal closes it at once.
 func leave(srv *server.Server, announcer *server.Announcer) {
--- a/standin/server/announce.go
+++ b/standin/server/announce.go
@@ -10,6 +10,8 @@
 
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/certificate"
 )
 
 // announceLease is the time for which an announcement holds; the upstream renews it three times within.
@@ -29,7 +31,9 @@
 // Announcer announces one upstream to the fleet.
 type Announcer struct {
 	// Hosts are peer addresses; each announcement goes to the first one that accepts it.
-	Hosts  []string
+	Hosts []string
+	// Calls carries the announcements.
+	Calls  *certificate.Hosts
 	Key    string
 	Body   Announcement
 	Faults *Faults
@@ -40,9 +44,9 @@
 }
 
 // NewAnnouncer returns an announcer that is not yet running.
-func NewAnnouncer(hosts []string, key string, body Announcement, faults *Faults) *Announcer {
+func NewAnnouncer(calls *certificate.Hosts, hosts []string, key string, body Announcement, faults *Faults) *Announcer {
 	body.LeaseMs = announceLease.Milliseconds()
-	return &Announcer{Hosts: hosts, Key: key, Body: body, Faults: faults, wake: make(chan struct{}, 1)}
+	return &Announcer{Hosts: hosts, Calls: calls, Key: key, Body: body, Faults: faults, wake: make(chan struct{}, 1)}
 }
 
 // Leave announces from now on, and at once, that the upstream leaves.
@@ -95,13 +99,13 @@
 func (a *Announcer) post(ctx context.Context, host string, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, announceLease/3)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/announce", bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.Calls.URL(host)+"/announce", bytes.NewReader(data))
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+a.Key)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := a.Calls.Client(0).Do(request)
 	if err != nil {
 		return trace.Wrap(err)
 	}
