--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -264,6 +264,11 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	return newFixtureWith(t, func(*entry.Options) {})
+}
+
+// newFixtureWith starts a server whose options configure has changed.
+func newFixtureWith(t *testing.T, configure func(*entry.Options)) *fixture {
 	f := &fixture{upstream: newFakeUpstream(t)}
 	keys := key.NewTable()
 	written, err := key.Parse(testKey)
@@ -295,10 +300,12 @@
 		Credential: upstream.Credential{User: "fleet", Password: "fleet-password"}, Clock: clock, View: f.parts.View,
 		Urgent: func() { go f.allot(pool) },
 	})
-	server, err := entry.New(entry.Options{
+	options := entry.Options{
 		Settings: &fleetpb.HostSettings{Caller: f.address, Zone: "z1"},
 		Clock:    clock, View: f.parts.View, Chooser: f.parts, Quota: f.parts, Ack: f.parts, Pool: pool,
-	})
+	}
+	configure(&options)
+	server, err := entry.New(options)
 	require.NoError(t, err)
 	f.server = server
 	server.Start()
