--- a/host/secure.go
+++ b/host/secure.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		if err := store.Reload(); err != nil {
-			klog.ErrorS(err, "certificates not renewed, the former ones stay in use", "settings", name)
+			klog.ErrorS(nil, "certificates not renewed, the former ones stay in use", "settings", name, "problem", trace.UserMessage(err))
 			continue
 		}
 		klog.InfoS("certificates renewed", "settings", name)
--- a/standin/main.go
+++ b/standin/main.go
@@ -134,7 +134,7 @@
 	signal.Notify(signals, syscall.SIGHUP)
 	for range signals {
 		if err := calls.Reload(); err != nil {
-			klog.Errorf("certificates not renewed, the former ones stay in use: %v", err)
+			klog.Errorf("certificates not renewed, the former ones stay in use: %s", trace.UserMessage(err))
 			continue
 		}
 		klog.Info("certificates renewed")
