--- a/fleet/certificate/certificate_test.go
+++ b/fleet/certificate/certificate_test.go
@@ -2,15 +2,21 @@
 
 import (
 	"crypto/tls"
+	"io"
+	"log"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/certtest"
+	"tamarackshunt.dev/fleet/fleetpb"
 )
 
 // Guards against a process that starts with certificates that its peers will refuse, or without the error's file.
@@ -99,3 +105,56 @@
 	require.NoError(t, store.Reload())
 	require.NotEqual(t, second, serial(t, server, store.Client("c1")))
 }
+
+// Guards against an operator's secret or an announcement key that goes to a server which is no host of the fleet, and
+// against a program without a certificate of its own that cannot call hosts.
+func TestHosts(t *testing.T) {
+	authority, other := certtest.New(t), certtest.New(t)
+	named := certtest.Leaf{Names: []string{"c1"}}
+	own, ownKey := authority.Issue(certtest.Leaf{Names: []string{"operator"}, ClientOnly: true})
+	tests := []struct {
+		name     string
+		settings *fleetpb.ClientTLS
+		signer   *certtest.Authority
+		leaf     certtest.Leaf
+		problem  string
+	}{
+		{"without an own certificate", &fleetpb.ClientTLS{Authority: authority.File}, authority, named, ""},
+		{"with an own certificate", &fleetpb.ClientTLS{Authority: authority.File, Certificate: own, Key: ownKey}, authority, named, ""},
+		{"another authority", &fleetpb.ClientTLS{Authority: authority.File}, other, named, "unknown authority"},
+		{"another operator's certificate", &fleetpb.ClientTLS{Authority: authority.File}, authority, certtest.Leaf{ClientOnly: true}, "key usage"},
+		{"expired", &fleetpb.ClientTLS{Authority: authority.File}, authority, certtest.Leaf{Expired: true}, "expired"},
+		{"without TLS", nil, authority, named, "400"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			pair, err := tls.LoadX509KeyPair(tt.signer.Issue(tt.leaf))
+			require.NoError(t, err)
+			server := httptest.NewUnstartedServer(http.NotFoundHandler())
+			server.Config.ErrorLog = log.New(io.Discard, "", 0)
+			server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+			server.StartTLS()
+			defer server.Close()
+			hosts, err := certificate.NewHosts(tt.settings)
+			require.NoError(t, err)
+			require.NoError(t, hosts.Reload())
+			response, err := hosts.Client(time.Minute).Get(hosts.URL(server.Listener.Addr().String()))
+			if err == nil {
+				require.NoError(t, response.Body.Close())
+			}
+			if tt.problem == "400" {
+				require.NoError(t, err)
+				require.Equal(t, http.StatusBadRequest, response.StatusCode)
+				return
+			}
+			if tt.problem != "" {
+				require.ErrorContains(t, err, tt.problem)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNotFound, response.StatusCode)
+		})
+	}
+	_, err := certificate.NewHosts(&fleetpb.ClientTLS{Authority: authority.File, Certificate: own})
+	require.ErrorContains(t, err, "expected certificate and key")
+}
--- a/host/deps.go
+++ b/host/deps.go
@@ -263,7 +263,7 @@
 		klog.InfoS("peers were cut at shutdown", "err", err)
 	}
 	d.running.group.Wait()
-	d.peers.CloseIdle()
+	d.peers.Close()
 }
 
 func (d *deps) closeControl(ctx context.Context) {
--- a/host/peer/guard.go
+++ b/host/peer/guard.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/twitchtv/twirp"
@@ -26,6 +27,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if err := check(r); err != nil {
 			refused.Inc()
+			// A caller whose certificate has expired gets in again by a new connection, once it has a new one.
+			w.Header().Set("Connection", "close")
 			_ = twirp.WriteError(w, err)
 			return
 		}
@@ -83,12 +86,17 @@
 	return nil
 }
 
-// shownCertificate returns the client certificate, which the TLS handshake has verified, or nil.
+// shownCertificate returns the client certificate, which the TLS handshake has verified, or nil. A connection may outlive
+// the certificate that it began with, so its end is checked for each request.
 func shownCertificate(r *http.Request) *x509.Certificate {
 	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
 		return nil
 	}
-	return r.TLS.VerifiedChains[0][0]
+	leaf := r.TLS.VerifiedChains[0][0]
+	if time.Now().After(leaf.NotAfter) {
+		return nil
+	}
+	return leaf
 }
 
 // Shows reports whether a request shows one of the secrets. All of them are compared, by hashes of equal length, so that
--- a/host/peer/peer.go
+++ b/host/peer/peer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -36,7 +37,7 @@
 // Network makes and admits the calls between hosts of the fleet. Its methods may be called from several goroutines.
 type Network struct {
 	options   Options
-	transport *http.Transport
+	transport atomic.Pointer[http.Transport]
 	// control holds the hosts of Options.Control by address, and named the same hosts.
 	control map[string]string
 	named   map[string]bool
@@ -49,13 +50,17 @@
 		n.control[host.GetPeer()] = host.GetHost()
 		n.named[host.GetHost()] = true
 	}
-	n.transport = &http.Transport{
+	n.transport.Store(n.newTransport())
+	return n
+}
+
+func (n *Network) newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DialTLSContext:      n.dialTLS,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTime,
 	}
-	return n
 }
 
 // dialTLS connects to a peer and verifies its certificate, with the host's name for a control host of the settings.
@@ -66,7 +71,7 @@
 // Client returns an HTTP client that shows the fleet secret and gives up after timeout; 0 leaves the time to the contexts
 // of its calls. All clients of a network share connections.
 func (n *Network) Client(timeout time.Duration) *http.Client {
-	return &http.Client{Transport: authorized{n.options.Secret, n.transport}, Timeout: timeout}
+	return &http.Client{Transport: authorized{n}, Timeout: timeout}
 }
 
 // URL returns the base URL of the peer at an address.
@@ -89,20 +94,25 @@
 	return tls.NewListener(listener, n.options.Certificates.Peers()), nil
 }
 
-// CloseIdle closes idle connections, at the end of the host or so that the next calls use renewed certificates.
-func (n *Network) CloseIdle() {
-	n.transport.CloseIdleConnections()
+// Renewed makes all further calls use new connections, with the certificates of now. Calls that run end on theirs; a
+// connection that went back to a shared pool would be used on with its old certificate until that expires.
+func (n *Network) Renewed() {
+	n.transport.Swap(n.newTransport()).CloseIdleConnections()
+}
+
+// Close closes idle connections.
+func (n *Network) Close() {
+	n.transport.Load().CloseIdleConnections()
 }
 
-// authorized shows a secret in every request.
+// authorized shows the fleet secret in every request.
 type authorized struct {
-	secret string
-	next   http.RoundTripper
+	network *Network
 }
 
 // RoundTrip is part of http.RoundTripper, which must not change the request that it is given.
 func (a authorized) RoundTrip(request *http.Request) (*http.Response, error) {
 	request = request.Clone(request.Context())
-	request.Header.Set("Authorization", bearer+a.secret)
-	return a.next.RoundTrip(request)
+	request.Header.Set("Authorization", bearer+a.network.options.Secret)
+	return a.network.transport.Load().RoundTrip(request)
 }
--- a/host/peer/peer_test.go
+++ b/host/peer/peer_test.go
@@ -44,7 +44,7 @@
 	require.EqualValues(t, 4, refused.Get())
 
 	network := peer.New(peer.Options{Secret: "second-secret-of-fleet"})
-	defer network.CloseIdle()
+	defer network.Close()
 	response, err := network.Client(10 * time.Second).Get(server.URL)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
--- a/host/peer/tls_test.go
+++ b/host/peer/tls_test.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -150,7 +151,7 @@
 				options.Control = []*fleetpb.ControlHost{{Host: "c1", Peer: listener.Addr().String()}}
 			}
 			network := peer.New(options)
-			defer network.CloseIdle()
+			defer network.Close()
 			response, err := network.Client(10 * time.Second).Get(network.URL(listener.Addr().String()))
 			if tt.problem != "" {
 				require.ErrorContains(t, err, tt.problem)
@@ -163,3 +164,56 @@
 		})
 	}
 }
+
+// Guards against a certificate that is accepted beyond its end because its connection began before.
+func TestCertificateEndsDuringConnection(t *testing.T) {
+	authority := certtest.New(t)
+	network := peer.New(peer.Options{Secret: secret, Certificates: load(t, authority, certtest.Leaf{})})
+	for _, expired := range []bool{false, true} {
+		read := pair(t, authority, certtest.Leaf{Expired: expired})
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody)
+		request.Header.Set("Authorization", "Bearer "+secret)
+		request.TLS = &tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{read[0].Leaf}}}
+		recorder := httptest.NewRecorder()
+		peer.Guard(network.Admit, &metrics.Counter{}, ok).ServeHTTP(recorder, request)
+		require.Equal(t, expired, recorder.Code == http.StatusUnauthorized)
+		require.Equal(t, expired, recorder.Header().Get("Connection") == "close", "the caller connects again")
+	}
+}
+
+// Guards against calls that go on over a connection with the certificate from before a renewal.
+func TestRenewedConnections(t *testing.T) {
+	authority := certtest.New(t)
+	leaf := certtest.Leaf{Names: []string{"e1"}}
+	file, key := authority.Issue(leaf)
+	store, err := certificate.Load(certificate.Files{Certificate: file, Key: key, Authority: authority.File})
+	require.NoError(t, err)
+	server := peer.New(peer.Options{Secret: secret, Certificates: load(t, authority, certtest.Leaf{})})
+	listener, err := server.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	block, serials := make(chan struct{}), make(chan string, 1)
+	serve(t, listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		serials <- r.TLS.PeerCertificates[0].SerialNumber.String()
+		<-block
+	}))
+	client := peer.New(peer.Options{Secret: secret, Certificates: store})
+	defer client.Close()
+	ended := make(chan error, 2)
+	call := func() {
+		response, err := client.Client(time.Minute).Get(client.URL(listener.Addr().String()))
+		if err == nil {
+			err = response.Body.Close()
+		}
+		ended <- err
+	}
+	go call()
+	first := <-serials
+	authority.Renew(file, key, leaf)
+	require.NoError(t, store.Reload())
+	client.Renewed()
+	close(block)
+	require.NoError(t, <-ended, "the running call ends on its connection")
+	go call()
+	require.NotEqual(t, first, <-serials)
+	require.NoError(t, <-ended)
+}
--- a/host/secure_test.go
+++ b/host/secure_test.go
@@ -114,7 +114,7 @@
 		store, err := certificate.Load(certificate.Files{Certificate: file, Key: key, Authority: authority.File})
 		require.NoError(t, err)
 		network := peer.New(peer.Options{Secret: secrets.GetFleet(), Certificates: store, Control: d.settings.GetControl()})
-		defer network.CloseIdle()
+		defer network.Close()
 		client := fleetpb.NewControlProtobufClient(network.URL(d.settings.GetPeer()), network.Client(time.Minute))
 		_, err = client.Borrow(t.Context(), &fleetpb.BorrowRequest{Host: "c1"})
 		require.Equal(t, refused, err != nil && strings.Contains(err.Error(), "permission_denied"), "%s: %v", name, err)
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -206,8 +206,12 @@
 
 func reason(err error) string {
 	var failure twirp.Error
-	if errors.As(err, &failure) {
-		return failure.Msg()
+	if !errors.As(err, &failure) {
+		return err.Error()
+	}
+	// The body says what a server other than a control host's answered, as to a call without TLS.
+	if body := strings.TrimSpace(failure.Meta("body")); body != "" {
+		return failure.Msg() + ": " + body
 	}
-	return err.Error()
+	return failure.Msg()
 }
