--- a/host/peer/tls_test.go
+++ b/host/peer/tls_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,9 +193,12 @@
 	listener, err := server.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	block, serials := make(chan struct{}), make(chan string, 1)
+	var calls atomic.Int64
 	serve(t, listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		serials <- r.TLS.PeerCertificates[0].SerialNumber.String()
-		<-block
+		if calls.Add(1) == 1 {
+			<-block
+		}
 	}))
 	client := peer.New(peer.Options{Secret: secret, Certificates: store})
 	defer client.Close()
@@ -211,9 +215,12 @@
 	authority.Renew(file, key, leaf)
 	require.NoError(t, store.Reload())
 	client.Renewed()
+	go call()
+	require.NotEqual(t, first, <-serials, "a call beside the running one")
+	require.NoError(t, <-ended)
 	close(block)
 	require.NoError(t, <-ended, "the running call ends on its connection")
 	go call()
-	require.NotEqual(t, first, <-serials)
+	require.NotEqual(t, first, <-serials, "a call after the running one")
 	require.NoError(t, <-ended)
 }
--- a/host/secure_test.go
+++ b/host/secure_test.go
@@ -105,8 +105,9 @@
 	require.Equal(t, http.StatusBadRequest, response.StatusCode, "the peer address answers nothing without TLS")
 }
 
-// Guards against an entry host that syncs as a control host with its own certificate of the fleet.
-func TestSyncUnderAnotherName(t *testing.T) {
+// Guards against an entry host that syncs, borrows or takes part in the control log under the name of a control host, with
+// its own certificate of the fleet.
+func TestCallsUnderAnotherName(t *testing.T) {
 	authority := certtest.New(t)
 	d := start(t, authority)
 	for name, refused := range map[string]bool{"c1": false, "e1": true} {
@@ -115,11 +116,14 @@
 		require.NoError(t, err)
 		network := peer.New(peer.Options{Secret: secrets.GetFleet(), Certificates: store, Control: d.settings.GetControl()})
 		defer network.Close()
-		client := fleetpb.NewControlProtobufClient(network.URL(d.settings.GetPeer()), network.Client(time.Minute))
-		_, err = client.Borrow(t.Context(), &fleetpb.BorrowRequest{Host: "c1"})
-		require.Equal(t, refused, err != nil && strings.Contains(err.Error(), "permission_denied"), "%s: %v", name, err)
-		_, err = client.Sync(t.Context(), &fleetpb.SyncRequest{Host: "c1", Incarnation: uint64(d.incarnation)})
-		require.Equal(t, refused, err != nil && strings.Contains(err.Error(), "permission_denied"), "%s: %v", name, err)
+		control := fleetpb.NewControlProtobufClient(network.URL(d.settings.GetPeer()), network.Client(time.Minute))
+		log := fleetpb.NewQuorumProtobufClient(network.URL(d.settings.GetPeer()), network.Client(time.Minute))
+		_, borrow := control.Borrow(t.Context(), &fleetpb.BorrowRequest{Host: "c1"})
+		_, sync := control.Sync(t.Context(), &fleetpb.SyncRequest{Host: "c1", Incarnation: uint64(d.incarnation)})
+		_, step := log.Step(t.Context(), &fleetpb.StepRequest{Messages: []*fleetpb.Message{{From: "c1", To: "c1"}}})
+		for call, err := range map[string]error{"Borrow": borrow, "Sync": sync, "Step": step} {
+			require.Equal(t, refused, err != nil && strings.Contains(err.Error(), "permission_denied"), "%s by %s: %v", call, name, err)
+		}
 	}
 }
 
