Compare the host of a log message's member id with the certificate

Cause: messages of the control log carry member ids, not host ids, so the check against a control host's name never applied; its test used a host id. Measured: the test with a member id fails without the change and passes with it.

--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -327,6 +328,12 @@
 	return fmt.Sprintf("%s/%016x", host, incarnation)
 }
 
+// HostOf returns the host of a member id.
+func HostOf(member string) ident.Host {
+	host, _, _ := strings.Cut(member, "/")
+	return ident.Host(host)
+}
+
 func (n *Node) take() []Action {
 	out := n.out
 	n.out = nil
--- a/host/secure_test.go
+++ b/host/secure_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/certtest"
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/quorum"
 	"tamarackshunt.dev/host/peer"
 )
 
@@ -34,7 +36,8 @@
 	t.Helper()
 	s := &fleetpb.HostSettings{
 		Host: "c1", Zone: "z1", Region: "r1", Caller: freeAddress(t), Peer: freeAddress(t), Data: t.TempDir(), Secrets: secrets,
-		Tls: &fleetpb.HostTLS{Authority: authority.File, Caller: &fleetpb.CallerTLS{}},
+		Notice: durationpb.New(0),
+		Tls:    &fleetpb.HostTLS{Authority: authority.File, Caller: &fleetpb.CallerTLS{}},
 	}
 	s.Control = []*fleetpb.ControlHost{{Host: "c1", Peer: s.GetPeer()}}
 	s.Tls.Certificate, s.Tls.Key = authority.Issue(certtest.Leaf{Names: []string{"c1"}})
@@ -120,7 +123,7 @@
 		log := fleetpb.NewQuorumProtobufClient(network.URL(d.settings.GetPeer()), network.Client(time.Minute))
 		_, borrow := control.Borrow(t.Context(), &fleetpb.BorrowRequest{Host: "c1"})
 		_, sync := control.Sync(t.Context(), &fleetpb.SyncRequest{Host: "c1", Incarnation: uint64(d.incarnation)})
-		_, step := log.Step(t.Context(), &fleetpb.StepRequest{Messages: []*fleetpb.Message{{From: "c1", To: "c1"}}})
+		_, step := log.Step(t.Context(), &fleetpb.StepRequest{Messages: []*fleetpb.Message{{From: quorum.MemberID("c1", 7)}}})
 		for call, err := range map[string]error{"Borrow": borrow, "Sync": sync, "Step": step} {
 			require.Equal(t, refused, err != nil && strings.Contains(err.Error(), "permission_denied"), "%s by %s: %v", call, name, err)
 		}
