--- a/fleet/sqlstate/reason_enumer.go
+++ b/fleet/sqlstate/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknown"
+const _ReasonName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknowntls_required"
 
-var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 253, 266, 282, 297}
+var _ReasonIndex = [...]uint16{0, 10, 23, 41, 49, 64, 74, 87, 100, 109, 120, 135, 150, 165, 174, 185, 203, 220, 234, 253, 266, 282, 297, 309}
 
-const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknown"
+const _ReasonLowerName = "queue_fullrate_exceededtokens_unavailableno_leasedependency_downno_primaryno_connectionshutting_downwrong_keyrevoked_keyunknown_serviceread_only_routedeadline_passedcancelledunsupportedprotocol_violationunknown_statementlimit_exceededtransaction_abortedupstream_losttransaction_lostoutcome_unknowntls_required"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -46,9 +46,10 @@
 	_ = x[UpstreamLost-(19)]
 	_ = x[TransactionLost-(20)]
 	_ = x[OutcomeUnknown-(21)]
+	_ = x[TLSRequired-(22)]
 }
 
-var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, TransactionAborted, UpstreamLost, TransactionLost, OutcomeUnknown}
+var _ReasonValues = []Reason{QueueFull, RateExceeded, TokensUnavailable, NoLease, DependencyDown, NoPrimary, NoConnection, ShuttingDown, WrongKey, RevokedKey, UnknownService, ReadOnlyRoute, DeadlinePassed, Cancelled, Unsupported, ProtocolViolation, UnknownStatement, LimitExceeded, TransactionAborted, UpstreamLost, TransactionLost, OutcomeUnknown, TLSRequired}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:10]:    QueueFull,
@@ -73,6 +74,7 @@
 	_ReasonName[253:266]: UpstreamLost,
 	_ReasonName[266:282]: TransactionLost,
 	_ReasonName[282:297]: OutcomeUnknown,
+	_ReasonName[297:309]: TLSRequired,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -98,6 +100,7 @@
 	_ReasonLowerName[253:266]: UpstreamLost,
 	_ReasonLowerName[266:282]: TransactionLost,
 	_ReasonLowerName[282:297]: OutcomeUnknown,
+	_ReasonLowerName[297:309]: TLSRequired,
 }
 
 var _ReasonNames = []string{
@@ -123,6 +126,7 @@
 	_ReasonName[253:266],
 	_ReasonName[266:282],
 	_ReasonName[282:297],
+	_ReasonName[297:309],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/host/acknowledge/acknowledge_test.go
+++ b/host/acknowledge/acknowledge_test.go
@@ -13,6 +13,7 @@
 	"tamarackshunt.dev/host/acknowledge"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/keeper"
+	"tamarackshunt.dev/host/peer"
 )
 
 var (
@@ -63,7 +64,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := clock.New()
-			node := keeper.New(keeper.Options{Self: self, Fleet: fleet{c}, Secret: "fleet-secret-0000", Zones: []ident.Zone{"north"}})
+			node := keeper.New(keeper.Options{Self: self, Fleet: fleet{c}, Peers: peer.New(peer.Options{Secret: "fleet-secret-0000"}), Zones: []ident.Zone{"north"}})
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan struct{})
 			go func() {
--- a/host/bearer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package bearer guards calls between processes of the fleet with a shared secret.
-package bearer
--- a/host/entry/entry_test.go
+++ b/host/entry/entry_test.go
@@ -237,6 +237,7 @@
 		_, err := pgx.Connect(context.Background(), "postgres://anna:"+testKey+"@"+f.address+"/ledger?sslmode=disable")
 		return err != nil
 	}, time.Minute, time.Millisecond)
+	requireCode(t, idle.PgConn().WaitForNotification(t.Context()), "57P01")
 	_, err = idle.Exec(t.Context(), "insert late")
 	require.Error(t, err)
 	_, err = tx.Exec(t.Context(), "insert second")
--- a/host/entry/story_test.go
+++ b/host/entry/story_test.go
@@ -162,9 +162,11 @@
 	}
 	require.Eventually(t, func() bool { return refused(s.f.address) }, time.Minute, time.Millisecond)
 	s.say("new callers are refused")
+	s.outcome("anna", nil, nil, anna.PgConn().WaitForNotification(t.Context()))
 	s.do("anna", anna, "insert stamp 2")
 	s.do("ben", ben, "insert stamp 3")
 	s.do("ben", ben, "commit")
+	s.outcome("ben", nil, nil, ben.PgConn().WaitForNotification(t.Context()))
 	<-s.f.server.Done()
 	s.do("ben", ben, "insert stamp 4")
 	s.acknowledged()
--- a/host/member/bench_test.go
+++ b/host/member/bench_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"tamarackshunt.dev/fleet/fleetpb"
-	"tamarackshunt.dev/host/peer"
 )
 
 // counted counts the bytes of a connection in both directions.
@@ -61,7 +60,7 @@
 		conn, err := dialer.DialContext(ctx, network, address)
 		return counted{conn, &total}, err
 	}}
-	client := fleetpb.NewControlProtobufClient(peer.URL(listener.Addr().String()), &http.Client{Transport: transport})
+	client := fleetpb.NewControlProtobufClient("http://"+listener.Addr().String(), &http.Client{Transport: transport})
 	b.ResetTimer()
 	for range b.N {
 		sync := &fleetpb.SyncRequest{Host: "h1", Incarnation: 1, Zone: "north", Region: "moravia", Peer: "127.0.0.1:7001", Known: 9, Digest: 7}
--- a/host/member/member_test.go
+++ b/host/member/member_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/stretchr/testify/require"
 	"github.com/twitchtv/twirp"
 
@@ -76,7 +78,7 @@
 
 func serve(t *testing.T, e *events, name string) *control {
 	c := &control{name: name, events: e}
-	server := httptest.NewServer(peer.Guard(fleetpb.NewControlServer(c), secret))
+	server := httptest.NewServer(peer.Guard(peer.Secrets(secret), &metrics.Counter{}, fleetpb.NewControlServer(c)))
 	t.Cleanup(server.Close)
 	c.address = strings.TrimPrefix(server.URL, "http://")
 	c.answer = silent
@@ -103,7 +105,7 @@
 		settings.Control = append(settings.Control, &fleetpb.ControlHost{Peer: c.address})
 	}
 	return member.Options{
-		Settings: settings, Clock: clock.New(),
+		Settings: settings, Clock: clock.New(), Peers: peer.New(peer.Options{Secret: secret}),
 		Adopted: func(*member.View) { e.add("adopted") },
 		Expired: func() { e.add("expired") },
 	}
--- a/host/routing/routing_test.go
+++ b/host/routing/routing_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -88,11 +90,11 @@
 }
 
 func newRouting(t *testing.T, w *world) *routing.Routing {
-	server := httptest.NewServer(peer.Guard(fleetpb.NewObserverServer(w), secret))
+	server := httptest.NewServer(peer.Guard(peer.Secrets(secret), &metrics.Counter{}, fleetpb.NewObserverServer(w)))
 	t.Cleanup(server.Close)
 	addresses := []string{strings.TrimPrefix(server.URL, "http://")}
 	c := clock.New()
-	tr := tracker.New(tracker.Options{Clock: c, Secret: secret, Observers: func(ident.Service) []string { return addresses }})
+	tr := tracker.New(tracker.Options{Clock: c, Peers: peer.New(peer.Options{Secret: secret}), Observers: func(ident.Service) []string { return addresses }})
 	t.Cleanup(tr.Close)
 	unchanged := make(chan struct{})
 	return routing.New(routing.Options{
--- a/host/tracker/follower_test.go
+++ b/host/tracker/follower_test.go
@@ -12,6 +12,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/peer"
 )
 
 // positions is an observer that answers by a function.
@@ -38,7 +39,7 @@
 			return nil, twirp.InternalErrorWith(ctx.Err())
 		})))
 	defer server.Close()
-	tr := New(Options{Clock: clock.New()})
+	tr := New(Options{Clock: clock.New(), Peers: peer.New(peer.Options{})})
 	defer tr.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	require.NoError(t, tr.poll(f, address, 1))
--- a/host/tracker/tracker.go
+++ b/host/tracker/tracker.go
@@ -43,8 +43,9 @@
 
 // Options holds what New needs.
 type Options struct {
-	Clock  *clock.Clock
-	Secret string
+	Clock *clock.Clock
+	// Peers carries calls to observers.
+	Peers *peer.Network
 	// Observers returns the peer addresses of a service's observers, the nearest first.
 	Observers func(service ident.Service) []string
 }
@@ -65,7 +66,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Tracker{
 		opts:      opts,
-		client:    peer.NewClient(opts.Secret, waitQuiet+callMargin),
+		client:    opts.Peers.Client(waitQuiet + callMargin),
 		ctx:       ctx,
 		stop:      stop,
 		followers: make(map[ident.Service]*follower),
@@ -138,7 +139,7 @@
 	var last error
 	for _, address := range t.opts.Observers(service) {
 		asked := t.opts.Clock.Now()
-		answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+		answer, err := fleetpb.NewObserverProtobufClient(t.opts.Peers.URL(address), t.client).Positions(ctx, request)
 		// After its wait an observer answers with what it knew before, which does not cover the latest writes.
 		known := time.Duration(answer.GetKnownMs()) * time.Millisecond
 		if err == nil && answer.GetConfirmed() && known <= t.opts.Clock.Now().Sub(asked) {
@@ -205,7 +206,7 @@
 		Wanted:  f.lowestWanted(),
 		WaitMs:  uint32(wait / time.Millisecond),
 	}
-	answer, err := fleetpb.NewObserverProtobufClient(peer.URL(address), t.client).Positions(ctx, request)
+	answer, err := fleetpb.NewObserverProtobufClient(t.opts.Peers.URL(address), t.client).Positions(ctx, request)
 	if err != nil {
 		if interrupted() {
 			return nil
--- a/host/tracker/tracker_test.go
+++ b/host/tracker/tracker_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/stretchr/testify/require"
 	"github.com/twitchtv/twirp"
 
@@ -58,7 +60,7 @@
 
 func newObserver(t *testing.T, answer answer) *observer {
 	o := &observer{answer: answer}
-	server := httptest.NewServer(peer.Guard(fleetpb.NewObserverServer(o), secret))
+	server := httptest.NewServer(peer.Guard(peer.Secrets(secret), &metrics.Counter{}, fleetpb.NewObserverServer(o)))
 	t.Cleanup(server.Close)
 	o.address = strings.TrimPrefix(server.URL, "http://")
 	return o
@@ -80,7 +82,7 @@
 		addresses = append(addresses, o.address)
 	}
 	tr := tracker.New(tracker.Options{
-		Clock: clock.New(), Secret: secret, Observers: func(ident.Service) []string { return addresses },
+		Clock: clock.New(), Peers: peer.New(peer.Options{Secret: secret}), Observers: func(ident.Service) []string { return addresses },
 	})
 	t.Cleanup(tr.Close)
 	return tr
--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -24,8 +24,8 @@
 
 var target = member.Target{Service: "orders", Upstream: "o1"}
 
-// server is an upstream that accepts every statement and notes it with the number of its connection.
-type server struct {
+// fakeServer is an upstream that accepts every statement and notes it with the number of its connection.
+type fakeServer struct {
 	address  string
 	mutex    sync.Mutex
 	received []string
@@ -34,10 +34,10 @@
 	most     int
 }
 
-func newServer(t *testing.T) *server {
+func newServer(t *testing.T) *fakeServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &server{address: listener.Addr().String(), sockets: make(map[int]net.Conn)}
+	s := &fakeServer{address: listener.Addr().String(), sockets: make(map[int]net.Conn)}
 	t.Cleanup(func() {
 		listener.Close()
 		s.closeAll()
@@ -54,7 +54,7 @@
 	return s
 }
 
-func (s *server) serve(socket net.Conn) {
+func (s *fakeServer) serve(socket net.Conn) {
 	defer socket.Close()
 	backend := pgproto3.NewBackend(socket, socket)
 	startup, err := backend.ReceiveStartupMessage()
@@ -84,7 +84,7 @@
 	}
 }
 
-func (s *server) add(socket net.Conn) int {
+func (s *fakeServer) add(socket net.Conn) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.last++
@@ -93,19 +93,19 @@
 	return s.last
 }
 
-func (s *server) remove(id int) {
+func (s *fakeServer) remove(id int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.sockets, id)
 }
 
-func (s *server) note(id int, sql string) {
+func (s *fakeServer) note(id int, sql string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.received = append(s.received, fmt.Sprintf("%d %s", id, sql))
 }
 
-func (s *server) closeAll() {
+func (s *fakeServer) closeAll() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, socket := range s.sockets {
@@ -113,14 +113,14 @@
 	}
 }
 
-func (s *server) log() []string {
+func (s *fakeServer) log() []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return slices.Clone(s.received)
 }
 
 // open returns the connections open now and the most that were open at a time.
-func (s *server) open() (now, most int) {
+func (s *fakeServer) open() (now, most int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return len(s.sockets), s.most
--- a/standin/server/announce_test.go
+++ b/standin/server/announce_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/standin/server"
 )
 
@@ -27,7 +28,9 @@
 	defer accepting.Close()
 	hosts := []string{strings.TrimPrefix(refusing.URL, "http://"), strings.TrimPrefix(accepting.URL, "http://")}
 	body := server.Announcement{Service: "ledger", Upstream: "a", Address: "127.0.0.1:5432", Zone: "z1", Region: "r1"}
-	a := server.NewAnnouncer(hosts, "key", body, server.NewFaults(0))
+	calls, err := certificate.NewHosts(nil)
+	require.NoError(t, err)
+	a := server.NewAnnouncer(calls, hosts, "key", body, server.NewFaults(0))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
