--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -46,6 +46,8 @@
 	batch   *batch
 	read    bool
 	counted bool
+	// readOnly is set for the first batch of a transaction that the caller began as read-only.
+	readOnly bool
 	// replica is set while the batch runs on a replica.
 	replica bool
 	// held is set for a batch within an open transaction.
@@ -57,6 +59,7 @@
 // runNew starts a transaction with a batch.
 func (c *caller) runNew(ctx context.Context, b *batch) error {
 	r := &request{batch: b, counted: b.runs, started: time.Now(), read: c.isRead(b)}
+	r.readOnly = c.lazy != nil && c.lazy.readOnly
 	out := &outbox{socket: c.socket, write: !r.read}
 	if c.preparesOnly(b) {
 		out.status = 'T'
@@ -150,7 +153,7 @@
 			return firstOf(last, err)
 		}
 		err = c.attempt(ctx, r, choice, out)
-		if err == nil && !c.movable(r, out) {
+		if err == nil && !movable(r, out) {
 			c.countRead(r, choice)
 			return nil
 		}
@@ -195,9 +198,9 @@
 
 // movable reports whether a read-only upstream rejected the batch before any of it ran, so that a primary may run it. In a
 // transaction that the caller began as read-only the rejection is the caller's own.
-func (c *caller) movable(r *request, out *outbox) bool {
+func movable(r *request, out *outbox) bool {
 	refused := out.failure != nil && out.failure.Code == readOnlyCode && out.completed == 0 && !out.sent
-	return refused && !r.held && (c.lazy == nil || !c.lazy.readOnly)
+	return refused && !r.held && !r.readOnly
 }
 
 // runWrite runs a batch on the primary; it is sent at most once, except when the upstream says that it was not run.
@@ -209,7 +212,7 @@
 		}
 		err = c.attempt(ctx, r, choice, out)
 		switch {
-		case err == nil && c.movable(r, out):
+		case err == nil && movable(r, out):
 			out.reset()
 			c.endTransaction()
 		case err == nil:
--- a/host/entry/transaction.go
+++ b/host/entry/transaction.go
@@ -142,7 +142,7 @@
 // settle ends a transaction whose batch was answered: its connection goes back and its writes are acknowledged.
 func (c *caller) settle(ctx context.Context, r *request, out *outbox) error {
 	conn := c.held
-	if c.movable(r, out) {
+	if movable(r, out) {
 		return nil
 	}
 	if !c.preparesOnly(r.batch) {
