--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -100,8 +100,8 @@
 		"./fleet/control", ".",
 	},
 	{
-		14, "the log commits only what a majority has synced",
-		"fleet/quorum/lead.go", "return n.disk.index", "return 1 << 40",
-		"./fleet/quorum", ".",
+		14, "a new leader commits entries of earlier terms only with one of its own",
+		"fleet/quorum/lead.go", "if term, _ := n.log.term(index); term != n.term {", "if term, _ := n.log.term(index); term > n.term {",
+		"./fleet/quorum", "OwnTermFirst",
 	},
 }
