Let entry tests use the port that the system chose, and use one lease constant

Cause: on rereading the change, TestCancelWithoutTLS failed once with 'address already in use': the tests freed a port and listened on it later, and another connection could take it in between. The server now tells its address. The lease of 2 s stood three times; allotment and switchover use control.Lease. An option of routing that nothing read is gone. Ruled out: a fault of the server; no assertion changed. Measured: go test -count=4 ./host/entry and go test ./host/... pass, lint 0 issues. Conclusion: one cause of a flaky verdict less.

--- a/host/allotment/allotment.go
+++ b/host/allotment/allotment.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -10,9 +9,6 @@
 	"tamarackshunt.dev/fleet/pool"
 )
 
-// hostLease is the longest lease that a sync grants.
-const hostLease = 2 * time.Second
-
 // Allotment holds one allocator for each upstream that hosts asked for.
 type Allotment struct {
 	mutex      sync.Mutex
@@ -78,7 +74,7 @@
 		answers = append(answers, &fleetpb.Allotment{
 			Service:     demand.GetService(),
 			Upstream:    demand.GetUpstream(),
-			Connections: uint32(allocator.Report(now, host, incarnation, demand, now.Add(hostLease))),
+			Connections: uint32(allocator.Report(now, host, incarnation, demand, now.Add(control.Lease))),
 		})
 	}
 	return answers
@@ -87,7 +83,7 @@
 func (a *Allotment) allocator(key upstream, limit int) *pool.Allocator {
 	allocator := a.allocators[key]
 	if allocator == nil {
-		allocator = pool.NewAllocator(pool.AllocatorOptions{Limit: limit, Quiet: a.since.Add(hostLease)})
+		allocator = pool.NewAllocator(pool.AllocatorOptions{Limit: limit, Quiet: a.since.Add(control.Lease)})
 		a.allocators[key] = allocator
 	}
 	return allocator
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -325,7 +325,6 @@
 		Announced:  map[member.Target]bool{target: true},
 		Expires:    ident.Time(time.Hour),
 	}}
-	f.address = freeAddress(t)
 	clock := clock.New()
 	var pool *upstream.Pool
 	pool = upstream.NewPool(upstream.Options{
@@ -333,13 +332,16 @@
 		Urgent: func() { go f.allot(pool) },
 	})
 	options := entry.Options{
-		Settings: &fleetpb.HostSettings{Caller: f.address, Zone: "z1", Notice: durationpb.New(0)},
+		Settings: &fleetpb.HostSettings{Caller: "127.0.0.1:0", Zone: "z1", Notice: durationpb.New(0)},
 		Clock:    clock, View: f.parts.View, Chooser: f.parts, Quota: f.parts, Ack: f.parts, Pool: pool,
 	}
 	configure(&options)
 	server, err := entry.New(options)
 	require.NoError(t, err)
 	f.server = server
+	_, port, err := net.SplitHostPort(server.Addr().String())
+	require.NoError(t, err)
+	f.address = net.JoinHostPort("127.0.0.1", port)
 	server.Start()
 	return f
 }
@@ -350,13 +352,6 @@
 	pool.Adopt(f.parts.View())
 }
 
-func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (f *fixture) connect(t testing.TB, database, key, options string) *pgx.Conn {
 	url := fmt.Sprintf("postgres://anna:%s@%s/%s?sslmode=disable%s", key, f.address, database, options)
 	conn, err := pgx.Connect(t.Context(), url)
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -141,6 +141,9 @@
 	go s.watchZone(s.ctx)
 }
 
+// Addr returns the address that callers connect to.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
 // Done is closed when the last caller has gone after Shutdown.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
--- a/host/routing/routing.go
+++ b/host/routing/routing.go
@@ -44,15 +44,14 @@
 
 // Options holds what New needs.
 type Options struct {
-	Clock        *clock.Clock
-	View         func() *member.View
-	Changed      func() <-chan struct{}
-	Tracker      *tracker.Tracker
-	Positions    Positions
-	Load         Load
-	Zone         ident.Zone
-	Region       ident.Region
-	PrimaryReads bool
+	Clock     *clock.Clock
+	View      func() *member.View
+	Changed   func() <-chan struct{}
+	Tracker   *tracker.Tracker
+	Positions Positions
+	Load      Load
+	Zone      ident.Zone
+	Region    ident.Region
 }
 
 // Routing is the chooser of one host.
--- a/host/switchover/switchover.go
+++ b/host/switchover/switchover.go
@@ -25,8 +25,6 @@
 	proposeTimeout = 2 * time.Second
 	// maxObservers is the number of hosts that observe a group when there are enough.
 	maxObservers = 3
-	// hostLease is the time without a sync after which a host counts as gone.
-	hostLease = 2 * time.Second
 )
 
 var (
@@ -216,11 +214,11 @@
 		return
 	}
 	o.synced[host] = now
-	if now < o.since.Add(hostLease) {
+	if now < o.since.Add(control.Lease) {
 		return
 	}
 	for name, at := range o.synced {
-		if now.Sub(at) > hostLease {
+		if now.Sub(at) > control.Lease {
 			delete(o.synced, name)
 		}
 	}
