--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -110,6 +110,10 @@
 	// is zero on members that do not lead and on leaders that hand over their office.
 	ConfirmedAt ident.Time
 	Until       ident.Time
+	// Quietest is the voter that the leader has not heard for the longest time, and QuietSince when it last heard it; empty on
+	// members that do not lead.
+	Quietest   ident.Host
+	QuietSince ident.Time
 	// Problem is why the other members do not count this one.
 	Problem string
 }
@@ -240,6 +244,12 @@
 	if !n.office.leaving && n.office.hasConfirmed {
 		s.Until = n.office.confirmed.Add(n.bounds.Lease)
 	}
+	for _, voter := range n.otherVoters() {
+		heard := max(n.office.since, n.progress(voter.GetMember()).heard)
+		if s.Quietest == "" || heard < s.QuietSince {
+			s.Quietest, s.QuietSince = ident.Host(voter.GetHost()), heard
+		}
+	}
 	return s
 }
 
--- /dev/null
+++ b/fleet/statement/request.go
@@ -0,0 +1,51 @@
+package statement
+
+// Request is what a caller asks for in its session: one of the types of this file.
+type Request interface{ request() }
+
+// Begin opens a transaction; a ReadOnly one contains no writes and may run on a replica.
+type Begin struct{ ReadOnly bool }
+
+// Commit ends a transaction and keeps its writes.
+type Commit struct{}
+
+// Rollback ends a transaction and drops its writes.
+type Rollback struct{}
+
+// Read returns the rows of an item. Text is the statement as the caller sent it.
+type Read struct{ Text string }
+
+// Write stores data under an item. Text is the statement as the caller sent it.
+type Write struct{ Text string }
+
+// Set gives a session value, which stays in force until the session ends.
+type Set struct{ Name, Value string }
+
+// Prepare names a statement of the session for later execution.
+type Prepare struct {
+	Name     string
+	Prepared Prepared
+}
+
+// Execute runs a prepared statement. Arguments is all that follows the name, as the caller sent it.
+type Execute struct{ Name, Arguments string }
+
+// Forget drops a prepared statement.
+type Forget struct{ Name string }
+
+// Prepared is the definition of a prepared statement.
+type Prepared struct {
+	// Writes is set for statements that store data.
+	Writes bool
+	Shape  string
+}
+
+func (Begin) request()    {}
+func (Commit) request()   {}
+func (Rollback) request() {}
+func (Read) request()     {}
+func (Write) request()    {}
+func (Set) request()      {}
+func (Prepare) request()  {}
+func (Execute) request()  {}
+func (Forget) request()   {}
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -74,6 +74,9 @@
 	Until     ident.Time
 	// Since is when this member took office.
 	Since ident.Time
+	// Quietest is the voter that a leader has not heard for the longest time, and QuietSince when it last heard it.
+	Quietest   ident.Host
+	QuietSince ident.Time
 	// Problem is why the leader does not admit this host, for operators.
 	Problem string
 }
@@ -252,14 +255,16 @@
 	status := r.view.Load().status
 	leads := status.Role == quorum.Leader && status.Ready && r.applied.Load() >= status.First
 	return Leadership{
-		Leader:    status.Leader,
-		Host:      status.LeaderHost,
-		Term:      status.Term,
-		Leads:     leads,
-		Confirmed: leads && r.clock() < status.Until,
-		Until:     status.Until,
-		Since:     status.Since,
-		Problem:   status.Problem,
+		Leader:     status.Leader,
+		Host:       status.LeaderHost,
+		Term:       status.Term,
+		Leads:      leads,
+		Confirmed:  leads && r.clock() < status.Until,
+		Until:      status.Until,
+		Since:      status.Since,
+		Quietest:   status.Quietest,
+		QuietSince: status.QuietSince,
+		Problem:    status.Problem,
 	}
 }
 
--- /dev/null
+++ b/node/core/core.go
@@ -0,0 +1,354 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/control"
+	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/lending"
+	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/replica"
+)
+
+const (
+	// passTimeout bounds an order or announcement that is passed on to the leader; operators and upstreams wait a second.
+	passTimeout = 800 * time.Millisecond
+	// hostLife is the time after its last question for which an entry host counts.
+	hostLife = 3 * time.Second
+	// tickEvery is the interval at which the leader looks at its members and the groups.
+	tickEvery = 200 * time.Millisecond
+)
+
+var (
+	orders        = metrics.NewCounter("tamarack_core_orders_total")
+	orderFailures = metrics.NewCounter("tamarack_core_order_failures_total")
+	announced     = metrics.NewCounter("tamarack_core_announcements_total")
+	stale         = metrics.NewCounter("tamarack_core_announcements_stale_total")
+)
+
+// Promoter orders the platform to make an upstream the primary.
+type Promoter interface {
+	// Promote returns nil once the order is carried out.
+	Promote(ctx context.Context, service ident.Service, upstream ident.Upstream, token uint64) error
+}
+
+// Options describe a core host.
+type Options struct {
+	Host ident.Host
+	// Peer is the address at which other hosts reach the Handler.
+	Peer string
+	// Initial are the core hosts of the fleet's first start; Founding is set when this is that start.
+	Initial  []*fleetpb.ControlHost
+	Founding bool
+	Folder   string
+	Peers    *peer.Network
+	Seed     uint64
+	Promoter Promoter
+	Parse    func(source []byte) (*catalog.Catalog, error)
+	// Seeds returns the peer addresses of core hosts that the settings name now.
+	Seeds func() []string
+}
+
+// Core is a running core host. Its methods may be called from several goroutines.
+type Core struct {
+	options   Options
+	state     *state
+	replica   *replica.Replica
+	directory *directory.Directory
+	lender    *lending.Lender
+	client    *http.Client
+	groups    *groups
+
+	mu sync.Mutex
+	// hosts are the entry hosts that ask this leader.
+	hosts map[ident.Host]*entryHost
+}
+
+type entryHost struct {
+	zone    ident.Zone
+	at      ident.Time
+	reports []*fleetpb.PrimaryReport
+}
+
+// New opens the data folder and starts the host's part in the core.
+func New(options Options) (*Core, error) {
+	c := &Core{
+		options:   options,
+		state:     newState(options.Parse),
+		directory: directory.New(),
+		lender:    lending.New(),
+		client:    options.Peers.Client(0),
+		hosts:     map[ident.Host]*entryHost{},
+	}
+	var err error
+	c.replica, err = replica.New(replica.Options{
+		Host:        options.Host,
+		Peer:        options.Peer,
+		Hosts:       options.Initial,
+		Replacement: !options.Founding,
+		Folder:      options.Folder,
+		Peers:       options.Peers,
+		Seed:        options.Seed,
+		Machine:     c.state,
+		Clock:       steady.Now,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.groups = newGroups(c)
+	return c, nil
+}
+
+// Done is closed when the host's part in the core has ended.
+func (c *Core) Done() <-chan struct{} { return c.replica.Done() }
+
+// Err returns why it ended.
+func (c *Core) Err() error { return c.replica.Err() }
+
+// Close hands over the leadership and ends the host's part.
+func (c *Core) Close(ctx context.Context) error {
+	return c.replica.Close(ctx)
+}
+
+// leads reports whether this host leads for certain.
+func (c *Core) leads() bool {
+	return c.replica.Leadership().Confirmed
+}
+
+// Run does what the leader has to do, and enrolls this host where it is not a member, until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		leadership := c.replica.Leadership()
+		c.lender.SetOffice(steady.Now(), control.Office{Leads: leadership.Leads, Since: leadership.Since, Until: leadership.Until})
+		if leadership.Leads {
+			c.setLimits()
+			c.tidyMembers(ctx)
+		} else {
+			c.enroll(ctx)
+		}
+		c.groups.tick(ctx, leadership.Confirmed)
+	}
+}
+
+// setLimits brings the teams' limits to the owner of their tokens.
+func (c *Core) setLimits() {
+	parsed := c.state.parsed()
+	if parsed == nil {
+		return
+	}
+	text := &fleetpb.Text{}
+	for _, team := range parsed.Teams {
+		text.Teams = append(text.Teams, &fleetpb.Team{Name: string(team.Name), Rate: team.Rule.Rate, Burst: team.Rule.Burst})
+	}
+	c.lender.SetState(steady.Now(), text, nil)
+}
+
+// NoLeaderError reports a core without a leader that this host could reach.
+type NoLeaderError struct{ Cause error }
+
+// Error implements error.
+func (e *NoLeaderError) Error() string { return fmt.Sprintf("no leader took the call: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NoLeaderError) Unwrap() error { return e.Cause }
+
+// errNotLeader is the cause when this host neither leads nor knows who does.
+var errNotLeader = errors.New("this host knows no leader")
+
+// Configure is part of api.Orders.
+func (c *Core) Configure(ctx context.Context, version ident.Version, source []byte) error {
+	configure := &fleetpb.Configure{Version: uint64(version), Source: source}
+	_, err := c.order(ctx, &fleetpb.OrderRequest{Configure: configure})
+	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "error", err)
+	return err
+}
+
+// Configuration is part of api.Orders.
+func (c *Core) Configuration(ctx context.Context) ([]byte, error) {
+	response, err := c.order(ctx, &fleetpb.OrderRequest{Read: true})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetConfiguration().GetSource(), nil
+}
+
+// Evacuate is part of api.Orders.
+func (c *Core) Evacuate(ctx context.Context, zone ident.Zone, active bool) error {
+	_, err := c.order(ctx, &fleetpb.OrderRequest{Evacuate: &fleetpb.Evacuate{Zone: string(zone), Active: active}})
+	klog.InfoS("Evacuation ordered", "zone", zone, "active", active, "error", err)
+	return err
+}
+
+// order carries an order out on the leader.
+func (c *Core) order(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	orders.Inc()
+	response, err := c.carryOut(ctx, request)
+	if err == nil && !response.GetDone() {
+		leader := response.GetLeader()
+		if leader == "" {
+			err = errNotLeader
+		} else {
+			response, err = fleetpb.NewCoreProtobufClient(c.options.Peers.URL(leader), c.client).Order(ctx, request)
+			if err == nil && !response.GetDone() {
+				err = errNotLeader
+			}
+		}
+	}
+	if err != nil {
+		orderFailures.Inc()
+		return nil, &NoLeaderError{err}
+	}
+	return response, nil
+}
+
+// carryOut takes an order on this host if it leads; otherwise the response names the leader.
+func (c *Core) carryOut(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
+	leadership := c.replica.Leadership()
+	if !leadership.Confirmed {
+		leader := leadership.Leader
+		if leader == c.options.Peer {
+			leader = ""
+		}
+		return &fleetpb.OrderResponse{Leader: leader}, nil
+	}
+	change := &fleetpb.Change{}
+	switch {
+	case request.GetRead():
+		response := &fleetpb.OrderResponse{Done: true, Configuration: c.state.configuration()}
+		if !c.leads() {
+			// The state was read after the lead may have ended.
+			return &fleetpb.OrderResponse{}, nil
+		}
+		return response, nil
+	case request.GetConfigure() != nil:
+		if held := c.state.configuration(); held != nil && held.GetVersion() >= request.GetConfigure().GetVersion() && c.leads() {
+			return &fleetpb.OrderResponse{Done: true}, nil
+		}
+		change.Kind = &fleetpb.Change_Configure{Configure: request.GetConfigure()}
+	case request.GetEvacuate() != nil:
+		change.Kind = &fleetpb.Change_Evacuate{Evacuate: request.GetEvacuate()}
+	}
+	outcome, err := c.propose(ctx, change)
+	if err != nil {
+		return nil, err
+	}
+	return &fleetpb.OrderResponse{Done: outcome.GetDone()}, nil
+}
+
+func (c *Core) propose(ctx context.Context, change *fleetpb.Change) (*fleetpb.Outcome, error) {
+	answer, err := c.replica.Propose(ctx, change)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	outcome, ok := answer.(*fleetpb.Outcome)
+	if !ok {
+		return nil, trace.BadParameter("unexpected answer %T", answer)
+	}
+	return outcome, nil
+}
+
+// Announce is part of api.Orders: it takes what an upstream says of itself, passes it on to the other core hosts and returns
+// once the leader has it.
+func (c *Core) Announce(ctx context.Context, a *fleetpb.Announcement) error {
+	announced.Inc()
+	c.takeAnnouncement(a)
+	batch := &fleetpb.AnnounceBatch{Announcements: []*fleetpb.Announcement{a}}
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	leadership := c.replica.Leadership()
+	for _, member := range c.members() {
+		if member == c.options.Peer || (member == leadership.Leader && !leadership.Confirmed) {
+			continue
+		}
+		go c.passOn(member, batch)
+	}
+	if leadership.Confirmed {
+		return nil
+	}
+	if leadership.Leader == "" || leadership.Leader == c.options.Peer {
+		return &NoLeaderError{errNotLeader}
+	}
+	result, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(leadership.Leader), c.client).PassOn(ctx, batch)
+	if err != nil {
+		return &NoLeaderError{err}
+	}
+	if !result.GetLeads() {
+		return &NoLeaderError{errNotLeader}
+	}
+	return nil
+}
+
+// passOn tells a core host that does not lead, so that it knows the upstreams when it comes to lead.
+func (c *Core) passOn(member string, batch *fleetpb.AnnounceBatch) {
+	ctx, cancel := context.WithTimeout(context.Background(), passTimeout)
+	defer cancel()
+	if _, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(member), c.client).PassOn(ctx, batch); err != nil {
+		klog.V(1).InfoS("Announcement not passed on", "member", member, "reason", trace.UserMessage(err))
+	}
+}
+
+func (c *Core) takeAnnouncement(a *fleetpb.Announcement) {
+	if !c.directory.Take(steady.Now(), a) {
+		stale.Inc()
+	}
+}
+
+// members returns the peer addresses of the core hosts.
+func (c *Core) members() []string {
+	voters := c.replica.Members()
+	list := make([]string, 0, len(voters.GetVoters())+len(voters.GetLearners()))
+	for _, v := range append(voters.GetVoters(), voters.GetLearners()...) {
+		list = append(list, v.GetPeer())
+	}
+	return list
+}
+
+// view returns the directory for entry hosts and its digest.
+func (c *Core) view(now ident.Time) *fleetpb.Directory {
+	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
+	parsed := c.state.parsed()
+	for _, a := range c.directory.List(now) {
+		if parsed == nil || parsed.Service(ident.Service(a.GetService())) == nil {
+			continue
+		}
+		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
+			Upstream: a.GetUpstream(), Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(),
+			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(),
+		})
+	}
+	zones := map[ident.Zone]uint32{}
+	c.mu.Lock()
+	for _, host := range c.hosts {
+		if now.Sub(host.at) < hostLife {
+			zones[host.zone]++
+		}
+	}
+	c.mu.Unlock()
+	for zone, count := range zones {
+		d.Hosts = append(d.Hosts, &fleetpb.ZoneHosts{Zone: string(zone), Hosts: count})
+	}
+	sortHosts(d.Hosts)
+	return d
+}
--- /dev/null
+++ b/node/core/handler.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// maxCall bounds a call's body in bytes; the largest one holds a configuration.
+const maxCall = 32 << 20
+
+// Handler serves the calls of other hosts.
+func (c *Core) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(fleetpb.CorePathPrefix, fleetpb.NewCoreServer(service{c}))
+	mux.Handle(fleetpb.ControlPathPrefix+"Borrow", fleetpb.NewControlServer(owner{core: c}))
+	mux.Handle(fleetpb.QuorumPathPrefix, c.replica.Handler())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxCall)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// owner serves only Borrow of the Control service; the mux passes nothing else to it.
+type owner struct {
+	fleetpb.Control
+	core *Core
+}
+
+// Borrow lends tokens of teams while this host leads.
+func (o owner) Borrow(_ context.Context, request *fleetpb.BorrowRequest) (*fleetpb.BorrowResponse, error) {
+	leadership := o.core.replica.Leadership()
+	if !leadership.Confirmed {
+		return &fleetpb.BorrowResponse{Leader: leadership.Leader}, nil
+	}
+	return o.core.lender.Borrow(steady.Now(), request), nil
+}
+
+// service implements fleetpb.Core.
+type service struct{ core *Core }
+
+// Watch tells an entry host what has changed.
+func (s service) Watch(_ context.Context, request *fleetpb.WatchRequest) (*fleetpb.WatchResponse, error) {
+	c := s.core
+	now := steady.Now()
+	leadership := c.replica.Leadership()
+	response := &fleetpb.WatchResponse{Leader: leadership.Leader, Leads: leadership.Confirmed, Members: c.members()}
+	if !leadership.Confirmed {
+		return response, nil
+	}
+	c.mu.Lock()
+	c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), now, request.GetReports()}
+	c.mu.Unlock()
+	c.groups.report(now, request.GetReports())
+	if held := c.state.configuration(); held != nil && held.GetVersion() > request.GetVersion() {
+		response.Configuration = held
+	}
+	directory := c.view(now)
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(directory)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response.Digest = xxhash.Sum64(raw)
+	if response.Digest != request.GetDigest() {
+		response.Directory = directory
+	}
+	return response, nil
+}
+
+func sortHosts(hosts []*fleetpb.ZoneHosts) {
+	slices.SortFunc(hosts, func(x, y *fleetpb.ZoneHosts) int { return cmp.Compare(x.GetZone(), y.GetZone()) })
+}
+
+// Order carries an order out if this host leads.
+func (s service) Order(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
+	return s.core.carryOut(ctx, request)
+}
+
+// PassOn takes announcements that another core host has got.
+func (s service) PassOn(_ context.Context, batch *fleetpb.AnnounceBatch) (*fleetpb.AnnounceResult, error) {
+	for _, a := range batch.GetAnnouncements() {
+		s.core.takeAnnouncement(a)
+	}
+	return &fleetpb.AnnounceResult{Leads: s.core.leads()}, nil
+}
+
+// Enroll admits a core host that is not a member yet.
+func (s service) Enroll(ctx context.Context, request *fleetpb.JoinRequest) (*fleetpb.JoinResponse, error) {
+	leadership := s.core.replica.Leadership()
+	if !leadership.Confirmed {
+		return &fleetpb.JoinResponse{Leader: leadership.Leader}, nil
+	}
+	err := s.core.replica.AddVoter(ctx, ident.Host(request.GetHost()), request.GetPeer())
+	klog.InfoS("Core host enrolled", "host", request.GetHost(), "peer", request.GetPeer(), "error", err)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &fleetpb.JoinResponse{Done: true}, nil
+}
+
+// Identify tells this host's name.
+func (s service) Identify(context.Context, *fleetpb.IdentifyRequest) (*fleetpb.IdentifyResponse, error) {
+	return &fleetpb.IdentifyResponse{Host: string(s.core.options.Host), Peer: s.core.options.Peer}, nil
+}
--- /dev/null
+++ b/node/core/members.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+)
+
+const (
+	// memberTimeout bounds a change of the members, or a call about one.
+	memberTimeout = time.Second
+	// foundingSize is the number of voters that the platform's seeds name; more are kept only while one is being replaced.
+	foundingSize = 3
+	// removeAfter is the silence after which a voter beyond the founding size is removed. A voter that only restarts is back
+	// sooner.
+	removeAfter = 2500 * time.Millisecond
+)
+
+// enroll asks the leader to admit this host while it is not a member of the core.
+func (c *Core) enroll(ctx context.Context) {
+	voters := c.replica.Members()
+	if voters != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	request := &fleetpb.JoinRequest{Host: string(c.options.Host), Peer: c.options.Peer}
+	for _, address := range c.options.Seeds() {
+		if address == c.options.Peer || c.options.Founding {
+			continue
+		}
+		response, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(address), c.client).Enroll(ctx, request)
+		if err == nil && !response.GetDone() && response.GetLeader() != "" {
+			response, err = fleetpb.NewCoreProtobufClient(c.options.Peers.URL(response.GetLeader()), c.client).Enroll(ctx, request)
+		}
+		if err == nil && response.GetDone() {
+			return
+		}
+		klog.V(1).InfoS("Not enrolled", "through", address, "error", err)
+	}
+}
+
+// tidyMembers removes a voter that has been silent for long once another host has taken its place: more voters than the
+// core was founded with are of no use, and a silent one weakens the majority.
+func (c *Core) tidyMembers(ctx context.Context) {
+	voters := c.replica.Members().GetVoters()
+	leadership := c.replica.Leadership()
+	if len(voters) <= foundingSize || c.replica.Now().Sub(leadership.QuietSince) < removeAfter {
+		return
+	}
+	silent := leadership.Quietest
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	err := c.replica.RemoveVoter(ctx, silent)
+	klog.InfoS("Silent core host removed", "host", silent, "voters", len(voters), "error", trace.UserMessage(err))
+}
--- /dev/null
+++ b/node/core/state.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// state is what the core replicates. Applying depends on nothing but the state and the change.
+type state struct {
+	mu    sync.RWMutex
+	parse func([]byte) (*catalog.Catalog, error)
+	saved *fleetpb.SavedCore
+	// catalog is the reading of the configuration in saved, nil before the first one.
+	catalog *catalog.Catalog
+}
+
+func newState(parse func([]byte) (*catalog.Catalog, error)) *state {
+	return &state{parse: parse, saved: &fleetpb.SavedCore{}}
+}
+
+// Apply is part of replica.Machine.
+func (s *state) Apply(index uint64, change *fleetpb.Change) proto.Message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index <= s.saved.GetIndex() {
+		return &fleetpb.Outcome{}
+	}
+	s.saved.Index = index
+	switch kind := change.GetKind().(type) {
+	case *fleetpb.Change_Configure:
+		if kind.Configure.GetVersion() <= s.saved.GetConfiguration().GetVersion() && s.saved.GetConfiguration() != nil {
+			return &fleetpb.Outcome{Done: true, Version: s.saved.GetConfiguration().GetVersion()}
+		}
+		parsed, err := s.parse(kind.Configure.GetSource())
+		if err != nil {
+			return &fleetpb.Outcome{Problem: err.Error()}
+		}
+		s.saved.Configuration, s.catalog = kind.Configure, parsed
+	case *fleetpb.Change_Evacuate:
+		zones := slices.DeleteFunc(s.saved.GetEvacuated(), func(zone string) bool { return zone == kind.Evacuate.GetZone() })
+		if kind.Evacuate.GetActive() {
+			zones = append(zones, kind.Evacuate.GetZone())
+			slices.Sort(zones)
+		}
+		s.saved.Evacuated = slices.Clone(zones)
+	case *fleetpb.Change_Succession:
+		s.saved.Successions = slices.DeleteFunc(s.saved.GetSuccessions(), func(other *fleetpb.SavedSuccession) bool {
+			return other.GetSuccession().GetService() == kind.Succession.GetService()
+		})
+		s.saved.Successions = append(s.saved.Successions, &fleetpb.SavedSuccession{Succession: kind.Succession, Token: index})
+	}
+	return &fleetpb.Outcome{Done: true, Version: index}
+}
+
+// Snapshot is part of replica.Machine.
+func (s *state) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s.saved)
+}
+
+// Restore is part of replica.Machine.
+func (s *state) Restore(data []byte) error {
+	saved := &fleetpb.SavedCore{}
+	if err := proto.Unmarshal(data, saved); err != nil {
+		return err
+	}
+	var parsed *catalog.Catalog
+	if c := saved.GetConfiguration(); c != nil {
+		var err error
+		if parsed, err = s.parse(c.GetSource()); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved, s.catalog = saved, parsed
+	return nil
+}
+
+func (s *state) configuration() *fleetpb.Configure {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.saved.GetConfiguration()
+}
+
+func (s *state) parsed() *catalog.Catalog {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.catalog
+}
+
+func (s *state) evacuated() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.saved.GetEvacuated()
+}
+
+// successor returns the upstream of the latest order to promote in a service, or nothing.
+func (s *state) successor(service ident.Service) ident.Upstream {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, other := range s.saved.GetSuccessions() {
+		if other.GetSuccession().GetService() == string(service) {
+			return ident.Upstream(other.GetSuccession().GetUpstream())
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/quota"
+	"tamarackshunt.dev/node/entry"
+	"tamarackshunt.dev/node/link"
+	"tamarackshunt.dev/node/routing"
+	"tamarackshunt.dev/platform/api"
+)
+
+// memoryShare is the part of the memory limit at which the collector works harder, in percent.
+const memoryShare = 70
+
+// entryPart is a running entry host.
+type entryPart struct {
+	server     *entry.Server
+	listener   net.Listener
+	background background
+	failure    chan struct{}
+	cause      error
+}
+
+func startEntry(file *settingsFile) (part, error) {
+	s := file.current()
+	if s.Caller == "" || s.Ready == "" {
+		return nil, trace.BadParameter("listen.front and listen.ready are missing")
+	}
+	limitMemory(s.MemoryMB)
+	table := routing.New(routing.Options{Zone: s.Zone, Region: s.Region, Regions: s.Regions})
+	peers := peer.New(peer.Options{Secret: fleetSecret})
+	incarnation := ident.Incarnation(time.Now().UnixNano())
+	core := link.New(link.Options{
+		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
+	})
+	tokens := quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers})
+	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
+	p.server = entry.New(entry.Options{Table: table, Quota: tokens, Grace: s.Grace})
+	var err error
+	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	ready := func() bool { return table.Received() && core.InTouch() && !p.server.Draining() }
+	if err := serve(s.Ready, api.NewReadyHandler(ready)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := serveMetrics(address(s.IP, s.FirstPort+portEntryMetrics)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	go core.Run(p.background.context)
+	go tokens.Run(p.background.context)
+	go table.Run(p.background.context)
+	go func() {
+		if err := p.server.Serve(p.listener); err != nil {
+			p.cause = err
+			close(p.failure)
+		}
+	}()
+	return p, nil
+}
+
+func (p *entryPart) failed() <-chan struct{} { return p.failure }
+
+func (p *entryPart) err() error { return p.cause }
+
+func (p *entryPart) shutdown(began time.Time) {
+	p.server.Shutdown(began)
+	_ = p.listener.Close()
+	p.background.cancel()
+}
+
+// limitMemory lets the collector keep the process below the machine's limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(megabytes) << 20 * memoryShare / 100)
+	}
+}
+
+// serve answers HTTP calls at an address until the process ends.
+func serve(at string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", at)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: peer.ErrorLog()}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			klog.ErrorS(err, "Listener ended", "address", at)
+		}
+	}()
+	return nil
+}
+
+// headerTimeout bounds the wait for a request's header.
+const headerTimeout = 5 * time.Second
+
+func serveMetrics(at string) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
+	return serve(at, mux)
+}
--- /dev/null
+++ b/node/entry/handle.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"errors"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/platform/wire"
+)
+
+// errGone reports a caller that cannot be answered any more.
+var errGone = errors.New("the caller is gone")
+
+func gone(ok bool) error {
+	if ok {
+		return nil
+	}
+	return errGone
+}
+
+func malformed(text string) *statement.Failure {
+	return &statement.Failure{Code: statement.CodeMalformed, Text: text}
+}
+
+// handle answers a request; an error ends the session.
+func (s *session) handle(query *wire.Query, began ident.Time) error {
+	if s.state == statement.StateFailed {
+		return s.handleFailed(query)
+	}
+	switch request := query.Request.(type) {
+	case statement.Begin:
+		return s.handleBegin(query, request, began)
+	case statement.Commit:
+		return s.handleCommit(query)
+	case statement.Rollback:
+		if s.state == statement.StateIdle {
+			return gone(s.fail(query, malformed("there is no transaction")))
+		}
+		s.state = statement.StateIdle
+		err := s.caller.Done(s.state)
+		s.drop()
+		return err
+	case statement.Set:
+		s.values[request.Name] = request.Value
+		return s.caller.Done(s.state)
+	case statement.Prepare:
+		s.prepared[request.Name] = request.Prepared
+		return s.caller.Done(s.state)
+	case statement.Forget:
+		delete(s.prepared, request.Name)
+		return s.caller.Done(s.state)
+	case statement.Read:
+		return s.handleStatement(query, work{text: request.Text}, began)
+	case statement.Write:
+		return s.handleStatement(query, work{text: request.Text, writes: true}, began)
+	case statement.Execute:
+		definition, found := s.prepared[request.Name]
+		if !found {
+			return gone(s.fail(query, &statement.Failure{Code: statement.CodeUnknown, Text: "no statement has this name"}))
+		}
+		return s.handleStatement(query, work{arguments: request.Arguments, definition: &definition, writes: definition.Writes}, began)
+	}
+	return gone(s.fail(query, malformed("this is not a request")))
+}
+
+// handleFailed takes the end of a failed transaction and rejects everything else.
+func (s *session) handleFailed(query *wire.Query) error {
+	switch query.Request.(type) {
+	case statement.Rollback:
+		s.state = statement.StateIdle
+		return s.caller.Done(s.state)
+	case statement.Commit:
+		s.state = statement.StateIdle
+		return gone(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: "the transaction was rolled back"}))
+	}
+	return gone(s.fail(query, malformed("the transaction has failed and can only be ended")))
+}
+
+func (s *session) handleBegin(query *wire.Query, request statement.Begin, began ident.Time) error {
+	if s.state != statement.StateIdle {
+		return gone(s.fail(query, malformed("there is a transaction already")))
+	}
+	o, failure := s.begin(query.ID, began)
+	if failure != nil {
+		return gone(s.fail(query, failure))
+	}
+	s.tx = &transaction{operation: *o, readOnly: request.ReadOnly}
+	s.state = statement.StateTransaction
+	return s.caller.Done(s.state)
+}
+
+func (s *session) handleStatement(query *wire.Query, w work, began ident.Time) error {
+	w.id = query.ID
+	if s.state == statement.StateTransaction {
+		return s.handleInside(query, w)
+	}
+	o, failure := s.begin(query.ID, began)
+	if failure != nil {
+		return gone(s.fail(query, failure))
+	}
+	var result statement.Result
+	switch {
+	case w.writes:
+		result, failure = s.write(o, w)
+	default:
+		result, failure = s.readOnce(o, w)
+	}
+	if failure != nil {
+		return gone(s.fail(query, failure))
+	}
+	answered.Inc()
+	return s.caller.Pass(result, s.state)
+}
+
+// handleInside runs a statement of an open transaction.
+func (s *session) handleInside(query *wire.Query, w work) error {
+	result, failure := s.inside(w)
+	if failure != nil {
+		return gone(s.fail(query, failure))
+	}
+	if w.writes {
+		s.tx.wrote = true
+	}
+	return s.caller.Pass(result, s.state)
+}
+
+func (s *session) handleCommit(query *wire.Query) error {
+	if s.state == statement.StateIdle {
+		return gone(s.fail(query, malformed("there is no transaction")))
+	}
+	result, failure := s.commit(query)
+	if failure != nil {
+		s.drop()
+		s.state = statement.StateIdle
+		return gone(s.fail(query, failure))
+	}
+	answered.Inc()
+	if s.tx.wrote {
+		s.commitSeen(s.tx.route.Service, result.Position)
+	}
+	conn := s.tx.conn
+	s.tx = nil
+	s.state = statement.StateIdle
+	err := s.caller.Pass(result, s.state)
+	conn.Release()
+	return err
+}
+
+// commitSeen remembers the position of the session's own commit.
+func (s *session) commitSeen(service ident.Service, position ident.Position) {
+	if s.seen[service].Less(position) {
+		s.seen[service] = position
+	}
+}
--- /dev/null
+++ b/node/entry/server.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/node/routing"
+)
+
+const (
+	// noticeTime is how long a host that shuts down serves on, so that the load balancer sends no more sessions: it asks
+	// every second and needs two answers.
+	noticeTime = 2300 * time.Millisecond
+	// idleEvery is the interval at which a host that shuts down ends sessions that have become idle.
+	idleEvery = 50 * time.Millisecond
+	// closeMargin of the grace is left for the end of the process.
+	closeMargin = 700 * time.Millisecond
+	// startTimeout bounds the wait for a caller's first message.
+	startTimeout = 10 * time.Second
+)
+
+var (
+	sessions  = metrics.NewCounter("tamarack_entry_sessions_total")
+	openCount = metrics.NewCounter("tamarack_entry_sessions_open")
+)
+
+// Quota spends tokens of teams over the whole fleet.
+type Quota interface {
+	// Take returns once a token of the team was spent, or an error when there is none in time.
+	Take(ctx context.Context, team ident.Team) error
+}
+
+// Options describe a server.
+type Options struct {
+	Table *routing.Table
+	Quota Quota
+	// Grace is the time that a shutdown may take.
+	Grace time.Duration
+}
+
+// Server serves callers on a listener.
+type Server struct {
+	options  Options
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	draining bool
+	wait     sync.WaitGroup
+}
+
+// New returns a server without sessions.
+func New(options Options) *Server {
+	return &Server{options: options, sessions: map[*session]struct{}{}}
+}
+
+// Serve takes sessions until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			klog.ErrorS(err, "Session not accepted")
+			time.Sleep(idleEvery)
+			continue
+		}
+		sessions.Inc()
+		openCount.Inc()
+		caller := newSession(s, raw)
+		s.mu.Lock()
+		s.sessions[caller] = struct{}{}
+		s.mu.Unlock()
+		s.wait.Add(1)
+		go func() {
+			defer s.wait.Done()
+			caller.serve()
+			openCount.Dec()
+			s.mu.Lock()
+			delete(s.sessions, caller)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// Draining reports whether a shutdown has begun.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Shutdown serves on until the load balancer has noticed, ends idle sessions, gives open transactions half of the grace and
+// statements that run the rest.
+func (s *Server) Shutdown(began time.Time) {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	half := began.Add(s.options.Grace / 2)
+	last := began.Add(s.options.Grace - closeMargin)
+	time.Sleep(time.Until(began.Add(min(noticeTime, s.options.Grace/2))))
+	for time.Now().Before(last) {
+		s.mu.Lock()
+		remaining := len(s.sessions)
+		for caller := range s.sessions {
+			caller.end(time.Now().After(half))
+		}
+		s.mu.Unlock()
+		if remaining == 0 {
+			return
+		}
+		time.Sleep(idleEvery)
+	}
+}
--- /dev/null
+++ b/node/entry/session.go
@@ -0,0 +1,261 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
+)
+
+const (
+	// quotaShare is the part of an operation's objective for which it may wait for a token.
+	quotaShare = 4
+	// defaultIdle bounds the rest of a transaction where the configuration does not.
+	defaultIdle = 10 * time.Second
+)
+
+// activity tells a shutdown what a session is doing.
+type activity int32
+
+const (
+	activityBusy activity = iota
+	activityIdle
+	activityResting
+)
+
+// session is one caller's connection; it belongs to the goroutine of serve.
+type session struct {
+	server *Server
+	raw    net.Conn
+	caller *wire.Caller
+	// activity is read by a shutdown.
+	activity atomic.Int32
+	ending   atomic.Bool
+
+	start    wire.Start
+	state    statement.State
+	values   map[string]string
+	prepared map[string]statement.Prepared
+	// seen is, for each service, the position of the session's own last commit.
+	seen map[ident.Service]ident.Position
+	tx   *transaction
+}
+
+// transaction is an open transaction of the caller; it has a connection from its first statement on.
+type transaction struct {
+	operation
+	readOnly bool
+	conn     *upstream.Conn
+	// onPrimary is set when the upstream has to be the primary.
+	onPrimary bool
+	wrote     bool
+}
+
+// operation is what was decided when a statement or transaction began.
+type operation struct {
+	id string
+	// began is when its first byte was read.
+	began ident.Time
+	route *catalog.Route
+	// team is nil on routes that are open to all.
+	team *catalog.Team
+}
+
+func (o *operation) teamName() ident.Team {
+	if o.team == nil {
+		return ""
+	}
+	return o.team.Name
+}
+
+// priority orders the operations that wait; 0 goes first.
+func (o *operation) priority() int {
+	return o.route.Priority
+}
+
+func newSession(server *Server, raw net.Conn) *session {
+	return &session{
+		server:   server,
+		raw:      raw,
+		caller:   wire.NewCaller(raw),
+		values:   map[string]string{},
+		prepared: map[string]statement.Prepared{},
+		seen:     map[ident.Service]ident.Position{},
+	}
+}
+
+// end asks a session that waits for its caller to close; with resting set also one inside a transaction.
+func (s *session) end(resting bool) {
+	now := activity(s.activity.Load())
+	if now == activityIdle || (resting && now == activityResting) {
+		s.ending.Store(true)
+		_ = s.raw.SetReadDeadline(time.Now())
+	}
+}
+
+func (s *session) serve() {
+	defer s.raw.Close()
+	defer s.drop()
+	_ = s.raw.SetReadDeadline(time.Now().Add(startTimeout))
+	start, err := s.caller.ReadStart()
+	if err != nil {
+		return
+	}
+	_ = s.raw.SetReadDeadline(time.Time{})
+	s.start = start
+	if _, failure := s.admit(); failure != nil {
+		refused(failure)
+		klog.V(1).InfoS("Session refused", "database", start.Database, "code", failure.Code, "reason", failure.Text)
+		_ = s.caller.Refuse(failure)
+		return
+	}
+	if s.caller.Ready() != nil {
+		return
+	}
+	for s.next() {
+	}
+}
+
+// next reads and answers one request; it returns false at the end of the session.
+func (s *session) next() bool {
+	query, err := s.read()
+	if err != nil {
+		return s.interrupted(err)
+	}
+	began := steady.Now()
+	if query.Request == nil {
+		return s.fail(&query, &statement.Failure{Code: statement.CodeMalformed, Text: "this is not a request"})
+	}
+	err = s.handle(&query, began)
+	if err != nil {
+		return false
+	}
+	return true
+}
+
+// read waits for the next request, inside a transaction for as long as it may rest.
+func (s *session) read() (wire.Query, error) {
+	idle := activityIdle
+	var deadline time.Time
+	if s.state != statement.StateIdle {
+		idle = activityResting
+	}
+	if s.tx != nil && s.tx.conn != nil {
+		deadline = time.Now().Add(s.restLimit())
+	}
+	_ = s.raw.SetReadDeadline(deadline)
+	s.activity.Store(int32(idle))
+	defer s.activity.Store(int32(activityBusy))
+	return s.caller.ReadQuery()
+}
+
+func (s *session) restLimit() time.Duration {
+	if limit := s.server.options.Table.Catalog().IdleTransaction; limit > 0 {
+		return limit
+	}
+	return defaultIdle
+}
+
+// interrupted handles the end of a wait for a request.
+func (s *session) interrupted(err error) bool {
+	if s.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, io.EOF) && !s.ending.Load() {
+			klog.V(1).InfoS("Session ended", "database", s.start.Database, "reason", err)
+		}
+		return false
+	}
+	klog.InfoS("Transaction rolled back", "id", s.tx.id, "service", s.tx.route.Service, "upstream", s.tx.conn.Target.Upstream,
+		"reason", "it rested for too long", "limit", s.restLimit())
+	restEnded.Inc()
+	s.drop()
+	s.state = statement.StateFailed
+	return true
+}
+
+// drop gives up an open transaction.
+func (s *session) drop() {
+	if s.tx != nil && s.tx.conn != nil {
+		s.tx.conn.Release()
+	}
+	s.tx = nil
+}
+
+// admit finds the route and the team for the session as the configuration is now.
+func (s *session) admit() (*operation, *statement.Failure) {
+	c := s.server.options.Table.Catalog()
+	if c == nil {
+		return nil, &statement.Failure{Code: statement.CodeBusy, Text: "this host has no configuration yet"}
+	}
+	route := c.Route(s.start.Database)
+	if route == nil {
+		return nil, &statement.Failure{Code: statement.CodeNoDatabase, Text: "no route has this name"}
+	}
+	team := c.Holder(s.start.Key)
+	if team == nil && !route.Public {
+		return nil, &statement.Failure{Code: statement.CodeDenied, Text: "no team holds this key"}
+	}
+	return &operation{route: route, team: team}, nil
+}
+
+// begin admits an operation and spends a token of its team.
+func (s *session) begin(id string, began ident.Time) (*operation, *statement.Failure) {
+	o, failure := s.admit()
+	if failure != nil {
+		return nil, failure
+	}
+	o.id, o.began = id, began
+	if o.team == nil {
+		return o, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective/quotaShare)
+	defer cancel()
+	if err := s.server.options.Quota.Take(ctx, o.team.Name); err != nil {
+		var exceeded *limit.Exceeded
+		reason := "no token of the team in time"
+		if errors.As(err, &exceeded) {
+			reason = exceeded.Error()
+		}
+		return nil, &statement.Failure{Code: statement.CodeBusy, Text: reason + retryText(o.route)}
+	}
+	return o, nil
+}
+
+// retryText tells a caller when to come back.
+func retryText(route *catalog.Route) string {
+	return fmt.Sprintf("; retry after %d ms", (route.Objective / 2).Milliseconds())
+}
+
+var (
+	answered  = metrics.NewCounter("tamarack_entry_answered_total")
+	restEnded = metrics.NewCounter("tamarack_entry_rested_transactions_total")
+)
+
+func refused(f *statement.Failure) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_entry_failures_total{code=%q}", f.Code)).Inc()
+}
+
+// fail answers a request with a failure; a transaction has failed with it. It returns false when the caller is gone.
+func (s *session) fail(query *wire.Query, failure *statement.Failure) bool {
+	refused(failure)
+	if s.state != statement.StateIdle {
+		s.drop()
+		s.state = statement.StateFailed
+	}
+	klog.InfoS("Request failed", "id", query.ID, "database", s.start.Database, "code", failure.Code, "reason", failure.Text)
+	return s.caller.Fail(failure, s.state) == nil
+}
--- /dev/null
+++ b/node/upstream/pool.go
@@ -0,0 +1,299 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+const (
+	// idleLife is the time after which an idle connection is closed, so that other hosts and teams can open theirs.
+	idleLife = 4 * time.Second
+	// fullPause is the time between tries to open a connection on an upstream that has as many as it may.
+	fullPause = 25 * time.Millisecond
+	// penalty is how long an upstream that could not be reached, or did not answer, is the last choice.
+	penalty = time.Second
+)
+
+var (
+	opened    = metrics.NewCounter("tamarack_upstream_connections_opened_total")
+	openFails = metrics.NewCounter("tamarack_upstream_open_failures_total")
+	full      = metrics.NewCounter("tamarack_upstream_connections_refused_total")
+	evicted   = metrics.NewCounter("tamarack_upstream_connections_evicted_total")
+)
+
+// Pool is one host's connections to one upstream. Its methods may be called from several goroutines.
+type Pool struct {
+	target Target
+	mu     sync.Mutex
+	// limit is the most connections, total those that are open or being opened.
+	limit   int
+	total   int
+	idle    []*idleConn
+	waiting []*waiter
+	busy    int
+	closed  bool
+	// avoidUntil and full are what recent failures tell about the upstream.
+	avoidUntil ident.Time
+	answered   ident.Time
+	failures   int
+}
+
+type idleConn struct {
+	conn  *Conn
+	since ident.Time
+}
+
+// waiter waits for a connection, or for the room to open one.
+type waiter struct {
+	team     ident.Team
+	priority int
+	// grant gets a connection of the team, or nil for room.
+	grant chan *Conn
+}
+
+// NewPool returns a pool without connections.
+func NewPool(target Target, limit int) *Pool {
+	return &Pool{target: target, limit: max(1, limit)}
+}
+
+// Target returns the upstream.
+func (p *Pool) Target() Target {
+	return p.target
+}
+
+// SetLimit changes the most connections.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = max(1, limit)
+}
+
+// Load is what a pool tells about the use of its upstream.
+type Load struct {
+	Busy, Waiting, Limit int
+	// Avoid is set while the upstream is the last choice.
+	Avoid bool
+}
+
+// Load returns the use of the upstream by this host.
+func (p *Pool) Load(now ident.Time) Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Load{Busy: p.busy, Waiting: len(p.waiting), Limit: p.limit, Avoid: now < p.avoidUntil}
+}
+
+// Contact returns when the upstream last answered, 0 for never, and the failures since.
+func (p *Pool) Contact() (ident.Time, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered, p.failures
+}
+
+// Answered notes a complete answer of the upstream.
+func (p *Pool) Answered(now ident.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered, p.failures, p.avoidUntil = now, 0, 0
+}
+
+// Failed notes a connection that could not be opened or broke.
+func (p *Pool) Failed(now ident.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures++
+	p.avoidUntil = now.Add(penalty)
+}
+
+// Get returns a connection for a team, opening one when none is free. Its errors are those of ctx, an UnreachableError or a
+// statement.Failure; nothing has run.
+func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
+	conn, err := p.take(ctx, team, priority)
+	if err != nil || conn != nil {
+		return conn, err
+	}
+	for {
+		conn, err = open(ctx, p.target, team)
+		if err == nil {
+			conn.pool = p
+			opened.Inc()
+			p.Answered(steady.Now())
+			return conn, nil
+		}
+		var refused *statement.Failure
+		if !errors.As(err, &refused) || refused.Code != statement.CodeConnections {
+			break
+		}
+		full.Inc()
+		if pause(ctx, fullPause) != nil {
+			break
+		}
+	}
+	openFails.Inc()
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) && ctx.Err() == nil {
+		p.Failed(steady.Now())
+	}
+	p.giveRoom()
+	return nil, err
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// take returns a free connection, or nil with the room to open one.
+func (p *Pool) take(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
+	p.mu.Lock()
+	if conn := p.takeIdle(team); conn != nil {
+		p.busy++
+		p.mu.Unlock()
+		return conn, nil
+	}
+	if p.total < p.limit {
+		p.total++
+		p.busy++
+		p.mu.Unlock()
+		return nil, nil
+	}
+	if len(p.idle) > 0 {
+		// The connection that was used longest ago makes room for one of another team.
+		old := p.idle[0].conn
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.busy++
+		p.mu.Unlock()
+		evicted.Inc()
+		old.close()
+		return nil, nil
+	}
+	w := &waiter{team: team, priority: priority, grant: make(chan *Conn, 1)}
+	at, _ := slices.BinarySearchFunc(p.waiting, priority+1, func(w *waiter, priority int) int { return w.priority - priority })
+	p.waiting = slices.Insert(p.waiting, at, w)
+	p.mu.Unlock()
+	select {
+	case conn := <-w.grant:
+		return conn, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		p.mu.Unlock()
+		return nil, ctx.Err()
+	}
+	p.mu.Unlock()
+	// The grant was on its way.
+	if conn := <-w.grant; conn != nil {
+		p.put(conn)
+	} else {
+		p.giveRoom()
+	}
+	return nil, ctx.Err()
+}
+
+// takeIdle returns a live idle connection of the team, the last used one first; the caller holds the lock.
+func (p *Pool) takeIdle(team ident.Team) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].conn.Team != team {
+			continue
+		}
+		conn := p.idle[i].conn
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if conn.alive() {
+			return conn
+		}
+		conn.close()
+		p.total--
+	}
+	return nil
+}
+
+// put takes a connection back and passes it, or its room, on.
+func (p *Pool) put(conn *Conn) {
+	p.mu.Lock()
+	if conn.broken || p.closed || p.total > p.limit {
+		p.mu.Unlock()
+		conn.close()
+		p.giveRoom()
+		return
+	}
+	for i, w := range p.waiting {
+		if w.team == conn.Team && w.priority == p.waiting[0].priority {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			p.mu.Unlock()
+			w.grant <- conn
+			return
+		}
+	}
+	if len(p.waiting) > 0 {
+		p.mu.Unlock()
+		evicted.Inc()
+		conn.close()
+		p.giveRoom()
+		return
+	}
+	p.busy--
+	p.idle = append(p.idle, &idleConn{conn, steady.Now()})
+	p.mu.Unlock()
+}
+
+// giveRoom passes the room of a closed connection on.
+func (p *Pool) giveRoom() {
+	p.mu.Lock()
+	if len(p.waiting) > 0 && p.total <= p.limit && !p.closed {
+		w := p.waiting[0]
+		p.waiting = slices.Delete(p.waiting, 0, 1)
+		p.mu.Unlock()
+		w.grant <- nil
+		return
+	}
+	p.total--
+	p.busy--
+	p.mu.Unlock()
+}
+
+// Trim closes connections that have been idle for long.
+func (p *Pool) Trim(now ident.Time) {
+	p.mu.Lock()
+	var old []*Conn
+	p.idle = slices.DeleteFunc(p.idle, func(i *idleConn) bool {
+		if now.Sub(i.since) < idleLife {
+			return false
+		}
+		old = append(old, i.conn)
+		return true
+	})
+	p.total -= len(old)
+	p.mu.Unlock()
+	for _, conn := range old {
+		conn.close()
+	}
+}
+
+// Close closes idle connections now and the others when they are given back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.total -= len(idle)
+	p.mu.Unlock()
+	for _, i := range idle {
+		i.conn.close()
+	}
+}
