Share an upstream's connections between hosts and pause between tries on a full one

Cause: each host opened connections as it liked and tried again every 25 ms; upstreams dropped the opening packets of hosts beyond the cap, so that dials timed out (136 of some 900 refusals in 12 s). Ruled out: slots (3 of 2,681 requests were not run for want of one). Conclusion: connections remain the scarce part, mostly for rental-orders.

--- a/fleet/quorum/disk.go
+++ b/fleet/quorum/disk.go
@@ -165,6 +165,7 @@
 	told := n.told
 	n.told = status
 	told.ConfirmedAt, told.Until = status.ConfirmedAt, status.Until
+	told.Quietest, told.QuietSince = status.Quietest, status.QuietSince
 	if told != status {
 		n.out = append(n.out, RoleChange{status})
 	}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -20,11 +20,13 @@
 const (
 	// reservedConnections of each upstream are left to the core, which asks for its position.
 	reservedConnections = 2
-	// overcommit lets hosts with much to do use connections that others leave unused; an upstream refuses those beyond its
-	// own limit.
-	overcommit = 2
+	// lentConnections are those that a host may use beyond its share while others leave them unused; an upstream refuses what
+	// is beyond its own limit.
+	lentConnections = 3
+	// nearbyPart of a replica's connections, in percent, is shared by the hosts of its availability zone.
+	nearbyPart = 75
 	// trimEvery is the interval at which idle connections are looked through.
-	trimEvery = time.Second
+	trimEvery = 100 * time.Millisecond
 	// probeTimeout bounds the question for a primary's position.
 	probeTimeout = 1500 * time.Millisecond
 )
@@ -142,9 +144,9 @@
 			Region:   t.options.Regions[ident.Zone(a.GetZone())],
 			Born:     a.GetBorn(),
 		}
-		limit := t.limit(target, primaries[a.GetService()] == a.GetUpstream(), hosts, nearby)
+		share, limit := t.shares(target, primaries[a.GetService()] == a.GetUpstream(), hosts, nearby)
 		members[service] = append(members[service], &member{
-			pool:      t.pool(target, limit),
+			pool:      t.pool(target, share, limit),
 			leaving:   a.GetLeaving(),
 			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
 		})
@@ -165,30 +167,33 @@
 	}
 }
 
-// limit shares an upstream's connections: all hosts use a primary, mostly those of its availability zone a replica.
-func (t *Table) limit(target upstream.Target, primary bool, hosts, nearby int) int {
+// shares divides an upstream's connections: all hosts use a primary, and mostly those of its availability zone a replica.
+func (t *Table) shares(target upstream.Target, primary bool, hosts, nearby int) (share, limit int) {
 	service := t.Catalog().Service(target.Service)
 	if service == nil || hosts == 0 {
-		return overcommit
+		return 1, 1 + lentConnections
 	}
-	share := max(0, service.Connections-reservedConnections) * overcommit
-	if !primary && target.Zone == t.options.Zone {
-		return max(overcommit, share/max(1, nearby+1))
+	usable := max(1, service.Connections-reservedConnections)
+	switch {
+	case primary:
+		share = usable / hosts
+	case target.Zone == t.options.Zone:
+		share = usable * nearbyPart / 100 / max(1, nearby)
 	}
-	return max(overcommit, share/hosts)
+	return share, share + lentConnections
 }
 
 // pool returns the pool of an upstream, kept as long as the upstream is the same; the caller holds the lock.
-func (t *Table) pool(target upstream.Target, limit int) *upstream.Pool {
+func (t *Table) pool(target upstream.Target, share, limit int) *upstream.Pool {
 	if g := t.groups[target.Service]; g != nil {
 		for _, m := range g.members {
 			if m.pool.Target() == target {
-				m.pool.SetLimit(limit)
+				m.pool.SetLimits(share, limit)
 				return m.pool
 			}
 		}
 	}
-	return upstream.NewPool(target, limit)
+	return upstream.NewPool(target, share, limit)
 }
 
 func (t *Table) group(service ident.Service) *group {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,10 +16,14 @@
 )
 
 const (
-	// idleLife is the time after which an idle connection is closed, so that other hosts and teams can open theirs.
-	idleLife = 4 * time.Second
-	// fullPause is the time between tries to open a connection on an upstream that has as many as it may.
-	fullPause = 25 * time.Millisecond
+	// ownIdle is the time after which an idle connection of the host's own share is closed, lentIdle that for connections
+	// beyond it, which other hosts may need.
+	ownIdle  = 10 * time.Second
+	lentIdle = 200 * time.Millisecond
+	// fullPause is the least time between tries to open a connection on an upstream that has as many as it may, fullMost the
+	// longest. An upstream drops the opening packets of hosts that ask without a pause.
+	fullPause = 40 * time.Millisecond
+	fullMost  = 160 * time.Millisecond
 	// penalty is how long an upstream that could not be reached, or did not answer, is the last choice.
 	penalty = time.Second
 )
@@ -34,7 +39,9 @@
 type Pool struct {
 	target Target
 	mu     sync.Mutex
-	// limit is the most connections, total those that are open or being opened.
+	// share is the host's own part of the upstream's connections, limit the most that it may use of what others leave, and
+	// total the number that are open or being opened.
+	share   int
 	limit   int
 	total   int
 	idle    []*idleConn
@@ -61,8 +68,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(target Target, limit int) *Pool {
-	return &Pool{target: target, limit: max(1, limit)}
+func NewPool(target Target, share, limit int) *Pool {
+	return &Pool{target: target, share: share, limit: max(1, limit)}
 }
 
 // Target returns the upstream.
@@ -70,11 +77,11 @@
 	return p.target
 }
 
-// SetLimit changes the most connections.
-func (p *Pool) SetLimit(limit int) {
+// SetLimits changes the host's own part of the connections and the most that it may use.
+func (p *Pool) SetLimits(share, limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = max(1, limit)
+	p.share, p.limit = share, max(1, limit)
 }
 
 // Load is what a pool tells about the use of its upstream.
@@ -116,26 +123,36 @@
 // Get returns a connection for a team, opening one when none is free. Its errors are those of ctx, an UnreachableError or a
 // statement.Failure; nothing has run.
 func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
-	conn, err := p.take(ctx, team, priority)
-	if err != nil || conn != nil {
-		return conn, err
-	}
+	wait := fullPause
 	for {
-		conn, err = open(ctx, p.target, team)
+		conn, err := p.take(ctx, team, priority)
+		if err != nil || conn != nil {
+			return conn, err
+		}
+		conn, err = p.open(ctx, team)
 		if err == nil {
-			conn.pool = p
-			opened.Inc()
-			p.Answered(steady.Now())
 			return conn, nil
 		}
 		var refused *statement.Failure
 		if !errors.As(err, &refused) || refused.Code != statement.CodeConnections {
-			break
+			return nil, err
 		}
 		full.Inc()
-		if pause(ctx, fullPause) != nil {
-			break
+		if pause(ctx, wait/2+rand.N(wait/2)) != nil {
+			return nil, err
 		}
+		wait = min(2*wait, fullMost)
+	}
+}
+
+// open opens a connection in the room that take has found.
+func (p *Pool) open(ctx context.Context, team ident.Team) (*Conn, error) {
+	conn, err := open(ctx, p.target, team)
+	if err == nil {
+		conn.pool = p
+		opened.Inc()
+		p.Answered(steady.Now())
+		return conn, nil
 	}
 	openFails.Inc()
 	var unreachable *UnreachableError
@@ -271,8 +288,14 @@
 func (p *Pool) Trim(now ident.Time) {
 	p.mu.Lock()
 	var old []*Conn
+	kept := p.total - len(p.idle)
 	p.idle = slices.DeleteFunc(p.idle, func(i *idleConn) bool {
-		if now.Sub(i.since) < idleLife {
+		life := ownIdle
+		if kept >= p.share {
+			life = lentIdle
+		}
+		if now.Sub(i.since) < life {
+			kept++
 			return false
 		}
 		old = append(old, i.conn)
