--- a/node/entry.go
+++ b/node/entry.go
@@ -74,8 +74,7 @@
 func (p *entryPart) err() error { return p.cause }
 
 func (p *entryPart) shutdown(began time.Time) {
-	p.server.Shutdown(began)
-	_ = p.listener.Close()
+	p.server.Shutdown(began, p.listener)
 	p.background.cancel()
 }
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,7 +52,9 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	draining bool
-	wait     sync.WaitGroup
+	// closing is set when sessions end as soon as they are idle.
+	closing atomic.Bool
+	wait    sync.WaitGroup
 }
 
 // New returns a server without sessions.
@@ -96,15 +99,18 @@
 	return s.draining
 }
 
-// Shutdown serves on until the load balancer has noticed, ends idle sessions, gives open transactions half of the grace and
-// statements that run the rest.
-func (s *Server) Shutdown(began time.Time) {
+// Shutdown serves on until the load balancer has noticed, takes no session after that, ends idle sessions, gives open
+// transactions half of the grace and statements that run the rest.
+func (s *Server) Shutdown(began time.Time, listener net.Listener) {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	half := began.Add(s.options.Grace / 2)
 	last := began.Add(s.options.Grace - closeMargin)
 	time.Sleep(time.Until(began.Add(min(noticeTime, s.options.Grace/2))))
+	// A session that began now might not be able to end in time.
+	_ = listener.Close()
+	s.closing.Store(true)
 	for time.Now().Before(last) {
 		s.mu.Lock()
 		remaining := len(s.sessions)
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -141,11 +141,10 @@
 	if query.Request == nil {
 		return s.fail(&query, &statement.Failure{Code: statement.CodeMalformed, Text: "this is not a request"})
 	}
-	err = s.handle(&query, began)
-	if err != nil {
+	if s.handle(&query, began) != nil {
 		return false
 	}
-	return true
+	return s.state != statement.StateIdle || !s.server.closing.Load()
 }
 
 // read waits for the next request, inside a transaction for as long as it may rest.
