--- a/fleet/fleetpb/keeper.twirp.go
+++ b/fleet/fleetpb/keeper.twirp.go
@@ -781,7 +781,7 @@
 }
 
 func (s *keepersServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *keepersServer) ProtocGenTwirpVersion() string {
@@ -1275,7 +1275,7 @@
 }
 
 func (s *observerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 1
+	return twirpFileDescriptor3, 1
 }
 
 func (s *observerServer) ProtocGenTwirpVersion() string {
@@ -1289,7 +1289,7 @@
 	return baseServicePath(s.pathPrefix, "fleet", "Observer")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 570 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x54, 0x51, 0x6f, 0xd3, 0x30,
 	0x10, 0xd6, 0x9a, 0xb4, 0x49, 0x2f, 0x9a, 0x60, 0x06, 0xb4, 0x50, 0x21, 0x6d, 0x04, 0x24, 0x86,
--- a/fleet/fleetpb/log.twirp.go
+++ b/fleet/fleetpb/log.twirp.go
@@ -502,7 +502,7 @@
 }
 
 func (s *quorumServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *quorumServer) ProtocGenTwirpVersion() string {
@@ -516,7 +516,7 @@
 	return baseServicePath(s.pathPrefix, "fleet", "Quorum")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 1374 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x57, 0x41, 0x73, 0xd4, 0xc6,
 	0x12, 0xf6, 0x7a, 0xb5, 0x5a, 0x6d, 0xef, 0xda, 0xc0, 0xc0, 0xa3, 0xf4, 0xfc, 0xea, 0x15, 0x46,
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -79,8 +79,9 @@
 
 type entryHost struct {
 	zone    ident.Zone
+	peer    string
 	at      ident.Time
-	reports []*fleetpb.PrimaryReport
+	leaving bool
 }
 
 // New opens the data folder and starts the host's part in the core.
@@ -338,17 +339,13 @@
 			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(),
 		})
 	}
-	zones := map[ident.Zone]uint32{}
 	c.mu.Lock()
-	for _, host := range c.hosts {
-		if now.Sub(host.at) < hostLife {
-			zones[host.zone]++
+	for name, host := range c.hosts {
+		if now.Sub(host.at) < hostLife && !host.leaving {
+			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
 		}
 	}
 	c.mu.Unlock()
-	for zone, count := range zones {
-		d.Hosts = append(d.Hosts, &fleetpb.ZoneHosts{Zone: string(zone), Hosts: count})
-	}
 	sortHosts(d.Hosts)
 	return d
 }
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -120,7 +120,7 @@
 			if one.pool != nil {
 				one.pool.Close()
 			}
-			one.pool = upstream.NewPool(target, 1, 1)
+			one.pool = upstream.NewPool(target, 1)
 		}
 		one.probing = true
 		go g.probe(ctx, one, one.pool)
@@ -148,11 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, takeover.ProbeTimeout)
 	defer cancel()
 	asked := steady.Now()
-	conn, err := pool.Get(ctx, "", 0)
-	if err == nil {
-		_, err = conn.Begin()
-		conn.Release()
-	}
+	_, err := pool.Line("", 0).Do(ctx, upstream.Use{Opening: upstream.OpenPrimary})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	one.probing = false
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -59,7 +59,7 @@
 		return response, nil
 	}
 	c.mu.Lock()
-	c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), now, request.GetReports()}
+	c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), request.GetPeer(), now, request.GetLeaving()}
 	c.mu.Unlock()
 	c.groups.report(now, request.GetReports())
 	if held := c.state.configuration(); held != nil && held.GetVersion() > request.GetVersion() {
@@ -77,8 +77,8 @@
 	return response, nil
 }
 
-func sortHosts(hosts []*fleetpb.ZoneHosts) {
-	slices.SortFunc(hosts, func(x, y *fleetpb.ZoneHosts) int { return cmp.Compare(x.GetZone(), y.GetZone()) })
+func sortHosts(hosts []*fleetpb.EntryHost) {
+	slices.SortFunc(hosts, func(x, y *fleetpb.EntryHost) int { return cmp.Compare(x.GetHost(), y.GetHost()) })
 }
 
 // Order carries an order out if this host leads.
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -187,7 +187,7 @@
 func (p *promotion) status(ctx context.Context, target upstream.Target, text string) (wire.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	pool := upstream.NewPool(target, 1, 1)
+	pool := upstream.NewPool(target, 1)
 	defer pool.Close()
 	conn, err := pool.Get(ctx, "", 0)
 	if err != nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -14,6 +14,7 @@
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 	"tamarackshunt.dev/node/entry"
+	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/link"
 	"tamarackshunt.dev/node/routing"
 	"tamarackshunt.dev/platform/api"
@@ -27,8 +28,10 @@
 	server     *entry.Server
 	listener   net.Listener
 	background background
-	failure    chan struct{}
-	cause      error
+	// leave tells the core that the host is shutting down.
+	leave   func()
+	failure chan struct{}
+	cause   error
 }
 
 func startEntry(file *settingsFile) (part, error) {
@@ -37,11 +40,14 @@
 		return nil, trace.BadParameter("listen.front and listen.ready are missing")
 	}
 	limitMemory(s.MemoryMB)
-	table := routing.New(routing.Options{Zone: s.Zone, Region: s.Region, Regions: s.Regions})
 	peers := peer.New(peer.Options{Secret: fleetSecret})
+	table := routing.New(routing.Options{
+		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Gateways: gateway.NewClient(peers.Client(0), peers.URL),
+	})
+	own := address(s.IP, s.FirstPort+portEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
 	core := link.New(link.Options{
-		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
+		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Peer: own, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
 	})
 	tokens := quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
@@ -57,6 +63,12 @@
 	if err := serveMetrics(address(s.IP, s.FirstPort+portEntryMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	others := gateway.NewServer(table)
+	if err := serve(own, others.Handler()); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.leave = core.Leave
+	go others.Run(p.background.context)
 	go core.Run(p.background.context)
 	go tokens.Run(p.background.context)
 	go table.Run(p.background.context)
@@ -74,6 +86,7 @@
 func (p *entryPart) err() error { return p.cause }
 
 func (p *entryPart) shutdown(began time.Time) {
+	p.leave()
 	p.server.Shutdown(began, p.listener)
 	p.background.cancel()
 }
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -58,7 +58,7 @@
 		if !found {
 			return gone(s.fail(query, &statement.Failure{Code: statement.CodeUnknown, Text: "no statement has this name"}))
 		}
-		return s.handleStatement(query, work{arguments: request.Arguments, definition: &definition, writes: definition.Writes}, began)
+		return s.handleStatement(query, work{text: request.Arguments, definition: &definition, writes: definition.Writes}, began)
 	}
 	return gone(s.fail(query, malformed("this is not a request")))
 }
@@ -138,12 +138,9 @@
 	if s.tx.wrote {
 		s.commitSeen(s.tx.route.Service, result.Position)
 	}
-	conn := s.tx.conn
 	s.tx = nil
 	s.state = statement.StateIdle
-	err := s.caller.Pass(result, s.state)
-	conn.Release()
-	return err
+	return s.caller.Pass(result, s.state)
 }
 
 // commitSeen remembers the position of the session's own commit.
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -16,27 +16,24 @@
 const (
 	// retryPause is the time before upstreams that had no room, lagged or were not the primary are asked again.
 	retryPause = 25 * time.Millisecond
-	// readTimeout bounds one try of a read that can be repeated on another upstream.
-	readTimeout = 500 * time.Millisecond
+	// readTimeout bounds one try of a read that can be repeated on another upstream, readWait its wait for a connection.
+	readTimeout = 400 * time.Millisecond
+	readWait    = 250 * time.Millisecond
 )
 
 // work is a statement to run on an upstream.
 type work struct {
 	id string
-	// text is the statement as the caller sent it, empty for a prepared one.
+	// text is the statement as the caller sent it, or the arguments of a prepared one.
 	text string
-	// definition and arguments are those of a prepared statement.
+	// definition is that of a prepared statement.
 	definition *statement.Prepared
-	arguments  string
 	writes     bool
 }
 
-// textOn returns the statement for a connection, on which the session's state has been prepared.
-func (w *work) textOn(name string, since ident.Position) string {
-	if w.definition != nil {
-		return wire.TextSince(since, wire.TextExecute(name, w.arguments))
-	}
-	return wire.TextSince(since, w.text)
+// use returns what a line has to do for a statement; its zero work only opens a transaction.
+func (s *session) use(w *work, timeout time.Duration) upstream.Use {
+	return upstream.Use{Values: s.values, Prepared: w.definition, ID: w.id, Text: w.text, Timeout: timeout}
 }
 
 func (s *session) context(route *catalog.Route) (context.Context, context.CancelFunc) {
@@ -72,16 +69,6 @@
 	return &statement.Failure{Code: statement.CodeBusy, Text: reason + retryText(o.route)}
 }
 
-// try runs a statement on a connection after the session's state. Ran says that the upstream may have run it.
-func (s *session) try(conn *upstream.Conn, w *work, since ident.Position, timeout time.Duration) (result statement.Result, ran bool, err error) {
-	name, err := conn.Prepare(upstream.Session{Values: s.values}, w.definition)
-	if err != nil {
-		return result, false, err
-	}
-	result, err = conn.Run(w.id, w.textOn(name, since), timeout)
-	return result, true, err
-}
-
 // readOnce runs a single read wherever the data is fresh enough.
 func (s *session) readOnce(o *operation, w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.context(o.route)
@@ -141,32 +128,15 @@
 
 // readOn tries a read on one upstream; every failure leaves it free to be tried elsewhere.
 func (s *session) readOn(ctx context.Context, pool *upstream.Pool, o *operation, w work, since ident.Position) (statement.Result, error) {
-	conn, err := pool.Get(ctx, o.teamName(), o.priority())
-	if err != nil {
-		return statement.Result{}, err
-	}
-	result, _, err := s.try(conn, &w, since, left(ctx, readTimeout))
-	if err != nil {
-		s.give(conn, err)
-		return result, err
-	}
-	pool.Answered(steady.Now())
-	conn.Release()
-	if result.Failure != nil {
-		return result, result.Failure
-	}
-	return result, nil
-}
-
-// give returns a connection after an error.
-func (s *session) give(conn *upstream.Conn, err error) {
-	var broken *upstream.BrokenError
-	if errors.As(err, &broken) {
-		s.server.options.Table.Broken(conn)
-		conn.Break()
-		return
+	use := s.use(&w, left(ctx, readTimeout))
+	use.Since = since
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	outcome, err := s.server.options.Table.Line(pool, o.teamName(), o.priority()).Do(ctx, use)
+	if err == nil && outcome.Result.Failure != nil {
+		return outcome.Result, outcome.Result.Failure
 	}
-	conn.Release()
+	return outcome.Result, err
 }
 
 // readPrimary runs a single read inside a transaction: only an upstream that still leads opens one, and a read after its
@@ -191,50 +161,38 @@
 }
 
 func (s *session) readInside(ctx context.Context, o *operation, w work) (statement.Result, error) {
-	conn, err := s.beginPrimary(ctx, o)
+	use := s.use(&w, left(ctx, readTimeout))
+	line, err := s.primary(o)
 	if err != nil {
 		return statement.Result{}, err
 	}
-	result, _, err := s.try(conn, &w, ident.Position{}, left(ctx, readTimeout))
-	if err != nil {
-		s.give(conn, err)
-		return result, err
+	outcome, err := s.open(ctx, line, o, use)
+	if err == nil && outcome.Result.Failure != nil {
+		return outcome.Result, outcome.Result.Failure
 	}
-	if result.Failure != nil {
-		conn.Release()
-		return result, result.Failure
-	}
-	conn.ReleaseLater()
-	return result, nil
+	return outcome.Result, err
 }
 
 // errNoPrimary reports a service without a primary to use.
 var errNoPrimary = errors.New("the service has no primary at the moment")
 
-// beginPrimary opens a transaction on the primary and learns its position.
-func (s *session) beginPrimary(ctx context.Context, o *operation) (*upstream.Conn, error) {
+// primary returns a line to the primary.
+func (s *session) primary(o *operation) (upstream.Line, error) {
 	table := s.server.options.Table
 	pool := table.Primary(o.route, o.team)
 	if pool == nil {
 		return nil, errNoPrimary
 	}
-	conn, err := pool.Get(ctx, o.teamName(), o.priority())
-	if err != nil {
-		return nil, err
-	}
-	if _, err := conn.Prepare(upstream.Session{Values: s.values}, nil); err != nil {
-		s.give(conn, err)
-		return nil, err
-	}
+	return table.Line(pool, o.teamName(), o.priority()), nil
+}
+
+// open opens a transaction on the primary, learns its position, and runs the statement of the use inside.
+func (s *session) open(ctx context.Context, line upstream.Line, o *operation, use upstream.Use) (upstream.Outcome, error) {
+	use.Opening = upstream.OpenPrimary
 	asOf := steady.Now()
-	result, err := conn.Begin()
-	if err != nil {
-		s.give(conn, err)
-		return nil, err
-	}
-	pool.Answered(steady.Now())
-	table.Learn(o.route.Service, result.Position, asOf)
-	return conn, nil
+	outcome, err := line.Do(ctx, use)
+	s.server.options.Table.Learn(o.route.Service, outcome.Opened, asOf)
+	return outcome, err
 }
 
 // write runs a single write on the primary, at most once.
@@ -265,171 +223,159 @@
 }
 
 func (s *session) writeOnce(ctx context.Context, o *operation, w work) (statement.Result, bool, error) {
-	table := s.server.options.Table
-	pool := table.Primary(o.route, o.team)
-	if pool == nil {
-		return statement.Result{}, false, errNoPrimary
-	}
-	conn, err := pool.Get(ctx, o.teamName(), o.priority())
+	line, err := s.primary(o)
 	if err != nil {
 		return statement.Result{}, false, err
 	}
 	asOf := steady.Now()
-	result, ran, err := s.try(conn, &w, ident.Position{}, o.route.Timeout)
+	outcome, err := line.Do(ctx, s.use(&w, o.route.Timeout))
 	if err != nil {
-		s.give(conn, err)
-		return result, ran, err
+		return outcome.Result, outcome.Ran, err
 	}
-	pool.Answered(steady.Now())
-	conn.Release()
-	if result.Failure != nil {
-		return result, true, result.Failure
+	if outcome.Result.Failure != nil {
+		return outcome.Result, true, outcome.Result.Failure
 	}
-	table.Learn(o.route.Service, result.Position, asOf)
-	s.commitSeen(o.route.Service, result.Position)
-	return result, true, nil
+	s.server.options.Table.Learn(o.route.Service, outcome.Result.Position, asOf)
+	s.commitSeen(o.route.Service, outcome.Result.Position)
+	return outcome.Result, true, nil
 }
 
 // inside runs a statement of an open transaction, which gets its upstream with the first one.
 func (s *session) inside(w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.context(s.tx.route)
 	defer cancel()
-	if s.tx.conn == nil {
-		if failure := s.open(ctx, w.writes); failure != nil {
-			return statement.Result{}, failure
-		}
+	use := s.use(&w, s.tx.route.Timeout)
+	use.Keep = true
+	return s.step(ctx, use, w.writes)
+}
+
+// commit passes the caller's commit on; its outcome is unknown when the answer is lost and something was written.
+func (s *session) commit(query *wire.Query) (statement.Result, *statement.Failure) {
+	ctx, cancel := s.context(s.tx.route)
+	defer cancel()
+	use := s.use(&work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
+	result, failure := s.step(ctx, use, false)
+	if failure != nil && s.tx.wrote && !failure.Code.Promises() {
+		return result, &statement.Failure{Code: statement.CodeInDoubt, Text: failure.Text}
 	}
+	return result, failure
+}
+
+// step runs one statement of a transaction. After a failure the transaction has no line and is rolled back.
+func (s *session) step(ctx context.Context, use upstream.Use, writes bool) (statement.Result, *statement.Failure) {
+	tx := s.tx
 	for {
 		asOf := steady.Now()
-		result, _, err := s.try(s.tx.conn, &w, ident.Position{}, s.tx.route.Timeout)
+		outcome, err := s.stepOn(ctx, use, writes)
 		if err != nil {
-			return result, s.lost(err)
+			return outcome.Result, s.lost(err, use, outcome.Ran)
 		}
-		s.tx.contact(s, asOf, result)
-		if result.Failure == nil {
-			return result, nil
+		failure := outcome.Result.Failure
+		if failure == nil {
+			if tx.onPrimary {
+				s.server.options.Table.Learn(tx.route.Service, outcome.Result.Position, asOf)
+			}
+			return outcome.Result, nil
 		}
-		if result.Failure.Code == statement.CodeBusy && result.State == statement.StateTransaction && pauseOrEnd(ctx) {
+		if failure.Code == statement.CodeBusy && use.Keep && outcome.Result.State == statement.StateTransaction && pauseOrEnd(ctx) {
 			continue
 		}
-		return result, s.failed(result.Failure)
+		return outcome.Result, s.failed(failure, use)
 	}
 }
 
-// contact notes what an answer inside a transaction tells about its upstream.
-func (tx *transaction) contact(s *session, asOf ident.Time, result statement.Result) {
-	table := s.server.options.Table
-	table.Answered(tx.conn)
-	if tx.onPrimary && result.Failure == nil {
-		table.Learn(tx.route.Service, result.Position, asOf)
+// stepOn runs a statement on the transaction's line, which it opens with the first one.
+func (s *session) stepOn(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
+	if s.tx.line != nil {
+		return s.tx.line.Do(ctx, use)
 	}
+	return s.first(ctx, use, writes)
 }
 
-// lost is the answer when the connection of a transaction broke before its commit was sent: the upstream rolls it back.
-func (s *session) lost(err error) *statement.Failure {
-	s.give(s.tx.conn, err)
-	s.tx.conn = nil
+// lost is the answer when the line of a transaction was lost: the upstream rolls it back, unless the statement was its commit.
+func (s *session) lost(err error, use upstream.Use, ran bool) *statement.Failure {
+	s.tx.line = nil
 	var failure *statement.Failure
 	if errors.As(err, &failure) && failure.Code.Promises() {
 		return failure
 	}
+	if !use.Keep && ran && s.tx.wrote {
+		return &statement.Failure{Code: statement.CodeInDoubt, Text: err.Error()}
+	}
 	return &statement.Failure{Code: statement.CodeAborted, Text: err.Error()}
 }
 
 // failed is the answer to a statement that its upstream refused inside a transaction, which is rolled back. A failure that
-// is not known here is told as the end of the transaction.
-func (s *session) failed(failure *statement.Failure) *statement.Failure {
-	if failure.Code == statement.CodeNone {
-		return &statement.Failure{Code: statement.CodeAborted, Text: failure.Text}
+// is not known here is told as the end of the transaction, or as an unknown outcome of a commit.
+func (s *session) failed(failure *statement.Failure, use upstream.Use) *statement.Failure {
+	if failure.Code != statement.CodeNone {
+		return failure
 	}
-	return failure
+	if !use.Keep && s.tx.wrote {
+		return &statement.Failure{Code: statement.CodeInDoubt, Text: failure.Text}
+	}
+	return &statement.Failure{Code: statement.CodeAborted, Text: failure.Text}
 }
 
-// open gives a transaction its upstream.
-func (s *session) open(ctx context.Context, writes bool) *statement.Failure {
+// first gives a transaction its upstream and runs its first statement there. As long as the statement cannot have run, it is
+// tried again and elsewhere.
+func (s *session) first(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
 	tx := s.tx
 	tx.onPrimary = !tx.readOnly || writes || tx.route.Kind == catalog.KindPrimary
-	var last error
 	for {
+		var outcome upstream.Outcome
 		var err error
 		if tx.onPrimary {
-			tx.conn, err = s.beginPrimary(ctx, &tx.operation)
+			outcome, err = s.firstPrimary(ctx, use)
 			if err != nil {
 				s.server.options.Table.Suspect()
 			}
 		} else {
-			tx.conn, err = s.beginReplica(ctx)
+			outcome, err = s.firstReplica(ctx, use)
 		}
-		if err == nil {
-			return nil
+		if err == nil || outcome.Ran {
+			return outcome, err
 		}
-		last = err
 		if lagsEverywhere(err) {
 			tx.onPrimary = true
 		}
 		if !pauseOrEnd(ctx) {
-			return refusal(&tx.operation, last)
+			return outcome, refusal(&tx.operation, err)
 		}
 	}
 }
 
-// beginReplica opens a transaction without writes wherever the data is fresh enough.
-func (s *session) beginReplica(ctx context.Context) (*upstream.Conn, error) {
-	tx := s.tx
-	since, err := s.since(ctx, &tx.operation)
+func (s *session) firstPrimary(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+	line, err := s.primary(&s.tx.operation)
 	if err != nil {
-		return nil, err
+		return upstream.Outcome{}, err
 	}
-	last := error(errNoPrimary)
-	for _, candidate := range s.server.options.Table.Candidates(tx.route, tx.team) {
-		conn, err := candidate.Pool.Get(ctx, tx.teamName(), tx.priority())
-		if err != nil {
-			last = err
-			continue
-		}
-		if _, err = conn.Prepare(upstream.Session{Values: s.values}, nil); err == nil {
-			_, err = conn.BeginRead(since)
-		}
-		if err == nil {
-			candidate.Pool.Answered(steady.Now())
-			return conn, nil
-		}
-		s.give(conn, err)
-		last = err
+	outcome, err := s.open(ctx, line, &s.tx.operation, use)
+	if err == nil {
+		s.tx.line = line
 	}
-	return nil, last
+	return outcome, err
 }
 
-// commit passes the caller's commit on; its outcome is unknown when the answer is lost and something was written.
-func (s *session) commit(query *wire.Query) (statement.Result, *statement.Failure) {
-	tx := s.tx
-	ctx, cancel := s.context(tx.route)
-	defer cancel()
-	if tx.conn == nil {
-		if failure := s.open(ctx, false); failure != nil {
-			return statement.Result{}, failure
-		}
-	}
-	for {
-		asOf := steady.Now()
-		result, err := tx.conn.Run(query.ID, query.Text, tx.route.Timeout)
-		if err != nil {
-			failure := s.lost(err)
-			if tx.wrote {
-				failure = &statement.Failure{Code: statement.CodeInDoubt, Text: err.Error()}
-			}
-			return result, failure
-		}
-		tx.contact(s, asOf, result)
-		if result.Failure == nil {
-			return result, nil
-		}
-		if result.Failure.Code == statement.CodeBusy && result.State == statement.StateTransaction && pauseOrEnd(ctx) {
-			continue
+// firstReplica opens a transaction without writes wherever the data is fresh enough.
+func (s *session) firstReplica(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+	tx, table := s.tx, s.server.options.Table
+	since, err := s.since(ctx, &tx.operation)
+	if err != nil {
+		return upstream.Outcome{}, err
+	}
+	use.Opening, use.Since = upstream.OpenRead, since
+	err = errNoPrimary
+	for _, candidate := range table.Candidates(tx.route, tx.team) {
+		line := table.Line(candidate.Pool, tx.teamName(), tx.priority())
+		var outcome upstream.Outcome
+		if outcome, err = line.Do(ctx, use); err == nil {
+			tx.line = line
+			return outcome, nil
 		}
-		if result.Failure.Code == statement.CodeNone && tx.wrote {
-			return result, &statement.Failure{Code: statement.CodeInDoubt, Text: result.Failure.Text}
+		if outcome.Ran {
+			return outcome, err
 		}
-		return result, s.failed(result.Failure)
 	}
+	return upstream.Outcome{}, err
 }
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -56,11 +56,11 @@
 	tx   *transaction
 }
 
-// transaction is an open transaction of the caller; it has a connection from its first statement on.
+// transaction is an open transaction of the caller; it has a line to an upstream from its first statement on.
 type transaction struct {
 	operation
 	readOnly bool
-	conn     *upstream.Conn
+	line     upstream.Line
 	// onPrimary is set when the upstream has to be the primary.
 	onPrimary bool
 	wrote     bool
@@ -154,7 +154,7 @@
 	if s.state != statement.StateIdle {
 		idle = activityResting
 	}
-	if s.tx != nil && s.tx.conn != nil {
+	if s.tx != nil && s.tx.line != nil {
 		deadline = time.Now().Add(s.restLimit())
 	}
 	_ = s.raw.SetReadDeadline(deadline)
@@ -178,7 +178,7 @@
 		}
 		return false
 	}
-	klog.InfoS("Transaction rolled back", "id", s.tx.id, "service", s.tx.route.Service, "upstream", s.tx.conn.Target.Upstream,
+	klog.InfoS("Transaction rolled back", "id", s.tx.id, "service", s.tx.route.Service, "upstream", s.tx.line.Target().Upstream,
 		"reason", "it rested for too long", "limit", s.restLimit())
 	restEnded.Inc()
 	s.drop()
@@ -188,8 +188,8 @@
 
 // drop gives up an open transaction.
 func (s *session) drop() {
-	if s.tx != nil && s.tx.conn != nil {
-		s.tx.conn.Release()
+	if s.tx != nil && s.tx.line != nil {
+		s.tx.line.Close()
 	}
 	s.tx = nil
 }
--- /dev/null
+++ b/node/gateway/line.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/node/upstream"
+)
+
+const (
+	// callMargin is the time that a call may take beyond what its wait and its statement take.
+	callMargin = 150 * time.Millisecond
+	// endTimeout bounds the giving back of a connection.
+	endTimeout = 2 * time.Second
+)
+
+var callFailures = metrics.NewCounter("tamarack_gateway_call_failures_total")
+
+// Client calls the gateways on other hosts.
+type Client struct {
+	http *http.Client
+	url  func(address string) string
+}
+
+// NewClient returns a client that makes its calls with an HTTP client; url gives the base URL of a peer address.
+func NewClient(client *http.Client, url func(address string) string) *Client {
+	return &Client{http: client, url: url}
+}
+
+// remote is a line over a connection that another host keeps.
+type remote struct {
+	client   *Client
+	gateway  fleetpb.Gateway
+	target   upstream.Target
+	team     ident.Team
+	priority int
+	lease    string
+	// failed is told of calls that the gateway did not answer.
+	failed func()
+}
+
+// Line returns a line to an upstream through the gateway at an address; failed is called when that does not answer.
+func (c *Client) Line(address string, target upstream.Target, team ident.Team, priority int, failed func()) upstream.Line {
+	return &remote{
+		client: c, gateway: fleetpb.NewGatewayProtobufClient(c.url(address), c.http),
+		target: target, team: team, priority: priority, failed: failed,
+	}
+}
+
+// Target implements upstream.Line.
+func (r *remote) Target() upstream.Target { return r.target }
+
+// Do implements upstream.Line.
+func (r *remote) Do(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+	request := r.request(ctx, &use)
+	call, cancel := context.WithTimeout(context.Background(),
+		time.Duration(request.GetWaitMs())*time.Millisecond+use.Timeout+callMargin)
+	defer cancel()
+	response, err := r.gateway.Use(call, request)
+	if err != nil {
+		return r.lost(&use, err)
+	}
+	r.lease = response.GetLease()
+	outcome := upstream.Outcome{
+		Result: statement.Result{
+			Rows:      response.GetRows(),
+			Signature: response.GetSignature(),
+			State:     statement.State(response.GetState()),
+			Position:  positionOf(response.GetPosition()),
+		},
+		Opened: positionOf(response.GetOpened()),
+		Ran:    response.GetRan(),
+	}
+	if f := response.GetFailure(); f != nil {
+		outcome.Result.Failure = &statement.Failure{Code: statement.Code(f.GetCode()), Text: f.GetText()}
+	}
+	switch {
+	case response.GetBroken() != "":
+		return outcome, &upstream.BrokenError{Cause: errors.New(response.GetBroken())}
+	case response.GetUnreachable() != "" && outcome.Result.Failure != nil:
+		return outcome, outcome.Result.Failure
+	case response.GetUnreachable() != "":
+		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: errors.New(response.GetUnreachable())}
+	}
+	return outcome, nil
+}
+
+func (r *remote) request(ctx context.Context, use *upstream.Use) *fleetpb.UseRequest {
+	request := &fleetpb.UseRequest{
+		Lease:     r.lease,
+		TimeoutMs: uint32(max(0, use.Timeout/time.Millisecond)),
+		Values:    use.Values,
+		Opening:   fleetpb.Opening(use.Opening),
+		Since:     positionTo(use.Since),
+		Id:        use.ID,
+		Text:      use.Text,
+		Keep:      use.Keep,
+	}
+	if r.lease == "" {
+		request.Service, request.Upstream = string(r.target.Service), string(r.target.Upstream)
+		request.Team, request.Priority = string(r.team), int32(r.priority)
+	}
+	if end, found := ctx.Deadline(); found {
+		request.WaitMs = uint32(max(0, time.Until(end)/time.Millisecond))
+	}
+	if use.Prepared != nil {
+		request.Prepared = &fleetpb.PreparedStatement{Writes: use.Prepared.Writes, Shape: use.Prepared.Shape}
+	}
+	return request
+}
+
+// lost handles a call without an answer: unless the gateway was never reached, the upstream may have run the statement.
+func (r *remote) lost(use *upstream.Use, err error) (upstream.Outcome, error) {
+	callFailures.Inc()
+	r.failed()
+	r.lease = ""
+	if neverSent(err) {
+		return upstream.Outcome{}, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
+	}
+	return upstream.Outcome{Ran: use.ID != ""}, &upstream.BrokenError{Cause: trace.Wrap(err)}
+}
+
+// Close implements upstream.Line.
+func (r *remote) Close() {
+	if r.lease == "" {
+		return
+	}
+	lease := r.lease
+	r.lease = ""
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		if _, err := r.gateway.End(ctx, &fleetpb.EndRequest{Lease: lease}); err != nil {
+			callFailures.Inc()
+		}
+	}()
+}
--- /dev/null
+++ b/node/gateway/server.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+const (
+	// leaseLife is the time without a statement after which a kept connection is taken back: the session's host ends
+	// transactions that rest for too long sooner, so that it must have been lost.
+	leaseLife = 12 * time.Second
+	// sweepEvery is the interval at which leases are looked through.
+	sweepEvery = time.Second
+)
+
+var (
+	uses        = metrics.NewCounter("tamarack_gateway_uses_total")
+	leasesOpen  = metrics.NewCounter("tamarack_gateway_leases_open")
+	leasesEnded = metrics.NewCounter("tamarack_gateway_leases_expired_total")
+)
+
+// Pools finds the connections to upstreams.
+type Pools interface {
+	// Pool returns the connections to an upstream, or nil for one that this host does not know.
+	Pool(service ident.Service, upstream ident.Upstream) *upstream.Pool
+}
+
+// Server serves other entry hosts.
+type Server struct {
+	pools  Pools
+	mu     sync.Mutex
+	last   uint64
+	leases map[string]*lease
+}
+
+// lease is a connection that is kept for a session of another host.
+type lease struct {
+	line upstream.Line
+	used ident.Time
+	busy bool
+}
+
+// NewServer returns a server that keeps no connection yet.
+func NewServer(pools Pools) *Server {
+	return &Server{pools: pools, leases: map[string]*lease{}}
+}
+
+// Handler serves the Gateway service under its twirp path.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(fleetpb.GatewayPathPrefix, fleetpb.NewGatewayServer(s))
+	return mux
+}
+
+// Run takes connections of lost sessions back until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		var lost []upstream.Line
+		for id, l := range s.leases {
+			if !l.busy && steady.Now().Sub(l.used) > leaseLife {
+				lost = append(lost, l.line)
+				delete(s.leases, id)
+			}
+		}
+		s.mu.Unlock()
+		for _, line := range lost {
+			leasesEnded.Inc()
+			leasesOpen.Dec()
+			line.Close()
+		}
+	}
+}
+
+// errNoLease reports a lease that has ended; the transaction was rolled back.
+var errNoLease = twirp.NotFound.Error("the connection of this transaction was given up")
+
+// Use implements fleetpb.Gateway.
+func (s *Server) Use(ctx context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
+	uses.Inc()
+	line, id, err := s.line(request)
+	if err != nil {
+		return nil, err
+	}
+	wait, cancel := context.WithTimeout(ctx, time.Duration(request.GetWaitMs())*time.Millisecond)
+	defer cancel()
+	outcome, err := line.Do(wait, useOf(request))
+	response := responseOf(outcome, err)
+	kept := err == nil && request.GetKeep()
+	s.mu.Lock()
+	if kept {
+		if id == "" {
+			s.last++
+			id = strconv.FormatUint(s.last, 10)
+			s.leases[id] = &lease{line: line}
+			leasesOpen.Inc()
+		}
+		s.leases[id].used, s.leases[id].busy = steady.Now(), false
+		response.Lease = id
+	} else if id != "" {
+		delete(s.leases, id)
+		leasesOpen.Dec()
+	}
+	s.mu.Unlock()
+	if kept && ctx.Err() != nil {
+		// Nobody learns of the lease.
+		s.end(id)
+	}
+	return response, nil
+}
+
+// line returns the line of a request's lease, or a new one.
+func (s *Server) line(request *fleetpb.UseRequest) (upstream.Line, string, error) {
+	if id := request.GetLease(); id != "" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		l := s.leases[id]
+		if l == nil || l.busy {
+			return nil, "", errNoLease
+		}
+		l.busy = true
+		return l.line, id, nil
+	}
+	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
+	if pool == nil {
+		return nil, "", twirp.FailedPrecondition.Error("this host does not know the upstream")
+	}
+	return pool.Line(ident.Team(request.GetTeam()), int(request.GetPriority())), "", nil
+}
+
+// End implements fleetpb.Gateway.
+func (s *Server) End(_ context.Context, request *fleetpb.EndRequest) (*fleetpb.EndResponse, error) {
+	s.end(request.GetLease())
+	return &fleetpb.EndResponse{}, nil
+}
+
+func (s *Server) end(id string) {
+	s.mu.Lock()
+	l := s.leases[id]
+	if l == nil || l.busy {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.leases, id)
+	s.mu.Unlock()
+	leasesOpen.Dec()
+	l.line.Close()
+}
+
+func useOf(request *fleetpb.UseRequest) upstream.Use {
+	use := upstream.Use{
+		Values:  request.GetValues(),
+		Opening: upstream.Opening(request.GetOpening()),
+		Since:   positionOf(request.GetSince()),
+		ID:      request.GetId(),
+		Text:    request.GetText(),
+		Timeout: time.Duration(request.GetTimeoutMs()) * time.Millisecond,
+		Keep:    request.GetKeep(),
+	}
+	if p := request.GetPrepared(); p != nil {
+		use.Prepared = &statement.Prepared{Writes: p.GetWrites(), Shape: p.GetShape()}
+	}
+	return use
+}
+
+func positionOf(p *fleetpb.Position) ident.Position {
+	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
+}
+
+func positionTo(p ident.Position) *fleetpb.Position {
+	if p == (ident.Position{}) {
+		return nil
+	}
+	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
+}
+
+func responseOf(outcome upstream.Outcome, err error) *fleetpb.UseResponse {
+	response := &fleetpb.UseResponse{
+		Ran:       outcome.Ran,
+		Rows:      outcome.Result.Rows,
+		Signature: outcome.Result.Signature,
+		State:     uint32(outcome.Result.State),
+		Position:  positionTo(outcome.Result.Position),
+		Opened:    positionTo(outcome.Opened),
+	}
+	var told *statement.Failure
+	var broken *upstream.BrokenError
+	switch {
+	case err == nil:
+		if f := outcome.Result.Failure; f != nil {
+			response.Failure = &fleetpb.UseFailure{Code: uint32(f.Code), Text: f.Text}
+		}
+	case errors.As(err, &told):
+		response.Failure = &fleetpb.UseFailure{Code: uint32(told.Code), Text: told.Text}
+		response.Unreachable = told.Text
+	case errors.As(err, &broken):
+		response.Broken = broken.Error()
+	default:
+		response.Unreachable = err.Error()
+	}
+	return response
+}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -42,6 +42,8 @@
 	Host        ident.Host
 	Incarnation ident.Incarnation
 	Zone        ident.Zone
+	// Peer is the address at which the host serves other entry hosts.
+	Peer string
 	// Seeds returns the peer addresses of core hosts that the settings name now.
 	Seeds func() []string
 	Peers *peer.Network
@@ -60,11 +62,13 @@
 	heard   ident.Time
 	digest  uint64
 	next    int
+	leaving bool
+	wake    chan struct{}
 }
 
 // New returns a link that knows no leader.
 func New(options Options) *Link {
-	return &Link{options: options, client: options.Peers.Client(0)}
+	return &Link{options: options, client: options.Peers.Client(0), wake: make(chan struct{}, 1)}
 }
 
 // Now returns the host's logical time.
@@ -93,6 +97,17 @@
 	return l.heard != 0 && steady.Now().Sub(l.heard) < inTouch
 }
 
+// Leave tells the core that the host is shutting down.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run asks the leader until ctx ends.
 func (l *Link) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -107,6 +122,7 @@
 			case <-ctx.Done():
 				return
 			}
+		case <-l.wake:
 		case <-timer.C:
 		}
 		wait := watchEvery
@@ -146,13 +162,14 @@
 		Host:        string(l.options.Host),
 		Incarnation: uint64(l.options.Incarnation),
 		Zone:        string(l.options.Zone),
+		Peer:        l.options.Peer,
 		Reports:     table.Reports(now),
 	}
 	if c := table.Catalog(); c != nil {
 		request.Version = uint64(c.Version)
 	}
 	l.mu.Lock()
-	request.Digest = l.digest
+	request.Digest, request.Leaving = l.digest, l.leaving
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -9,22 +9,25 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/cover"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
 )
 
 const (
-	// reservedConnections of each upstream are left to the core, which asks for its position.
-	reservedConnections = 2
-	// lentConnections are those that a host may use beyond its share while others leave them unused; an upstream refuses what
-	// is beyond its own limit.
-	lentConnections = 3
-	// nearbyPart of a replica's connections, in percent, is shared by the hosts of its availability zone.
-	nearbyPart = 75
+	// reservedConnections of each upstream are left to the core, which asks for its position, and to hosts that do not reach
+	// the upstream's gateway.
+	reservedConnections = 4
+	// strayConnections is the number that a host may use without being the upstream's gateway.
+	strayConnections = 1
+	// avoidGateway is how long a gateway that did not answer is passed over.
+	avoidGateway = 1500 * time.Millisecond
 	// trimEvery is the interval at which idle connections are looked through.
 	trimEvery = 100 * time.Millisecond
 	// probeTimeout bounds the question for a primary's position.
@@ -33,18 +36,20 @@
 
 // Costs that order the upstreams for a read, in milliseconds of waiting that they stand for.
 const (
-	costZone    = 3
-	costRegion  = 24
-	costBusy    = 8
-	costWaiting = 25
-	costAvoid   = 1000
+	costZone   = 3
+	costRegion = 24
+	costBusy   = 10
+	costAvoid  = 1000
 )
 
 // Options describe the host.
 type Options struct {
+	Host    ident.Host
 	Zone    ident.Zone
 	Region  ident.Region
 	Regions map[ident.Zone]ident.Region
+	// Gateways calls the gateways on other hosts.
+	Gateways *gateway.Client
 }
 
 // Table is the knowledge of one host. Its methods may be called from several goroutines.
@@ -56,6 +61,9 @@
 	mu       sync.RWMutex
 	groups   map[ident.Service]*group
 	received bool
+	hosts    []*fleetpb.EntryHost
+	// avoided are the gateways that did not answer, until a time.
+	avoided map[string]ident.Time
 }
 
 // group is what is known of one service.
@@ -76,7 +84,7 @@
 
 // New returns a table that knows nothing.
 func New(options Options) *Table {
-	return &Table{options: options, groups: map[ident.Service]*group{}, suspect: make(chan struct{}, 1)}
+	return &Table{options: options, groups: map[ident.Service]*group{}, avoided: map[string]ident.Time{}, suspect: make(chan struct{}, 1)}
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
@@ -119,13 +127,6 @@
 
 // SetDirectory replaces what is known of upstreams.
 func (t *Table) SetDirectory(d *fleetpb.Directory) {
-	hosts, nearby := 0, 0
-	for _, z := range d.GetHosts() {
-		hosts += int(z.GetHosts())
-		if ident.Zone(z.GetZone()) == t.options.Zone {
-			nearby = int(z.GetHosts())
-		}
-	}
 	primaries := map[string]string{}
 	for _, p := range d.GetPrimaries() {
 		primaries[p.GetService()] = p.GetUpstream()
@@ -133,6 +134,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.received = true
+	t.hosts = d.GetHosts()
 	members := map[ident.Service][]*member{}
 	for _, a := range d.GetUpstreams() {
 		service := ident.Service(a.GetService())
@@ -144,9 +146,8 @@
 			Region:   t.options.Regions[ident.Zone(a.GetZone())],
 			Born:     a.GetBorn(),
 		}
-		share, limit := t.shares(target, primaries[a.GetService()] == a.GetUpstream(), hosts, nearby)
 		members[service] = append(members[service], &member{
-			pool:      t.pool(target, share, limit),
+			pool:      t.pool(target, t.limit(target)),
 			leaving:   a.GetLeaving(),
 			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
 		})
@@ -167,33 +168,114 @@
 	}
 }
 
-// shares divides an upstream's connections: all hosts use a primary, and mostly those of its availability zone a replica.
-func (t *Table) shares(target upstream.Target, primary bool, hosts, nearby int) (share, limit int) {
+// limit returns how many connections to an upstream this host may open: the gateway keeps them for all hosts.
+func (t *Table) limit(target upstream.Target) int {
 	service := t.Catalog().Service(target.Service)
-	if service == nil || hosts == 0 {
-		return 1, 1 + lentConnections
+	if service == nil || gatewayOf(t.hosts, target, nil) != t.self() {
+		return strayConnections
+	}
+	return max(strayConnections, service.Connections-reservedConnections)
+}
+
+// self returns this host's entry in the directory, or nil.
+func (t *Table) self() *fleetpb.EntryHost {
+	for _, host := range t.hosts {
+		if host.GetHost() == string(t.options.Host) {
+			return host
+		}
+	}
+	return nil
+}
+
+// gatewayOf selects the host that keeps the connections to an upstream, by rendezvous hashing over the hosts of its
+// availability zone; nil when there is none.
+func gatewayOf(hosts []*fleetpb.EntryHost, target upstream.Target, passOver func(*fleetpb.EntryHost) bool) *fleetpb.EntryHost {
+	var best *fleetpb.EntryHost
+	var most uint64
+	for _, host := range hosts {
+		if ident.Zone(host.GetZone()) != target.Zone || (passOver != nil && passOver(host)) {
+			continue
+		}
+		if weight := xxhash.Sum64String(host.GetHost() + "/" + string(target.Upstream)); best == nil || weight > most {
+			best, most = host, weight
+		}
 	}
-	usable := max(1, service.Connections-reservedConnections)
+	return best
+}
+
+// Line returns a way to an upstream: over this host's own connections where it is the gateway or reaches none, otherwise
+// through the gateway.
+func (t *Table) Line(pool *upstream.Pool, team ident.Team, priority int) upstream.Line {
+	now := steady.Now()
+	t.mu.RLock()
+	chosen := gatewayOf(t.hosts, pool.Target(), nil)
+	if chosen != nil && now < t.avoided[chosen.GetHost()] {
+		chosen = nil
+	}
+	t.mu.RUnlock()
+	line := &counted{pool: pool}
+	if chosen == nil || chosen.GetHost() == string(t.options.Host) {
+		line.Line = pool.Line(team, priority)
+		return line
+	}
+	line.Line = t.options.Gateways.Line(chosen.GetPeer(), pool.Target(), team, priority, func() {
+		line.gatewayLost = true
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.avoided[chosen.GetHost()] = steady.Now().Add(avoidGateway)
+	})
+	return line
+}
+
+// Pool returns the connections to an upstream, or nil for one that is not known. It implements gateway.Pools.
+func (t *Table) Pool(service ident.Service, id ident.Upstream) *upstream.Pool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if g := t.groups[service]; g != nil {
+		for _, m := range g.members {
+			if m.pool.Target().Upstream == id {
+				return m.pool
+			}
+		}
+	}
+	return nil
+}
+
+// counted notes in the pool of the upstream how its lines fare.
+type counted struct {
+	upstream.Line
+	pool        *upstream.Pool
+	gatewayLost bool
+}
+
+// Do implements upstream.Line.
+func (c *counted) Do(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+	c.pool.Enter()
+	defer c.pool.Leave()
+	c.gatewayLost = false
+	outcome, err := c.Line.Do(ctx, use)
+	var broken *upstream.BrokenError
+	var unreachable *upstream.UnreachableError
 	switch {
-	case primary:
-		share = usable / hosts
-	case target.Zone == t.options.Zone:
-		share = usable * nearbyPart / 100 / max(1, nearby)
+	case err == nil:
+		c.pool.Answered(steady.Now())
+	case !c.gatewayLost && (errors.As(err, &broken) || errors.As(err, &unreachable)):
+		c.pool.Failed(steady.Now())
 	}
-	return share, share + lentConnections
+	return outcome, err
 }
 
 // pool returns the pool of an upstream, kept as long as the upstream is the same; the caller holds the lock.
-func (t *Table) pool(target upstream.Target, share, limit int) *upstream.Pool {
+func (t *Table) pool(target upstream.Target, limit int) *upstream.Pool {
 	if g := t.groups[target.Service]; g != nil {
 		for _, m := range g.members {
 			if m.pool.Target() == target {
-				m.pool.SetLimits(share, limit)
+				m.pool.SetLimit(limit)
 				return m.pool
 			}
 		}
 	}
-	return upstream.NewPool(target, share, limit)
+	return upstream.NewPool(target, limit)
 }
 
 func (t *Table) group(service ident.Service) *group {
@@ -232,7 +314,7 @@
 
 func (t *Table) cost(pool *upstream.Pool, now ident.Time) int {
 	target, load := pool.Target(), pool.Load(now)
-	cost := load.Busy*costBusy + load.Waiting*costWaiting
+	cost := load.Busy * costBusy
 	switch {
 	case target.Zone == t.options.Zone:
 	case target.Region == t.options.Region:
@@ -344,25 +426,12 @@
 
 // ask opens a transaction, which only a primary does, and so learns a position that holds everything acknowledged before.
 func (t *Table) ask(ctx context.Context, pool *upstream.Pool, team ident.Team) error {
-	conn, err := pool.Get(ctx, team, 0)
-	if err != nil {
-		return err
-	}
 	asOf := steady.Now()
-	result, err := conn.Begin()
+	outcome, err := t.Line(pool, team, 0).Do(ctx, upstream.Use{Opening: upstream.OpenPrimary})
 	if err != nil {
-		var broken *upstream.BrokenError
-		if errors.As(err, &broken) {
-			pool.Failed(steady.Now())
-			conn.Break()
-			return err
-		}
-		conn.Release()
 		return err
 	}
-	pool.Answered(steady.Now())
-	t.Learn(pool.Target().Service, result.Position, asOf)
-	conn.Release()
+	t.Learn(pool.Target().Service, outcome.Opened, asOf)
 	return nil
 }
 
@@ -409,13 +478,3 @@
 		t.mu.RUnlock()
 	}
 }
-
-// Broken notes that a connection broke while a statement ran.
-func (t *Table) Broken(conn *upstream.Conn) {
-	conn.Pool().Failed(steady.Now())
-}
-
-// Answered notes a complete answer on a connection.
-func (t *Table) Answered(conn *upstream.Conn) {
-	conn.Pool().Answered(steady.Now())
-}
--- a/node/settings.go
+++ b/node/settings.go
@@ -25,6 +25,7 @@
 // Ports for calls between hosts, counted from the first port of the settings.
 const (
 	portCore = iota
+	portEntry
 	portEntryMetrics
 	portCoreMetrics
 )
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"strconv"
 	"syscall"
@@ -229,16 +228,6 @@
 	return kind + strconv.FormatUint(xxhash.Sum64String(p.Shape), 36)
 }
 
-// Matches reports whether the connection already has the values of a session.
-func (c *Conn) Matches(session Session) bool {
-	return maps.Equal(c.values, session.Values)
-}
-
-// State returns the state of the connection after its last statement.
-func (c *Conn) State() statement.State {
-	return c.state
-}
-
 // Release ends a transaction that is still open and gives the connection back, or closes it when it cannot be used any more.
 func (c *Conn) Release() {
 	if !c.broken && c.state != statement.StateIdle {
@@ -249,12 +238,6 @@
 	c.pool.put(c)
 }
 
-// Break closes the connection instead of giving it back.
-func (c *Conn) Break() {
-	c.broken = true
-	c.pool.put(c)
-}
-
 // alive reports whether the upstream has left the idle connection open.
 func (c *Conn) alive() bool {
 	raw, ok := c.net.(syscall.Conn)
@@ -278,13 +261,3 @@
 func (c *Conn) close() {
 	_ = c.net.Close()
 }
-
-// ReleaseLater ends the open transaction and gives the connection back while the caller goes on.
-func (c *Conn) ReleaseLater() {
-	go c.Release()
-}
-
-// Pool returns the pool that the connection belongs to.
-func (c *Conn) Pool() *Pool {
-	return c.pool
-}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// ownIdle is the time after which an idle connection of the host's own share is closed, lentIdle that for connections
-	// beyond it, which other hosts may need.
-	ownIdle  = 10 * time.Second
-	lentIdle = 200 * time.Millisecond
+	// idleLife is the time after which an idle connection is closed.
+	idleLife = 10 * time.Second
 	// fullPause is the least time between tries to open a connection on an upstream that has as many as it may, fullMost the
 	// longest. An upstream drops the opening packets of hosts that ask without a pause.
 	fullPause = 40 * time.Millisecond
@@ -39,16 +37,15 @@
 type Pool struct {
 	target Target
 	mu     sync.Mutex
-	// share is the host's own part of the upstream's connections, limit the most that it may use of what others leave, and
-	// total the number that are open or being opened.
-	share   int
+	// limit is the most connections, total the number that are open or being opened.
 	limit   int
 	total   int
 	idle    []*idleConn
 	waiting []*waiter
-	busy    int
 	closed  bool
-	// avoidUntil and full are what recent failures tell about the upstream.
+	// entered counts the statements under way on lines of this host.
+	entered int
+	// avoidUntil, answered and failures are what recent statements tell about the upstream.
 	avoidUntil ident.Time
 	answered   ident.Time
 	failures   int
@@ -68,8 +65,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(target Target, share, limit int) *Pool {
-	return &Pool{target: target, share: share, limit: max(1, limit)}
+func NewPool(target Target, limit int) *Pool {
+	return &Pool{target: target, limit: max(1, limit)}
 }
 
 // Target returns the upstream.
@@ -77,16 +74,17 @@
 	return p.target
 }
 
-// SetLimits changes the host's own part of the connections and the most that it may use.
-func (p *Pool) SetLimits(share, limit int) {
+// SetLimit changes the most connections.
+func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share, p.limit = share, max(1, limit)
+	p.limit = max(1, limit)
 }
 
 // Load is what a pool tells about the use of its upstream.
 type Load struct {
-	Busy, Waiting, Limit int
+	// Busy counts the statements of this host under way.
+	Busy int
 	// Avoid is set while the upstream is the last choice.
 	Avoid bool
 }
@@ -95,7 +93,21 @@
 func (p *Pool) Load(now ident.Time) Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Load{Busy: p.busy, Waiting: len(p.waiting), Limit: p.limit, Avoid: now < p.avoidUntil}
+	return Load{Busy: p.entered, Avoid: now < p.avoidUntil}
+}
+
+// Enter counts a statement as under way until Leave.
+func (p *Pool) Enter() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entered++
+}
+
+// Leave ends what Enter began.
+func (p *Pool) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entered--
 }
 
 // Contact returns when the upstream last answered, 0 for never, and the failures since.
@@ -178,13 +190,11 @@
 func (p *Pool) take(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
 	p.mu.Lock()
 	if conn := p.takeIdle(team); conn != nil {
-		p.busy++
 		p.mu.Unlock()
 		return conn, nil
 	}
 	if p.total < p.limit {
 		p.total++
-		p.busy++
 		p.mu.Unlock()
 		return nil, nil
 	}
@@ -192,7 +202,6 @@
 		// The connection that was used longest ago makes room for one of another team.
 		old := p.idle[0].conn
 		p.idle = slices.Delete(p.idle, 0, 1)
-		p.busy++
 		p.mu.Unlock()
 		evicted.Inc()
 		old.close()
@@ -264,7 +273,6 @@
 		p.giveRoom()
 		return
 	}
-	p.busy--
 	p.idle = append(p.idle, &idleConn{conn, steady.Now()})
 	p.mu.Unlock()
 }
@@ -280,22 +288,15 @@
 		return
 	}
 	p.total--
-	p.busy--
 	p.mu.Unlock()
 }
 
-// Trim closes connections that have been idle for long.
+// Trim closes connections that have been idle for long or are beyond the limit.
 func (p *Pool) Trim(now ident.Time) {
 	p.mu.Lock()
 	var old []*Conn
-	kept := p.total - len(p.idle)
 	p.idle = slices.DeleteFunc(p.idle, func(i *idleConn) bool {
-		life := ownIdle
-		if kept >= p.share {
-			life = lentIdle
-		}
-		if now.Sub(i.since) < life {
-			kept++
+		if now.Sub(i.since) < idleLife && p.total-len(old) <= p.limit {
 			return false
 		}
 		old = append(old, i.conn)
@@ -320,3 +321,5 @@
 		i.conn.close()
 	}
 }
+
+func now() ident.Time { return steady.Now() }
