Wait for an upstream's room at its gateway, and skip replicas that lack a position

Ruled out: a leak of connections; the refusals end when the replicas have caught up, at 23 to 30 s. Change: an upstream's last position is remembered for 250 ms, and statements beyond what it runs at a time wait at the gateway, by priority and fair by team (fleet/queue).

--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -82,7 +82,7 @@
 		if err != nil {
 			last = err
 		} else {
-			for _, candidate := range s.server.options.Table.Candidates(o.route, o.team) {
+			for _, candidate := range s.server.options.Table.Candidates(o.route, o.team, since) {
 				result, err := s.readOn(ctx, candidate.Pool, o, w, since)
 				if err == nil {
 					return result, nil
@@ -366,7 +366,7 @@
 	}
 	use.Opening, use.Since = upstream.OpenRead, since
 	err = errNoPrimary
-	for _, candidate := range table.Candidates(tx.route, tx.team) {
+	for _, candidate := range table.Candidates(tx.route, tx.team, since) {
 		line := table.Line(candidate.Pool, tx.teamName(), tx.priority())
 		var outcome upstream.Outcome
 		if outcome, err = line.Do(ctx, use); err == nil {
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -146,8 +146,10 @@
 			Region:   t.options.Regions[ident.Zone(a.GetZone())],
 			Born:     a.GetBorn(),
 		}
+		pool := t.pool(target, t.limit(target))
+		pool.SetCapacity(int(a.GetCapacity()))
 		members[service] = append(members[service], &member{
-			pool:      t.pool(target, t.limit(target)),
+			pool:      pool,
 			leaving:   a.GetLeaving(),
 			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
 		})
@@ -254,6 +256,9 @@
 	defer c.pool.Leave()
 	c.gatewayLost = false
 	outcome, err := c.Line.Do(ctx, use)
+	if seen := outcome.Result.Position; seen != (ident.Position{}) {
+		c.pool.Saw(steady.Now(), seen)
+	}
 	var broken *upstream.BrokenError
 	var unreachable *upstream.UnreachableError
 	switch {
@@ -291,8 +296,8 @@
 	cost    int
 }
 
-// Candidates returns the upstreams that may run reads of a route for a team, the best first.
-func (t *Table) Candidates(route *catalog.Route, team *catalog.Team) []Candidate {
+// Candidates returns the upstreams that may run reads of a route for a team on a log that holds a position, the best first.
+func (t *Table) Candidates(route *catalog.Route, team *catalog.Team, since ident.Position) []Candidate {
 	now := steady.Now()
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -303,7 +308,7 @@
 	list := make([]Candidate, 0, len(g.members))
 	for _, m := range g.members {
 		target := m.pool.Target()
-		if m.leaving || m.evacuated || !t.Catalog().Allows(route, team, target.Region) {
+		if m.leaving || m.evacuated || !t.Catalog().Allows(route, team, target.Region) || m.pool.Lacks(now, since) {
 			continue
 		}
 		list = append(list, Candidate{Pool: m.pool, Primary: target.Upstream == g.primary, cost: t.cost(m.pool, now)})
--- a/node/upstream/line.go
+++ b/node/upstream/line.go
@@ -82,7 +82,7 @@
 		}
 		d.conn = conn
 	}
-	outcome, err := d.conn.use(&use)
+	outcome, err := d.use(ctx, &use)
 	if err != nil {
 		if d.conn.broken {
 			d.pool.Failed(now())
@@ -113,9 +113,11 @@
 	}
 }
 
-// use brings the connection into the session's state, opens the transaction and runs the statement.
-func (c *Conn) use(use *Use) (Outcome, error) {
+// use brings the connection into the session's state, opens the transaction and runs the statement once there is room.
+func (d *direct) use(ctx context.Context, use *Use) (Outcome, error) {
 	var outcome Outcome
+	c := d.conn
+	inside := c.state == statement.StateTransaction
 	name, err := c.Prepare(Session{Values: use.Values}, use.Prepared)
 	if err != nil {
 		return outcome, err
@@ -140,6 +142,11 @@
 	if use.Prepared != nil {
 		text = wire.TextExecute(name, text)
 	}
+	if err := d.pool.room.enter(ctx, d.team, d.priority, inside); err != nil {
+		return outcome, err
+	}
+	began := now()
+	defer func() { d.pool.room.leave(d.priority, now().Sub(began)) }()
 	outcome.Ran = true
 	outcome.Result, err = c.Run(use.ID, wire.TextSince(since, text), use.Timeout)
 	return outcome, err
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -22,6 +22,9 @@
 	// longest. An upstream drops the opening packets of hosts that ask without a pause.
 	fullPause = 40 * time.Millisecond
 	fullMost  = 160 * time.Millisecond
+	// lagMemory is how long an upstream that lacked a position is taken to lack it still. Replicas that follow well lag for
+	// less; asking those that don't costs a round trip and answers nothing.
+	lagMemory = 250 * time.Millisecond
 	// penalty is how long an upstream that could not be reached, or did not answer, is the last choice.
 	penalty = time.Second
 )
@@ -36,6 +39,7 @@
 // Pool is one host's connections to one upstream. Its methods may be called from several goroutines.
 type Pool struct {
 	target Target
+	room   *room
 	mu     sync.Mutex
 	// limit is the most connections, total the number that are open or being opened.
 	limit   int
@@ -49,6 +53,9 @@
 	avoidUntil ident.Time
 	answered   ident.Time
 	failures   int
+	// position is what the upstream's log was last seen to hold, at seen.
+	position ident.Position
+	seen     ident.Time
 }
 
 type idleConn struct {
@@ -66,7 +73,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(target Target, limit int) *Pool {
-	return &Pool{target: target, limit: max(1, limit)}
+	return &Pool{target: target, room: newRoom(), limit: max(1, limit)}
 }
 
 // Target returns the upstream.
@@ -74,6 +81,25 @@
 	return p.target
 }
 
+// SetCapacity tells how many statements the upstream runs at a time; 0 for an unknown number.
+func (p *Pool) SetCapacity(capacity int) {
+	p.room.setCapacity(capacity)
+}
+
+// Saw notes what the upstream's log holds.
+func (p *Pool) Saw(at ident.Time, position ident.Position) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position, p.seen = position, at
+}
+
+// Lacks reports whether the upstream's log was just seen to lack a position.
+func (p *Pool) Lacks(at ident.Time, position ident.Position) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen != 0 && at.Sub(p.seen) < lagMemory && p.position.Less(position)
+}
+
 // SetLimit changes the most connections.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
