Bridge the time without an owner of tokens, and find a new leader by asking all core hosts

Ruled out: the election, which took 0.8 s. Change: a host without a leader asks all core hosts at once, with 500 ms; and while no owner answers it may spend its part of the overrun that the platform allows in a window (bounds.quota_overrun and quota_slack, divided by the hosts and two more; nothing in the first window after a start).

--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -96,6 +96,9 @@
 	if len(p.waiters) == 0 && p.spend(now) {
 		return Spent{}, b.lower(b.after(AskPeriod))
 	}
+	if p.silent && p.reserve.spend(now) {
+		return Spent{}, b.lower(b.after(AskPeriod))
+	}
 	if len(p.waiters) >= maxWaiters {
 		return Refuse{Exceeded{Team: team, Cause: CauseCrowded}}, false
 	}
@@ -230,8 +233,7 @@
 	}
 	delete(b.asked, response.GetSeq())
 	if response.GetLifetimeMs() == 0 {
-		b.Lost(now)
-		return nil
+		return b.Lost(now)
 	}
 	expires := at.Add(time.Duration(response.GetLifetimeMs()) * time.Millisecond)
 	lent := map[ident.Team]*fleetpb.Tokens{}
@@ -247,12 +249,28 @@
 	return outcomes
 }
 
-// Lost takes the failure of a request. Its answer may still come.
-func (b *Borrower) Lost(now ident.Time) {
+// Lost takes the failure of a request, whose answer may still come, and returns the waiting requests that the reserve lets
+// run.
+func (b *Borrower) Lost(now ident.Time) []Outcome {
+	var outcomes []Outcome
 	for _, p := range b.sorted() {
-		p.lost()
+		outcomes = append(outcomes, p.lost(now)...)
 	}
 	b.lower(now.Add(AskPeriod))
+	return outcomes
+}
+
+// SetReserves replaces what the host may spend of each team while no owner answers; a team that is not named may spend
+// nothing.
+func (b *Borrower) SetReserves(now ident.Time, reserves map[ident.Team]Reserve) {
+	for team := range reserves {
+		b.purse(team)
+	}
+	for _, p := range b.sorted() {
+		p.mu.Lock()
+		p.reserve.setRule(now, reserves[p.team])
+		p.mu.Unlock()
+	}
 }
 
 // Expire returns the team's waiting requests whose time has passed; they are refused.
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -63,8 +63,9 @@
 	// starved is the time between requests while the owner's last answer lent less than waiting; 0 otherwise.
 	starved time.Duration
 	// silent is set while no owner answers requests for tokens, and back is when the last such time ended.
-	silent bool
-	back   ident.Time
+	silent  bool
+	back    ident.Time
+	reserve reserve
 }
 
 // borrowed is a loan as the borrower counts it.
@@ -205,12 +206,19 @@
 	return outcomes
 }
 
-func (p *purse) lost() {
+// lost notes that the owner did not answer, and lets waiting requests run on the reserve.
+func (p *purse) lost(now ident.Time) []Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.asked != 0 {
 		p.silent = true
 	}
+	var outcomes []Outcome
+	for p.silent && len(p.waiters) > 0 && p.reserve.spend(now) {
+		outcomes = append(outcomes, Outcome{ID: p.waiters[0].id})
+		p.waiters = slices.Delete(p.waiters, 0, 1)
+	}
+	return outcomes
 }
 
 // until returns the end of a request's wait as of now.
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -170,6 +170,11 @@
 	}
 }
 
+// SetReserves replaces what the host may spend of each team while no owner answers.
+func (q *Quota) SetReserves(reserves map[ident.Team]limit.Reserve) {
+	q.borrower.SetReserves(q.opts.Fleet.Now(), reserves)
+}
+
 // Run asks the owner for tokens until ctx ends, and then gives back what is left.
 func (q *Quota) Run(ctx context.Context) {
 	for {
@@ -198,7 +203,7 @@
 	response, err := q.borrow(ctx, request)
 	if err != nil {
 		failures.Inc()
-		q.borrower.Lost(q.opts.Fleet.Now())
+		q.deliver(q.borrower.Lost(q.opts.Fleet.Now()))
 		return
 	}
 	q.deliver(q.borrower.Answer(q.opts.Fleet.Now(), response))
--- a/node/entry.go
+++ b/node/entry.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 	"tamarackshunt.dev/node/entry"
@@ -46,10 +47,13 @@
 	})
 	own := address(s.IP, s.FirstPort+portEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
+	var tokens *quota.Quota
 	core := link.New(link.Options{
 		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Peer: own, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
+		Beyond:   link.Beyond{Window: s.QuotaWindow, Part: s.QuotaOverrun, Slack: s.QuotaSlack},
+		Reserves: func(reserves map[ident.Team]limit.Reserve) { tokens.SetReserves(reserves) },
 	})
-	tokens := quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers})
+	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{Table: table, Quota: tokens, Grace: s.Grace})
 	var err error
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -15,6 +15,7 @@
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/routing"
@@ -26,8 +27,11 @@
 	watchEvery = 400 * time.Millisecond
 	// hurryEvery is the least interval while the host has reason to believe that what it knows is old.
 	hurryEvery = 100 * time.Millisecond
-	// watchTimeout bounds a question; a configuration of hundreds of routes fits.
-	watchTimeout = 800 * time.Millisecond
+	// watchTimeout bounds a question; a configuration of hundreds of routes fits, and a leader that is lost is noticed within
+	// the time of an election.
+	watchTimeout = 500 * time.Millisecond
+	// reserveSpare is added to the hosts that share the reserves of teams, for those that are not known yet.
+	reserveSpare = 2
 	// inTouch is the time after the last answer for which the host counts itself in touch with the core.
 	inTouch = 3 * time.Second
 )
@@ -48,10 +52,21 @@
 	Seeds func() []string
 	Peers *peer.Network
 	Table *routing.Table
+	// Beyond is what teams may run beyond rate and burst over the whole fleet, and Reserves takes this host's part.
+	Beyond   Beyond
+	Reserves func(map[ident.Team]limit.Reserve)
 	// Parse reads a configuration's text.
 	Parse func(source []byte) (*catalog.Catalog, error)
 }
 
+// Beyond is what a team may run beyond its rate and burst in any window over the whole fleet: a part of what the window allows
+// and a number of operations.
+type Beyond struct {
+	Window time.Duration
+	Part   float64
+	Slack  int64
+}
+
 // Link is an entry host's connection to the core.
 type Link struct {
 	options Options
@@ -61,7 +76,6 @@
 	members []string
 	heard   ident.Time
 	digest  uint64
-	next    int
 	leaving bool
 	wake    chan struct{}
 }
@@ -83,11 +97,11 @@
 	return l.leader
 }
 
-// Moved takes the address that a host which does not lead has named.
-func (l *Link) Moved(leader string) {
+// Moved takes the address that a host which does not lead has named. The next question finds the leader.
+func (l *Link) Moved(string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.leader = leader
+	l.leader = ""
 }
 
 // InTouch reports whether the leader has answered lately.
@@ -133,53 +147,65 @@
 	}
 }
 
-// target returns the leader, or the next core host to ask for it.
-func (l *Link) target() string {
+// targets returns the leader, or all core hosts while it is not known.
+func (l *Link) targets() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leader != "" {
-		return l.leader
-	}
-	seeds := l.options.Seeds()
-	all := slices.Concat(l.members, seeds)
-	if len(all) == 0 {
-		return ""
+		return []string{l.leader}
 	}
-	l.next++
-	return all[l.next%len(all)]
+	all := slices.Concat(l.members, l.options.Seeds())
+	slices.Sort(all)
+	return slices.Compact(all)
 }
 
-// watch asks once; false says that the leader has not answered.
+// watch asks the leader, or all core hosts at once while it is not known; false says that no leader has answered.
 func (l *Link) watch(ctx context.Context) bool {
-	address := l.target()
-	if address == "" {
-		return false
+	request := l.request()
+	asked := steady.Now()
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	targets := l.targets()
+	results := make(chan bool, len(targets))
+	for _, address := range targets {
+		go func() { results <- l.ask(ctx, asked, address, request) }()
 	}
-	watches.Inc()
+	for range targets {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Link) request() *fleetpb.WatchRequest {
 	table := l.options.Table
-	now := steady.Now()
 	request := &fleetpb.WatchRequest{
 		Host:        string(l.options.Host),
 		Incarnation: uint64(l.options.Incarnation),
 		Zone:        string(l.options.Zone),
 		Peer:        l.options.Peer,
-		Reports:     table.Reports(now),
+		Reports:     table.Reports(steady.Now()),
 	}
 	if c := table.Catalog(); c != nil {
 		request.Version = uint64(c.Version)
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	request.Digest, request.Leaving = l.digest, l.leaving
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
+	return request
+}
+
+// ask asks one core host; true says that it leads.
+func (l *Link) ask(ctx context.Context, asked ident.Time, address string, request *fleetpb.WatchRequest) bool {
+	watches.Inc()
 	response, err := fleetpb.NewCoreProtobufClient(l.options.Peers.URL(address), l.client).Watch(ctx, request)
 	if err != nil {
 		failures.Inc()
 		l.lost(address, err)
 		return false
 	}
-	return l.take(now, address, response)
+	return l.take(asked, address, response)
 }
 
 func (l *Link) lost(address string, err error) {
@@ -197,7 +223,6 @@
 		l.members = response.GetMembers()
 	}
 	if !response.GetLeads() {
-		l.leader = response.GetLeader()
 		if l.leader == address {
 			l.leader = ""
 		}
@@ -221,6 +246,7 @@
 	}
 	if d := response.GetDirectory(); d != nil && l.options.Table.Catalog() != nil {
 		l.options.Table.SetDirectory(d)
+		l.setReserves(len(d.GetHosts()))
 		klog.InfoS("Directory changed", "upstreams", len(d.GetUpstreams()), "evacuated", d.GetEvacuated(), "primaries", names(d))
 		l.mu.Lock()
 		l.digest = response.GetDigest()
@@ -229,6 +255,18 @@
 	return true
 }
 
+// setReserves gives this host its part of what teams may run beyond their limits, for the time without an owner of tokens.
+func (l *Link) setReserves(hosts int) {
+	beyond := l.options.Beyond
+	reserves := map[ident.Team]limit.Reserve{}
+	for team, rule := range l.options.Table.Catalog().Rules() {
+		whole := float64(rule.Rate)*beyond.Window.Seconds() + float64(rule.Burst)
+		tokens := (whole*beyond.Part + float64(beyond.Slack)) / float64(hosts+reserveSpare)
+		reserves[team] = limit.Reserve{Tokens: int64(tokens), Window: beyond.Window}
+	}
+	l.options.Reserves(reserves)
+}
+
 func names(d *fleetpb.Directory) []string {
 	list := make([]string, 0, len(d.GetPrimaries()))
 	for _, p := range d.GetPrimaries() {
