Keep the hosts' build whole, and lint the new modules

The quietest voter of the core is a call of its own: the fields that had been added to Leadership broke a conversion in host/, which no test run had built.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := fleet host load operator proofs schema standin
-PROGRAMS := host:tamarack-host operator:tamarack standin:tamarack-standin load:tamarack-load
+MODULES := fleet host load node operator platform proofs schema standin
+PROGRAMS := host:tamarack-host node:tamarack-node operator:tamarack standin:tamarack-standin load:tamarack-load
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint
 
@@ -27,6 +27,7 @@
 # Searches for a minute each; the targets' seeds run with the tests.
 FUZZ := fleet/text:FuzzParse fleet/route:FuzzClassify fleet/group:FuzzParseState fleet/group:FuzzParseRow \
 	fleet/store:FuzzOpen fleet/store:FuzzRecord fleet/store:FuzzVerify standin/server:FuzzSession \
+	platform/wire:FuzzCaller platform/wire:FuzzUpstream platform/api:FuzzConfiguration platform/api:FuzzAnnouncement \
 	standin/ledger:FuzzApply standin/ledger:FuzzDecode standin/statement:FuzzParse host/entry:FuzzCaller
 
 fuzz:
--- a/fleet/directory/directory_test.go
+++ b/fleet/directory/directory_test.go
@@ -20,8 +20,8 @@
 	return a
 }
 
-func ended(id string, born int64) *fleetpb.Announcement {
-	return &fleetpb.Announcement{Upstream: id, Born: born, Gone: true, Leaving: true}
+func ended(born int64) *fleetpb.Announcement {
+	return &fleetpb.Announcement{Upstream: "a", Born: born, Gone: true, Leaving: true}
 }
 
 // Guards against announcements that arrive late, twice or after the end of their sender and bring back what is over.
@@ -43,10 +43,10 @@
 		"repeated":                  {[]step{{said("a", "x:1", 1, 1), true}, {said("a", "x:1", 1, 1), false}}, []string{"a@x:1"}},
 		"new start, counts anew":    {[]step{{said("a", "x:1", 1, 9), true}, {said("a", "x:2", 2, 1), true}}, []string{"a@x:2"}},
 		"late word of an old start": {[]step{{said("a", "x:2", 2, 1), true}, {said("a", "x:1", 1, 9), false}}, []string{"a@x:2"}},
-		"end":                       {[]step{{said("a", "x:1", 1, 1), true}, {ended("a", 0), true}, {said("a", "x:1", 1, 2), false}}, nil},
-		"start after the end":       {[]step{{said("a", "x:1", 1, 1), true}, {ended("a", 0), true}, {said("a", "x:1", 2, 1), true}}, []string{"a@x:1"}},
-		"late end of an old start":  {[]step{{said("a", "x:1", 2, 1), true}, {ended("a", 1), false}}, []string{"a@x:1"}},
-		"end of an unknown one":     {[]step{{ended("a", 1), false}}, nil},
+		"end":                       {[]step{{said("a", "x:1", 1, 1), true}, {ended(0), true}, {said("a", "x:1", 1, 2), false}}, nil},
+		"start after the end":       {[]step{{said("a", "x:1", 1, 1), true}, {ended(0), true}, {said("a", "x:1", 2, 1), true}}, []string{"a@x:1"}},
+		"late end of an old start":  {[]step{{said("a", "x:1", 2, 1), true}, {ended(1), false}}, []string{"a@x:1"}},
+		"end of an unknown one":     {[]step{{ended(1), false}}, nil},
 		"address taken over": {
 			[]step{{said("a", "x:1", 1, 1), true}, {said("b", "x:1", 2, 1), true}, {said("a", "x:1", 1, 2), false}},
 			[]string{"b@x:1"},
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// ProbeEvery is the interval of questions to a primary, ProbeTimeout the time that one may take.
-	ProbeEvery   = 500 * time.Millisecond
+	// ProbeEvery is the interval of questions to a primary.
+	ProbeEvery = 500 * time.Millisecond
+	// ProbeTimeout is the time that a question may take.
 	ProbeTimeout = 800 * time.Millisecond
 	// deadAfter is the time without an answer to any host after which a primary counts as dead. It exceeds the interval of
 	// announcements, so that a primary that is cut off from the leader only is still heard of.
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -74,9 +74,6 @@
 	Until     ident.Time
 	// Since is when this member took office.
 	Since ident.Time
-	// Quietest is the voter that a leader has not heard for the longest time, and QuietSince when it last heard it.
-	Quietest   ident.Host
-	QuietSince ident.Time
 	// Problem is why the leader does not admit this host, for operators.
 	Problem string
 }
@@ -255,19 +252,24 @@
 	status := r.view.Load().status
 	leads := status.Role == quorum.Leader && status.Ready && r.applied.Load() >= status.First
 	return Leadership{
-		Leader:     status.Leader,
-		Host:       status.LeaderHost,
-		Term:       status.Term,
-		Leads:      leads,
-		Confirmed:  leads && r.clock() < status.Until,
-		Until:      status.Until,
-		Since:      status.Since,
-		Quietest:   status.Quietest,
-		QuietSince: status.QuietSince,
-		Problem:    status.Problem,
+		Leader:    status.Leader,
+		Host:      status.LeaderHost,
+		Term:      status.Term,
+		Leads:     leads,
+		Confirmed: leads && r.clock() < status.Until,
+		Until:     status.Until,
+		Since:     status.Since,
+		Problem:   status.Problem,
 	}
 }
 
+// Quietest returns the voter that this leader has not heard for the longest time, and when it last heard it; nothing on a
+// member that does not lead.
+func (r *Replica) Quietest() (ident.Host, ident.Time) {
+	status := r.view.Load().status
+	return status.Quietest, status.QuietSince
+}
+
 // Members returns the voters and learners by this member's log, or nil before it has one.
 func (r *Replica) Members() *fleetpb.Voters {
 	return proto.CloneOf(r.view.Load().members)
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -48,11 +48,10 @@
 // core was founded with are of no use, and a silent one weakens the majority.
 func (c *Core) tidyMembers(ctx context.Context) {
 	voters := c.replica.Members().GetVoters()
-	leadership := c.replica.Leadership()
-	if len(voters) <= foundingSize || c.replica.Now().Sub(leadership.QuietSince) < removeAfter {
+	silent, since := c.replica.Quietest()
+	if len(voters) <= foundingSize || silent == "" || c.replica.Now().Sub(since) < removeAfter {
 		return
 	}
-	silent := leadership.Quietest
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	err := c.replica.RemoveVoter(ctx, silent)
