Ask the owner of tokens every 150 ms on the platform

Cause: 11 hosts asked the owner 20 times a second each; by count and size these calls were a third of the bytes between regions, the dearest price. Ruled out: the questions to the leader (2 a second) and the log's heartbeats. Log lines no longer carry traces of errors.

--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -13,7 +13,7 @@
 
 // Timing of a borrower.
 const (
-	// AskPeriod is the time between requests while tokens are wanted, held or unreported.
+	// AskPeriod is the usual time between requests while tokens are wanted, held or unreported.
 	AskPeriod = 50 * time.Millisecond
 	// MaxWait is the longest wait of a request for a token while the owner lends. Time without an owner does not count: a
 	// team within its rate must not be refused because the control leader changes, which takes longer than this.
@@ -38,6 +38,9 @@
 type BorrowerOptions struct {
 	Host        ident.Host
 	Incarnation ident.Incarnation
+	// Period replaces AskPeriod where calls to the owner are dear; 0 means AskPeriod. It must be below the horizon of 200 ms
+	// for which tokens are borrowed ahead, and below the owner's Lifetime. A request that finds no token asks at once.
+	Period time.Duration
 }
 
 // Borrower spends lent tokens on one host and decides when to ask for more. Its methods may be called from several
@@ -57,9 +60,12 @@
 
 // NewBorrower returns a borrower without tokens.
 func NewBorrower(opts BorrowerOptions) *Borrower {
+	if opts.Period == 0 {
+		opts.Period = AskPeriod
+	}
 	b := &Borrower{opts: opts, purses: map[ident.Team]*purse{}, asked: map[uint64]ident.Time{}}
 	b.due.Store(int64(never))
-	b.last.Store(int64(-AskPeriod))
+	b.last.Store(int64(-opts.Period))
 	return b
 }
 
@@ -94,10 +100,10 @@
 	defer p.mu.Unlock()
 	p.demand.count(now)
 	if len(p.waiters) == 0 && p.spend(now) {
-		return Spent{}, b.lower(b.after(AskPeriod))
+		return Spent{}, b.lower(b.after(b.opts.Period))
 	}
 	if p.silent && p.reserve.spend(now) {
-		return Spent{}, b.lower(b.after(AskPeriod))
+		return Spent{}, b.lower(b.after(b.opts.Period))
 	}
 	if len(p.waiters) >= maxWaiters {
 		return Refuse{Exceeded{Team: team, Cause: CauseCrowded}}, false
@@ -141,7 +147,7 @@
 	if p, found := b.purses[team]; found {
 		return p
 	}
-	p = &purse{team: team}
+	p = &purse{team: team, period: b.opts.Period}
 	b.purses[team] = p
 	return p
 }
@@ -256,7 +262,7 @@
 	for _, p := range b.sorted() {
 		outcomes = append(outcomes, p.lost(now)...)
 	}
-	b.lower(now.Add(AskPeriod))
+	b.lower(now.Add(b.opts.Period))
 	return outcomes
 }
 
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -66,6 +66,8 @@
 	silent  bool
 	back    ident.Time
 	reserve reserve
+	// period is the time between requests.
+	period time.Duration
 }
 
 // borrowed is a loan as the borrower counts it.
@@ -144,7 +146,7 @@
 	case len(p.waiters) > 0 && p.starved > 0:
 		return p.starved
 	case len(p.waiters) > 0 || len(p.loans) > 0 || expected > 0:
-		return AskPeriod
+		return p.period
 	}
 	return 0
 }
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -45,6 +45,8 @@
 	Fleet       Fleet
 	// Peers carries calls to the owner.
 	Peers *peer.Network
+	// Period is the time between calls; 0 means limit.AskPeriod.
+	Period time.Duration
 }
 
 // Quota is one host's part in the limits of teams.
@@ -63,7 +65,7 @@
 func New(opts Options) *Quota {
 	return &Quota{
 		opts:     opts,
-		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation}),
+		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation, Period: opts.Period}),
 		client:   opts.Peers.Client(0),
 		wake:     make(chan struct{}, 1),
 		waiting:  map[limit.WaiterID]chan *limit.Exceeded{},
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -164,6 +164,14 @@
 	c.lender.SetState(steady.Now(), text, nil)
 }
 
+// problem returns an error for a log line, without a trace.
+func problem(err error) string {
+	if err == nil {
+		return ""
+	}
+	return trace.UserMessage(err)
+}
+
 // NoLeaderError reports a core without a leader that this host could reach.
 type NoLeaderError struct{ Cause error }
 
@@ -180,7 +188,7 @@
 func (c *Core) Configure(ctx context.Context, version ident.Version, source []byte) error {
 	configure := &fleetpb.Configure{Version: uint64(version), Source: source}
 	_, err := c.order(ctx, &fleetpb.OrderRequest{Configure: configure})
-	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "error", err)
+	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "problem", problem(err))
 	return err
 }
 
@@ -196,7 +204,7 @@
 // Evacuate is part of api.Orders.
 func (c *Core) Evacuate(ctx context.Context, zone ident.Zone, active bool) error {
 	_, err := c.order(ctx, &fleetpb.OrderRequest{Evacuate: &fleetpb.Evacuate{Zone: string(zone), Active: active}})
-	klog.InfoS("Evacuation ordered", "zone", zone, "active", active, "error", err)
+	klog.InfoS("Evacuation ordered", "zone", zone, "active", active, "problem", problem(err))
 	return err
 }
 
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -101,7 +101,7 @@
 		return &fleetpb.JoinResponse{Leader: leadership.Leader}, nil
 	}
 	err := s.core.replica.AddVoter(ctx, ident.Host(request.GetHost()), request.GetPeer())
-	klog.InfoS("Core host enrolled", "host", request.GetHost(), "peer", request.GetPeer(), "error", err)
+	klog.InfoS("Core host enrolled", "host", request.GetHost(), "peer", request.GetPeer(), "problem", problem(err))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -40,7 +39,7 @@
 		if err == nil && response.GetDone() {
 			return
 		}
-		klog.V(1).InfoS("Not enrolled", "through", address, "error", err)
+		klog.V(1).InfoS("Not enrolled", "through", address, "problem", problem(err))
 	}
 }
 
@@ -55,5 +54,5 @@
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	err := c.replica.RemoveVoter(ctx, silent)
-	klog.InfoS("Silent core host removed", "host", silent, "voters", len(voters), "error", trace.UserMessage(err))
+	klog.InfoS("Silent core host removed", "host", silent, "voters", len(voters), "problem", problem(err))
 }
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -68,7 +68,7 @@
 	}
 	err := p.order(ctx, successor)
 	klog.InfoS("Promotion ended", "service", p.group.service, "upstream", successor, "position", positions[successor],
-		"took", steady.Now().Sub(start), "error", err)
+		"took", steady.Now().Sub(start), "problem", problem(err))
 	if err != nil {
 		promotionFails.Inc()
 		p.finish("", false)
@@ -101,7 +101,7 @@
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		last = core.options.Promoter.Promote(call, p.group.service, successor, token)
 		cancel()
-		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "error", last)
+		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(last))
 		if last == nil || refusedByPlatform(last) {
 			return last
 		}
@@ -137,12 +137,12 @@
 	}
 	before, err := p.status(ctx, target, wire.TextStatus)
 	if err != nil {
-		klog.InfoS("Primary not asked before its replacement", "service", p.group.service, "reason", trace.UserMessage(err))
+		klog.InfoS("Primary not asked before its replacement", "service", p.group.service, "reason", problem(err))
 		return
 	}
 	after, err := p.status(ctx, target, wire.TextStepDown(before.Term+1))
 	if err != nil {
-		klog.InfoS("Primary did not step down", "service", p.group.service, "reason", trace.UserMessage(err))
+		klog.InfoS("Primary did not step down", "service", p.group.service, "reason", problem(err))
 		return
 	}
 	end := steady.Now().Add(catchUpTime)
@@ -171,7 +171,7 @@
 			defer wait.Done()
 			status, err := p.status(ctx, target, wire.TextStatus)
 			if err != nil {
-				klog.InfoS("Candidate did not tell its position", "service", p.group.service, "upstream", candidate, "reason", trace.UserMessage(err))
+				klog.InfoS("Candidate did not tell its position", "service", p.group.service, "upstream", candidate, "reason", problem(err))
 				return
 			}
 			mu.Lock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -21,6 +21,9 @@
 	"tamarackshunt.dev/platform/api"
 )
 
+// borrowPeriod is the time between calls to the owner of tokens, most of which cross regions.
+const borrowPeriod = 150 * time.Millisecond
+
 // memoryShare is the part of the memory limit at which the collector works harder, in percent.
 const memoryShare = 70
 
@@ -53,7 +56,7 @@
 		Beyond:   link.Beyond{Window: s.QuotaWindow, Part: s.QuotaOverrun, Slack: s.QuotaSlack},
 		Reserves: func(reserves map[ident.Team]limit.Reserve) { tokens.SetReserves(reserves) },
 	})
-	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers})
+	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{Table: table, Quota: tokens, Grace: s.Grace})
 	var err error
