Explain each failed request in one line, and serve latencies

A failed request's line names its id, code, reason, state, time, configuration version, the position that it needed and each upstream that was tried with the outcome; the gateway adds a line for a statement without an answer. Lines go through a writer that never waits, 100 a second at most, and are counted when dropped. Metrics have ports of their own, named in deploy/system.toml.

--- a/node/core.go
+++ b/node/core.go
@@ -48,7 +48,7 @@
 	if err := serve(own, inner); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := serveMetrics(address(s.IP, s.FirstPort+portCoreMetrics)); err != nil {
+	if err := serveMetrics(address(s.IP, portCoreMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	folder := filepath.Join(s.Folder, logFolder)
--- a/node/entry.go
+++ b/node/entry.go
@@ -67,7 +67,7 @@
 	if err := serve(s.Ready, api.NewReadyHandler(ready)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := serveMetrics(address(s.IP, s.FirstPort+portEntryMetrics)); err != nil {
+	if err := serveMetrics(address(s.IP, portEntryMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	others := gateway.NewServer(table)
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -5,6 +5,7 @@
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/platform/wire"
 )
 
@@ -108,7 +109,7 @@
 	if failure != nil {
 		return gone(s.fail(query, failure))
 	}
-	answered.Inc()
+	s.measure(o)
 	return s.caller.Pass(result, s.state)
 }
 
@@ -134,7 +135,7 @@
 		s.state = statement.StateIdle
 		return gone(s.fail(query, failure))
 	}
-	answered.Inc()
+	s.measure(&s.tx.operation)
 	if s.tx.wrote {
 		s.commitSeen(s.tx.route.Service, result.Position)
 	}
@@ -149,3 +150,9 @@
 		s.seen[service] = position
 	}
 }
+
+// measure counts an operation that was answered, and the time since its last request was read.
+func (s *session) measure(o *operation) {
+	answered.Inc()
+	latencies[o.route.Kind].Update(steady.Now().Sub(s.began).Seconds())
+}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -118,11 +118,10 @@
 	if err != nil {
 		return since, err
 	}
-	if o.route.Kind == catalog.KindSession {
-		if own := s.seen[o.route.Service]; since.Less(own) {
-			return own, nil
-		}
+	if own := s.seen[o.route.Service]; o.route.Kind == catalog.KindSession && since.Less(own) {
+		since = own
 	}
+	s.needs(since)
 	return since, nil
 }
 
@@ -133,6 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	outcome, err := s.server.options.Table.Line(pool, o.teamName(), o.priority()).Do(ctx, use)
+	s.tried(pool.Target().Upstream, outcome, err)
 	if err == nil && outcome.Result.Failure != nil {
 		return outcome.Result, outcome.Result.Failure
 	}
@@ -191,6 +191,7 @@
 	use.Opening = upstream.OpenPrimary
 	asOf := steady.Now()
 	outcome, err := line.Do(ctx, use)
+	s.tried(line.Target().Upstream, outcome, err)
 	s.server.options.Table.Learn(o.route.Service, outcome.Opened, asOf)
 	return outcome, err
 }
@@ -229,6 +230,7 @@
 	}
 	asOf := steady.Now()
 	outcome, err := line.Do(ctx, s.use(&w, o.route.Timeout))
+	s.tried(line.Target().Upstream, outcome, err)
 	if err != nil {
 		return outcome.Result, outcome.Ran, err
 	}
@@ -287,7 +289,9 @@
 // stepOn runs a statement on the transaction's line, which it opens with the first one.
 func (s *session) stepOn(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
 	if s.tx.line != nil {
-		return s.tx.line.Do(ctx, use)
+		outcome, err := s.tx.line.Do(ctx, use)
+		s.tried(s.tx.line.Target().Upstream, outcome, err)
+		return outcome, err
 	}
 	return s.first(ctx, use, writes)
 }
@@ -369,7 +373,9 @@
 	for _, candidate := range table.Candidates(tx.route, tx.team, since) {
 		line := table.Line(candidate.Pool, tx.teamName(), tx.priority())
 		var outcome upstream.Outcome
-		if outcome, err = line.Do(ctx, use); err == nil {
+		outcome, err = line.Do(ctx, use)
+		s.tried(line.Target().Upstream, outcome, err)
+		if err == nil {
 			tx.line = line
 			return outcome, nil
 		}
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -54,6 +54,10 @@
 	// seen is, for each service, the position of the session's own last commit.
 	seen map[ident.Service]ident.Position
 	tx   *transaction
+
+	// began is when the request under way was read, and trail what was tried for it.
+	began ident.Time
+	trail []string
 }
 
 // transaction is an open transaction of the caller; it has a line to an upstream from its first statement on.
@@ -137,11 +141,11 @@
 	if err != nil {
 		return s.interrupted(err)
 	}
-	began := steady.Now()
+	s.began, s.trail = steady.Now(), s.trail[:0]
 	if query.Request == nil {
 		return s.fail(&query, &statement.Failure{Code: statement.CodeMalformed, Text: "this is not a request"})
 	}
-	if s.handle(&query, began) != nil {
+	if s.handle(&query, s.began) != nil {
 		return false
 	}
 	return s.state != statement.StateIdle || !s.server.closing.Load()
@@ -244,6 +248,15 @@
 	restEnded = metrics.NewCounter("tamarack_entry_rested_transactions_total")
 )
 
+// latencies are the times to answer statements and commits, by the kind of their route.
+var latencies = func() map[catalog.Kind]*metrics.Histogram {
+	list := map[catalog.Kind]*metrics.Histogram{}
+	for _, kind := range catalog.KindValues() {
+		list[kind] = metrics.NewHistogram(fmt.Sprintf("tamarack_entry_answer_seconds{kind=%q}", kind))
+	}
+	return list
+}()
+
 func refused(f *statement.Failure) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_entry_failures_total{code=%q}", f.Code)).Inc()
 }
@@ -251,10 +264,56 @@
 // fail answers a request with a failure; a transaction has failed with it. It returns false when the caller is gone.
 func (s *session) fail(query *wire.Query, failure *statement.Failure) bool {
 	refused(failure)
+	tx := s.tx
 	if s.state != statement.StateIdle {
 		s.drop()
 		s.state = statement.StateFailed
 	}
-	klog.InfoS("Request failed", "id", query.ID, "database", s.start.Database, "code", failure.Code, "reason", failure.Text)
+	s.logFailure(query, failure, tx)
 	return s.caller.Fail(failure, s.state) == nil
 }
+
+// logFailure writes the line from which a failed request can be explained: what decided it, how old and how new that was, and
+// what was tried.
+func (s *session) logFailure(query *wire.Query, failure *statement.Failure, tx *transaction) {
+	transaction := ""
+	if tx != nil {
+		transaction = tx.id
+	}
+	var version ident.Version
+	if c := s.server.options.Table.Catalog(); c != nil {
+		version = c.Version
+	}
+	klog.InfoS("Request failed", "id", query.ID, "code", failure.Code, "reason", failure.Text, "database", s.start.Database,
+		"transaction", transaction, "state", s.state, "took", steady.Now().Sub(s.began), "tried", s.trail, "configuration", version)
+}
+
+// maxTrail bounds what is remembered of the tries of one request.
+const maxTrail = 12
+
+// tried remembers a try of the request under way on an upstream.
+func (s *session) tried(id ident.Upstream, outcome upstream.Outcome, err error) {
+	if len(s.trail) >= maxTrail {
+		return
+	}
+	result := "answered"
+	var failure *statement.Failure
+	switch {
+	case errors.As(err, &failure):
+		result = failure.Code.String()
+	case err != nil && outcome.Ran:
+		result = "lost"
+	case err != nil:
+		result = "unreachable"
+	case outcome.Result.Failure != nil:
+		result = outcome.Result.Failure.Code.String()
+	}
+	s.trail = append(s.trail, string(id)+":"+result)
+}
+
+// needs remembers the position that the read under way needs.
+func (s *session) needs(since ident.Position) {
+	if len(s.trail) < maxTrail {
+		s.trail = append(s.trail, "needs:"+since.String())
+	}
+}
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -106,6 +107,10 @@
 	defer cancel()
 	outcome, err := line.Do(wait, useOf(request))
 	response := responseOf(outcome, err)
+	if response.GetBroken() != "" || response.GetUnreachable() != "" {
+		klog.InfoS("Statement not answered", "id", request.GetId(), "upstream", line.Target().Upstream, "team", request.GetTeam(),
+			"lease", request.GetLease(), "ran", response.GetRan(), "broken", response.GetBroken(), "unreachable", response.GetUnreachable())
+	}
 	kept := err == nil && request.GetKeep()
 	s.mu.Lock()
 	if kept {
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// logQueue is the number of log lines that may wait for the output.
+	logQueue = 1024
+	// logRate and logBurst bound the lines a second, since writing them takes processor time from requests.
+	logRate  = 100
+	logBurst = 400
+	// dropReport is the interval at which the number of dropped lines is told.
+	dropReport = 5 * time.Second
+)
+
+var droppedLines = metrics.NewCounter("tamarack_log_lines_dropped_total")
+
+// logWriter passes lines on to an output without ever waiting for it; lines beyond the bounds are dropped and counted.
+type logWriter struct {
+	lines   chan []byte
+	limiter *rate.Limiter
+	dropped atomic.Uint64
+	flushed chan chan struct{}
+}
+
+func newLogWriter(out io.Writer, limiter *rate.Limiter) *logWriter {
+	w := &logWriter{lines: make(chan []byte, logQueue), limiter: limiter, flushed: make(chan chan struct{})}
+	go w.run(out)
+	return w
+}
+
+// Write implements io.Writer; it takes one line at a time.
+func (w *logWriter) Write(line []byte) (int, error) {
+	if !w.limiter.Allow() {
+		w.drop()
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.drop()
+	}
+	return len(line), nil
+}
+
+func (w *logWriter) drop() {
+	w.dropped.Add(1)
+	droppedLines.Inc()
+}
+
+func (w *logWriter) run(out io.Writer) {
+	ticker := time.NewTicker(dropReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-w.lines:
+			_, _ = out.Write(line)
+		case <-ticker.C:
+			if n := w.dropped.Swap(0); n > 0 {
+				_, _ = fmt.Fprintf(out, "W %s log lines dropped count=%d\n", time.Now().Format(time.RFC3339Nano), n)
+			}
+		case done := <-w.flushed:
+			for len(w.lines) > 0 {
+				_, _ = out.Write(<-w.lines)
+			}
+			close(done)
+		}
+	}
+}
+
+// flush returns once the lines that wait are written.
+func (w *logWriter) flush() {
+	done := make(chan struct{})
+	w.flushed <- done
+	<-done
+}
+
+// setLog sends the log to standard output, with the given verbosity, and returns what writes the lines that still wait.
+func setLog(verbosity int) (flush func()) {
+	set := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(set)
+	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "v": fmt.Sprint(verbosity)} {
+		if err := set.Set(name, value); err != nil {
+			klog.ErrorS(err, "Log setting not taken", "name", name)
+		}
+	}
+	w := newLogWriter(os.Stdout, rate.NewLimiter(logRate, logBurst))
+	// One output for all severities: klog would otherwise write a line once for each lower one.
+	klog.SetOutputBySeverity("INFO", w)
+	for _, severity := range []string{"WARNING", "ERROR", "FATAL"} {
+		klog.SetOutputBySeverity(severity, io.Discard)
+	}
+	return func() {
+		klog.Flush()
+		w.flush()
+	}
+}
--- /dev/null
+++ b/node/log_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+)
+
+// stuck is an output that takes nothing until it is let go.
+type stuck struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.out.Write(p)
+}
+
+// Guards against requests that wait for the log's output, and against lines that are lost without being counted.
+func TestLogNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := newLogWriter(out, rate.NewLimiter(rate.Inf, 0))
+	const lines = 3 * logQueue
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		require.NoError(t, err)
+	}
+	dropped := int(w.dropped.Load())
+	require.Positive(t, dropped)
+	close(out.release)
+	w.flush()
+	require.Equal(t, lines-dropped, strings.Count(out.out.String(), "\n"))
+}
+
+// Guards against a flood of lines that takes the processor from requests.
+func TestLogRate(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	close(out.release)
+	w := newLogWriter(out, rate.NewLimiter(0, 10))
+	for range 50 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	w.flush()
+	require.Equal(t, 10, strings.Count(out.out.String(), "\n"))
+	require.Equal(t, uint64(40), w.dropped.Load())
+}
--- a/node/main.go
+++ b/node/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -84,7 +83,8 @@
 		fmt.Println(path, "is valid")
 		return nil
 	}
-	setLog(opts.Verbose)
+	flush := setLog(opts.Verbose)
+	defer flush()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	running, err := start(file)
@@ -103,7 +103,6 @@
 			klog.InfoS("Shutting down", "signal", sig.String())
 			running.shutdown(time.Now())
 			klog.InfoS("Ended")
-			klog.Flush()
 			return nil
 		case <-running.failed():
 			return trace.Wrap(running.err(), "the host has failed")
@@ -111,17 +110,6 @@
 	}
 }
 
-// setLog sends the log to standard error, with the given verbosity.
-func setLog(verbosity int) {
-	set := flag.NewFlagSet("log", flag.ContinueOnError)
-	klog.InitFlags(set)
-	for name, value := range map[string]string{"logtostderr": "true", "v": fmt.Sprint(verbosity), "skip_headers": "false"} {
-		if err := set.Set(name, value); err != nil {
-			klog.ErrorS(err, "Log setting not taken", "name", name)
-		}
-	}
-}
-
 // background runs functions until a context ends.
 type background struct {
 	context context.Context
--- a/node/settings.go
+++ b/node/settings.go
@@ -26,8 +26,12 @@
 const (
 	portCore = iota
 	portEntry
-	portEntryMetrics
-	portCoreMetrics
+)
+
+// Ports of the metrics, as deploy/system.toml names them.
+const (
+	portEntryMetrics = 9464
+	portCoreMetrics  = 9465
 )
 
 // settingsFile holds the settings as last read.
