Start a failed core part again inside its process

Change: the core part is supervised; an unusable folder is cleared and the host joins as a new member, never as a founder.

--- a/node/core.go
+++ b/node/core.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/store"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/core"
 	"tamarackshunt.dev/platform/api"
@@ -24,14 +28,27 @@
 	identifyTimeout = 500 * time.Millisecond
 	// closeTimeout bounds the handing over of the leadership at shutdown.
 	closeTimeout = time.Second
+	// restartPause is the time after which a part that has failed is started again.
+	restartPause = 500 * time.Millisecond
 	// logFolder is the core's part of the data folder.
 	logFolder = "core"
 )
 
+var restarts = metrics.NewCounter("tamarack_core_part_restarts_total")
+
 // corePart is a running core host.
 type corePart struct {
-	core       *core.Core
+	file       *settingsFile
+	peers      *peer.Network
+	own        string
+	folder     string
 	background background
+	// inner serves other hosts, outer the platform.
+	inner, outer switched
+	mu           sync.Mutex
+	core         *core.Core
+	// ended is closed when the host has stopped for good.
+	ended chan struct{}
 }
 
 func startCore(file *settingsFile) (part, error) {
@@ -40,33 +57,92 @@
 		return nil, trace.BadParameter("listen.control and data_dir are missing")
 	}
 	limitMemory(s.MemoryMB)
-	own := address(s.IP, s.FirstPort+portCore)
-	peers := peer.New(peer.Options{Secret: fleetSecret})
+	p := &corePart{
+		file: file, peers: peer.New(peer.Options{Secret: fleetSecret}), own: address(s.IP, s.FirstPort+portCore),
+		folder: filepath.Join(s.Folder, logFolder), background: newBackground(), ended: make(chan struct{}),
+	}
 	// The handlers start without a core: other hosts ask for this one's name before the log can be founded.
-	inner := &switched{}
-	inner.set(fleetpb.NewCoreServer(nameOnly{host: string(s.Host), peer: own}))
-	if err := serve(own, inner); err != nil {
+	p.idle(&s)
+	if err := serve(p.own, &p.inner); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := serve(s.Control, &p.outer); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if err := serveMetrics(address(s.IP, portCoreMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	folder := filepath.Join(s.Folder, logFolder)
-	initial, founding := initialHosts(file, peers, &s, folder, own)
+	go p.supervise(&s)
+	return p, nil
+}
+
+// idle serves only the host's name.
+func (p *corePart) idle(s *machine.Settings) {
+	p.inner.set(fleetpb.NewCoreServer(nameOnly{host: string(s.Host), peer: p.own}))
+	p.outer.set(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, errStarting.Msg(), http.StatusServiceUnavailable)
+	}))
+}
+
+// supervise runs the host's part in the core, again after a failure: a disk that refuses writes may take them later, and a
+// folder that cannot be used, or that belongs to a member which was removed, gives way to an empty one.
+func (p *corePart) supervise(s *machine.Settings) {
+	defer close(p.ended)
+	for p.background.context.Err() == nil {
+		err := p.runOnce(s)
+		p.idle(s)
+		if p.background.context.Err() != nil {
+			return
+		}
+		klog.ErrorS(nil, "Core part ended", "host", s.Host, "reason", trace.UserMessage(err))
+		restarts.Inc()
+		if unusable(err) {
+			klog.InfoS("Data folder cleared, the host joins as a new member", "folder", p.folder)
+			// The log exists, whatever the settings said when the process started.
+			s.Founding = false
+			if err := os.RemoveAll(p.folder); err != nil {
+				klog.ErrorS(err, "Data folder not cleared", "folder", p.folder)
+			}
+		}
+		select {
+		case <-time.After(restartPause):
+		case <-p.background.context.Done():
+		}
+	}
+}
+
+// runOnce runs the host's part in the core until it ends, and returns why.
+func (p *corePart) runOnce(s *machine.Settings) error {
+	initial, founding := initialHosts(p.file, p.peers, s, p.folder, p.own)
 	running, err := core.New(core.Options{
-		Host: s.Host, Peer: own, Initial: initial, Founding: founding, Folder: folder, Peers: peers,
-		Seed: uint64(time.Now().UnixNano()), Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: file.seeds,
+		Host: s.Host, Peer: p.own, Initial: initial, Founding: founding, Folder: p.folder, Peers: p.peers,
+		Seed: uint64(time.Now().UnixNano()), Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
 	})
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
-	inner.set(running.Handler())
-	if err := serve(s.Control, api.NewHandler(running)); err != nil {
-		return nil, trace.Wrap(err)
+	p.mu.Lock()
+	p.core = running
+	p.mu.Unlock()
+	p.inner.set(running.Handler())
+	p.outer.set(api.NewHandler(running))
+	err = running.Run(p.background.context)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if closed := running.Close(ctx); err == nil {
+		err = closed
 	}
-	p := &corePart{core: running, background: newBackground()}
-	go running.Run(p.background.context)
-	return p, nil
+	return trace.Wrap(err)
+}
+
+// unusable reports a data folder that no retry makes usable.
+func unusable(err error) bool {
+	var corrupt *store.CorruptError
+	var truncated *store.TruncatedError
+	var missing *store.MissingError
+	var owner *store.OwnerError
+	var removed *core.RemovedError
+	return errors.As(err, &corrupt) || errors.As(err, &truncated) || errors.As(err, &missing) || errors.As(err, &owner) || errors.As(err, &removed)
 }
 
 // initialHosts returns the hosts that found the log, which have to know each other's names; founding is false when the log
@@ -99,17 +175,13 @@
 	return hosts, true
 }
 
-func (p *corePart) failed() <-chan struct{} { return p.core.Done() }
+func (p *corePart) failed() <-chan struct{} { return p.ended }
 
-func (p *corePart) err() error { return p.core.Err() }
+func (p *corePart) err() error { return nil }
 
 func (p *corePart) shutdown(time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
 	p.background.cancel()
-	if err := p.core.Close(ctx); err != nil {
-		klog.ErrorS(err, "Core ended with an error")
-	}
+	<-p.ended
 }
 
 // switched is a handler that can be replaced.
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -30,6 +30,9 @@
 	hostLife = 3 * time.Second
 	// tickEvery is the interval at which the leader looks at its members and the groups.
 	tickEvery = 200 * time.Millisecond
+	// removedTicks is the number of ticks after which a member that the others do not count gives up its place. A member
+	// that only lags hears from the leader within an election.
+	removedTicks = 15
 )
 
 var (
@@ -113,12 +116,6 @@
 	return c, nil
 }
 
-// Done is closed when the host's part in the core has ended.
-func (c *Core) Done() <-chan struct{} { return c.replica.Done() }
-
-// Err returns why it ended.
-func (c *Core) Err() error { return c.replica.Err() }
-
 // Close hands over the leadership and ends the host's part.
 func (c *Core) Close(ctx context.Context) error {
 	return c.replica.Close(ctx)
@@ -129,14 +126,24 @@
 	return c.replica.Leadership().Confirmed
 }
 
-// Run does what the leader has to do, and enrolls this host where it is not a member, until ctx ends.
-func (c *Core) Run(ctx context.Context) {
+// RemovedError reports that the members of the core have removed or replaced this host's member.
+type RemovedError struct{ Problem string }
+
+// Error implements error.
+func (e *RemovedError) Error() string { return e.Problem }
+
+// Run does what the leader has to do, and enrolls this host where it is not a member, until ctx ends. It returns the failure
+// that ended the host's part, or a RemovedError.
+func (c *Core) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var outside int
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
+		case <-c.replica.Done():
+			return trace.Wrap(c.replica.Err())
 		case <-ticker.C:
 		}
 		leadership := c.replica.Leadership()
@@ -147,10 +154,21 @@
 		} else {
 			c.enroll(ctx)
 		}
+		if outside = c.stillOutside(outside, leadership); outside > removedTicks {
+			return trace.Wrap(&RemovedError{leadership.Problem})
+		}
 		c.groups.tick(ctx, leadership.Confirmed)
 	}
 }
 
+// stillOutside counts the ticks for which a member that has a log has been told by others that it is not counted.
+func (c *Core) stillOutside(ticks int, leadership replica.Leadership) int {
+	if leadership.Problem == "" || leadership.Leader != "" || c.replica.Members() == nil {
+		return 0
+	}
+	return ticks + 1
+}
+
 // setLimits brings the teams' limits to the owner of their tokens.
 func (c *Core) setLimits() {
 	parsed := c.state.parsed()
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -430,6 +430,27 @@
 	})
 }
 
+// Guards against a core host that does not start again with a damaged folder, and one that votes with it.
+func TestCoreDamaged(t *testing.T) {
+	f := newFleet(t)
+	f.put(configuration{version: 4, rate: 500})
+	f.cores[1].kill()
+	files, err := filepath.Glob(filepath.Join(f.folder, "data-1", "core", "*"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		require.NoError(t, os.Truncate(file, 5000))
+	}
+	f.cores[1] = f.start("core", f.settings("core", 1, false, 0, 1, 2))
+	f.eventually("a new member follows", func() bool { return strings.Contains(f.cores[1].log.String(), `role="follower"`) })
+	require.Contains(t, f.cores[1].log.String(), "Data folder cleared")
+	f.cores[0].kill()
+	f.eventually("the configuration is there without another host", func() bool {
+		status, text := f.order(1, http.MethodGet, "Config.Get", "")
+		return status == http.StatusOK && text == configuration{version: 4, rate: 500}.body()
+	})
+}
+
 // Guards against a host that is told to stop and cuts a request, an open transaction or a session too early, or does not
 // report itself as not ready.
 func TestShutdown(t *testing.T) {
