Prove the platform's rules by taking their mechanisms out

Each rule's test fails without its mechanism (go run ./proofs). Two tests did not notice at first and were made stricter: a session's own write is read on replicas that hold everything before it, and a connection that comes back must be outside of any transaction. A Go test now fails when a leader of the log counts entries that it has not synced.

--- a/fleet/quorum/member_test.go
+++ b/fleet/quorum/member_test.go
@@ -173,3 +173,38 @@
 		require.Equal(t, uint64(5), m.node.Status().Term)
 	}
 }
+
+// Guards against a leader that counts its own entries before they are synced: with one follower they would be committed, and a
+// loss of power of the leader and of the other follower's disk would lose them.
+func TestLeaderCountsOnlySyncedEntries(t *testing.T) {
+	m := newMember(t)
+	m.lead()
+	m.receive("b", 6, &fleetpb.AppendAnswer{Success: true, Match: 4, Round: 1})
+	var seq uint64
+	// committed steps the node and returns the highest commitment that it tells the followers.
+	committed := func(inputs ...quorum.Input) uint64 {
+		var highest uint64
+		for _, action := range m.node.Step(m.now, inputs...) {
+			switch action := action.(type) {
+			case quorum.Persist:
+				seq = action.Seq
+			case quorum.Send:
+				highest = max(highest, action.Message.GetAppend().GetCommit())
+			}
+		}
+		return highest
+	}
+	committed(quorum.Propose{ID: 1, Change: &fleetpb.Change{}})
+	require.NotZero(t, seq)
+	answer := &fleetpb.Message{From: "b/1", To: "a/1", Peer: "b", Term: 6, Fleet: 1, Kind: &fleetpb.Message_Appended{
+		Appended: &fleetpb.AppendAnswer{Success: true, Match: 5, Round: 1},
+	}}
+	beat := func() uint64 {
+		m.now = m.now.Add(quorum.DefaultBounds.Heartbeat)
+		return committed(quorum.Tick{})
+	}
+	committed(quorum.Receive{Message: answer})
+	require.Equal(t, uint64(4), beat(), "one follower and an entry that is not synced are no majority")
+	committed(quorum.Persisted{Seq: seq})
+	require.Equal(t, uint64(5), beat())
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -364,14 +364,41 @@
 	require.Equal(t, 1, runs[a.ID])
 }
 
+// Guards against a read on a primary route that runs on an upstream which has lost its lead unseen.
+func TestDeposedPrimary(t *testing.T) {
+	f := newFleet(t)
+	c, err := f.dial(0, "primary", "key-one", "deposed")
+	require.NoError(t, err)
+	defer c.Close()
+	for i := range 5 {
+		_, err := c.Do(fmt.Sprintf("STORE k old%d", i))
+		require.NoError(t, err)
+		old := f.group.Primary()
+		next := f.upstreams[(i+1)%3]
+		for _, u := range f.upstreams {
+			u.SetDeaf(u.ID == old)
+		}
+		require.True(t, f.group.Promote(next.ID))
+		require.True(t, f.group.Store(fmt.Sprintf("behind%d", i), "k", fmt.Sprintf("new%d", i)))
+		a, err := c.Do("FETCH k")
+		require.NoError(t, err)
+		if a.Error == "" {
+			require.Equal(t, []string{fmt.Sprintf("new%d one map[]", i)}, a.Rows)
+		}
+	}
+}
+
 // Guards against a replica that lags and is read all the same, after the session's own write.
 func TestDeafReplicas(t *testing.T) {
 	f := newFleet(t)
-	f.upstreams[1].SetDeaf(true)
-	f.upstreams[2].SetDeaf(true)
 	c, err := f.dial(1, "session", "key-one", "deaf")
 	require.NoError(t, err)
 	defer c.Close()
+	// The replicas hold this, so that they are fresh enough but for the writes that follow.
+	_, err = c.Do("STORE own before")
+	require.NoError(t, err)
+	f.upstreams[1].SetDeaf(true)
+	f.upstreams[2].SetDeaf(true)
 	for i := range 10 {
 		_, err := c.Do(fmt.Sprintf("STORE own %d", i))
 		require.NoError(t, err)
--- /dev/null
+++ b/node/routing/table_test.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// known returns a table of a host in zone z0 that knows an upstream in each of three zones, of which the first is the primary.
+func known(t *testing.T, change func(d *fleetpb.Directory)) *Table {
+	table := New(Options{Host: "h0", Zone: "z0", Region: "r0", Regions: map[ident.Zone]ident.Region{"z0": "r0", "z1": "r0", "z2": "r2"}})
+	c, err := catalog.New(catalog.Description{
+		Version:  1,
+		Services: []catalog.Service{{Name: "svc", Connections: 18}},
+		Routes:   []catalog.Route{{Name: "r", Database: "db", Timeout: time.Second, Service: "svc"}},
+		Teams:    []catalog.Team{{Name: "home", Keys: []string{"k"}, Regions: []ident.Region{"r2"}}},
+	})
+	require.NoError(t, err)
+	require.True(t, table.SetCatalog(c))
+	d := &fleetpb.Directory{
+		Primaries: []*fleetpb.PrimaryView{{Service: "svc", Upstream: "a"}},
+		Hosts:     []*fleetpb.EntryHost{{Host: "h0", Zone: "z0"}, {Host: "h2", Zone: "z2"}},
+	}
+	for i, id := range []string{"a", "b", "c"} {
+		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
+			Upstream: id, Service: "svc", Address: "127.0.0.1:" + id, Zone: []string{"z0", "z1", "z2"}[i], Born: 1,
+		})
+	}
+	change(d)
+	table.SetDirectory(d)
+	return table
+}
+
+func candidates(table *Table, key string, since ident.Position) (ids string) {
+	for _, c := range table.Candidates(table.Catalog().Route("db"), table.Catalog().Holder(key), since) {
+		ids += string(c.Pool.Target().Upstream)
+	}
+	return ids
+}
+
+// Guards against work for upstreams that leave, whose zone was evacuated, that lie in a region which the team excludes, or that
+// were just seen to lack the position; and against far ones that are preferred.
+func TestCandidates(t *testing.T) {
+	none := ident.Position{}
+	for name, c := range map[string]struct {
+		change  func(d *fleetpb.Directory)
+		key     string
+		want    string
+		primary bool
+	}{
+		"the nearest first": {func(*fleetpb.Directory) {}, "", "abc", true},
+		"leaving":           {func(d *fleetpb.Directory) { d.Upstreams[0].Leaving = true }, "", "bc", false},
+		"evacuated":         {func(d *fleetpb.Directory) { d.Evacuated = []string{"z0", "z1"} }, "", "c", false},
+		"home":              {func(*fleetpb.Directory) {}, "k", "c", false},
+		"nothing left":      {func(d *fleetpb.Directory) { d.Evacuated = []string{"z2"} }, "k", "", false},
+	} {
+		table := known(t, c.change)
+		require.Equal(t, c.want, candidates(table, c.key, none), name)
+		pool := table.Primary(table.Catalog().Route("db"), table.Catalog().Holder(c.key))
+		require.Equal(t, c.primary, pool != nil, name)
+	}
+	table := known(t, func(*fleetpb.Directory) {})
+	table.Pool("svc", "b").Saw(steady.Now(), ident.Position{Term: 1, LSN: 5})
+	require.Equal(t, "ac", candidates(table, "", ident.Position{Term: 1, LSN: 6}))
+	require.Equal(t, "abc", candidates(table, "", ident.Position{Term: 1, LSN: 5}))
+	table.Pool("svc", "a").Failed(steady.Now())
+	require.Equal(t, "bca", candidates(table, "", none), "an upstream that failed is the last choice, and still one")
+}
+
+// Guards against an older configuration that replaces a newer one, and a directory that forgets connections which are still
+// right.
+func TestChanges(t *testing.T) {
+	table := known(t, func(*fleetpb.Directory) {})
+	older, err := catalog.New(catalog.Description{Version: 1})
+	require.NoError(t, err)
+	require.False(t, table.SetCatalog(older))
+	a, b := table.Pool("svc", "a"), table.Pool("svc", "b")
+	table.SetDirectory(&fleetpb.Directory{
+		Primaries: []*fleetpb.PrimaryView{{Service: "svc", Upstream: "b"}},
+		Upstreams: []*fleetpb.Announcement{
+			{Upstream: "a", Service: "svc", Address: "127.0.0.1:a", Zone: "z0", Born: 1},
+			{Upstream: "b", Service: "svc", Address: "127.0.0.1:b", Zone: "z1", Born: 2},
+		},
+	})
+	require.Same(t, a, table.Pool("svc", "a"))
+	require.NotSame(t, b, table.Pool("svc", "b"), "another start under the same id is another upstream")
+	require.Nil(t, table.Pool("svc", "c"))
+}
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -76,6 +76,7 @@
 	outcome, err = p.Line("one", 1).Do(bounded(t), read("2", "FETCH k"))
 	require.NoError(t, err)
 	require.Equal(t, []string{"none one map[]"}, outcome.Result.Rows)
+	require.Equal(t, statement.StateIdle, outcome.Result.State, "the read runs outside of any transaction")
 	_, runs := g.Items()
 	require.Empty(t, runs)
 }
--- a/proofs/main.go
+++ b/proofs/main.go
@@ -48,14 +48,14 @@
 	for _, r := range removals {
 		ok, err := check(copied, r)
 		if err != nil {
-			return trace.Wrap(err, "invariant %d, %s", r.invariant, r.what)
+			return trace.Wrap(err, "%s, %s", r.subject(), r.what)
 		}
 		verdict := "fails without it, as it should"
 		if !ok {
 			verdict = "PASSES without it"
 			passed++
 		}
-		fmt.Printf("invariant %2d: %s: %s %s\n", r.invariant, r.what, r.pkg, verdict)
+		fmt.Printf("%s: %s: %s %s\n", r.subject(), r.what, r.pkg, verdict)
 	}
 	if passed > 0 {
 		return trace.CompareFailed("%d tests do not notice that their mechanism is missing", passed)
@@ -63,9 +63,17 @@
 	return nil
 }
 
+// subject names the invariant, or the platform, whose rule begins the description.
+func (r removal) subject() string {
+	if r.invariant == 0 {
+		return "platform rule"
+	}
+	return fmt.Sprintf("invariant %2d", r.invariant)
+}
+
 // copyTree copies the Go modules of the repository without programs and git data.
 func copyTree(root, to string) error {
-	for _, name := range []string{"fleet", "host", "load", "operator", "proofs", "schema", "standin"} {
+	for _, name := range []string{"fleet", "host", "load", "node", "operator", "platform", "proofs", "schema", "standin"} {
 		if err := os.CopyFS(filepath.Join(to, name), os.DirFS(filepath.Join(root, name))); err != nil {
 			return trace.ConvertSystemError(err)
 		}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -2,7 +2,7 @@
 
 // removal takes one mechanism out of the code.
 type removal struct {
-	// invariant is the number in section 2 of docs/design.md.
+	// invariant is the number in section 2 of docs/design.md, 0 for a rule of the users' platform.
 	invariant int
 	what      string
 	file      string
@@ -104,4 +104,89 @@
 		"fleet/quorum/lead.go", "if term, _ := n.log.term(index); term != n.term {", "if term, _ := n.log.term(index); term > n.term {",
 		"./fleet/quorum", "OwnTermFirst",
 	},
+	{
+		14, "a leader counts its own entries once they are synced",
+		"fleet/quorum/lead.go", "return n.disk.index", "return n.log.last().index",
+		"./fleet/quorum", "LeaderCounts",
+	},
+	{
+		0, "STALE: a read of a primary route runs in a transaction that only a primary opens",
+		"node/entry/run.go", "use.Opening = upstream.OpenPrimary", "use.Opening = upstream.OpenNone",
+		"./node", "DeposedPrimary",
+	},
+	{
+		0, "STALE: a session's read needs the position of its own last write",
+		"node/entry/run.go", "o.route.Kind == catalog.KindSession && since.Less(own)", "o.route.Kind == catalog.KindSession && since.Less(own) && false",
+		"./node", "DeafReplicas",
+	},
+	{
+		0, "STALE: a position covers only what was acknowledged before its question",
+		"fleet/cover/cover.go", "if p.asOf >= at {", "if p.asOf >= at.Add(-time.Second) {",
+		"./fleet/cover", ".",
+	},
+	{
+		0, "TWICE, REFUSED: a write that may have run is not sent again",
+		"node/entry/run.go", "case ran:", "case ran && last != nil:",
+		"./node", "LostAnswer",
+	},
+	{
+		0, "UNASKED: a connection is used for its own team only",
+		"node/upstream/pool.go", "if p.idle[i].conn.Team != team {", "if p.idle[i].conn.Team == \"\" {",
+		"./node/upstream", "SessionState",
+	},
+	{
+		0, "PINNED: values of another session are discarded",
+		"node/upstream/conn.go", "if _, found := values[name]; !found {", "if _, found := values[name]; !found && name == \"\" {",
+		"./node/upstream", "SessionState",
+	},
+	{
+		0, "PINNED: an open transaction ends before its connection is used again",
+		"node/upstream/conn.go", "if !c.broken && c.state != statement.StateIdle {", "if !c.broken && c.state == statement.StateFailed {",
+		"./node/upstream", "ReleaseEndsTransaction",
+	},
+	{
+		0, "MIXED: an answer without a signature is no success",
+		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
+		"./platform/wire", "Upstream",
+	},
+	{
+		0, "QUOTA: the reserve of a host is bounded in each window",
+		"fleet/limit/reserve.go", "if int64(len(r.spent)) >= r.rule.Tokens {", "if int64(len(r.spent)) < 0 {",
+		"./fleet/limit", "Reserve",
+	},
+	{
+		0, "CONFIG: a configuration whose version is not higher changes nothing",
+		"node/core/state.go", "if kind.Configure.GetVersion() <= s.saved", "if kind.Configure.GetVersion() < 0*s.saved",
+		"./node/core", "State",
+	},
+	{
+		0, "CONFIG: a host never goes back to an older configuration",
+		"node/routing/table.go", "if old != nil && old.Version >= c.Version {", "if old != nil && old == c {",
+		"./node/routing", "Changes",
+	},
+	{
+		0, "ROUTE, DRAIN: a late announcement does not bring back what has ended",
+		"fleet/directory/directory.go", "if known != nil && !newer(a, known.announcement) {", "if known != nil && a.GetBorn() < 0 {",
+		"./fleet/directory", "Order",
+	},
+	{
+		0, "EVAC: an evacuated availability zone gets no work",
+		"node/routing/table.go", "if m.leaving || m.evacuated || !t.Catalog()", "if m.leaving || !t.Catalog()",
+		"./node/routing", "Candidates",
+	},
+	{
+		0, "DRAIN, LOST: a host that shuts down takes no late session",
+		"node/entry/server.go", "_ = listener.Close()", "_ = listener.Addr()",
+		"./node", "TakesNoLateSession",
+	},
+	{
+		0, "ONE: each order to promote has a token of its own",
+		"node/core/state.go", "return &fleetpb.Outcome{Done: true, Version: index}", "return &fleetpb.Outcome{Done: true, Version: 1}",
+		"./node/core", "State",
+	},
+	{
+		0, "LOST: the candidate whose log reaches furthest is promoted",
+		"fleet/takeover/takeover.go", "positions[best].Less(position)", "position.Less(positions[best])",
+		"./fleet/takeover", "Choose",
+	},
 }
--- a/standin/platform/group.go
+++ b/standin/platform/group.go
@@ -67,6 +67,17 @@
 	return items, runs
 }
 
+// Promote makes a member the primary behind the fleet's back, as an order does whose answer was lost.
+func (g *Group) Promote(id string) bool { return g.promote(id) }
+
+// Store commits a write at the primary behind the fleet's back.
+func (g *Group) Store(id, item, data string) bool {
+	g.mu.Lock()
+	primary := g.primary
+	g.mu.Unlock()
+	return g.commit(primary, id, map[string]string{item: data})
+}
+
 // promote makes a member the primary of the next term; the others follow its log. It returns false for a member that is down.
 func (g *Group) promote(id string) bool {
 	g.mu.Lock()
