Limit what a cold upstream gets, and drop what served only tests

The gateway of an upstream spends the rate that the service allows a cold one, and other hosts send it nothing. Choice.Term is gone: nothing but tests read it, and the expectations on the chosen upstream stay.

--- a/host/controller/controller_test.go
+++ b/host/controller/controller_test.go
@@ -91,7 +91,7 @@
 }
 
 func local(c *controller.Controller, clock func() ident.Time) controller.Log {
-	return controller.NewLocal("c1", "c1:1", c.Machine(), clock)
+	return newSingleLog("c1", "c1:1", c.Machine(), clock)
 }
 
 func with(t *testing.T, secret string) context.Context {
--- a/host/controller/local.go
+++ b/host/controller/single_test.go
@@ -1,4 +1,4 @@
-package controller
+package controller_test
 
 import (
 	"context"
@@ -9,25 +9,26 @@
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/controller"
 )
 
-// Local is a control log of a single host that keeps nothing on disk and always leads.
-type Local struct {
+// singleLog is a control log of a single host that keeps nothing on disk and always leads.
+type singleLog struct {
 	mu      sync.Mutex
 	index   uint64
 	host    *fleetpb.Voter
-	machine *Machine
+	machine *controller.Machine
 	clock   func() ident.Time
 	since   ident.Time
 }
 
-// NewLocal returns a log that applies changes to machine; host and peer name its only member.
-func NewLocal(host ident.Host, peer string, machine *Machine, clock func() ident.Time) *Local {
-	return &Local{host: &fleetpb.Voter{Host: string(host), Peer: peer}, machine: machine, clock: clock, since: clock()}
+// newSingleLog returns a log that applies changes to machine; host and peer name its only member.
+func newSingleLog(host ident.Host, peer string, machine *controller.Machine, clock func() ident.Time) *singleLog {
+	return &singleLog{host: &fleetpb.Voter{Host: string(host), Peer: peer}, machine: machine, clock: clock, since: clock()}
 }
 
 // Propose applies a change at once.
-func (l *Local) Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error) {
+func (l *singleLog) Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -38,8 +39,8 @@
 }
 
 // Leadership says that this host leads.
-func (l *Local) Leadership() Leadership {
-	return Leadership{
+func (l *singleLog) Leadership() controller.Leadership {
+	return controller.Leadership{
 		Leader:    l.host.GetPeer(),
 		Host:      ident.Host(l.host.GetHost()),
 		Term:      1,
@@ -51,6 +52,6 @@
 }
 
 // Members returns the only member.
-func (l *Local) Members() *fleetpb.Voters {
+func (l *singleLog) Members() *fleetpb.Voters {
 	return &fleetpb.Voters{Voters: []*fleetpb.Voter{l.host}}
 }
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -259,7 +259,7 @@
 }
 
 func (p *fakeParts) Primary(_ context.Context, s ident.Service) (entry.Choice, error) {
-	return entry.Choice{Target: member.Target{Service: s, Upstream: "u1"}, Term: 1}, nil
+	return entry.Choice{Target: member.Target{Service: s, Upstream: "u1"}}, nil
 }
 
 func (p *fakeParts) Avoid(member.Target) {}
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -48,8 +48,6 @@
 type Choice struct {
 	Target  member.Target
 	Replica bool
-	// Term under which the upstream was primary when it was chosen; 0 for replicas.
-	Term ident.Term
 }
 
 // Quota counts requests against a team's rate and burst over the fleet.
--- a/host/routing/routing.go
+++ b/host/routing/routing.go
@@ -135,7 +135,7 @@
 		case route.ToReplica:
 			return entry.Choice{Target: member.Target{Service: service, Upstream: d.Upstream}, Replica: true}, nil
 		case route.ToPrimary:
-			return entry.Choice{Target: member.Target{Service: service, Upstream: d.Upstream}, Term: group.Term}, nil
+			return entry.Choice{Target: member.Target{Service: service, Upstream: d.Upstream}}, nil
 		case route.Reject:
 			return entry.Choice{}, trace.Wrap(sqlstate.New(sqlstate.NoPrimary, &rejectedError{service, d.Cause}))
 		case route.Wait:
--- a/host/routing/routing_test.go
+++ b/host/routing/routing_test.go
@@ -115,7 +115,7 @@
 	replica := func(name ident.Upstream) entry.Choice {
 		return entry.Choice{Target: target(name), Replica: true}
 	}
-	primary := entry.Choice{Target: target("o1"), Term: 2}
+	primary := entry.Choice{Target: target("o1")}
 	none := entry.Choice{}
 	tests := []struct {
 		name   string
@@ -185,7 +185,7 @@
 	case <-time.After(short):
 	}
 	w.set(report(3, "o3", 50, 50))
-	require.Equal(t, entry.Choice{Target: target("o3"), Term: 3}, <-chosen)
+	require.Equal(t, entry.Choice{Target: target("o3")}, <-chosen)
 }
 
 // Guards against a loop without a pause until the deadline after the caller has gone.
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -352,6 +352,15 @@
 	return list
 }
 
+// warmupLeft returns how much longer an upstream is cold, in whole seconds so that the directory rarely changes by it.
+func warmupLeft(a *fleetpb.Announcement) uint32 {
+	if a.GetWarmupMs() <= a.GetAgeMs() {
+		return 0
+	}
+	const second = 1000
+	return (a.GetWarmupMs() - a.GetAgeMs() + second - 1) / second * second
+}
+
 // view returns the directory for entry hosts and its digest.
 func (c *Core) view(now ident.Time) *fleetpb.Directory {
 	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
@@ -362,7 +371,7 @@
 		}
 		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
 			Upstream: a.GetUpstream(), Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(),
-			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(),
+			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(), WarmupMs: warmupLeft(a),
 		})
 	}
 	c.mu.Lock()
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -148,6 +148,9 @@
 		}
 		pool := t.pool(target, t.limit(target))
 		pool.SetCapacity(int(a.GetCapacity()))
+		if rate := t.coldRate(target); a.GetWarmupMs() > 0 && rate >= 0 {
+			pool.SetCold(steady.Now().Add(time.Duration(a.GetWarmupMs())*time.Millisecond), rate)
+		}
 		members[service] = append(members[service], &member{
 			pool:      pool,
 			leaving:   a.GetLeaving(),
@@ -179,6 +182,19 @@
 	return max(strayConnections, service.Connections-reservedConnections)
 }
 
+// coldRate returns how many statements a second this host may send to a cold upstream: the gateway sends all that the service
+// allows, other hosts none. It is negative where the service sets no limit.
+func (t *Table) coldRate(target upstream.Target) float64 {
+	service := t.Catalog().Service(target.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return -1
+	}
+	if gatewayOf(t.hosts, target) != t.self() {
+		return 0
+	}
+	return service.ColdRate
+}
+
 // self returns this host's entry in the directory, or nil.
 func (t *Table) self() *fleetpb.EntryHost {
 	for _, host := range t.hosts {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -86,6 +86,11 @@
 	p.room.setCapacity(capacity)
 }
 
+// SetCold limits the statements a second until a time, while the upstream warms up; a rate of 0 lets none run.
+func (p *Pool) SetCold(until ident.Time, rate float64) {
+	p.room.setCold(until, rate)
+}
+
 // Saw notes what the upstream's log holds.
 func (p *Pool) Saw(at ident.Time, position ident.Position) {
 	p.mu.Lock()
--- a/node/upstream/room.go
+++ b/node/upstream/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	spareStatements = 2
 	// defaultCapacity counts where an upstream does not say how many statements it runs at a time.
 	defaultCapacity = 2
+	// coldBurst is the part of a second's statements that a cold upstream may get at once.
+	coldBurst = 0.2
 	// roomPerTeam bounds the statements of a team that wait for an upstream on one host.
 	roomPerTeam = 256
 )
@@ -31,6 +34,11 @@
 	limit   int
 	running int
 	lines   []*urgency
+	// Until coldUntil the upstream gets coldRate statements a second; allowance is what is left, as of allowedAt.
+	coldUntil ident.Time
+	coldRate  float64
+	allowance float64
+	allowedAt ident.Time
 }
 
 // urgency holds the waiting statements of one priority.
@@ -58,6 +66,10 @@
 // wait for the connection that it holds.
 func (r *room) enter(ctx context.Context, team ident.Team, priority int, inside bool) error {
 	r.mu.Lock()
+	if !r.warm(now()) {
+		r.mu.Unlock()
+		return refusedRoom(errCold)
+	}
 	if inside || (r.running < r.limit && r.empty()) {
 		r.running++
 		r.mu.Unlock()
@@ -94,6 +106,33 @@
 	return <-granted
 }
 
+// errCold is the cause when a cold upstream has got what it may get in a second.
+var errCold = errors.New("the upstream is cold")
+
+// setCold limits the statements until a time; a rate of 0 lets none run.
+func (r *room) setCold(until ident.Time, rate float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.coldUntil == 0 || now() >= r.coldUntil {
+		r.allowance, r.allowedAt = 0, now()
+	}
+	r.coldUntil, r.coldRate = until, rate
+}
+
+// warm reports whether a statement may run as far as the warm-up goes, and counts it; the caller holds the lock.
+func (r *room) warm(at ident.Time) bool {
+	if at >= r.coldUntil {
+		return true
+	}
+	r.allowance = min(r.allowance+r.coldRate*at.Sub(r.allowedAt).Seconds(), max(1, r.coldRate*coldBurst))
+	r.allowedAt = at
+	if r.allowance < 1 {
+		return false
+	}
+	r.allowance--
+	return true
+}
+
 // statementWait bounds the wait of a statement without a deadline.
 const statementWait = time.Second
 
