--- a/fleet/sqlstate/sqlstate.go
+++ b/fleet/sqlstate/sqlstate.go
@@ -225,7 +225,7 @@
 	return nil
 }
 
-// Markdown returns the table as it stands in docs/operations.md.
+// Markdown returns the table as it stands in docs/OPERATIONS.md.
 func Markdown() string {
 	var b strings.Builder
 	b.WriteString("| reason | SQLSTATE | severity | statement | message | what to look at |\n|---|---|---|---|---|---|\n")
--- a/fleet/sqlstate/sqlstate_test.go
+++ b/fleet/sqlstate/sqlstate_test.go
@@ -28,13 +28,13 @@
 
 // Guards against an operations page that tells other codes than callers get.
 func TestOperationsPageHoldsTheTable(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	_, rest, found := strings.Cut(string(page), "<!-- sqlstate: start -->\n")
 	require.True(t, found)
 	table, _, found := strings.Cut(rest, "<!-- sqlstate: end -->")
 	require.True(t, found)
-	require.Equal(t, sqlstate.Markdown(), table, "copy the output of sqlstate.Markdown into docs/operations.md")
+	require.Equal(t, sqlstate.Markdown(), table, "copy the output of sqlstate.Markdown into docs/OPERATIONS.md")
 }
 
 // Guards against a cause that wrapping hides from explain.
--- a/load/scenario/clients_test.go
+++ b/load/scenario/clients_test.go
@@ -213,7 +213,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	require.Equal(t, "28000", code(err), "an open connection whose key was withdrawn (invariant 6)")
-	require.Equal(t, "28000", code(dial(good, withdrawn)), "a new connection with a withdrawn key (table in docs/operations.md)")
+	require.Equal(t, "28000", code(dial(good, withdrawn)), "a new connection with a withdrawn key (table in docs/OPERATIONS.md)")
 
 	require.Equal(t, "08P01", garbage(t, host.Caller, []byte("GET / HTTP/1.1\r\nHost: tamarack\r\n\r\n")))
 	oversized := binary.BigEndian.AppendUint32([]byte{'Q'}, 1<<30)
