--- a/node/main.go
+++ b/node/main.go
@@ -49,6 +49,10 @@
 		}
 		os.Exit(exitUsage)
 	}
+	if roles[opts.Args.Role] == nil {
+		fmt.Fprintf(os.Stderr, "tamarack-node: role %q is neither entry nor core\n", opts.Args.Role)
+		os.Exit(exitUsage)
+	}
 	if err := run(&opts); err != nil {
 		fmt.Fprintln(os.Stderr, "tamarack-node:", trace.UserMessage(err))
 		os.Exit(exitFailure)
@@ -63,6 +67,9 @@
 	shutdown(began time.Time)
 }
 
+// roles start the parts of a process.
+var roles = map[string]func(*settingsFile) (part, error){"entry": startEntry, "core": startCore}
+
 func run(opts *options) error {
 	path := string(opts.Settings)
 	if path == "" {
@@ -75,10 +82,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	start := map[string]func(*settingsFile) (part, error){"entry": startEntry, "core": startCore}[opts.Args.Role]
-	if start == nil {
-		return trace.BadParameter("role %q is neither entry nor core", opts.Args.Role)
-	}
 	if opts.Check {
 		fmt.Println(path, "is valid")
 		return nil
@@ -87,7 +90,7 @@
 	defer flush()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	running, err := start(file)
+	running, err := roles[opts.Args.Role](file)
 	if err != nil {
 		return trace.Wrap(err)
 	}
