Show callers' sessions as golden files, and tell a caller that rested what became of its transaction

A transaction that the host rolls back after tx_idle_ms failed with MALFORMED; the first request after it now gets ABORTED, a promise that is true. Tests for the gateway's calls and golden files for what callers see. The routing table is split by concern; parts that nothing used are gone; a core host that waits for the names of its seeds can be shut down.

--- a/node/core.go
+++ b/node/core.go
@@ -113,7 +113,10 @@
 
 // runOnce runs the host's part in the core until it ends, and returns why.
 func (p *corePart) runOnce(s *machine.Settings) error {
-	initial, founding := initialHosts(p.file, p.peers, s, p.folder, p.own)
+	initial, founding := p.initialHosts(s)
+	if err := p.background.context.Err(); err != nil {
+		return trace.Wrap(err)
+	}
 	running, err := core.New(core.Options{
 		Host: s.Host, Peer: p.own, Initial: initial, Founding: founding, Folder: p.folder, Peers: p.peers,
 		Seed: uint64(time.Now().UnixNano()), Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
@@ -147,34 +150,37 @@
 
 // initialHosts returns the hosts that found the log, which have to know each other's names; founding is false when the log
 // exists already, in which case the hosts are those that may know it.
-func initialHosts(file *settingsFile, peers *peer.Network, s *machine.Settings, folder, own string) (hosts []*fleetpb.ControlHost, founding bool) {
-	entries, err := os.ReadDir(folder)
-	founding = s.Founding && (err != nil || len(entries) == 0)
-	if !founding {
-		for _, seed := range file.seeds() {
+func (p *corePart) initialHosts(s *machine.Settings) (hosts []*fleetpb.ControlHost, founding bool) {
+	entries, err := os.ReadDir(p.folder)
+	if founding = s.Founding && (err != nil || len(entries) == 0); !founding {
+		for _, seed := range p.file.seeds() {
 			hosts = append(hosts, &fleetpb.ControlHost{Host: seed, Peer: seed})
 		}
 		return hosts, false
 	}
-	client := peers.Client(identifyTimeout)
-	for _, seed := range file.seeds() {
-		if seed == own {
-			hosts = append(hosts, &fleetpb.ControlHost{Host: string(s.Host), Peer: own})
-			continue
-		}
-		for {
-			answer, err := fleetpb.NewCoreProtobufClient(peers.URL(seed), client).Identify(context.Background(), &fleetpb.IdentifyRequest{})
-			if err == nil {
-				hosts = append(hosts, &fleetpb.ControlHost{Host: answer.GetHost(), Peer: answer.GetPeer()})
-				break
-			}
-			klog.V(1).InfoS("Seed not identified", "seed", seed, "reason", trace.UserMessage(err))
-			time.Sleep(identifyEvery)
-		}
+	for _, seed := range p.file.seeds() {
+		hosts = append(hosts, p.identify(s, seed))
 	}
 	return hosts, true
 }
 
+// identify asks a seed for its name until it answers or the host is shut down.
+func (p *corePart) identify(s *machine.Settings, seed string) *fleetpb.ControlHost {
+	if seed == p.own {
+		return &fleetpb.ControlHost{Host: string(s.Host), Peer: p.own}
+	}
+	client := fleetpb.NewCoreProtobufClient(p.peers.URL(seed), p.peers.Client(identifyTimeout))
+	for p.background.context.Err() == nil {
+		answer, err := client.Identify(p.background.context, &fleetpb.IdentifyRequest{})
+		if err == nil {
+			return &fleetpb.ControlHost{Host: answer.GetHost(), Peer: answer.GetPeer()}
+		}
+		klog.V(1).InfoS("Seed not identified", "seed", seed, "reason", trace.UserMessage(err))
+		time.Sleep(identifyEvery)
+	}
+	return &fleetpb.ControlHost{Host: seed, Peer: seed}
+}
+
 func (p *corePart) failed() <-chan struct{} { return p.ended }
 
 func (p *corePart) err() error { return nil }
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -66,6 +66,8 @@
 
 // handleFailed takes the end of a failed transaction and rejects everything else.
 func (s *session) handleFailed(query *wire.Query) error {
+	aborted := s.aborted
+	s.aborted = ""
 	switch query.Request.(type) {
 	case statement.Rollback:
 		s.state = statement.StateIdle
@@ -74,6 +76,9 @@
 		s.state = statement.StateIdle
 		return gone(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: "the transaction was rolled back"}))
 	}
+	if aborted != "" {
+		return gone(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: aborted}))
+	}
 	return gone(s.fail(query, malformed("the transaction has failed and can only be ended")))
 }
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -54,7 +54,6 @@
 	draining bool
 	// closing is set when sessions end as soon as they are idle.
 	closing atomic.Bool
-	wait    sync.WaitGroup
 }
 
 // New returns a server without sessions.
@@ -80,9 +79,7 @@
 		s.mu.Lock()
 		s.sessions[caller] = struct{}{}
 		s.mu.Unlock()
-		s.wait.Add(1)
 		go func() {
-			defer s.wait.Done()
 			caller.serve()
 			openCount.Dec()
 			s.mu.Lock()
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -54,6 +54,8 @@
 	// seen is, for each service, the position of the session's own last commit.
 	seen map[ident.Service]ident.Position
 	tx   *transaction
+	// aborted is why the host has rolled a transaction back while the caller rested; its next request is told so.
+	aborted string
 
 	// began is when the request under way was read, and trail what was tried for it.
 	began ident.Time
@@ -186,7 +188,7 @@
 		"reason", "it rested for too long", "limit", s.restLimit())
 	restEnded.Inc()
 	s.drop()
-	s.state = statement.StateFailed
+	s.state, s.aborted = statement.StateFailed, "the transaction rested for too long and was rolled back"
 	return true
 }
 
--- /dev/null
+++ b/node/entry/session_test.go
@@ -0,0 +1,182 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/node/entry"
+	"tamarackshunt.dev/node/routing"
+	"tamarackshunt.dev/standin/platform"
+)
+
+// tokens are what is left for each team.
+type tokens map[ident.Team]int
+
+// Take implements entry.Quota.
+func (t tokens) Take(_ context.Context, team ident.Team) error {
+	if t[team] == 0 {
+		return errors.New("none left")
+	}
+	t[team]--
+	return nil
+}
+
+// host is one entry host before a group of a primary and a replica.
+type host struct {
+	t         *testing.T
+	address   string
+	group     *platform.Group
+	primary   *platform.Upstream
+	replica   *platform.Upstream
+	table     *routing.Table
+	rest      time.Duration
+	directory *fleetpb.Directory
+}
+
+func newHost(t *testing.T, rest time.Duration) *host {
+	h := &host{t: t, group: platform.NewGroup("svc"), table: routing.New(routing.Options{Host: "h", Zone: "z"}), rest: rest}
+	start := func(id string) *platform.Upstream {
+		u, err := h.group.Start(platform.Options{ID: id, Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+		require.NoError(t, err)
+		t.Cleanup(u.Crash)
+		return u
+	}
+	h.primary, h.replica = start("i-1"), start("i-2")
+	h.configure(1, "key")
+	h.directory = &fleetpb.Directory{
+		Primaries: []*fleetpb.PrimaryView{{Service: "svc", Upstream: "i-1"}},
+		Upstreams: []*fleetpb.Announcement{
+			{Upstream: "i-1", Service: "svc", Address: h.primary.Address, Zone: "z", Capacity: 2},
+			{Upstream: "i-2", Service: "svc", Address: h.replica.Address, Zone: "z", Capacity: 2},
+		},
+	}
+	h.table.SetDirectory(h.directory)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	h.address = listener.Addr().String()
+	server := entry.New(entry.Options{Table: h.table, Quota: tokens{"team": 100}, Grace: time.Minute})
+	go func() { _ = server.Serve(listener) }()
+	return h
+}
+
+func (h *host) configure(version ident.Version, key string) {
+	route := func(name string, kind catalog.Kind) catalog.Route {
+		return catalog.Route{
+			Name: name, Database: ident.Route(name), Kind: kind, Timeout: 5 * time.Second, Objective: 4 * time.Second, Service: "svc",
+			Staleness: time.Minute,
+		}
+	}
+	c, err := catalog.New(catalog.Description{
+		Version: version, IdleTransaction: h.rest, Services: []catalog.Service{{Name: "svc", Connections: 20}},
+		Routes: []catalog.Route{route("primary", catalog.KindPrimary), route("session", catalog.KindSession), route("bounded", catalog.KindBounded)},
+		Teams:  []catalog.Team{{Name: "team", Keys: []string{key}}, {Name: "poor", Keys: []string{"poor"}}},
+	})
+	require.NoError(h.t, err)
+	h.table.SetCatalog(c)
+}
+
+// play sends lines, one after the answer to the other, and returns all that was said. A step that begins with "!" is done to
+// the world instead.
+func (h *host) play(connect string, steps ...string) string {
+	c, err := net.Dial("tcp", h.address)
+	require.NoError(h.t, err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	var said strings.Builder
+	send := func(line string) bool {
+		fmt.Fprintf(&said, "> %s\n", line)
+		_, err := fmt.Fprintf(c, "%s\r\n", line)
+		require.NoError(h.t, err)
+		for {
+			_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+			answer, err := in.ReadString('\n')
+			if err != nil {
+				said.WriteString("closed\n")
+				return false
+			}
+			answer = strings.TrimRight(answer, "\r\n")
+			fmt.Fprintf(&said, "< %s\n", answer)
+			if strings.HasPrefix(answer, "IDLE") {
+				return true
+			}
+		}
+	}
+	open := send("CONNECT " + connect)
+	for i, step := range steps {
+		if !open {
+			break
+		}
+		if what, found := strings.CutPrefix(step, "!"); found {
+			fmt.Fprintf(&said, "%s\n", what)
+			h.world(what)
+			continue
+		}
+		open = send(fmt.Sprintf("QUERY id%d %s", i, step))
+	}
+	return said.String()
+}
+
+func (h *host) world(what string) {
+	switch what {
+	case "replica is deaf":
+		h.replica.SetDeaf(true)
+	case "replica leads":
+		require.True(h.t, h.group.Promote("i-2"))
+	case "answer is lost":
+		h.primary.LoseAnswers(1)
+	case "key is withdrawn":
+		h.configure(2, "another")
+	case "caller rests":
+		require.Eventually(h.t, func() bool { return h.primary.OpenTransactions() == 0 }, 20*time.Second, time.Millisecond)
+	default:
+		h.t.Fatalf("unknown step %q", what)
+	}
+}
+
+// Each golden file is what a caller sees. They guard against answers that promise what is not so, requests that are answered
+// in the wrong state, sessions that lose their state, and reads of data that is too old.
+func TestSessions(t *testing.T) {
+	g := goldie.New(t)
+	for name, c := range map[string]struct {
+		connect string
+		rest    time.Duration
+		steps   []string
+	}{
+		"statements": {"session key", 0, []string{"STORE a 1", "FETCH a", "CONFIGURE lang sk", "FETCH a", "PARSE p FETCH q", "EXECUTE p a", "CLOSE p", "EXECUTE p a", "FETCH a"}},
+		"transaction": {"primary key", 0, []string{
+			"BEGIN", "STORE a 1", "STORE b 2", "COMMIT", "FETCH a", "BEGIN", "STORE a 9", "ROLLBACK", "FETCH a", "BEGIN FETCH", "FETCH b", "COMMIT",
+		}},
+		"wrong_state": {"primary key", 0, []string{
+			"COMMIT", "ROLLBACK", "BEGIN", "BEGIN", "FETCH a", "COMMIT", "FETCH a", "SINCE 1.1 FETCH a", "STATUS", "BEGIN", "NONSENSE", "ROLLBACK",
+		}},
+		"lost_write":        {"primary key", 0, []string{"STORE a 1", "!answer is lost", "STORE a 2", "FETCH a"}},
+		"lost_commit":       {"primary key", 0, []string{"BEGIN", "STORE a 1", "!answer is lost", "COMMIT", "FETCH a"}},
+		"lost_lead":         {"primary key", 0, []string{"BEGIN", "STORE a 1", "!replica leads", "STORE b 1", "COMMIT", "BEGIN"}},
+		"own_write":         {"session key", 0, []string{"STORE a 1", "!replica is deaf", "STORE a 2", "FETCH a", "BEGIN FETCH", "FETCH a", "COMMIT"}},
+		"key_withdrawn":     {"primary key", 0, []string{"FETCH a", "!key is withdrawn", "FETCH a", "BEGIN"}},
+		"rested":            {"primary key", 50 * time.Millisecond, []string{"BEGIN", "STORE a 1", "!caller rests", "STORE b 1", "COMMIT", "FETCH a"}},
+		"no_route":          {"nowhere key", 0, nil},
+		"wrong_key":         {"primary other", 0, nil},
+		"no_token":          {"primary poor", 0, []string{"STORE a 1", "BEGIN"}},
+		"empty_transaction": {"primary key", 0, []string{"BEGIN", "COMMIT", "BEGIN", "ROLLBACK"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, c.rest)
+			g.Assert(t, name, []byte(h.play(c.connect, c.steps...)))
+			require.Empty(t, h.group.Violations())
+		})
+	}
+}
--- /dev/null
+++ b/node/gateway/gateway_test.go
@@ -0,0 +1,105 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/node/gateway"
+	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/standin/platform"
+)
+
+const timeout = 20 * time.Second
+
+type pools map[ident.Upstream]*upstream.Pool
+
+// Pool implements gateway.Pools.
+func (p pools) Pool(_ ident.Service, id ident.Upstream) *upstream.Pool { return p[id] }
+
+// start returns a line to an upstream through a gateway, what stops the gateway, and the calls that it did not answer.
+func start(t *testing.T) (g *platform.Group, line func(id ident.Upstream) upstream.Line, stop func(), lost *int) {
+	g = platform.NewGroup("svc")
+	u, err := g.Start(platform.Options{ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+	require.NoError(t, err)
+	t.Cleanup(u.Crash)
+	target := upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}
+	server := httptest.NewServer(gateway.NewServer(pools{"i-1": upstream.NewPool(target, 1)}).Handler())
+	t.Cleanup(server.Close)
+	client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+	lost = new(int)
+	line = func(id ident.Upstream) upstream.Line {
+		target.Upstream = id
+		return client.Line(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { *lost++ })
+	}
+	return g, line, server.Close, lost
+}
+
+func bounded(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a transaction whose statements run on different connections, a connection that is kept after its end, and
+// outcomes that are changed on their way through the gateway.
+func TestLine(t *testing.T) {
+	g, line, stop, lost := start(t)
+	tx := line("i-1")
+	outcome, err := tx.Do(bounded(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+	require.NoError(t, err)
+	require.Equal(t, statement.StateTransaction, outcome.Result.State)
+	outcome, err = tx.Do(bounded(t), upstream.Use{ID: "2", Text: "COMMIT", Timeout: timeout})
+	require.NoError(t, err)
+	require.NotEmpty(t, outcome.Result.Signature)
+	_, runs := g.Items()
+	require.Equal(t, map[string]int{"2": 1}, runs)
+
+	rolled := line("i-1")
+	_, err = rolled.Do(bounded(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "3", Text: "STORE a 9", Timeout: timeout, Keep: true})
+	require.NoError(t, err)
+	rolled.Close()
+	// The only connection of the pool comes back, outside of any transaction.
+	outcome, err = line("i-1").Do(bounded(t), upstream.Use{
+		Values: map[string]string{"k": "v"}, Prepared: &statement.Prepared{Shape: "q"}, ID: "4", Text: "a", Timeout: timeout,
+	})
+	require.NoError(t, err)
+	require.Equal(t, []string{"1 team map[k:v]"}, outcome.Result.Rows)
+	require.Equal(t, statement.StateIdle, outcome.Result.State)
+
+	var unreachable *upstream.UnreachableError
+	outcome, err = line("i-2").Do(bounded(t), upstream.Use{ID: "5", Text: "FETCH a", Timeout: timeout})
+	require.ErrorAs(t, err, &unreachable, "the gateway does not know the upstream")
+	require.False(t, outcome.Ran)
+
+	failed := *lost
+	stop()
+	outcome, err = line("i-1").Do(bounded(t), upstream.Use{ID: "6", Text: "STORE a 2", Timeout: timeout})
+	require.ErrorAs(t, err, &unreachable, "a gateway that was not reached has run nothing")
+	require.False(t, outcome.Ran)
+	require.Equal(t, failed+1, *lost)
+}
+
+// Guards against a write that may have run and is told as not run when the gateway breaks off.
+func TestGatewayBreaksOff(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		hijacked, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = hijacked.Close()
+		}
+	}))
+	defer server.Close()
+	client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+	line := client.Line(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+	outcome, err := line.Do(bounded(t), upstream.Use{ID: "1", Text: "STORE a 1", Timeout: timeout})
+	var broken *upstream.BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.True(t, outcome.Ran)
+}
--- /dev/null
+++ b/node/routing/candidates.go
@@ -0,0 +1,62 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+// Costs that order the upstreams for a read, in milliseconds of waiting that they stand for.
+const (
+	costZone   = 3
+	costRegion = 24
+	costBusy   = 10
+	costAvoid  = 1000
+)
+
+// Candidate is an upstream that may run a statement.
+type Candidate struct {
+	Pool *upstream.Pool
+	cost int
+}
+
+// Candidates returns the upstreams that may run reads of a route for a team on a log that holds a position, the best first.
+func (t *Table) Candidates(route *catalog.Route, team *catalog.Team, since ident.Position) []Candidate {
+	now := steady.Now()
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	g := t.groups[route.Service]
+	if g == nil {
+		return nil
+	}
+	list := make([]Candidate, 0, len(g.members))
+	for _, m := range g.members {
+		target := m.pool.Target()
+		if m.leaving || m.evacuated || !t.Catalog().Allows(route, team, target.Region) || m.pool.Lacks(now, since) {
+			continue
+		}
+		list = append(list, Candidate{Pool: m.pool, cost: t.cost(m.pool, now)})
+	}
+	slices.SortStableFunc(list, func(x, y Candidate) int { return cmp.Compare(x.cost, y.cost) })
+	return list
+}
+
+func (t *Table) cost(pool *upstream.Pool, now ident.Time) int {
+	target, load := pool.Target(), pool.Load(now)
+	cost := load.Busy * costBusy
+	switch {
+	case target.Zone == t.options.Zone:
+	case target.Region == t.options.Region:
+		cost += costZone
+	default:
+		cost += costRegion
+	}
+	if load.Avoid {
+		cost += costAvoid
+	}
+	return cost
+}
--- /dev/null
+++ b/node/routing/positions.go
@@ -0,0 +1,105 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+// probeTimeout bounds the question for a primary's position.
+const probeTimeout = 1500 * time.Millisecond
+
+// Learn takes a position from an answer that proves its upstream to have been the primary; asOf is before the question
+// was sent.
+func (t *Table) Learn(service ident.Service, position ident.Position, asOf ident.Time) {
+	if g := t.group(service); g != nil && position != (ident.Position{}) {
+		g.cover.Learn(position, asOf)
+	}
+}
+
+// NoPositionError reports that no position is known that is new enough for a read.
+type NoPositionError struct{ Cause error }
+
+// Error implements error.
+func (e *NoPositionError) Error() string {
+	return "no recent position of the primary: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoPositionError) Unwrap() error { return e.Cause }
+
+// Since returns a position that holds everything acknowledged before a time, and asks the primary for one when none is
+// known. It asks ahead of need when the known ones get old, so that reads rarely wait.
+func (t *Table) Since(ctx context.Context, route *catalog.Route, team *catalog.Team, at ident.Time) (ident.Position, error) {
+	g := t.group(route.Service)
+	if g == nil {
+		return ident.Position{}, &NoPositionError{errors.New("the service has no upstreams")}
+	}
+	position, found := g.cover.Since(at)
+	if latest, _ := g.cover.Latest(); found && latest >= at.Add(route.Staleness/2) {
+		return position, nil
+	}
+	done := t.probe(g, route, team)
+	if found {
+		return position, nil
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return ident.Position{}, &NoPositionError{ctx.Err()}
+	}
+	if position, found := g.cover.Since(at); found {
+		return position, nil
+	}
+	return ident.Position{}, &NoPositionError{errors.New("the primary did not answer")}
+}
+
+// probe asks the primary for its position; reads that need it at the same time share the question.
+func (t *Table) probe(g *group, route *catalog.Route, team *catalog.Team) <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.probing != nil {
+		return g.probing
+	}
+	done := make(chan struct{})
+	g.probing = done
+	go func() {
+		defer func() {
+			g.mu.Lock()
+			g.probing = nil
+			g.mu.Unlock()
+			close(done)
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		pool := t.Primary(route, team)
+		if pool == nil {
+			t.Suspect()
+			return
+		}
+		var name ident.Team
+		if team != nil {
+			name = team.Name
+		}
+		if err := t.ask(ctx, pool, name); err != nil {
+			t.Suspect()
+		}
+	}()
+	return done
+}
+
+// ask opens a transaction, which only a primary does, and so learns a position that holds everything acknowledged before.
+func (t *Table) ask(ctx context.Context, pool *upstream.Pool, team ident.Team) error {
+	asOf := steady.Now()
+	outcome, err := t.Line(pool, team, 0).Do(ctx, upstream.Use{Opening: upstream.OpenPrimary})
+	if err != nil {
+		return err
+	}
+	t.Learn(pool.Target().Service, outcome.Opened, asOf)
+	return nil
+}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -154,15 +154,10 @@
 	return c.own(wire.TextSince(since, wire.TextBeginRead))
 }
 
-// Session is the state that a caller has given to its session.
-type Session struct {
-	Values map[string]string
-}
-
-// Prepare brings the connection into a session's state; definition, when it is not nil, is the prepared statement that will
+// Prepare leaves exactly a session's values in force; definition, when it is not nil, is the prepared statement that will
 // be executed, whose name on this connection is returned. After an error nothing of the caller's may run on the connection.
-func (c *Conn) Prepare(session Session, definition *statement.Prepared) (string, error) {
-	if err := c.takeValues(session.Values); err != nil {
+func (c *Conn) Prepare(values map[string]string, definition *statement.Prepared) (string, error) {
+	if err := c.takeValues(values); err != nil {
 		c.broken = true
 		return "", err
 	}
@@ -176,7 +171,7 @@
 		if err := c.discard(); err != nil {
 			return "", err
 		}
-		return c.Prepare(session, definition)
+		return c.Prepare(values, definition)
 	}
 	name := nameOf(*definition)
 	if _, err := c.own(wire.TextPrepare(name, *definition)); err != nil {
--- a/node/upstream/line.go
+++ b/node/upstream/line.go
@@ -118,7 +118,7 @@
 	var outcome Outcome
 	c := d.conn
 	inside := c.state == statement.StateTransaction
-	name, err := c.Prepare(Session{Values: use.Values}, use.Prepared)
+	name, err := c.Prepare(use.Values, use.Prepared)
 	if err != nil {
 		return outcome, err
 	}
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,9 @@
 	seq         int
 	born        int64
 
+	// open counts the transactions that are open.
+	open atomic.Int64
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	// loseAnswers is the number of answers to writes still to be lost.
@@ -102,6 +106,9 @@
 	u.loseAnswers = n
 }
 
+// OpenTransactions returns the number of transactions that are open.
+func (u *Upstream) OpenTransactions() int { return int(u.open.Load()) }
+
 func (u *Upstream) lose() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -138,6 +145,7 @@
 		go func() {
 			s := &session{up: u, out: c, in: bufio.NewReader(c), values: map[string]string{}, prepared: map[string]string{}, full: full}
 			s.run()
+			s.end()
 			_ = c.Close()
 			u.mu.Lock()
 			delete(u.conns, c)
@@ -160,6 +168,14 @@
 	stored   map[string]string
 }
 
+// end leaves a transaction, if there is one.
+func (s *session) end() {
+	if s.state == "T" || s.state == "E" {
+		s.up.open.Add(-1)
+	}
+	s.state = "I"
+}
+
 func (s *session) say(format string, arguments ...any) {
 	_, _ = fmt.Fprintf(s.out, format+"\r\n", arguments...)
 }
@@ -232,10 +248,12 @@
 		if s.plain && !s.up.group.leads(s.up) {
 			return s.fail("READONLY")
 		}
+		s.end()
+		s.up.open.Add(1)
 		s.state, s.stored = "T", map[string]string{}
 		return s.done()
 	case "ROLLBACK":
-		s.state = "I"
+		s.end()
 		return s.done()
 	case "CONFIGURE":
 		name, value, _ := strings.Cut(rest, " ")
@@ -316,7 +334,7 @@
 	case "STORE":
 		return s.store(id, rest)
 	case "COMMIT":
-		s.state = "I"
+		s.end()
 		if len(s.stored) > 0 && !s.up.group.commit(s.up, id, s.stored) {
 			return s.fail("READONLY")
 		}
