Make one piece of what the change wrote twice, and drop state that nothing read

Found by reading the whole change again; no behaviour is meant to differ. - Four waits for a time or the end of a context are steady.Wait. - A failed statement of a transaction has one verdict in place of three functions that each decided half of it; the golden sessions are unchanged. - Single reads decide in one place which failures other upstreams would repeat. - The time of a request is read from the session instead of passed along. - The calls to other core hosts have one client; an order refused by the platform is its RefusedError instead of a method found by an interface. - Nothing read the failures in PrimaryReport, groups.since, Member.Born and steady.Until. - The leader gave the lender the same limits five times a second; it now does so when the configuration has changed. All tests of node/, platform/ and the touched fleet packages pass.

--- a/fleet/steady/steady.go
+++ b/fleet/steady/steady.go
@@ -1,6 +1,7 @@
 package steady
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,7 +20,14 @@
 	return ident.Time(t.Nano())
 }
 
-// Until returns the duration from now to a time.
-func Until(at ident.Time) time.Duration {
-	return at.Sub(Now())
+// Wait returns nil after a duration, or the error of ctx when that ends first.
+func Wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -39,8 +39,6 @@
 	Leaving bool
 	// Heard is when its last announcement arrived.
 	Heard ident.Time
-	// Born tells its starts apart.
-	Born int64
 }
 
 // Judge follows one service. It is not safe for concurrent use.
--- a/node/core.go
+++ b/node/core.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/store"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/core"
@@ -104,10 +105,8 @@
 				klog.ErrorS(err, "Data folder not cleared", "folder", p.folder)
 			}
 		}
-		select {
-		case <-time.After(restartPause):
-		case <-p.background.context.Done():
-		}
+		// The loop's condition ends it when the wait was cut short.
+		_ = steady.Wait(p.background.context, restartPause)
 	}
 }
 
@@ -176,7 +175,7 @@
 			return &fleetpb.ControlHost{Host: answer.GetHost(), Peer: answer.GetPeer()}
 		}
 		klog.V(1).InfoS("Seed not identified", "seed", seed, "reason", trace.UserMessage(err))
-		time.Sleep(identifyEvery)
+		_ = steady.Wait(p.background.context, identifyEvery)
 	}
 	return &fleetpb.ControlHost{Host: seed, Peer: seed}
 }
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -79,6 +79,9 @@
 	mu sync.Mutex
 	// hosts are the entry hosts that ask this leader.
 	hosts map[ident.Host]*entryHost
+
+	// limited is the configuration whose limits the lender has; it belongs to Run.
+	limited *catalog.Catalog
 }
 
 type entryHost struct {
@@ -137,6 +140,11 @@
 	return c.replica.Close(ctx)
 }
 
+// peer returns the client of another core host.
+func (c *Core) peer(address string) fleetpb.Core {
+	return fleetpb.NewCoreProtobufClient(c.options.Peers.URL(address), c.client)
+}
+
 // leads reports whether this host leads for certain.
 func (c *Core) leads() bool {
 	return c.replica.Leadership().Confirmed
@@ -188,9 +196,10 @@
 // setLimits brings the teams' limits to the owner of their tokens.
 func (c *Core) setLimits() {
 	parsed := c.state.parsed()
-	if parsed == nil {
+	if parsed == c.limited {
 		return
 	}
+	c.limited = parsed
 	text := &fleetpb.Text{}
 	for _, team := range parsed.Teams {
 		text.Teams = append(text.Teams, &fleetpb.Team{Name: string(team.Name), Rate: team.Rule.Rate, Burst: team.Rule.Burst})
@@ -253,7 +262,7 @@
 		if leader == "" {
 			err = errNotLeader
 		} else {
-			response, err = fleetpb.NewCoreProtobufClient(c.options.Peers.URL(leader), c.client).Order(ctx, request)
+			response, err = c.peer(leader).Order(ctx, request)
 			if err == nil && !response.GetDone() {
 				err = errNotLeader
 			}
@@ -333,7 +342,7 @@
 	if leadership.Leader == "" || leadership.Leader == c.options.Peer {
 		return &NoLeaderError{errNotLeader}
 	}
-	result, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(leadership.Leader), c.client).PassOn(ctx, batch)
+	result, err := c.peer(leadership.Leader).PassOn(ctx, batch)
 	if err != nil {
 		return &NoLeaderError{err}
 	}
@@ -347,8 +356,8 @@
 func (c *Core) passOn(member string, batch *fleetpb.AnnounceBatch) {
 	ctx, cancel := context.WithTimeout(context.Background(), passTimeout)
 	defer cancel()
-	if _, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(member), c.client).PassOn(ctx, batch); err != nil {
-		klog.V(1).InfoS("Announcement not passed on", "member", member, "reason", trace.UserMessage(err))
+	if _, err := c.peer(member).PassOn(ctx, batch); err != nil {
+		klog.V(1).InfoS("Announcement not passed on", "member", member, "problem", problem(err))
 	}
 }
 
@@ -377,7 +386,7 @@
 	return (a.GetWarmupMs() - a.GetAgeMs() + second - 1) / second * second
 }
 
-// view returns the directory for entry hosts and its digest.
+// view returns the directory for entry hosts.
 func (c *Core) view(now ident.Time) *fleetpb.Directory {
 	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
 	parsed := c.state.parsed()
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -22,18 +22,15 @@
 
 	mu   sync.Mutex
 	list map[ident.Service]*group
-	// since is when this host began to lead, 0 while it does not.
-	since ident.Time
 }
 
 // group is one service as the leader sees it.
 type group struct {
 	service ident.Service
 	judge   *takeover.Judge
-	// busy is set while a promotion or a question to the primary is under way.
-	promoting bool
-	probing   bool
-	pool      *upstream.Pool
+	// promoting and probing are set while a promotion or a question to the primary is under way.
+	promoting, probing bool
+	pool               *upstream.Pool
 }
 
 func newGroups(core *Core) *groups {
@@ -74,13 +71,9 @@
 	defer g.mu.Unlock()
 	if !leads {
 		// A promotion that is under way ends at its next step, which asks the log.
-		g.since = 0
 		g.list = map[ident.Service]*group{}
 		return
 	}
-	if g.since == 0 {
-		g.since = now
-	}
 	parsed := g.core.state.parsed()
 	if parsed == nil {
 		return
@@ -95,7 +88,6 @@
 			Primary:  a.GetPrimary(),
 			Leaving:  a.GetLeaving() || slices.Contains(evacuated, a.GetZone()),
 			Heard:    now.Add(-time.Duration(a.GetAgeMs()) * time.Millisecond),
-			Born:     a.GetBorn(),
 		})
 		targets[ident.Upstream(a.GetUpstream())] = upstream.Target{
 			Service: service, Upstream: ident.Upstream(a.GetUpstream()), Address: a.GetAddress(), Zone: ident.Zone(a.GetZone()), Born: a.GetBorn(),
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -21,20 +21,19 @@
 
 // enroll asks the leader to admit this host while it is not a member of the core.
 func (c *Core) enroll(ctx context.Context) {
-	voters := c.replica.Members()
-	if voters != nil {
+	if c.options.Founding || c.replica.Members() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	request := &fleetpb.JoinRequest{Host: string(c.options.Host), Peer: c.options.Peer}
 	for _, address := range c.options.Seeds() {
-		if address == c.options.Peer || c.options.Founding {
+		if address == c.options.Peer {
 			continue
 		}
-		response, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(address), c.client).Enroll(ctx, request)
+		response, err := c.peer(address).Enroll(ctx, request)
 		if err == nil && !response.GetDone() && response.GetLeader() != "" {
-			response, err = fleetpb.NewCoreProtobufClient(c.options.Peers.URL(response.GetLeader()), c.client).Enroll(ctx, request)
+			response, err = c.peer(response.GetLeader()).Enroll(ctx, request)
 		}
 		if err == nil && response.GetDone() {
 			return
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -16,6 +16,7 @@
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/takeover"
 	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/api"
 	"tamarackshunt.dev/platform/wire"
 )
 
@@ -63,7 +64,7 @@
 	if !ok {
 		promotionFails.Inc()
 		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(positions), "candidates", len(p.decision.Candidates))
-		p.finish("", false)
+		p.finish("")
 		return
 	}
 	err := p.order(ctx, successor)
@@ -71,21 +72,22 @@
 		"took", steady.Now().Sub(start), "problem", problem(err))
 	if err != nil {
 		promotionFails.Inc()
-		p.finish("", false)
+		p.finish("")
 		return
 	}
 	promotions.Inc()
-	p.finish(successor, true)
+	p.finish(successor)
 }
 
-func (p *promotion) finish(successor ident.Upstream, done bool) {
+// finish tells the judge which upstream was promoted, or that none was.
+func (p *promotion) finish(successor ident.Upstream) {
 	p.groups.mu.Lock()
 	defer p.groups.mu.Unlock()
-	if done {
-		p.group.judge.Promoted(steady.Now(), successor)
+	if successor == "" {
+		p.group.judge.NotPromoted(steady.Now())
 		return
 	}
-	p.group.judge.NotPromoted(steady.Now())
+	p.group.judge.Promoted(steady.Now(), successor)
 }
 
 // order has the platform promote the successor. Each order has a token of its own, so that an earlier one whose answer was
@@ -102,19 +104,14 @@
 		last = core.options.Promoter.Promote(call, p.group.service, successor, token)
 		cancel()
 		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(last))
-		if last == nil || refusedByPlatform(last) {
+		var refused *api.RefusedError
+		if last == nil || errors.As(last, &refused) {
 			return last
 		}
 	}
 	return last
 }
 
-// refusedByPlatform reports an order that was answered and not carried out.
-func refusedByPlatform(err error) bool {
-	var refused interface{ Refused() bool }
-	return errors.As(err, &refused) && refused.Refused()
-}
-
 // reserve returns a token that is higher than all before, which only a leader gets.
 func (p *promotion) reserve(ctx context.Context, successor ident.Upstream) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
@@ -206,9 +203,7 @@
 		case result.Failure.Code != statement.CodeBusy:
 			return wire.Status{}, result.Failure
 		}
-		select {
-		case <-time.After(statusPause):
-		case <-ctx.Done():
+		if steady.Wait(ctx, statusPause) != nil {
 			return wire.Status{}, result.Failure
 		}
 	}
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -24,13 +24,13 @@
 }
 
 // handle answers a request; an error ends the session.
-func (s *session) handle(query *wire.Query, began ident.Time) error {
+func (s *session) handle(query *wire.Query) error {
 	if s.state == statement.StateFailed {
 		return s.handleFailed(query)
 	}
 	switch request := query.Request.(type) {
 	case statement.Begin:
-		return s.handleBegin(query, request, began)
+		return s.handleBegin(query, request)
 	case statement.Commit:
 		return s.handleCommit(query)
 	case statement.Rollback:
@@ -51,15 +51,15 @@
 		delete(s.prepared, request.Name)
 		return s.caller.Done(s.state)
 	case statement.Read:
-		return s.handleStatement(query, work{text: request.Text}, began)
+		return s.handleStatement(query, work{text: request.Text})
 	case statement.Write:
-		return s.handleStatement(query, work{text: request.Text, writes: true}, began)
+		return s.handleStatement(query, work{text: request.Text, writes: true})
 	case statement.Execute:
 		definition, found := s.prepared[request.Name]
 		if !found {
 			return gone(s.fail(query, &statement.Failure{Code: statement.CodeUnknown, Text: "no statement has this name"}))
 		}
-		return s.handleStatement(query, work{text: request.Arguments, definition: &definition, writes: definition.Writes}, began)
+		return s.handleStatement(query, work{text: request.Arguments, definition: &definition, writes: definition.Writes})
 	}
 	return gone(s.fail(query, malformed("this is not a request")))
 }
@@ -82,11 +82,11 @@
 	return gone(s.fail(query, malformed("the transaction has failed and can only be ended")))
 }
 
-func (s *session) handleBegin(query *wire.Query, request statement.Begin, began ident.Time) error {
+func (s *session) handleBegin(query *wire.Query, request statement.Begin) error {
 	if s.state != statement.StateIdle {
 		return gone(s.fail(query, malformed("there is a transaction already")))
 	}
-	o, failure := s.begin(query.ID, began)
+	o, failure := s.begin(query.ID)
 	if failure != nil {
 		return gone(s.fail(query, failure))
 	}
@@ -95,22 +95,20 @@
 	return s.caller.Done(s.state)
 }
 
-func (s *session) handleStatement(query *wire.Query, w work, began ident.Time) error {
+func (s *session) handleStatement(query *wire.Query, w work) error {
 	w.id = query.ID
 	if s.state == statement.StateTransaction {
 		return s.handleInside(query, w)
 	}
-	o, failure := s.begin(query.ID, began)
+	o, failure := s.begin(query.ID)
 	if failure != nil {
 		return gone(s.fail(query, failure))
 	}
-	var result statement.Result
-	switch {
-	case w.writes:
-		result, failure = s.write(o, w)
-	default:
-		result, failure = s.readOnce(o, w)
+	run := s.readOnce
+	if w.writes {
+		run = s.write
 	}
+	result, failure := run(o, w)
 	if failure != nil {
 		return gone(s.fail(query, failure))
 	}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -42,14 +42,7 @@
 
 // pauseOrEnd waits before the next round of tries; false says that the time is up.
 func pauseOrEnd(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return steady.Wait(ctx, retryPause) == nil
 }
 
 // left returns the time until the end of ctx, at most limit.
@@ -87,8 +80,7 @@
 				if err == nil {
 					return result, nil
 				}
-				var failure *statement.Failure
-				if errors.As(err, &failure) && (failure.Code == statement.CodeFailed || failure.Code == statement.CodeTimeout) {
+				if failure := ranInVain(err); failure != nil {
 					return result, failure
 				}
 				last = err
@@ -107,6 +99,15 @@
 	}
 }
 
+// ranInVain returns the failure of a statement that ran, which another upstream would not answer otherwise, or nil.
+func ranInVain(err error) *statement.Failure {
+	var failure *statement.Failure
+	if errors.As(err, &failure) && (failure.Code == statement.CodeFailed || failure.Code == statement.CodeTimeout) {
+		return failure
+	}
+	return nil
+}
+
 func lagsEverywhere(last error) bool {
 	var failure *statement.Failure
 	return errors.As(last, &failure) && failure.Code == statement.CodeLagging
@@ -148,8 +149,7 @@
 		if err == nil {
 			return result, nil
 		}
-		var failure *statement.Failure
-		if errors.As(err, &failure) && (failure.Code == statement.CodeFailed || failure.Code == statement.CodeTimeout) {
+		if failure := ranInVain(err); failure != nil {
 			return result, failure
 		}
 		last = err
@@ -251,16 +251,12 @@
 	return s.step(ctx, use, w.writes)
 }
 
-// commit passes the caller's commit on; its outcome is unknown when the answer is lost and something was written.
+// commit passes the caller's commit on.
 func (s *session) commit(query *wire.Query) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.context(s.tx.route)
 	defer cancel()
 	use := s.use(&work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
-	result, failure := s.step(ctx, use, false)
-	if failure != nil && s.tx.wrote && !failure.Code.Promises() {
-		return result, &statement.Failure{Code: statement.CodeInDoubt, Text: failure.Text}
-	}
-	return result, failure
+	return s.step(ctx, use, false)
 }
 
 // step runs one statement of a transaction. After a failure the transaction has no line and is rolled back.
@@ -270,7 +266,8 @@
 		asOf := steady.Now()
 		outcome, err := s.stepOn(ctx, use, writes)
 		if err != nil {
-			return outcome.Result, s.lost(err, use, outcome.Ran)
+			s.tx.line = nil
+			return outcome.Result, s.verdict(err, use, outcome.Ran)
 		}
 		failure := outcome.Result.Failure
 		if failure == nil {
@@ -282,7 +279,7 @@
 		if failure.Code == statement.CodeBusy && use.Keep && outcome.Result.State == statement.StateTransaction && pauseOrEnd(ctx) {
 			continue
 		}
-		return outcome.Result, s.failed(failure, use)
+		return outcome.Result, s.verdict(failure, use, true)
 	}
 }
 
@@ -296,29 +293,24 @@
 	return s.first(ctx, use, writes)
 }
 
-// lost is the answer when the line of a transaction was lost: the upstream rolls it back, unless the statement was its commit.
-func (s *session) lost(err error, use upstream.Use, ran bool) *statement.Failure {
-	s.tx.line = nil
-	var failure *statement.Failure
-	if errors.As(err, &failure) && failure.Code.Promises() {
-		return failure
-	}
-	if !use.Keep && ran && s.tx.wrote {
-		return &statement.Failure{Code: statement.CodeInDoubt, Text: err.Error()}
-	}
-	return &statement.Failure{Code: statement.CodeAborted, Text: err.Error()}
-}
-
-// failed is the answer to a statement that its upstream refused inside a transaction, which is rolled back. A failure that
-// is not known here is told as the end of the transaction, or as an unknown outcome of a commit.
-func (s *session) failed(failure *statement.Failure, use upstream.Use) *statement.Failure {
-	if failure.Code != statement.CodeNone {
-		return failure
+// verdict is the answer to a statement that failed inside a transaction, which the upstream rolls back: nothing of it is kept,
+// unless the statement was a commit of writes and may have run. The upstream's own words are passed on where they are known.
+func (s *session) verdict(err error, use upstream.Use, ran bool) *statement.Failure {
+	text := err.Error()
+	var told *statement.Failure
+	if errors.As(err, &told) && ran {
+		text = told.Text
 	}
-	if !use.Keep && s.tx.wrote {
-		return &statement.Failure{Code: statement.CodeInDoubt, Text: failure.Text}
+	commits := !use.Keep
+	switch {
+	case told != nil && told.Code.Promises():
+		return told
+	case commits && ran && s.tx.wrote:
+		return &statement.Failure{Code: statement.CodeInDoubt, Text: text}
+	case told != nil && ran && told.Code != statement.CodeNone:
+		return told
 	}
-	return &statement.Failure{Code: statement.CodeAborted, Text: failure.Text}
+	return &statement.Failure{Code: statement.CodeAborted, Text: text}
 }
 
 // first gives a transaction its upstream and runs its first statement there. As long as the statement cannot have run, it is
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -51,9 +51,8 @@
 	options  Options
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	draining bool
-	// closing is set when sessions end as soon as they are idle.
-	closing atomic.Bool
+	// draining is set by a shutdown, closing when sessions end as soon as they are idle.
+	draining, closing atomic.Bool
 }
 
 // New returns a server without sessions.
@@ -91,17 +90,13 @@
 
 // Draining reports whether a shutdown has begun.
 func (s *Server) Draining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
+	return s.draining.Load()
 }
 
 // Shutdown serves on until the load balancer has noticed, takes no session after that, ends idle sessions, gives open
 // transactions half of the grace and statements that run the rest.
 func (s *Server) Shutdown(began time.Time, listener net.Listener) {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+	s.draining.Store(true)
 	half := began.Add(s.options.Grace / 2)
 	last := began.Add(s.options.Grace - closeMargin)
 	time.Sleep(time.Until(began.Add(min(noticeTime, s.options.Grace/2))))
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -145,9 +145,9 @@
 	}
 	s.began, s.trail = steady.Now(), s.trail[:0]
 	if query.Request == nil {
-		return s.fail(&query, &statement.Failure{Code: statement.CodeMalformed, Text: "this is not a request"})
+		return s.fail(&query, malformed("this is not a request"))
 	}
-	if s.handle(&query, s.began) != nil {
+	if s.handle(&query) != nil {
 		return false
 	}
 	return s.state != statement.StateIdle || !s.server.closing.Load()
@@ -218,12 +218,12 @@
 }
 
 // begin admits an operation and spends a token of its team.
-func (s *session) begin(id string, began ident.Time) (*operation, *statement.Failure) {
+func (s *session) begin(id string) (*operation, *statement.Failure) {
 	o, failure := s.admit()
 	if failure != nil {
 		return nil, failure
 	}
-	o.id, o.began = id, began
+	o.id, o.began = id, s.began
 	if o.team == nil {
 		return o, nil
 	}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -131,9 +131,7 @@
 		case <-ctx.Done():
 			return
 		case <-l.options.Table.Suspected():
-			select {
-			case <-time.After(hurryEvery):
-			case <-ctx.Done():
+			if steady.Wait(ctx, hurryEvery) != nil {
 				return
 			}
 		case <-l.wake:
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -240,8 +240,8 @@
 			if target.Upstream != g.primary {
 				continue
 			}
-			answered, failures := m.pool.Contact()
-			report := &fleetpb.PrimaryReport{Service: string(service), Upstream: string(target.Upstream), Failures: uint32(failures)}
+			answered := m.pool.Contact()
+			report := &fleetpb.PrimaryReport{Service: string(service), Upstream: string(target.Upstream)}
 			if answered != 0 {
 				age := uint32(max(0, now.Sub(answered)/time.Millisecond))
 				report.AnsweredMs = &age
--- a/node/upstream/line.go
+++ b/node/upstream/line.go
@@ -6,6 +6,7 @@
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/platform/wire"
 )
 
@@ -85,12 +86,12 @@
 	outcome, err := d.use(ctx, &use)
 	if err != nil {
 		if d.conn.broken {
-			d.pool.Failed(now())
+			d.pool.Failed(steady.Now())
 		}
 		d.Close()
 		return outcome, err
 	}
-	d.pool.Answered(now())
+	d.pool.Answered(steady.Now())
 	if !use.Keep {
 		conn := d.conn
 		d.conn = nil
@@ -145,8 +146,8 @@
 	if err := d.pool.room.enter(ctx, d.team, d.priority, inside); err != nil {
 		return outcome, err
 	}
-	began := now()
-	defer func() { d.pool.room.leave(d.priority, now().Sub(began)) }()
+	began := steady.Now()
+	defer func() { d.pool.room.leave(d.priority, steady.Now().Sub(began)) }()
 	outcome.Ran = true
 	outcome.Result, err = c.Run(use.ID, wire.TextSince(since, text), use.Timeout)
 	return outcome, err
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -49,10 +49,9 @@
 	closed  bool
 	// entered counts the statements under way on lines of this host.
 	entered int
-	// avoidUntil, answered and failures are what recent statements tell about the upstream.
+	// avoidUntil and answered are what recent statements tell about the upstream.
 	avoidUntil ident.Time
 	answered   ident.Time
-	failures   int
 	// position is what the upstream's log was last seen to hold, at seen.
 	position ident.Position
 	seen     ident.Time
@@ -141,25 +140,24 @@
 	p.entered--
 }
 
-// Contact returns when the upstream last answered, 0 for never, and the failures since.
-func (p *Pool) Contact() (ident.Time, int) {
+// Contact returns when the upstream last answered, 0 for never.
+func (p *Pool) Contact() ident.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.answered, p.failures
+	return p.answered
 }
 
 // Answered notes a complete answer of the upstream.
 func (p *Pool) Answered(now ident.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.answered, p.failures, p.avoidUntil = now, 0, 0
+	p.answered, p.avoidUntil = now, 0
 }
 
 // Failed notes a connection that could not be opened or broke.
 func (p *Pool) Failed(now ident.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failures++
 	p.avoidUntil = now.Add(penalty)
 }
 
@@ -181,7 +179,7 @@
 			return nil, err
 		}
 		full.Inc()
-		if pause(ctx, wait/2+rand.N(wait/2)) != nil {
+		if steady.Wait(ctx, wait/2+rand.N(wait/2)) != nil {
 			return nil, err
 		}
 		wait = min(2*wait, fullMost)
@@ -206,17 +204,6 @@
 	return nil, err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // take returns a free connection, or nil with the room to open one.
 func (p *Pool) take(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
 	p.mu.Lock()
@@ -352,5 +339,3 @@
 		i.conn.close()
 	}
 }
-
-func now() ident.Time { return steady.Now() }
--- a/node/upstream/room.go
+++ b/node/upstream/room.go
@@ -12,6 +12,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/queue"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
 )
 
 const (
@@ -59,14 +60,14 @@
 		capacity = defaultCapacity
 	}
 	r.limit = capacity + spareStatements
-	r.grant(now())
+	r.grant(steady.Now())
 }
 
 // enter waits for room until ctx ends; its error is a statement.Failure. Statements inside a transaction do not wait: others
 // wait for the connection that it holds.
 func (r *room) enter(ctx context.Context, team ident.Team, priority int, inside bool) error {
 	r.mu.Lock()
-	if !r.warm(now()) {
+	if !r.warm(steady.Now()) {
 		r.mu.Unlock()
 		return refusedRoom(errCold)
 	}
@@ -75,7 +76,7 @@
 		r.mu.Unlock()
 		return nil
 	}
-	at := now()
+	at := steady.Now()
 	deadline := at.Add(statementWait)
 	if end, found := ctx.Deadline(); found {
 		deadline = at.Add(time.Until(end))
@@ -113,8 +114,8 @@
 func (r *room) setCold(until ident.Time, rate float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.coldUntil == 0 || now() >= r.coldUntil {
-		r.allowance, r.allowedAt = 0, now()
+	if r.coldUntil == 0 || steady.Now() >= r.coldUntil {
+		r.allowance, r.allowedAt = 0, steady.Now()
 	}
 	r.coldUntil, r.coldRate = until, rate
 }
@@ -146,7 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running--
-	at := now()
+	at := steady.Now()
 	r.line(priority).queue.Served(at, took)
 	r.grant(at)
 }
--- a/node/upstream/room_test.go
+++ b/node/upstream/room_test.go
@@ -8,13 +8,14 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
 )
 
 // Guards against a cold upstream that gets more than its rate, and one that stays limited once it is warm.
 func TestCold(t *testing.T) {
 	r := newRoom()
 	r.setCapacity(1000)
-	began := now()
+	began := steady.Now()
 	r.setCold(began.Add(time.Hour), 50)
 	const tries = 2000
 	ran := 0
@@ -23,10 +24,10 @@
 			ran++
 		}
 	}
-	require.LessOrEqual(t, float64(ran), 50*(now().Sub(began).Seconds()+coldBurst)+1)
+	require.LessOrEqual(t, float64(ran), 50*(steady.Now().Sub(began).Seconds()+coldBurst)+1)
 	r.setCold(began, 50)
 	require.NoError(t, r.enter(t.Context(), "t", 1, false))
-	r.setCold(now().Add(time.Hour), 0)
+	r.setCold(steady.Now().Add(time.Hour), 0)
 	require.Error(t, r.enter(t.Context(), "t", 1, true), "also a statement inside a transaction counts")
 }
 
