Count the owner's wait from the end of the last lease, not from the election

Cause: after the loss of a leader or of all power the new owner of tokens lent nothing for one lifetime of loans (0.5 s) from its election on. An earlier owner cannot have lent since its lease ended, which is up to the election timeout earlier.

Change: a voter tells with its vote for how long the last lease that it knows of has been over, and the elected leader takes the latest of them as the time from which the office was vacant. Every majority that confirmed an earlier leader has a voter in common with the one that elected this leader. A voter that has restarted counts its start as an answer to a leader, and one that led counts the end of its own lead.

Ruled out: a full bucket for the new owner (what the last one lent within the window is not known), a bucket that fills during the wait (loans of the earlier owner may be spent beside it).

The simulation now compares each leader's time with when earlier leaders were confirmed. It fails without the voters' answers, without the member's own lead, and without the lease in the sum.

--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -29,6 +29,8 @@
 	Leads bool
 	// Since is when it took office; no earlier leader answers a host after it.
 	Since ident.Time
+	// Vacant is a time at or before Since from which no earlier leader was confirmed.
+	Vacant ident.Time
 	// Until is the time before which no other host can lead, by its last round of heartbeats that a majority confirmed.
 	Until ident.Time
 }
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -103,8 +105,10 @@
 	if granted {
 		n.drawElection()
 	}
+	// A transfer is granted while the lease lasts, but the leader that asked for it has given the lease up.
+	vacant := max(0, n.now.Sub(n.leaseEnd())).Milliseconds()
 	n.send(m.GetFrom(), m.GetPeer(), &fleetpb.Message{
-		Kind: &fleetpb.Message_Answer{Answer: &fleetpb.VoteAnswer{Granted: granted}},
+		Kind: &fleetpb.Message_Answer{Answer: &fleetpb.VoteAnswer{Granted: granted, VacantMs: uint64(vacant)}},
 	})
 }
 
@@ -118,6 +122,8 @@
 		n.countPreBallots()
 	case !answer.GetPre() && n.role == Candidate && m.GetTerm() == n.term:
 		n.ballots[m.GetFrom()] = true
+		// The voter counted from before its answer, so that the end is not taken for earlier than it was.
+		n.vacant = max(n.vacant, n.now.Add(-time.Duration(answer.GetVacantMs())*time.Millisecond))
 		n.countBallots()
 	}
 }
@@ -152,6 +158,7 @@
 	n.role = Candidate
 	n.vote = n.self.GetMember()
 	n.ballots = map[string]bool{n.self.GetMember(): true}
+	n.vacant = n.leaseEnd()
 	n.transferred = transfer
 	last := n.log.last()
 	for _, voter := range n.otherVoters() {
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -106,6 +106,8 @@
 	First uint64
 	// Since is when this leader took office.
 	Since ident.Time
+	// Vacant is a time from which no earlier leader was confirmed, at or before Since.
+	Vacant ident.Time
 	// ConfirmedAt is when the last round that a majority answered was sent, and Until when that confirmation ends. Until
 	// is zero on members that do not lead and on leaders that hand over their office.
 	ConfirmedAt ident.Time
@@ -143,8 +145,13 @@
 
 	heard       ident.Time
 	hasHeard    bool
+	// began is when the member started, and led when it last ceased to lead.
+	began ident.Time
+	led   ident.Time
 	electionDue ident.Time
 	ballots     map[string]bool
+	// vacant is the latest end of a lease that the voters of this candidate know of.
+	vacant      ident.Time
 	transferred bool
 
 	office   office
@@ -169,6 +176,8 @@
 		bounds: options.Bounds,
 		random: rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(options.Self.GetMember()))),
 		now:    now,
+		began:  now,
+		led:    now,
 		term:   options.Hard.GetTerm(),
 		vote:   options.Hard.GetVote(),
 		fleet:  options.Hard.GetFleet(),
@@ -239,7 +248,7 @@
 	}
 	s.Ready = n.applied >= n.office.first
 	s.First = n.office.first
-	s.Since = n.office.since
+	s.Since, s.Vacant = n.office.since, n.office.vacant
 	s.ConfirmedAt = n.office.confirmed
 	if !n.office.leaving && n.office.hasConfirmed {
 		s.Until = n.office.confirmed.Add(n.bounds.Lease)
@@ -274,6 +283,9 @@
 	n.leader = leader
 	n.ballots = nil
 	n.transferred = false
+	if n.role == Leader {
+		n.led = n.now
+	}
 	n.office = office{}
 	n.role = n.restingRole()
 	n.drawElection()
@@ -314,6 +326,15 @@
 	return n.hasHeard && n.now.Sub(n.heard) < n.bounds.ElectionMin
 }
 
+// leaseEnd returns the end of the last lease that this member knows of: of a leader that it has answered, or its own.
+func (n *Node) leaseEnd() ident.Time {
+	end := max(n.began, n.led)
+	if n.hasHeard {
+		end = max(end, n.heard.Add(n.bounds.Lease))
+	}
+	return end
+}
+
 // send queues a message that leaves once the hard state is synced.
 func (n *Node) send(to, peer string, message *fleetpb.Message) {
 	n.pending = append(n.pending, Send{Peer: peer, Message: n.address(to, message)})
--- a/fleet/quorum/sim_test.go
+++ b/fleet/quorum/sim_test.go
@@ -68,21 +68,24 @@
 	story   strings.Builder
 	told    map[string]bool
 	leaders map[uint64]string
-	chosen  map[uint64]*fleetpb.Entry
-	acked   []string
-	broken  []string
+	// confirmed is when each term's leader was last confirmed.
+	confirmed map[uint64]ident.Time
+	chosen    map[uint64]*fleetpb.Entry
+	acked     []string
+	broken    []string
 }
 
 func newSim(seed uint64, names ...string) *sim {
 	s := &sim{
-		hosts:   map[string]*host{},
-		names:   names,
-		random:  rand.New(rand.NewPCG(seed, 1)),
-		cut:     map[string]bool{},
-		told:    map[string]bool{},
-		leaders: map[uint64]string{},
-		chosen:  map[uint64]*fleetpb.Entry{},
-		bounds:  quorum.DefaultBounds,
+		hosts:     map[string]*host{},
+		names:     names,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		cut:       map[string]bool{},
+		told:      map[string]bool{},
+		leaders:   map[uint64]string{},
+		confirmed: map[uint64]ident.Time{},
+		chosen:    map[uint64]*fleetpb.Entry{},
+		bounds:    quorum.DefaultBounds,
 	}
 	for _, name := range names {
 		s.hosts[name] = &host{name: name}
@@ -289,14 +292,23 @@
 	s.leaders[status.Term] = h.member
 }
 
-// checkLeases reports two members that both count on being the confirmed leader.
+// checkLeases reports two members that both count on being the confirmed leader, and a leader that takes an earlier one's lease
+// for ended before it was.
 func (s *sim) checkLeases() {
 	confirmed := ""
 	for _, name := range s.names {
 		h := s.hosts[name]
-		if h.node == nil || s.now >= h.node.Status().Until {
+		if h.node == nil {
 			continue
 		}
+		status := h.node.Status()
+		if status.Role == quorum.Leader {
+			s.checkVacant(name, status)
+		}
+		if s.now >= status.Until {
+			continue
+		}
+		s.confirmed[status.Term] = s.now
 		if confirmed != "" {
 			s.fault("at %v both %s and %s are confirmed", time.Duration(s.now), confirmed, name)
 		}
@@ -304,6 +316,17 @@
 	}
 }
 
+func (s *sim) checkVacant(name string, status quorum.Status) {
+	if status.Vacant > status.Since {
+		s.fault("%s takes the office for vacant since %v, after it took it at %v", name, time.Duration(status.Vacant), time.Duration(status.Since))
+	}
+	for term, at := range s.confirmed {
+		if term < status.Term && at >= status.Vacant {
+			s.fault("%s takes the office for vacant since %v, but the leader of term %d was confirmed at %v", name, time.Duration(status.Vacant), term, time.Duration(at))
+		}
+	}
+}
+
 func (s *sim) apply(h *host, entries []*fleetpb.Entry) {
 	for _, entry := range entries {
 		if chosen := s.chosen[entry.Index]; chosen != nil && !proto.Equal(chosen, entry) {
--- a/host/controller/controller.go
+++ b/host/controller/controller.go
@@ -170,7 +170,7 @@
 	if c.log != nil {
 		leadership = c.log.Leadership()
 	}
-	office := control.Office{Leads: leadership.Leads, Since: leadership.Since, Until: leadership.Until}
+	office := control.Office{Leads: leadership.Leads, Since: leadership.Since, Vacant: leadership.Vacant, Until: leadership.Until}
 	c.act(c.leader.SetOffice(now, office))
 	changed := office.Leads != c.office.Leads || office.Leads && office.Since != c.office.Since
 	c.office = office
--- a/host/controller/parts.go
+++ b/host/controller/parts.go
@@ -33,8 +33,9 @@
 	// Confirmed is set while no other member can lead, which holds until Until by the log's clock.
 	Confirmed bool
 	Until     ident.Time
-	// Since is when this member took office.
-	Since ident.Time
+	// Since is when this member took office, and Vacant a time at or before it from which no earlier leader was confirmed.
+	Since  ident.Time
+	Vacant ident.Time
 	// Problem is why the leader does not admit this host, for operators.
 	Problem string
 }
--- a/host/lending/lending.go
+++ b/host/lending/lending.go
@@ -34,7 +34,7 @@
 		return
 	}
 	l.since = office.Since
-	l.owner = limit.NewOwner(limit.OwnerOptions{Since: office.Since})
+	l.owner = limit.NewOwner(limit.OwnerOptions{Since: office.Vacant})
 	l.owner.SetRules(now, l.rules)
 }
 
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -171,7 +171,9 @@
 		case <-ticker.C:
 		}
 		leadership := c.replica.Leadership()
-		c.lender.SetOffice(steady.Now(), control.Office{Leads: leadership.Leads, Since: leadership.Since, Until: leadership.Until})
+		c.lender.SetOffice(steady.Now(), control.Office{
+			Leads: leadership.Leads, Since: leadership.Since, Vacant: leadership.Vacant, Until: leadership.Until,
+		})
 		if leadership.Leads {
 			c.setLimits()
 			c.tidyMembers(ctx)
