Carry configurations compressed between hosts

Cause: each change of the configuration goes whole to every entry host and into the log of each core host.

Change: the text travels, and lies in the log, compressed with DEFLATE and is returned to readers byte for byte as before.

Ruled out: sending differences between versions (a host that lags by more than one version needs the whole text all the same).

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -231,9 +231,13 @@
 
 // Configure is part of api.Orders.
 func (c *Core) Configure(ctx context.Context, version ident.Version, source []byte) error {
-	configure := &fleetpb.Configure{Version: uint64(version), Source: source}
-	_, err := c.order(ctx, &fleetpb.OrderRequest{Configure: configure})
-	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "problem", problem(err))
+	packed, err := catalog.Pack(source)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	configure := &fleetpb.Configure{Version: uint64(version), Packed: packed}
+	_, err = c.order(ctx, &fleetpb.OrderRequest{Configure: configure})
+	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "packed", len(packed), "problem", problem(err))
 	return err
 }
 
@@ -243,7 +247,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return response.GetConfiguration().GetSource(), nil
+	if response.GetConfiguration() == nil {
+		return nil, nil
+	}
+	return catalog.Unpack(response.GetConfiguration().GetPacked())
 }
 
 // Evacuate is part of api.Orders.
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -37,7 +37,7 @@
 		if kind.Configure.GetVersion() <= s.saved.GetConfiguration().GetVersion() && s.saved.GetConfiguration() != nil {
 			return &fleetpb.Outcome{Done: true, Version: s.saved.GetConfiguration().GetVersion()}
 		}
-		parsed, err := s.parse(kind.Configure.GetSource())
+		parsed, err := s.read(kind.Configure)
 		if err != nil {
 			return &fleetpb.Outcome{Problem: err.Error()}
 		}
@@ -58,6 +58,14 @@
 	return &fleetpb.Outcome{Done: true, Version: index}
 }
 
+func (s *state) read(c *fleetpb.Configure) (*catalog.Catalog, error) {
+	source, err := catalog.Unpack(c.GetPacked())
+	if err != nil {
+		return nil, err
+	}
+	return s.parse(source)
+}
+
 // Snapshot is part of replica.Machine.
 func (s *state) Snapshot() ([]byte, error) {
 	s.mu.RLock()
@@ -74,7 +82,7 @@
 	var parsed *catalog.Catalog
 	if c := saved.GetConfiguration(); c != nil {
 		var err error
-		if parsed, err = s.parse(c.GetSource()); err != nil {
+		if parsed, err = s.read(c); err != nil {
 			return err
 		}
 	}
--- a/node/core/state_test.go
+++ b/node/core/state_test.go
@@ -19,7 +19,11 @@
 }
 
 func configure(version uint64, source string) *fleetpb.Change {
-	return &fleetpb.Change{Kind: &fleetpb.Change_Configure{Configure: &fleetpb.Configure{Version: version, Source: []byte(source)}}}
+	packed, err := catalog.Pack([]byte(source))
+	if err != nil {
+		panic(err)
+	}
+	return &fleetpb.Change{Kind: &fleetpb.Change_Configure{Configure: &fleetpb.Configure{Version: version, Packed: packed}}}
 }
 
 func evacuate(zone string, active bool) *fleetpb.Change {
@@ -43,7 +47,7 @@
 	require.True(t, apply(2, configure(5, "five")).GetDone())
 	require.True(t, apply(3, configure(5, "other")).GetDone(), "other content of the same version is acknowledged and ignored")
 	require.True(t, apply(4, configure(4, "four")).GetDone())
-	require.Equal(t, "five", string(s.configuration().GetSource()))
+	require.Equal(t, "five", text(t, s))
 	require.False(t, apply(5, configure(6, "bad")).GetDone())
 	require.Equal(t, uint64(5), s.configuration().GetVersion())
 
@@ -63,7 +67,7 @@
 	require.NoError(t, err)
 	copied := newState(parseAny)
 	require.NoError(t, copied.Restore(snapshot))
-	require.Equal(t, "five", string(copied.configuration().GetSource()))
+	require.Equal(t, "five", text(t, copied))
 	require.NotNil(t, copied.parsed())
 	require.Equal(t, []string{"z0"}, copied.evacuated())
 	require.Equal(t, ident.Upstream("b"), copied.successor("svc"))
@@ -71,3 +75,10 @@
 	require.NoError(t, err)
 	require.Equal(t, snapshot, again)
 }
+
+func text(t *testing.T, s *state) string {
+	t.Helper()
+	source, err := catalog.Unpack(s.configuration().GetPacked())
+	require.NoError(t, err)
+	return string(source)
+}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -233,7 +233,7 @@
 	l.leader, l.heard = address, asked
 	l.mu.Unlock()
 	if c := response.GetConfiguration(); c != nil {
-		parsed, err := l.options.Parse(c.GetSource())
+		parsed, err := l.parse(c)
 		if err != nil {
 			klog.ErrorS(err, "Configuration cannot be read", "version", c.GetVersion())
 			return false
@@ -253,6 +253,14 @@
 	return true
 }
 
+func (l *Link) parse(c *fleetpb.Configure) (*catalog.Catalog, error) {
+	source, err := catalog.Unpack(c.GetPacked())
+	if err != nil {
+		return nil, err
+	}
+	return l.options.Parse(source)
+}
+
 // setReserves gives this host its part of what teams may run beyond their limits, for the time without an owner of tokens.
 func (l *Link) setReserves(hosts int) {
 	beyond := l.options.Beyond
