Let reads keep their place where no other upstream can run them

Each try waited 250 ms for room, left the queue and joined it again at its end.

Change: a read waits for half of its route's objective, not 250 ms, when no other upstream can run it: it is the only candidate, or all others were found to lag. The round over the candidates is a function of its own.

--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -69,34 +69,50 @@
 	if o.route.Kind == catalog.KindPrimary {
 		return s.readPrimary(ctx, o, w)
 	}
-	var last error
 	for {
-		since, err := s.since(ctx, o)
-		if err != nil {
-			last = err
-		} else {
-			for _, candidate := range s.server.options.Table.Candidates(o.route, o.team, since) {
-				result, err := s.readOn(ctx, candidate.Pool, o, w, since)
-				if err == nil {
-					return result, nil
-				}
-				if failure := ranInVain(err); failure != nil {
-					return result, failure
-				}
-				last = err
-				if ctx.Err() != nil {
-					return result, refusal(o, last)
-				}
-			}
+		result, err := s.readRound(ctx, o, w)
+		if err == nil {
+			return result, nil
+		}
+		if failure := ranInVain(err); failure != nil {
+			return result, failure
 		}
-		if lagsEverywhere(last) {
+		if lags(err) {
 			// A position of the session may have been rolled back by a promotion; the primary holds all that counts.
 			return s.readPrimary(ctx, o, w)
 		}
 		if !pauseOrEnd(ctx) {
-			return statement.Result{}, refusal(o, last)
+			return result, refusal(o, err)
+		}
+	}
+}
+
+// errNoCandidate reports a read for which no upstream is known that may run it.
+var errNoCandidate = errors.New("no upstream that may run the read is known to hold what it needs")
+
+// readRound tries a single read on each upstream that may run it, until one has run it.
+func (s *session) readRound(ctx context.Context, o *operation, w work) (statement.Result, error) {
+	since, err := s.since(ctx, o)
+	if err != nil {
+		return statement.Result{}, err
+	}
+	err = errNoCandidate
+	var result statement.Result
+	others := false
+	candidates := s.server.options.Table.Candidates(o.route, o.team, since)
+	for i, candidate := range candidates {
+		wait := readWait
+		if i == len(candidates)-1 && !others {
+			// No other upstream can run it: who leaves the queue would only join it again at its end.
+			wait = max(wait, o.route.Objective/2)
+		}
+		result, err = s.readOn(ctx, candidate.Pool, o, w, since, wait)
+		if err == nil || ranInVain(err) != nil || ctx.Err() != nil {
+			break
 		}
+		others = others || !lags(err)
 	}
+	return result, err
 }
 
 // ranInVain returns the failure of a statement that ran, which another upstream would not answer otherwise, or nil.
@@ -108,7 +124,8 @@
 	return nil
 }
 
-func lagsEverywhere(last error) bool {
+// lags reports whether an upstream lacked the position that a read needs.
+func lags(last error) bool {
 	var failure *statement.Failure
 	return errors.As(last, &failure) && failure.Code == statement.CodeLagging
 }
@@ -127,10 +144,12 @@
 }
 
 // readOn tries a read on one upstream; every failure leaves it free to be tried elsewhere.
-func (s *session) readOn(ctx context.Context, pool *upstream.Pool, o *operation, w work, since ident.Position) (statement.Result, error) {
+func (s *session) readOn(
+	ctx context.Context, pool *upstream.Pool, o *operation, w work, since ident.Position, wait time.Duration,
+) (statement.Result, error) {
 	use := s.use(&w, left(ctx, readTimeout))
 	use.Since = since
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	outcome, err := s.server.options.Table.Line(pool, o.teamName(), o.priority()).Do(ctx, use)
 	s.tried(pool.Target().Upstream, outcome, err)
@@ -332,7 +351,7 @@
 		if err == nil || outcome.Ran {
 			return outcome, err
 		}
-		if lagsEverywhere(err) {
+		if lags(err) {
 			tx.onPrimary = true
 		}
 		if !pauseOrEnd(ctx) {
