Give scarce tokens to urgent requests first, and wait longer without an owner

And a request that found no owner of tokens at all was refused after the same quarter, although an election passes.

Change: requests that wait for tokens of a team are ordered by the priority of their routes, then by arrival. Their patience of a quarter of the objective counts while an owner lends; without one they wait for the whole objective.

Ruled out: the same patience for all kinds (a request that waits for half a second is late in any case).

--- a/fleet/limit/bench_test.go
+++ b/fleet/limit/bench_test.go
@@ -26,7 +26,7 @@
 			now := ident.Time(0)
 			for i := 0; b.Loop(); i++ {
 				now += ms / 20
-				host.Take(now, names[i%teams], now+1000*ms)
+				host.Take(now, limit.Request{Team: names[i%teams]}, now+1000*ms)
 				if now >= host.Due() {
 					if request := host.Ask(now); request != nil {
 						host.Answer(now, owner.Borrow(now, request))
--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -15,7 +15,7 @@
 const (
 	// AskPeriod is the usual time between requests while tokens are wanted, held or unreported.
 	AskPeriod = 50 * time.Millisecond
-	// MaxWait is the longest wait of a request for a token while the owner lends. Time without an owner does not count: a
+	// MaxWait is the longest wait of a request for a token while the owner lends, unless it says another one. Time without an owner does not count: a
 	// team within its rate must not be refused because the control leader changes, which takes longer than this.
 	MaxWait = time.Second
 	// horizon is the time for which demand is predicted and borrowed ahead.
@@ -92,10 +92,19 @@
 func (Wait) decision()   {}
 func (Refuse) decision() {}
 
-// Take spends a token of the team, or queues the request for MaxWait and until its deadline at most. Wake is true when Due has
-// moved to an earlier time.
-func (b *Borrower) Take(now ident.Time, team ident.Team, deadline ident.Time) (decision Decision, wake bool) {
-	p := b.purse(team)
+// Request is what a request says of the token that it needs.
+type Request struct {
+	Team ident.Team
+	// Priority orders requests that wait for tokens of one team; 0 goes first.
+	Priority int
+	// Patience is the longest wait while the owner lends; 0 means MaxWait.
+	Patience time.Duration
+}
+
+// Take spends a token of the request's team, or queues it for its patience and until its deadline at most. Wake is true when
+// Due has moved to an earlier time.
+func (b *Borrower) Take(now ident.Time, request Request, deadline ident.Time) (decision Decision, wake bool) {
+	p := b.purse(request.Team)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demand.count(now)
@@ -106,11 +115,16 @@
 		return Spent{}, b.lower(b.after(b.opts.Period))
 	}
 	if len(p.waiters) >= maxWaiters {
-		return Refuse{Exceeded{Team: team, Cause: CauseCrowded}}, false
+		return Refuse{Exceeded{Team: request.Team, Cause: CauseCrowded}}, false
+	}
+	if request.Patience == 0 {
+		request.Patience = MaxWait
+	}
+	w := waiter{
+		id: WaiterID(b.waiters.Add(1)), since: now, deadline: deadline, priority: request.Priority, patience: request.Patience,
 	}
-	w := waiter{id: WaiterID(b.waiters.Add(1)), since: now, deadline: deadline}
 	until := p.until(w)
-	p.waiters = append(p.waiters, w)
+	p.queue(w)
 	if p.starved > 0 {
 		// The owner has just lent less than was wanted, so asking sooner would only add load.
 		return Wait{w.id, until}, b.lower(b.after(p.starved))
--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -257,7 +257,7 @@
 		return &fleetpb.BorrowResponse{Seq: seq, LifetimeMs: 500, Lent: []*fleetpb.Tokens{{Team: "stalls", Amount: amount, Loan: seq}}}
 	}
 	take := func() {
-		decision, _ := b.Take(now, "stalls", now+2000*ms)
+		decision, _ := b.Take(now, limit.Request{Team: "stalls"}, now+2000*ms)
 		say(fmt.Sprintf("a request comes: %T%v", decision, decision), nil)
 	}
 	take()
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -85,6 +85,14 @@
 	id       WaiterID
 	since    ident.Time
 	deadline ident.Time
+	priority int
+	patience time.Duration
+}
+
+// queue adds a waiting request, behind those that are as urgent and before the others.
+func (p *purse) queue(w waiter) {
+	at, _ := slices.BinarySearchFunc(p.waiters, w.priority+1, func(other waiter, priority int) int { return other.priority - priority })
+	p.waiters = slices.Insert(p.waiters, at, w)
 }
 
 // spend takes one token from the loan that expires first.
@@ -228,7 +236,7 @@
 	if p.silent {
 		return w.deadline
 	}
-	return min(w.deadline, max(w.since, p.back).Add(MaxWait))
+	return min(w.deadline, max(w.since, p.back).Add(w.patience))
 }
 
 func (p *purse) refuse(now ident.Time) []Outcome {
--- a/fleet/limit/replay_test.go
+++ b/fleet/limit/replay_test.go
@@ -67,7 +67,7 @@
 
 // take takes a token; a request that would wait goes away.
 func (r *replay) take(i int) bool {
-	decision, _ := r.borrowers[i].Take(r.now, "stalls", r.now+tick)
+	decision, _ := r.borrowers[i].Take(r.now, limit.Request{Team: "stalls"}, r.now+tick)
 	if w, ok := decision.(limit.Wait); ok {
 		r.borrowers[i].Cancel("stalls", w.ID)
 		return false
@@ -80,7 +80,7 @@
 	b := r.borrowers[i]
 	var ids []limit.WaiterID
 	for range burst {
-		decision, _ := b.Take(r.now, "stalls", r.now+tick)
+		decision, _ := b.Take(r.now, limit.Request{Team: "stalls"}, r.now+tick)
 		ids = append(ids, decision.(limit.Wait).ID)
 	}
 	r.requests[i] = b.Ask(r.now)
--- a/fleet/limit/reserve_test.go
+++ b/fleet/limit/reserve_test.go
@@ -18,7 +18,7 @@
 	reserves := map[ident.Team]limit.Reserve{"t": {Tokens: 3, Window: window}}
 	at := ident.Time(time.Hour)
 	take := func() bool {
-		decision, _ := b.Take(at, "t", at.Add(time.Second))
+		decision, _ := b.Take(at, limit.Request{Team: "t"}, at.Add(time.Second))
 		_, spent := decision.(limit.Spent)
 		return spent
 	}
@@ -52,6 +52,6 @@
 	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1})
 	b.SetReserves(at, map[ident.Team]limit.Reserve{"t": {Tokens: 3, Window: time.Second}})
 	at = at.Add(time.Second)
-	decision, _ := b.Take(at, "t", at.Add(time.Second))
+	decision, _ := b.Take(at, limit.Request{Team: "t"}, at.Add(time.Second))
 	require.IsType(t, limit.Wait{}, decision)
 }
--- /dev/null
+++ b/fleet/limit/waiting_test.go
@@ -0,0 +1,60 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+)
+
+// Guards against a team whose scarce tokens go to less urgent requests because these may wait for longer, and against equally
+// urgent ones that overtake each other.
+func TestUrgentRequestsGetTokensFirst(t *testing.T) {
+	at := ident.Time(time.Hour)
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1})
+	ids := map[limit.WaiterID]string{}
+	for _, w := range []struct {
+		name     string
+		priority int
+	}{{"late 1", 2}, {"late 2", 2}, {"urgent 1", 1}, {"late 3", 2}, {"urgent 2", 1}, {"first", 0}} {
+		decision, _ := b.Take(at, limit.Request{Team: "t", Priority: w.priority}, at.Add(time.Second))
+		require.IsType(t, limit.Wait{}, decision)
+		ids[decision.(limit.Wait).ID] = w.name
+	}
+	var served []string
+	for len(served) < len(ids) {
+		at = at.Add(10 * time.Millisecond)
+		request := b.Ask(at)
+		outcomes := b.Answer(at, &fleetpb.BorrowResponse{
+			Seq: request.GetSeq(), LifetimeMs: 500, Lent: []*fleetpb.Tokens{{Team: "t", Amount: 1, Loan: request.GetSeq()}},
+		})
+		require.Len(t, outcomes, 1)
+		require.Nil(t, outcomes[0].Refused)
+		served = append(served, ids[outcomes[0].ID])
+	}
+	require.Equal(t, []string{"first", "urgent 1", "urgent 2", "late 1", "late 2", "late 3"}, served)
+}
+
+// Guards against requests within their team's rate that are refused because no owner lends for longer than their patience, and
+// against ones above it that wait until their deadline.
+func TestPatienceCountsWhileAnOwnerLends(t *testing.T) {
+	at := ident.Time(time.Hour)
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1})
+	decision, _ := b.Take(at, limit.Request{Team: "t", Patience: 100 * time.Millisecond}, at.Add(400*time.Millisecond))
+	require.Equal(t, at.Add(100*time.Millisecond), decision.(limit.Wait).Until)
+	require.NotNil(t, b.Ask(at))
+	require.Empty(t, b.Lost(at))
+	at = at.Add(300 * time.Millisecond)
+	require.Empty(t, b.Expire(at, "t"), "without an owner the request waits for up to its deadline")
+
+	request := b.Ask(at)
+	require.Empty(t, b.Answer(at, &fleetpb.BorrowResponse{Seq: request.GetSeq(), LifetimeMs: 500}))
+	require.Empty(t, b.Expire(at.Add(99*time.Millisecond), "t"), "its patience counts from the owner's return on")
+	refused := b.Expire(at.Add(100*time.Millisecond), "t")
+	require.Len(t, refused, 1)
+	require.Equal(t, limit.CauseRate, refused[0].Refused.Cause)
+}
--- a/fleet/limit/world_test.go
+++ b/fleet/limit/world_test.go
@@ -72,7 +72,7 @@
 }
 
 func (w *world) take(host int, team ident.Team) {
-	decision, _ := w.borrowers[host].Take(w.now, team, w.now+5000*ms)
+	decision, _ := w.borrowers[host].Take(w.now, limit.Request{Team: team}, w.now+5000*ms)
 	switch d := decision.(type) {
 	case limit.Spent:
 		w.spends[team] = append(w.spends[team], w.now)
--- a/host/gate.go
+++ b/host/gate.go
@@ -19,7 +19,7 @@
 
 // Take waits for one request's worth of a team's rate.
 func (g gate) Take(ctx context.Context, team ident.Team) error {
-	err := g.quota.Take(ctx, team)
+	err := g.quota.Take(ctx, limit.Request{Team: team})
 	var exceeded *limit.Exceeded
 	switch {
 	case err == nil:
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -73,12 +73,12 @@
 	}
 }
 
-// Take spends a token of the team, waiting for up to limit.MaxWait, and for as long as no owner lends, but not beyond the
-// deadline of ctx. It returns *limit.Exceeded when there was none in time, or the error of ctx when the caller went away;
+// Take spends a token of the request's team, waiting for up to its patience, and for as long as no owner lends, but not beyond
+// the deadline of ctx. It returns *limit.Exceeded when there was none in time, or the error of ctx when the caller went away;
 // in both cases the request was not run.
-func (q *Quota) Take(ctx context.Context, team ident.Team) error {
+func (q *Quota) Take(ctx context.Context, request limit.Request) error {
 	now := q.opts.Fleet.Now()
-	decision, wake := q.borrower.Take(now, team, deadline(ctx, now))
+	decision, wake := q.borrower.Take(now, request, deadline(ctx, now))
 	if wake {
 		q.signal()
 	}
@@ -88,7 +88,7 @@
 	case limit.Refuse:
 		return trace.Wrap(&d.Exceeded)
 	case limit.Wait:
-		return q.wait(ctx, team, d)
+		return q.wait(ctx, request.Team, d)
 	}
 	return trace.BadParameter("unknown decision %T", decision)
 }
--- a/host/quota/quota_test.go
+++ b/host/quota/quota_test.go
@@ -94,7 +94,7 @@
 	for range 40 {
 		wait.Go(func() {
 			var exceeded *limit.Exceeded
-			if err := q.Take(context.Background(), "stalls"); err == nil {
+			if err := q.Take(context.Background(), limit.Request{Team: "stalls"}); err == nil {
 				ran.Add(1)
 			} else if !errors.As(err, &exceeded) || exceeded.Cause != limit.CauseRate {
 				t.Errorf("refused with %v", err)
@@ -113,7 +113,7 @@
 	c.fail.Store(1 << 30)
 	ctx, cancel := context.WithCancel(t.Context())
 	result := make(chan error, 1)
-	go func() { result <- q.Take(ctx, "stalls") }()
+	go func() { result <- q.Take(ctx, limit.Request{Team: "stalls"}) }()
 	cancel()
 	require.ErrorIs(t, <-result, context.Canceled)
 	c.fail.Store(0)
@@ -124,7 +124,7 @@
 func TestShutdownGivesTokensBack(t *testing.T) {
 	q, c, cancel, done := begin(t)
 	for range 10 {
-		require.NoError(t, q.Take(t.Context(), "stalls"))
+		require.NoError(t, q.Take(t.Context(), limit.Request{Team: "stalls"}))
 	}
 	cancel()
 	<-done
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -11,7 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
-	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/node/routing"
 )
 
@@ -34,8 +34,8 @@
 
 // Quota spends tokens of teams over the whole fleet.
 type Quota interface {
-	// Take returns once a token of the team was spent, or an error when there is none in time.
-	Take(ctx context.Context, team ident.Team) error
+	// Take returns once a token of the request's team was spent, or an error when there is none in time.
+	Take(ctx context.Context, request limit.Request) error
 }
 
 // Options describe a server.
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// quotaShare is the part of an operation's objective for which it may wait for a token.
+	// quotaShare is the part of an operation's objective for which it may wait for a token of a team that is above its rate. While
+	// no owner lends, which passes, it waits for all of it.
 	quotaShare = 4
 	// defaultIdle bounds the rest of a transaction where the configuration does not.
 	defaultIdle = 10 * time.Second
@@ -227,9 +228,10 @@
 	if o.team == nil {
 		return o, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective/quotaShare)
+	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective)
 	defer cancel()
-	if err := s.server.options.Quota.Take(ctx, o.team.Name); err != nil {
+	request := limit.Request{Team: o.team.Name, Priority: o.priority(), Patience: o.route.Objective / quotaShare}
+	if err := s.server.options.Quota.Take(ctx, request); err != nil {
 		var exceeded *limit.Exceeded
 		reason := "no token of the team in time"
 		if errors.As(err, &exceeded) {
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -16,6 +16,7 @@
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/node/entry"
 	"tamarackshunt.dev/node/routing"
 	"tamarackshunt.dev/standin/platform"
@@ -25,11 +26,11 @@
 type tokens map[ident.Team]int
 
 // Take implements entry.Quota.
-func (t tokens) Take(_ context.Context, team ident.Team) error {
-	if t[team] == 0 {
+func (t tokens) Take(_ context.Context, request limit.Request) error {
+	if t[request.Team] == 0 {
 		return errors.New("none left")
 	}
-	t[team]--
+	t[request.Team]--
 	return nil
 }
 
