Borrow tokens ahead for teams with few requests

Cause: a team's requests reach one host about three times a second, less than one in the horizon of 200 ms, so that a host borrowed for most of them on demand: a call across regions, and its time, for each. A team above its rate made its hosts ask every 10 to 50 ms besides.

Change: on the platform a host holds two tokens for each team of which it had a request within a second, and a starved team waits for 100 ms between calls. PostgreSQL hosts keep their settings.

--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -41,6 +41,9 @@
 	// Period replaces AskPeriod where calls to the owner are dear; 0 means AskPeriod. It must be below the horizon of 200 ms
 	// for which tokens are borrowed ahead, and below the owner's Lifetime. A request that finds no token asks at once.
 	Period time.Duration
+	// Ahead is the least number of tokens borrowed ahead for a team with recent requests, where waiting for a call to the owner
+	// is dear. With 0 a host with less than one request in the horizon borrows on demand only.
+	Ahead int64
 }
 
 // Borrower spends lent tokens on one host and decides when to ask for more. Its methods may be called from several
@@ -161,7 +164,7 @@
 	if p, found := b.purses[team]; found {
 		return p
 	}
-	p = &purse{team: team, period: b.opts.Period}
+	p = &purse{team: team, period: b.opts.Period, demand: demand{ahead: b.opts.Ahead}}
 	b.purses[team] = p
 	return p
 }
--- a/fleet/limit/demand.go
+++ b/fleet/limit/demand.go
@@ -11,28 +11,39 @@
 	slots [demandSlots]int64
 	// slot is the number of the newest slot.
 	slot int64
+	// ahead is the least prediction until recent after the last request, which came at last.
+	ahead int64
+	last  ident.Time
 }
 
 const (
 	demandSlots = 8
 	demandSlot  = 50 * time.Millisecond
+	// recent is the time after a request for which the next one is expected soon.
+	recent = time.Second
 )
 
 // count adds a request.
 func (d *demand) count(now ident.Time) {
 	d.advance(now)
 	d.slots[d.slot%demandSlots]++
+	d.last = now
 }
 
 // next returns the requests that the mean of the last 400 ms predicts, rounded down: a host with less than one request
-// in the horizon borrows on demand only, so that hosts with few requests do not hold tokens that others lack.
+// in the horizon borrows on demand only, so that hosts with few requests do not hold tokens that others lack, unless it is told
+// to borrow some ahead.
 func (d *demand) next(now ident.Time) int64 {
 	d.advance(now)
 	var sum int64
 	for _, n := range d.slots {
 		sum += n
 	}
-	return sum * int64(horizon) / int64(demandSlots*demandSlot)
+	predicted := sum * int64(horizon) / int64(demandSlots*demandSlot)
+	if d.last != 0 && now.Sub(d.last) < recent {
+		predicted = max(predicted, d.ahead)
+	}
+	return predicted
 }
 
 func (d *demand) advance(now ident.Time) {
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -199,7 +199,8 @@
 		}
 		p.starved, p.silent, p.asked = 0, false, 0
 		if lent < p.waiting {
-			p.starved = min(max(retry, minGap), AskPeriod)
+			// Where calls are dear a team above its rate must not cost many times as many as the others.
+			p.starved = max(min(max(retry, minGap), AskPeriod), p.period-AskPeriod)
 		}
 	}
 	if lent > 0 && now < expires {
--- a/fleet/limit/waiting_test.go
+++ b/fleet/limit/waiting_test.go
@@ -58,3 +58,31 @@
 	require.Len(t, refused, 1)
 	require.Equal(t, limit.CauseRate, refused[0].Refused.Cause)
 }
+
+// Guards against a call to the owner for each request of a team that sends a few a second, and against tokens that stay on a
+// host whose team has gone quiet.
+func TestTokensAheadOfFewRequests(t *testing.T) {
+	at := ident.Time(time.Hour)
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1, Period: 150 * time.Millisecond, Ahead: 2})
+	answer := func() (wanted uint32) {
+		request := b.Ask(at)
+		response := &fleetpb.BorrowResponse{Seq: request.GetSeq(), LifetimeMs: 500}
+		for _, tokens := range request.GetWanted() {
+			wanted += tokens.GetAmount()
+			response.Lent = append(response.Lent, &fleetpb.Tokens{Team: tokens.GetTeam(), Amount: tokens.GetAmount(), Loan: request.GetSeq()})
+		}
+		b.Answer(at, response)
+		return wanted
+	}
+	decision, _ := b.Take(at, limit.Request{Team: "t"}, at.Add(time.Second))
+	require.IsType(t, limit.Wait{}, decision, "the first request has to wait")
+	require.EqualValues(t, 3, answer())
+	for range 5 {
+		at = at.Add(300 * time.Millisecond)
+		answer()
+		decision, _ = b.Take(at, limit.Request{Team: "t"}, at.Add(time.Second))
+		require.IsType(t, limit.Spent{}, decision)
+	}
+	at = at.Add(1100 * time.Millisecond)
+	require.Zero(t, answer(), "nothing is borrowed for a team without recent requests")
+}
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -47,6 +47,8 @@
 	Peers *peer.Network
 	// Period is the time between calls; 0 means limit.AskPeriod.
 	Period time.Duration
+	// Ahead is the least number of tokens borrowed ahead for a team with recent requests.
+	Ahead int64
 }
 
 // Quota is one host's part in the limits of teams.
@@ -65,7 +67,7 @@
 func New(opts Options) *Quota {
 	return &Quota{
 		opts:     opts,
-		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation, Period: opts.Period}),
+		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation, Period: opts.Period, Ahead: opts.Ahead}),
 		client:   opts.Peers.Client(0),
 		wake:     make(chan struct{}, 1),
 		waiting:  map[limit.WaiterID]chan *limit.Exceeded{},
--- a/node/entry.go
+++ b/node/entry.go
@@ -24,6 +24,10 @@
 // borrowPeriod is the time between calls to the owner of tokens, most of which cross regions.
 const borrowPeriod = 150 * time.Millisecond
 
+// borrowAhead is the number of tokens that a host holds for a team of which it has had a request within a second. A team's
+// requests come to one host a few times a second, and a call for each crosses regions.
+const borrowAhead = 2
+
 // memoryShare is the part of the memory limit at which the collector works harder, in percent.
 const memoryShare = 70
 
@@ -56,7 +60,7 @@
 		Beyond:   link.Beyond{Window: s.QuotaWindow, Part: s.QuotaOverrun, Slack: s.QuotaSlack},
 		Reserves: func(reserves map[ident.Team]limit.Reserve) { tokens.SetReserves(reserves) },
 	})
-	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod})
+	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Ahead: borrowAhead})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{Table: table, Quota: tokens, Grace: s.Grace})
 	var err error
