Keep the platform's wire out of the request path of node

Change: fleet/statement holds the start of a session, queries, the requests that hosts send on their own behalf and an upstream's status. node/entry has Caller for the front, node/upstream Session for the back; the program hands both in. platform/wire turns typed requests into texts. An order that the platform refuses is a takeover.RefusedError. Under node/ only the program imports platform/ now.

--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -143,11 +143,11 @@
 	// Highest index known to equal the log of the term's leader.
 	agreed uint64
 
-	heard       ident.Time
-	hasHeard    bool
+	heard    ident.Time
+	hasHeard bool
 	// began is when the member started, and led when it last ceased to lead.
-	began ident.Time
-	led   ident.Time
+	began       ident.Time
+	led         ident.Time
 	electionDue ident.Time
 	ballots     map[string]bool
 	// vacant is the latest end of a lease that the voters of this candidate know of.
--- a/fleet/statement/request.go
+++ b/fleet/statement/request.go
@@ -1,5 +1,20 @@
 package statement
 
+import "tamarackshunt.dev/fleet/ident"
+
+// Start is the first message of a session: the database, and the caller's key, which is empty where it shows none.
+type Start struct {
+	Database ident.Route
+	Key      string
+}
+
+// Query is a request with the id that the caller gave it. Request is nil when the text is not a request.
+type Query struct {
+	ID      string
+	Text    string
+	Request Request
+}
+
 // Request is what a caller asks for in its session: one of the types of this file.
 type Request interface{ request() }
 
@@ -33,6 +48,18 @@
 // Forget drops a prepared statement.
 type Forget struct{ Name string }
 
+// Passed is a request of a caller's that goes to the upstream as its protocol has carried it.
+type Passed struct{ Text string }
+
+// Discard drops all values and prepared statements of a session on an upstream.
+type Discard struct{}
+
+// AskStatus asks an upstream for its Status.
+type AskStatus struct{}
+
+// StepDown makes a primary of a lower term a replica; it is answered with the Status.
+type StepDown struct{ Term ident.Term }
+
 // Prepared is the definition of a prepared statement.
 type Prepared struct {
 	// Writes is set for statements that store data.
@@ -40,12 +67,16 @@
 	Shape  string
 }
 
-func (Begin) request()    {}
-func (Commit) request()   {}
-func (Rollback) request() {}
-func (Read) request()     {}
-func (Write) request()    {}
-func (Set) request()      {}
-func (Prepare) request()  {}
-func (Execute) request()  {}
-func (Forget) request()   {}
+func (Begin) request()     {}
+func (Commit) request()    {}
+func (Rollback) request()  {}
+func (Read) request()      {}
+func (Write) request()     {}
+func (Set) request()       {}
+func (Prepare) request()   {}
+func (Execute) request()   {}
+func (Forget) request()    {}
+func (Passed) request()    {}
+func (Discard) request()   {}
+func (AskStatus) request() {}
+func (StepDown) request()  {}
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -186,6 +186,15 @@
 	return j.failures >= minFailures && now.Sub(j.answered) > deadAfter && now.Sub(primary.Heard) > deadAfter
 }
 
+// RefusedError reports an order to promote that was not carried out and will not be.
+type RefusedError struct {
+	// Text is what the other side said, for operators.
+	Text string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Text }
+
 // Promoted takes an order that was carried out.
 func (j *Judge) Promoted(now ident.Time, id ident.Upstream) {
 	j.take(now, id)
--- a/node/core.go
+++ b/node/core.go
@@ -118,7 +118,7 @@
 	}
 	running, err := core.New(core.Options{
 		Host: s.Host, Peer: p.own, Initial: initial, Founding: founding, Folder: p.folder, Peers: p.peers,
-		Seed: uint64(time.Now().UnixNano()), Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
+		Seed: uint64(time.Now().UnixNano()), Protocol: upstreams, Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -22,6 +22,7 @@
 	"tamarackshunt.dev/host/lending"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/replica"
+	"tamarackshunt.dev/node/upstream"
 )
 
 const (
@@ -48,7 +49,7 @@
 
 // Promoter orders the platform to make an upstream the primary.
 type Promoter interface {
-	// Promote returns nil once the order is carried out.
+	// Promote returns nil once the order is carried out, and a takeover.RefusedError when it certainly will not be.
 	Promote(ctx context.Context, service ident.Service, upstream ident.Upstream, token uint64) error
 }
 
@@ -64,6 +65,8 @@
 	Peers    *peer.Network
 	Seed     uint64
 	Promoter Promoter
+	// Protocol is that of the upstreams.
+	Protocol upstream.Protocol
 	Parse    func(source []byte) (*catalog.Catalog, error)
 	// Seeds returns the peer addresses of core hosts that the settings name now.
 	Seeds func() []string
@@ -243,7 +246,7 @@
 // errNotLeader is the cause when this host neither leads nor knows who does.
 var errNotLeader = errors.New("this host knows no leader")
 
-// Configure is part of api.Orders.
+// Configure brings an operator's configuration into force; one whose version is not higher changes nothing.
 func (c *Core) Configure(ctx context.Context, version ident.Version, source []byte) error {
 	packed, err := catalog.Pack(source)
 	if err != nil {
@@ -255,7 +258,7 @@
 	return err
 }
 
-// Configuration is part of api.Orders.
+// Configuration returns the newest configuration byte for byte, or nil when there is none yet.
 func (c *Core) Configuration(ctx context.Context) ([]byte, error) {
 	response, err := c.order(ctx, &fleetpb.OrderRequest{Read: true})
 	if err != nil {
@@ -267,7 +270,7 @@
 	return catalog.Unpack(response.GetConfiguration().GetPacked())
 }
 
-// Evacuate is part of api.Orders.
+// Evacuate takes an availability zone out of service or back into it.
 func (c *Core) Evacuate(ctx context.Context, zone ident.Zone, active bool) error {
 	_, err := c.order(ctx, &fleetpb.OrderRequest{Evacuate: &fleetpb.Evacuate{Zone: string(zone), Active: active}})
 	klog.InfoS("Evacuation ordered", "zone", zone, "active", active, "problem", problem(err))
@@ -344,7 +347,7 @@
 	return outcome, nil
 }
 
-// Announce is part of api.Orders: it takes what an upstream says of itself, passes it on to the other core hosts and returns
+// Announce takes what an upstream says of itself, passes it on to the other core hosts and returns
 // once the leader has it.
 func (c *Core) Announce(ctx context.Context, a *fleetpb.Announcement) error {
 	announced.Inc()
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -112,7 +112,7 @@
 			if one.pool != nil {
 				one.pool.Close()
 			}
-			one.pool = upstream.NewPool(target, 1)
+			one.pool = upstream.NewPool(target, g.core.options.Protocol, 1)
 		}
 		one.probing = true
 		go g.probe(ctx, one, one.pool)
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -16,8 +16,6 @@
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/takeover"
 	"tamarackshunt.dev/node/upstream"
-	"tamarackshunt.dev/platform/api"
-	"tamarackshunt.dev/platform/wire"
 )
 
 const (
@@ -104,7 +102,7 @@
 		last = core.options.Promoter.Promote(call, p.group.service, successor, token)
 		cancel()
 		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(last))
-		var refused *api.RefusedError
+		var refused *takeover.RefusedError
 		if last == nil || errors.As(last, &refused) {
 			return last
 		}
@@ -132,12 +130,12 @@
 	if !found {
 		return
 	}
-	before, err := p.status(ctx, target, wire.TextStatus)
+	before, err := p.status(ctx, target, statement.AskStatus{})
 	if err != nil {
 		klog.InfoS("Primary not asked before its replacement", "service", p.group.service, "reason", problem(err))
 		return
 	}
-	after, err := p.status(ctx, target, wire.TextStepDown(before.Term+1))
+	after, err := p.status(ctx, target, statement.StepDown{Term: before.Term + 1})
 	if err != nil {
 		klog.InfoS("Primary did not step down", "service", p.group.service, "reason", problem(err))
 		return
@@ -166,7 +164,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			status, err := p.status(ctx, target, wire.TextStatus)
+			status, err := p.status(ctx, target, statement.AskStatus{})
 			if err != nil {
 				klog.InfoS("Candidate did not tell its position", "service", p.group.service, "upstream", candidate, "reason", problem(err))
 				return
@@ -180,31 +178,22 @@
 	return found
 }
 
-// status runs a statement that answers with an upstream's status, again while the upstream has no room.
-func (p *promotion) status(ctx context.Context, target upstream.Target, text string) (wire.Status, error) {
+// status runs a request that is answered with an upstream's status, again while the upstream has no room.
+func (p *promotion) status(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	pool := upstream.NewPool(target, 1)
+	pool := upstream.NewPool(target, p.groups.core.options.Protocol, 1)
 	defer pool.Close()
 	conn, err := pool.Get(ctx, "", 0)
 	if err != nil {
-		return wire.Status{}, err
+		return statement.Status{}, err
 	}
 	defer conn.Release()
 	for {
-		result, err := conn.Run(wire.Own, text, statusTimeout)
-		switch {
-		case err != nil:
-			return wire.Status{}, err
-		case result.Failure == nil && len(result.Rows) > 0:
-			return wire.ParseStatus(result.Rows[0])
-		case result.Failure == nil:
-			return wire.Status{}, trace.BadParameter("the status of %s has no row", target.Upstream)
-		case result.Failure.Code != statement.CodeBusy:
-			return wire.Status{}, result.Failure
-		}
-		if steady.Wait(ctx, statusPause) != nil {
-			return wire.Status{}, result.Failure
+		status, err := conn.Status(request, statusTimeout)
+		var refused *statement.Failure
+		if !errors.As(err, &refused) || refused.Code != statement.CodeBusy || steady.Wait(ctx, statusPause) != nil {
+			return status, err
 		}
 	}
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -50,7 +50,8 @@
 	limitMemory(s.MemoryMB)
 	peers := peer.New(peer.Options{Bare: true})
 	table := routing.New(routing.Options{
-		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Gateways: gateway.NewClient(peers.Client(0), peers.URL),
+		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: upstreams,
+		Gateways: gateway.NewClient(peers.Client(0), peers.URL),
 	})
 	own := address(s.IP, s.FirstPort+portEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
@@ -62,7 +63,7 @@
 	})
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Ahead: borrowAhead})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
-	p.server = entry.New(entry.Options{Table: table, Quota: tokens, Grace: s.Grace})
+	p.server = entry.New(entry.Options{Protocol: callers, Table: table, Quota: tokens, Grace: s.Grace})
 	var err error
 	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
 		return nil, trace.ConvertSystemError(err)
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -6,7 +6,6 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
-	"tamarackshunt.dev/platform/wire"
 )
 
 // errGone reports a caller that cannot be answered any more.
@@ -24,7 +23,7 @@
 }
 
 // handle answers a request; an error ends the session.
-func (s *session) handle(query *wire.Query) error {
+func (s *session) handle(query *statement.Query) error {
 	if s.state == statement.StateFailed {
 		return s.handleFailed(query)
 	}
@@ -65,7 +64,7 @@
 }
 
 // handleFailed takes the end of a failed transaction and rejects everything else.
-func (s *session) handleFailed(query *wire.Query) error {
+func (s *session) handleFailed(query *statement.Query) error {
 	aborted := s.aborted
 	s.aborted = ""
 	switch query.Request.(type) {
@@ -82,7 +81,7 @@
 	return gone(s.fail(query, malformed("the transaction has failed and can only be ended")))
 }
 
-func (s *session) handleBegin(query *wire.Query, request statement.Begin) error {
+func (s *session) handleBegin(query *statement.Query, request statement.Begin) error {
 	if s.state != statement.StateIdle {
 		return gone(s.fail(query, malformed("there is a transaction already")))
 	}
@@ -95,7 +94,7 @@
 	return s.caller.Done(s.state)
 }
 
-func (s *session) handleStatement(query *wire.Query, w work) error {
+func (s *session) handleStatement(query *statement.Query, w work) error {
 	w.id = query.ID
 	if s.state == statement.StateTransaction {
 		return s.handleInside(query, w)
@@ -117,7 +116,7 @@
 }
 
 // handleInside runs a statement of an open transaction.
-func (s *session) handleInside(query *wire.Query, w work) error {
+func (s *session) handleInside(query *statement.Query, w work) error {
 	result, failure := s.inside(w)
 	if failure != nil {
 		return gone(s.fail(query, failure))
@@ -128,7 +127,7 @@
 	return s.caller.Pass(result, s.state)
 }
 
-func (s *session) handleCommit(query *wire.Query) error {
+func (s *session) handleCommit(query *statement.Query) error {
 	if s.state == statement.StateIdle {
 		return gone(s.fail(query, malformed("there is no transaction")))
 	}
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -10,7 +10,6 @@
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
-	"tamarackshunt.dev/platform/wire"
 )
 
 const (
@@ -271,7 +270,7 @@
 }
 
 // commit passes the caller's commit on.
-func (s *session) commit(query *wire.Query) (statement.Result, *statement.Failure) {
+func (s *session) commit(query *statement.Query) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.context(s.tx.route)
 	defer cancel()
 	use := s.use(&work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/routing"
 )
 
@@ -38,10 +40,26 @@
 	Take(ctx context.Context, request limit.Request) error
 }
 
+// Caller is the host's side of a caller's protocol over one connection. It is for one goroutine.
+type Caller interface {
+	// ReadStart reads the first message, which Refuse or Ready answers.
+	ReadStart() (statement.Start, error)
+	Refuse(failure *statement.Failure) error
+	Ready() error
+	// ReadQuery reads the next request, which one of the others answers; io.EOF reports the regular end of the session.
+	ReadQuery() (statement.Query, error)
+	// Done answers a request that the host has handled by itself, Fail one that failed, and Pass one that an upstream answered.
+	Done(state statement.State) error
+	Fail(failure *statement.Failure, state statement.State) error
+	Pass(result statement.Result, state statement.State) error
+}
+
 // Options describe a server.
 type Options struct {
-	Table *routing.Table
-	Quota Quota
+	// Protocol opens the host's side of the callers' protocol over a connection.
+	Protocol func(connection io.ReadWriter) Caller
+	Table    *routing.Table
+	Quota    Quota
 	// Grace is the time that a shutdown may take.
 	Grace time.Duration
 }
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -19,7 +19,6 @@
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
-	"tamarackshunt.dev/platform/wire"
 )
 
 const (
@@ -43,12 +42,12 @@
 type session struct {
 	server *Server
 	raw    net.Conn
-	caller *wire.Caller
+	caller Caller
 	// activity is read by a shutdown.
 	activity atomic.Int32
 	ending   atomic.Bool
 
-	start    wire.Start
+	start    statement.Start
 	state    statement.State
 	values   map[string]string
 	prepared map[string]statement.Prepared
@@ -99,7 +98,7 @@
 	return &session{
 		server:   server,
 		raw:      raw,
-		caller:   wire.NewCaller(raw),
+		caller:   server.options.Protocol(raw),
 		values:   map[string]string{},
 		prepared: map[string]statement.Prepared{},
 		seen:     map[ident.Service]ident.Position{},
@@ -155,7 +154,7 @@
 }
 
 // read waits for the next request, inside a transaction for as long as it may rest.
-func (s *session) read() (wire.Query, error) {
+func (s *session) read() (statement.Query, error) {
 	idle := activityIdle
 	var deadline time.Time
 	if s.state != statement.StateIdle {
@@ -266,7 +265,7 @@
 }
 
 // fail answers a request with a failure; a transaction has failed with it. It returns false when the caller is gone.
-func (s *session) fail(query *wire.Query, failure *statement.Failure) bool {
+func (s *session) fail(query *statement.Query, failure *statement.Failure) bool {
 	refused(failure)
 	tx := s.tx
 	if s.state != statement.StateIdle {
@@ -279,7 +278,7 @@
 
 // logFailure writes the line from which a failed request can be explained: what decided it, how old and how new that was, and
 // what was tried.
-func (s *session) logFailure(query *wire.Query, failure *statement.Failure, tx *transaction) {
+func (s *session) logFailure(query *statement.Query, failure *statement.Failure, tx *transaction) {
 	transaction := ""
 	if tx != nil {
 		transaction = tx.id
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -19,6 +20,8 @@
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/node/entry"
 	"tamarackshunt.dev/node/routing"
+	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
 	"tamarackshunt.dev/standin/platform"
 )
 
@@ -47,7 +50,9 @@
 }
 
 func newHost(t *testing.T, rest time.Duration) *host {
-	h := &host{t: t, group: platform.NewGroup("svc"), table: routing.New(routing.Options{Host: "h", Zone: "z"}), rest: rest}
+	h := &host{t: t, group: platform.NewGroup("svc"), table: routing.New(routing.Options{
+		Host: "h", Zone: "z", Protocol: func(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) },
+	}), rest: rest}
 	start := func(id string) *platform.Upstream {
 		u, err := h.group.Start(platform.Options{ID: id, Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
 		require.NoError(t, err)
@@ -68,7 +73,10 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	h.address = listener.Addr().String()
-	server := entry.New(entry.Options{Table: h.table, Quota: tokens{"team": 100}, Grace: time.Minute})
+	server := entry.New(entry.Options{
+		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
+		Table:    h.table, Quota: tokens{"team": 100}, Grace: time.Minute,
+	})
 	go func() { _ = server.Serve(listener) }()
 	return h
 }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
 	"tamarackshunt.dev/standin/platform"
 )
 
@@ -31,7 +33,7 @@
 	require.NoError(t, err)
 	t.Cleanup(u.Crash)
 	target := upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}
-	server := httptest.NewServer(gateway.NewServer(pools{"i-1": upstream.NewPool(target, 1)}).Handler())
+	server := httptest.NewServer(gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 1)}).Handler())
 	t.Cleanup(server.Close)
 	client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
 	lost = new(int)
@@ -103,3 +105,5 @@
 	require.ErrorAs(t, err, &broken)
 	require.True(t, outcome.Ran)
 }
+
+func protocol(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) }
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -32,6 +32,8 @@
 	Zone    ident.Zone
 	Region  ident.Region
 	Regions map[ident.Zone]ident.Region
+	// Protocol is that of the upstreams.
+	Protocol upstream.Protocol
 	// Gateways calls the gateways on other hosts.
 	Gateways *gateway.Client
 }
@@ -203,7 +205,7 @@
 			}
 		}
 	}
-	return upstream.NewPool(target, limit)
+	return upstream.NewPool(target, t.options.Protocol, limit)
 }
 
 func (t *Table) group(service ident.Service) *group {
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"syscall"
@@ -14,7 +15,6 @@
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
-	"tamarackshunt.dev/platform/wire"
 )
 
 const (
@@ -66,13 +66,27 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// Session is the host's side of an upstream's protocol over one connection. It is for one goroutine.
+type Session interface {
+	// Connect opens the session under the name of a team, or of none; a statement.Failure says that the upstream refuses.
+	Connect(service ident.Service, team ident.Team, expected ident.Upstream) (ident.Position, error)
+	// Run sends a request, to run only on a log that holds a position where one is given, and returns the complete answer. The id
+	// is empty for requests of the host's own. After an error the connection can't be used and the outcome is not known.
+	Run(id string, since ident.Position, request statement.Request) (statement.Result, error)
+	// Status reads the answer to AskStatus and StepDown.
+	Status(result statement.Result) (statement.Status, error)
+}
+
+// Protocol opens the host's side of an upstream's protocol over a connection.
+type Protocol func(connection io.ReadWriter) Session
+
 // Conn is a connection to an upstream under the name of a team. It belongs to one goroutine at a time.
 type Conn struct {
-	Target Target
-	Team   ident.Team
-	pool   *Pool
-	net    net.Conn
-	wire   *wire.Upstream
+	Target  Target
+	Team    ident.Team
+	pool    *Pool
+	net     net.Conn
+	session Session
 	// values and prepared are the session state on the upstream; prepared maps definitions to names there.
 	values   map[string]string
 	prepared map[statement.Prepared]string
@@ -80,7 +94,7 @@
 	broken   bool
 }
 
-func open(ctx context.Context, target Target, team ident.Team) (*Conn, error) {
+func open(ctx context.Context, protocol Protocol, target Target, team ident.Team) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dialer := net.Dialer{
@@ -101,18 +115,14 @@
 		Target:   target,
 		Team:     team,
 		net:      raw,
-		wire:     wire.NewUpstream(raw),
+		session:  protocol(raw),
 		values:   map[string]string{},
 		prepared: map[statement.Prepared]string{},
 	}
 	if end, found := ctx.Deadline(); found {
 		_ = raw.SetDeadline(end)
 	}
-	who := string(team)
-	if who == "" {
-		who = wire.Own
-	}
-	if _, err := c.wire.Connect(target.Service, who, target.Upstream); err != nil {
+	if _, err := c.session.Connect(target.Service, team, target.Upstream); err != nil {
 		_ = raw.Close()
 		var refused *statement.Failure
 		if errors.As(err, &refused) {
@@ -123,10 +133,10 @@
 	return c, nil
 }
 
-// Run sends a statement and returns the upstream's answer; a BrokenError says that the outcome is not known.
-func (c *Conn) Run(id, text string, timeout time.Duration) (statement.Result, error) {
+// Run sends a request and returns the upstream's answer; a BrokenError says that the outcome is not known.
+func (c *Conn) Run(id string, since ident.Position, request statement.Request, timeout time.Duration) (statement.Result, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
-	result, err := c.wire.Run(id, text)
+	result, err := c.session.Run(id, since, request)
 	if err != nil {
 		c.broken = true
 		return result, &BrokenError{err}
@@ -135,9 +145,21 @@
 	return result, nil
 }
 
-// own runs a statement of the host's own that must succeed.
-func (c *Conn) own(text string) (statement.Result, error) {
-	result, err := c.Run(wire.Own, text, ownTimeout)
+// Status runs a request that is answered with the upstream's status. A statement.Failure says that the upstream refused it.
+func (c *Conn) Status(request statement.Request, timeout time.Duration) (statement.Status, error) {
+	result, err := c.Run("", ident.Position{}, request, timeout)
+	switch {
+	case err != nil:
+		return statement.Status{}, err
+	case result.Failure != nil:
+		return statement.Status{}, result.Failure
+	}
+	return c.session.Status(result)
+}
+
+// own runs a request of the host's own that must succeed.
+func (c *Conn) own(since ident.Position, request statement.Request) (statement.Result, error) {
+	result, err := c.Run("", since, request, ownTimeout)
 	if err == nil && result.Failure != nil {
 		return result, result.Failure
 	}
@@ -146,12 +168,12 @@
 
 // Begin opens a transaction. A statement.Failure says that the upstream refused it.
 func (c *Conn) Begin() (statement.Result, error) {
-	return c.own(wire.TextBegin)
+	return c.own(ident.Position{}, statement.Begin{})
 }
 
 // BeginRead opens a transaction without writes on a log that holds a position.
 func (c *Conn) BeginRead(since ident.Position) (statement.Result, error) {
-	return c.own(wire.TextSince(since, wire.TextBeginRead))
+	return c.own(since, statement.Begin{ReadOnly: true})
 }
 
 // Prepare leaves exactly a session's values in force; definition, when it is not nil, is the prepared statement that will
@@ -174,7 +196,7 @@
 		return c.Prepare(values, definition)
 	}
 	name := nameOf(*definition)
-	if _, err := c.own(wire.TextPrepare(name, *definition)); err != nil {
+	if _, err := c.own(ident.Position{}, statement.Prepare{Name: name, Prepared: *definition}); err != nil {
 		c.broken = true
 		return "", err
 	}
@@ -196,7 +218,7 @@
 		if known, found := c.values[name]; found && known == value {
 			continue
 		}
-		if _, err := c.own(wire.TextSet(name, value)); err != nil {
+		if _, err := c.own(ident.Position{}, statement.Set{Name: name, Value: value}); err != nil {
 			return err
 		}
 		c.values[name] = value
@@ -205,7 +227,7 @@
 }
 
 func (c *Conn) discard() error {
-	if _, err := c.own(wire.TextDiscard); err != nil {
+	if _, err := c.own(ident.Position{}, statement.Discard{}); err != nil {
 		c.broken = true
 		return err
 	}
@@ -226,7 +248,7 @@
 // Release ends a transaction that is still open and gives the connection back, or closes it when it cannot be used any more.
 func (c *Conn) Release() {
 	if !c.broken && c.state != statement.StateIdle {
-		if result, err := c.Run(wire.Own, wire.TextRollback, ownTimeout); err != nil || result.State != statement.StateIdle {
+		if result, err := c.Run("", ident.Position{}, statement.Rollback{}, ownTimeout); err != nil || result.State != statement.StateIdle {
 			c.broken = true
 		}
 	}
--- a/node/upstream/line.go
+++ b/node/upstream/line.go
@@ -7,7 +7,6 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
-	"tamarackshunt.dev/platform/wire"
 )
 
 // Opening says which transaction is opened before a statement.
@@ -139,9 +138,9 @@
 	if use.ID == "" {
 		return outcome, nil
 	}
-	text := use.Text
+	var request statement.Request = statement.Passed{Text: use.Text}
 	if use.Prepared != nil {
-		text = wire.TextExecute(name, text)
+		request = statement.Execute{Name: name, Arguments: use.Text}
 	}
 	if err := d.pool.room.enter(ctx, d.team, d.priority, inside); err != nil {
 		return outcome, err
@@ -149,6 +148,6 @@
 	began := steady.Now()
 	defer func() { d.pool.room.leave(d.priority, steady.Now().Sub(began)) }()
 	outcome.Ran = true
-	outcome.Result, err = c.Run(use.ID, wire.TextSince(since, text), use.Timeout)
+	outcome.Result, err = c.Run(use.ID, since, request, use.Timeout)
 	return outcome, err
 }
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -38,9 +38,10 @@
 
 // Pool is one host's connections to one upstream. Its methods may be called from several goroutines.
 type Pool struct {
-	target Target
-	room   *room
-	mu     sync.Mutex
+	target   Target
+	protocol Protocol
+	room     *room
+	mu       sync.Mutex
 	// limit is the most connections, total the number that are open or being opened.
 	limit   int
 	total   int
@@ -71,8 +72,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool(target Target, limit int) *Pool {
-	return &Pool{target: target, room: newRoom(), limit: max(1, limit)}
+func NewPool(target Target, protocol Protocol, limit int) *Pool {
+	return &Pool{target: target, protocol: protocol, room: newRoom(), limit: max(1, limit)}
 }
 
 // Target returns the upstream.
@@ -188,7 +189,7 @@
 
 // open opens a connection in the room that take has found.
 func (p *Pool) open(ctx context.Context, team ident.Team) (*Conn, error) {
-	conn, err := open(ctx, p.target, team)
+	conn, err := open(ctx, p.protocol, p.target, team)
 	if err == nil {
 		conn.pool = p
 		opened.Inc()
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
 	"tamarackshunt.dev/standin/platform"
 )
 
@@ -41,7 +43,7 @@
 // a connection that sessions share.
 func TestSessionState(t *testing.T) {
 	_, _, target := start(t, 20)
-	p := upstream.NewPool(target, 1)
+	p := upstream.NewPool(target, protocol, 1)
 	run := func(team ident.Team, use upstream.Use) []string {
 		outcome, err := p.Line(team, 1).Do(bounded(t), use)
 		require.NoError(t, err)
@@ -67,7 +69,7 @@
 // Guards against a transaction that is left open on a connection which the next session gets.
 func TestReleaseEndsTransaction(t *testing.T) {
 	g, _, target := start(t, 20)
-	p := upstream.NewPool(target, 1)
+	p := upstream.NewPool(target, protocol, 1)
 	line := p.Line("one", 1)
 	outcome, err := line.Do(bounded(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE k v", Timeout: timeout, Keep: true})
 	require.NoError(t, err)
@@ -85,7 +87,7 @@
 // room that is lost with broken connections.
 func TestLimit(t *testing.T) {
 	_, u, target := start(t, 3)
-	p := upstream.NewPool(target, 3)
+	p := upstream.NewPool(target, protocol, 3)
 	var wait sync.WaitGroup
 	for i := range 60 {
 		wait.Go(func() {
@@ -108,7 +110,7 @@
 // Guards against a lost answer that is told as not run, and a failure to connect that is told as an unknown outcome.
 func TestOutcome(t *testing.T) {
 	g, u, target := start(t, 3)
-	p := upstream.NewPool(target, 3)
+	p := upstream.NewPool(target, protocol, 3)
 	u.LoseAnswers(1)
 	outcome, err := p.Line("one", 1).Do(bounded(t), upstream.Use{ID: "1", Text: "STORE k v", Timeout: timeout})
 	var broken *upstream.BrokenError
@@ -119,7 +121,7 @@
 
 	wrong := target
 	wrong.Upstream = "i-2"
-	outcome, err = upstream.NewPool(wrong, 1).Line("one", 1).Do(bounded(t), read("2", "FETCH k"))
+	outcome, err = upstream.NewPool(wrong, protocol, 1).Line("one", 1).Do(bounded(t), read("2", "FETCH k"))
 	var refused *statement.Failure
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, statement.CodeMoved, refused.Code)
@@ -139,10 +141,10 @@
 	require.NoError(t, err)
 	t.Cleanup(replica.Crash)
 	replica.SetDeaf(true)
-	outcome, err := upstream.NewPool(target, 1).Line("one", 1).Do(bounded(t), upstream.Use{ID: "1", Text: "STORE k v", Timeout: timeout})
+	outcome, err := upstream.NewPool(target, protocol, 1).Line("one", 1).Do(bounded(t), upstream.Use{ID: "1", Text: "STORE k v", Timeout: timeout})
 	require.NoError(t, err)
 	target.Upstream, target.Address = "i-2", replica.Address
-	line := upstream.NewPool(target, 2).Line("one", 1)
+	line := upstream.NewPool(target, protocol, 2).Line("one", 1)
 	for _, use := range []upstream.Use{
 		{Opening: upstream.OpenRead, Since: outcome.Result.Position, ID: "2", Text: "FETCH k", Timeout: timeout},
 		{Opening: upstream.OpenPrimary, ID: "3", Text: "FETCH k", Timeout: timeout},
@@ -158,3 +160,5 @@
 	require.NoError(t, err)
 	require.Equal(t, statement.CodeLagging, lagging.Result.Failure.Code)
 }
+
+func protocol(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) }
