--- a/fleet/quorum/session_test.go
+++ b/fleet/quorum/session_test.go
@@ -210,3 +210,29 @@
 	require.Empty(t, s.leader())
 	require.Equal(t, quorum.Outsider, s.hosts["a"].node.Status().Role)
 }
+
+// Guards against a leader that takes the lease of the one before it for ended because it has not heard from that leader for
+// long itself, while a voter of its has. The simulation compares each leader's time with when the others were confirmed.
+func TestVacantSinceTheLastLease(t *testing.T) {
+	s := newSim(3, "a", "b", "c")
+	s.quiet = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	lonely := 0
+	for round := range 20 {
+		leader := s.elect()
+		follower := s.others(leader)[round%2]
+		s.cut[follower] = true
+		s.run(700 * time.Millisecond)
+		delete(s.cut, follower)
+		s.crash(leader)
+		if s.elect() == follower {
+			lonely++
+		}
+		s.start(leader)
+		s.run(2 * time.Second)
+		require.Empty(t, s.broken, s.story.String())
+	}
+	require.Positive(t, lonely, "no member that was cut off came to lead")
+}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -149,6 +149,11 @@
 		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
 		"./platform/wire", "Upstream",
 	},
+	{
+		0, "QUOTA: a new owner of tokens waits for the last lease that its voters know of",
+		"fleet/quorum/election.go", "n.vacant = max(n.vacant, n.now.Add(-time.Duration(answer.GetVacantMs())*time.Millisecond))", "_ = time.Second",
+		"./fleet/quorum", "Vacant",
+	},
 	{
 		0, "QUOTA: the reserve of a host is bounded in each window",
 		"fleet/limit/reserve.go", "if int64(len(r.spent)) >= r.rule.Tokens {", "if int64(len(r.spent)) < 0 {",
