Let patience end only once an owner has answered

The leader had just been frozen, and the request's patience of a quarter of its objective ended while the call for its token was still on its way; the call gives up after 200 ms, and only then does the host know that it has no owner.

Change: as long as no owner has answered since the request came, it waits for its deadline, which is its objective.

--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -81,7 +81,7 @@
 // Spent says that a token was spent and the request may run.
 type Spent struct{}
 
-// Wait says that the request waits until a later Answer or Expire names it: at Until, or, when no owner lends by then,
+// Wait says that the request waits until a later Answer or Expire names it: at Until, or, when no owner has answered by then,
 // later up to its deadline.
 type Wait struct {
 	ID    WaiterID
@@ -126,7 +126,10 @@
 	w := waiter{
 		id: WaiterID(b.waiters.Add(1)), since: now, deadline: deadline, priority: request.Priority, patience: request.Patience,
 	}
-	until := p.until(w)
+	until := w.deadline
+	if !p.silent {
+		until = p.patienceEnd(w)
+	}
 	p.queue(w)
 	if p.starved > 0 {
 		// The owner has just lent less than was wanted, so asking sooner would only add load.
--- a/fleet/limit/purse.go
+++ b/fleet/limit/purse.go
@@ -62,10 +62,12 @@
 	asked   uint64
 	// starved is the time between requests while the owner's last answer lent less than waiting; 0 otherwise.
 	starved time.Duration
-	// silent is set while no owner answers requests for tokens, and back is when the last such time ended.
-	silent  bool
-	back    ident.Time
-	reserve reserve
+	// silent is set while no owner answers requests for tokens, and back is when the last such time ended. Answered is when an
+	// owner last answered one.
+	silent   bool
+	back     ident.Time
+	answered ident.Time
+	reserve  reserve
 	// period is the time between requests.
 	period time.Duration
 }
@@ -197,7 +199,7 @@
 		if p.silent {
 			p.back = now
 		}
-		p.starved, p.silent, p.asked = 0, false, 0
+		p.starved, p.silent, p.asked, p.answered = 0, false, 0, now
 		if lent < p.waiting {
 			// Where calls are dear a team above its rate must not cost many times as many as the others.
 			p.starved = max(min(max(retry, minGap), AskPeriod), p.period-AskPeriod)
@@ -232,11 +234,16 @@
 	return outcomes
 }
 
-// until returns the end of a request's wait as of now.
+// until returns the end of a request's wait as of now. Its patience ends while an owner lends: until one has answered since the
+// request came, the call for its token may be on its way to an owner that is lost.
 func (p *purse) until(w waiter) ident.Time {
-	if p.silent {
+	if p.silent || p.answered < w.since {
 		return w.deadline
 	}
+	return p.patienceEnd(w)
+}
+
+func (p *purse) patienceEnd(w waiter) ident.Time {
 	return min(w.deadline, max(w.since, p.back).Add(w.patience))
 }
 
--- a/fleet/limit/waiting_test.go
+++ b/fleet/limit/waiting_test.go
@@ -86,3 +86,19 @@
 	at = at.Add(1100 * time.Millisecond)
 	require.Zero(t, answer(), "nothing is borrowed for a team without recent requests")
 }
+
+// Guards against a request that is refused as long as the call for its token is on its way to an owner that is lost.
+func TestPatienceWaitsForTheCall(t *testing.T) {
+	at := ident.Time(time.Hour)
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1})
+	decision, _ := b.Take(at, limit.Request{Team: "t", Patience: 100 * time.Millisecond}, at.Add(400*time.Millisecond))
+	require.IsType(t, limit.Wait{}, decision)
+	require.NotNil(t, b.Ask(at))
+	at = at.Add(150 * time.Millisecond)
+	require.Empty(t, b.Expire(at, "t"), "the owner has not answered")
+	require.Empty(t, b.Lost(at))
+	require.Empty(t, b.Expire(at.Add(100*time.Millisecond), "t"))
+	refused := b.Expire(at.Add(250*time.Millisecond), "t")
+	require.Len(t, refused, 1)
+	require.Equal(t, limit.CauseNoOwner, refused[0].Refused.Cause)
+}
