Look for the leader once it does not lend tokens

Hosts named the leader lost at 9.94 to 10.41 s, by questions that they ask every 400 to 500 ms and that take 500 ms to fail; their calls for tokens had failed since 9.68 s. And a question to all core hosts waited 500 ms for the one that stood still, although the two others had answered: two hosts found the new leader only 0.59 s after it was ready.

Change: an owner of tokens that does not answer is no longer taken for the leader, and all core hosts are asked at once; a question to all of them gives up after 200 ms. PostgreSQL hosts, which sync every 250 ms, ignore the new call.

--- a/host/fleet.go
+++ b/host/fleet.go
@@ -47,6 +47,9 @@
 // Moved makes the next sync look for the leader, which the owner is.
 func (f fleetView) Moved(string) { f.deps.member.Urgent() }
 
+// Silent is part of quota.Fleet; a lost owner is noticed by the syncs, which are as frequent as calls for tokens may fail.
+func (fleetView) Silent(string) {}
+
 // Changed returns a channel that is closed at the next view.
 func (f fleetView) Changed() <-chan struct{} { return f.deps.member.Changed() }
 
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -36,6 +36,8 @@
 	Owner() string
 	// Moved takes the address that a host which is not the owner has named.
 	Moved(owner string)
+	// Silent takes the address of an owner that did not answer.
+	Silent(owner string)
 }
 
 // Options configure a quota.
@@ -222,6 +224,7 @@
 	}
 	response, err := fleetpb.NewControlProtobufClient(q.opts.Peers.URL(owner), q.client).Borrow(ctx, request)
 	if err != nil {
+		q.opts.Fleet.Silent(owner)
 		return nil, trace.Wrap(err)
 	}
 	if leader := response.GetLeader(); leader != "" {
--- a/host/quota/quota_test.go
+++ b/host/quota/quota_test.go
@@ -42,9 +42,10 @@
 }
 
 type fleet struct {
-	start time.Time
-	mu    sync.Mutex
-	owner string
+	start  time.Time
+	mu     sync.Mutex
+	owner  string
+	silent []string
 }
 
 func (f *fleet) Now() ident.Time { return ident.Time(time.Since(f.start)) }
@@ -55,6 +56,12 @@
 	return f.owner
 }
 
+func (f *fleet) Silent(owner string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = append(f.silent, owner)
+}
+
 func (f *fleet) Moved(owner string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -130,3 +137,20 @@
 	<-done
 	require.Zero(t, c.owner.Balance(c.fleet.Now(), "stalls").Lent)
 }
+
+// Guards against an owner whose loss the rest of the host learns of only by its own, rarer calls.
+func TestSilentOwner(t *testing.T) {
+	q, c, _, _ := begin(t)
+	require.NoError(t, q.Take(t.Context(), limit.Request{Team: "stalls"}))
+	require.Empty(t, c.fleet.silent)
+	owner := c.fleet.Owner()
+	c.fail.Store(1 << 30)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = q.Take(ctx, limit.Request{Team: "stalls", Patience: time.Hour}) }()
+	require.Eventually(t, func() bool {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		return len(c.fleet.silent) > 0 && c.fleet.silent[0] == owner
+	}, 20*time.Second, time.Millisecond)
+}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -30,6 +30,9 @@
 	// watchTimeout bounds a question; a configuration of hundreds of routes fits, and a leader that is lost is noticed within
 	// the time of an election.
 	watchTimeout = 500 * time.Millisecond
+	// searchTimeout bounds a question to all core hosts while the leader is unknown. One of them may stand still, and the next
+	// question must not wait for it; a round trip between regions takes 24 ms.
+	searchTimeout = 200 * time.Millisecond
 	// reserveSpare is added to the hosts that share the reserves of teams, for those that are not known yet.
 	reserveSpare = 2
 	// inTouch is the time after the last answer for which the host counts itself in touch with the core.
@@ -104,6 +107,27 @@
 	l.leader = ""
 }
 
+// Silent takes the address of an owner that did not answer. The host asks all core hosts at once, since calls for tokens are
+// more frequent than its questions and notice a lost leader first.
+func (l *Link) Silent(owner string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader != owner {
+		return
+	}
+	klog.InfoS("Core leader does not lend tokens", "leader", owner)
+	l.leader = ""
+	l.hurry()
+}
+
+// hurry lets Run ask without waiting for its interval.
+func (l *Link) hurry() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // InTouch reports whether the leader has answered lately.
 func (l *Link) InTouch() bool {
 	l.mu.Lock()
@@ -116,10 +140,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leaving = true
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.hurry()
 }
 
 // Run asks the leader until ctx ends.
@@ -161,9 +182,13 @@
 func (l *Link) watch(ctx context.Context) bool {
 	request := l.request()
 	asked := steady.Now()
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
 	targets := l.targets()
+	timeout := watchTimeout
+	if len(targets) > 1 {
+		timeout = searchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	results := make(chan bool, len(targets))
 	for _, address := range targets {
 		go func() { results <- l.ask(ctx, asked, address, request) }()
