--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -47,12 +47,19 @@
 	table     *routing.Table
 	rest      time.Duration
 	directory *fleetpb.Directory
+	// connections is the most that an upstream accepts.
+	connections int
 }
 
 func newHost(t *testing.T, rest time.Duration) *host {
-	h := &host{t: t, group: platform.NewGroup("svc"), table: routing.New(routing.Options{
-		Host: "h", Zone: "z", Protocol: func(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) },
-	}), rest: rest}
+	return newHostWith(t, rest, func(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) })
+}
+
+func newHostWith(t *testing.T, rest time.Duration, protocol upstream.Protocol) *host {
+	h := &host{
+		t: t, group: platform.NewGroup("svc"), rest: rest, connections: 20,
+		table: routing.New(routing.Options{Host: "h", Zone: "z", Protocol: protocol}),
+	}
 	start := func(id string) *platform.Upstream {
 		u, err := h.group.Start(platform.Options{ID: id, Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
 		require.NoError(t, err)
@@ -89,7 +96,7 @@
 		}
 	}
 	c, err := catalog.New(catalog.Description{
-		Version: version, IdleTransaction: h.rest, Services: []catalog.Service{{Name: "svc", Connections: 20}},
+		Version: version, IdleTransaction: h.rest, Services: []catalog.Service{{Name: "svc", Connections: h.connections}},
 		Routes: []catalog.Route{route("primary", catalog.KindPrimary), route("session", catalog.KindSession), route("bounded", catalog.KindBounded)},
 		Teams:  []catalog.Team{{Name: "team", Keys: []string{key}}, {Name: "poor", Keys: []string{"poor"}}},
 	})
--- /dev/null
+++ b/node/entry/waiting_test.go
@@ -0,0 +1,119 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
+)
+
+// recorder notes the ids of callers' requests in the order in which they reach upstreams.
+type recorder struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (r *recorder) open(connection io.ReadWriter) upstream.Session {
+	return &recorded{wire.NewUpstream(connection), r}
+}
+
+func (r *recorder) seen() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.ids)
+}
+
+type recorded struct {
+	upstream.Session
+	recorder *recorder
+}
+
+// Run implements upstream.Session.
+func (r *recorded) Run(id string, since ident.Position, request statement.Request) (statement.Result, error) {
+	if id != "" {
+		r.recorder.mu.Lock()
+		r.recorder.ids = append(r.recorder.ids, id)
+		r.recorder.mu.Unlock()
+	}
+	return r.Session.Run(id, since, request)
+}
+
+// caller is a session whose answers can be awaited later.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (h *host) connect(route string) *caller {
+	conn, err := net.Dial("tcp", h.address)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { _ = conn.Close() })
+	c := &caller{h.t, conn, bufio.NewReader(conn)}
+	c.send("CONNECT " + route + " key")
+	c.await()
+	return c
+}
+
+func (c *caller) send(line string) {
+	_, err := fmt.Fprintf(c.conn, "%s\r\n", line)
+	require.NoError(c.t, err)
+}
+
+func (c *caller) await() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for {
+		answer, err := c.in.ReadString('\n')
+		require.NoError(c.t, err)
+		require.False(c.t, strings.HasPrefix(answer, "ERROR"), answer)
+		if strings.HasPrefix(answer, "IDLE") {
+			return
+		}
+	}
+}
+
+// Guards against a read that leaves the queue of the only upstream that can run it, and joins it again behind later ones.
+func TestReadKeepsItsPlace(t *testing.T) {
+	record := &recorder{}
+	h := newHostWith(t, 0, record.open)
+	h.connections = 5 // one connection for callers beside the reserved ones
+	h.configure(2, "key")
+	h.table.SetDirectory(h.directory)
+	// The replica is taken to lag for the whole test.
+	h.table.Pool("svc", "i-2").Saw(steady.Now().Add(time.Hour), ident.Position{})
+
+	first, second, writer := h.connect("session"), h.connect("session"), h.connect("primary")
+	for _, c := range []*caller{first, second} {
+		c.send("QUERY w STORE a 1")
+		c.await()
+	}
+	writer.send("QUERY b BEGIN")
+	writer.await()
+	writer.send("QUERY t STORE b 1")
+	writer.await()
+
+	first.send("QUERY first FETCH a")
+	// The first read would leave after 250 ms, 50 ms after the second one has joined.
+	time.Sleep(200 * time.Millisecond)
+	second.send("QUERY second FETCH a")
+	time.Sleep(150 * time.Millisecond)
+	writer.send("QUERY c COMMIT")
+	writer.await()
+	first.await()
+	second.await()
+
+	require.Equal(t, []string{"w", "w", "t", "c", "first", "second"}, record.seen())
+}
