--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -15,8 +15,9 @@
 const (
 	// AskPeriod is the usual time between requests while tokens are wanted, held or unreported.
 	AskPeriod = 50 * time.Millisecond
-	// MaxWait is the longest wait of a request for a token while the owner lends, unless it says another one. Time without an owner does not count: a
-	// team within its rate must not be refused because the control leader changes, which takes longer than this.
+	// MaxWait is the longest wait of a request for a token while the owner lends, unless it says another one. Time without an
+	// owner does not count: a team within its rate must not be refused because the control leader changes, which takes longer
+	// than this.
 	MaxWait = time.Second
 	// horizon is the time for which demand is predicted and borrowed ahead.
 	horizon = 200 * time.Millisecond
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -68,12 +68,14 @@
 // New returns a quota without tokens.
 func New(opts Options) *Quota {
 	return &Quota{
-		opts:     opts,
-		borrower: limit.NewBorrower(limit.BorrowerOptions{Host: opts.Host, Incarnation: opts.Incarnation, Period: opts.Period, Ahead: opts.Ahead}),
-		client:   opts.Peers.Client(0),
-		wake:     make(chan struct{}, 1),
-		waiting:  map[limit.WaiterID]chan *limit.Exceeded{},
-		early:    map[limit.WaiterID]*limit.Exceeded{},
+		opts: opts,
+		borrower: limit.NewBorrower(limit.BorrowerOptions{
+			Host: opts.Host, Incarnation: opts.Incarnation, Period: opts.Period, Ahead: opts.Ahead,
+		}),
+		client:  opts.Peers.Client(0),
+		wake:    make(chan struct{}, 1),
+		waiting: map[limit.WaiterID]chan *limit.Exceeded{},
+		early:   map[limit.WaiterID]*limit.Exceeded{},
 	}
 }
 
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -347,8 +347,7 @@
 	return outcome, nil
 }
 
-// Announce takes what an upstream says of itself, passes it on to the other core hosts and returns
-// once the leader has it.
+// Announce takes what an upstream says of itself, passes it on to the other core hosts and returns once the leader has it.
 func (c *Core) Announce(ctx context.Context, a *fleetpb.Announcement) error {
 	announced.Inc()
 	c.takeAnnouncement(a)
