Merge the second copies that the platform's code brought

Cause: read again as a whole, the change held pieces twice. The controller and the replica each had a Leadership of the same fields, with a wrapper in the program that converted one into the other, and two places made an Office of it. The core turned the teams' rules into a text message for the lender, which turned it back into rules. Each try of a statement was run and remembered in six places. Who may run a route's requests was spelled out for reads and for the primary.

Change: one Leadership with Office, the replica serves the controller itself; Lender.SetRules; session.do and resultOf; Table.serves. Removed: a core pointer with its lock that nothing read, a start time that the end of the member's own lead covers, a reason for refusals without a last error, which cannot happen since the reads' rounds have an error of their own. TestSilentOwner reads its record under the lock.

Behaviour, bounds and assertions are as before; the proof that an evacuated zone gets no work takes its mechanism out at its new place.

--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -145,8 +145,7 @@
 
 	heard    ident.Time
 	hasHeard bool
-	// began is when the member started, and led when it last ceased to lead.
-	began       ident.Time
+	// led is when the member last ceased to lead, or started.
 	led         ident.Time
 	electionDue ident.Time
 	ballots     map[string]bool
@@ -176,7 +175,6 @@
 		bounds: options.Bounds,
 		random: rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(options.Self.GetMember()))),
 		now:    now,
-		began:  now,
 		led:    now,
 		term:   options.Hard.GetTerm(),
 		vote:   options.Hard.GetVote(),
@@ -328,11 +326,10 @@
 
 // leaseEnd returns the end of the last lease that this member knows of: of a leader that it has answered, or its own.
 func (n *Node) leaseEnd() ident.Time {
-	end := max(n.began, n.led)
 	if n.hasHeard {
-		end = max(end, n.heard.Add(n.bounds.Lease))
+		return max(n.led, n.heard.Add(n.bounds.Lease))
 	}
-	return end
+	return n.led
 }
 
 // send queues a message that leaves once the hard state is synced.
--- a/host/controller/controller.go
+++ b/host/controller/controller.go
@@ -15,6 +15,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/replica"
 )
 
 const (
@@ -164,13 +165,13 @@
 }
 
 // refresh takes over what the log says about the leadership, and returns it with the time; the caller holds the lock.
-func (c *Controller) refresh() (ident.Time, Leadership) {
+func (c *Controller) refresh() (ident.Time, replica.Leadership) {
 	now := c.options.Clock()
-	var leadership Leadership
+	var leadership replica.Leadership
 	if c.log != nil {
 		leadership = c.log.Leadership()
 	}
-	office := control.Office{Leads: leadership.Leads, Since: leadership.Since, Vacant: leadership.Vacant, Until: leadership.Until}
+	office := leadership.Office()
 	c.act(c.leader.SetOffice(now, office))
 	changed := office.Leads != c.office.Leads || office.Leads && office.Since != c.office.Since
 	c.office = office
--- a/host/controller/controller_test.go
+++ b/host/controller/controller_test.go
@@ -19,6 +19,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/controller"
 	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/replica"
 )
 
 const yaml = `zones: [{name: north, region: moravia}]
@@ -69,7 +70,7 @@
 	return nil, &control.NotLeaderError{}
 }
 
-func (f follower) Leadership() controller.Leadership { return controller.Leadership{Leader: f.leader} }
+func (f follower) Leadership() replica.Leadership { return replica.Leadership{Leader: f.leader} }
 
 func (f follower) Members() *fleetpb.Voters { return nil }
 
--- a/host/controller/parts.go
+++ b/host/controller/parts.go
@@ -8,6 +8,7 @@
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/replica"
 )
 
 // Log is the replicated control log. It applies committed changes to the machine that Controller.Machine returns.
@@ -16,30 +17,11 @@
 	// applied.
 	Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error)
 	// Leadership returns what this control host knows of the leader now.
-	Leadership() Leadership
+	Leadership() replica.Leadership
 	// Members returns the voters and learners, or nil before the log is founded.
 	Members() *fleetpb.Voters
 }
 
-// Leadership is what a control host knows of the leader.
-type Leadership struct {
-	// Leader is the peer address of the leader, Host its host; empty when unknown.
-	Leader string
-	Host   ident.Host
-	// Term of the log that this member is in.
-	Term uint64
-	// Leads is set when this member leads and its machine holds every change of earlier terms.
-	Leads bool
-	// Confirmed is set while no other member can lead, which holds until Until by the log's clock.
-	Confirmed bool
-	Until     ident.Time
-	// Since is when this member took office, and Vacant a time at or before it from which no earlier leader was confirmed.
-	Since  ident.Time
-	Vacant ident.Time
-	// Problem is why the leader does not admit this host, for operators.
-	Problem string
-}
-
 // Part is a part of the control leader that another package decides. Its methods are called in order, one at a time, and
 // must neither wait for a proposal nor call the Controller.
 type Part interface {
--- a/host/controller/single_test.go
+++ b/host/controller/single_test.go
@@ -10,6 +10,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/host/controller"
+	"tamarackshunt.dev/host/replica"
 )
 
 // singleLog is a control log of a single host that keeps nothing on disk and always leads.
@@ -39,8 +40,8 @@
 }
 
 // Leadership says that this host leads.
-func (l *singleLog) Leadership() controller.Leadership {
-	return controller.Leadership{
+func (l *singleLog) Leadership() replica.Leadership {
+	return replica.Leadership{
 		Leader:    l.host.GetPeer(),
 		Host:      ident.Host(l.host.GetHost()),
 		Term:      1,
--- a/host/deps.go
+++ b/host/deps.go
@@ -193,7 +193,7 @@
 func (d *deps) start(ctx context.Context) error {
 	if d.control != nil {
 		d.control.switchover.Start(d.control.controller.Propose)
-		d.control.controller.Start(controlLog{d.control.replica})
+		d.control.controller.Start(d.control.replica)
 	}
 	reports := []member.Report{observer.NewReporter(d.observer.Observed, d.clock.Now), d.pool, d.rejections}
 	var view func() *member.View
--- a/host/lending/lending.go
+++ b/host/lending/lending.go
@@ -40,12 +40,18 @@
 
 // SetState takes the teams' rates and bursts from the text in force.
 func (l *Lender) SetState(now ident.Time, text *fleetpb.Text, _ []*fleetpb.Group) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.rules = make(map[ident.Team]limit.Rule, len(text.GetTeams()))
+	rules := make(map[ident.Team]limit.Rule, len(text.GetTeams()))
 	for _, team := range text.GetTeams() {
-		l.rules[ident.Team(team.GetName())] = limit.Rule{Rate: team.GetRate(), Burst: team.GetBurst()}
+		rules[ident.Team(team.GetName())] = limit.Rule{Rate: team.GetRate(), Burst: team.GetBurst()}
 	}
+	l.SetRules(now, rules)
+}
+
+// SetRules replaces the teams' rates and bursts.
+func (l *Lender) SetRules(now ident.Time, rules map[ident.Team]limit.Rule) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rules = rules
 	if l.owner != nil {
 		l.owner.SetRules(now, l.rules)
 	}
--- a/host/quota/quota_test.go
+++ b/host/quota/quota_test.go
@@ -142,7 +142,9 @@
 func TestSilentOwner(t *testing.T) {
 	q, c, _, _ := begin(t)
 	require.NoError(t, q.Take(t.Context(), limit.Request{Team: "stalls"}))
+	c.fleet.mu.Lock()
 	require.Empty(t, c.fleet.silent)
+	c.fleet.mu.Unlock()
 	owner := c.fleet.Owner()
 	c.fail.Store(1 << 30)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/quorum"
@@ -79,6 +80,11 @@
 	Problem string
 }
 
+// Office returns what the leadership says about this host's office.
+func (l Leadership) Office() control.Office {
+	return control.Office{Leads: l.Leads, Since: l.Since, Vacant: l.Vacant, Until: l.Until}
+}
+
 // view is the state of the node that other goroutines read.
 type view struct {
 	status  quorum.Status
--- a/node/core.go
+++ b/node/core.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,8 +45,6 @@
 	background background
 	// inner serves other hosts, outer the platform.
 	inner, outer switched
-	mu           sync.Mutex
-	core         *core.Core
 	// ended is closed when the host has stopped for good.
 	ended chan struct{}
 }
@@ -123,9 +120,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	p.mu.Lock()
-	p.core = running
-	p.mu.Unlock()
 	p.inner.set(running.Handler())
 	p.outer.set(api.NewHandler(running))
 	err = running.Run(p.background.context)
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -13,7 +13,6 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/catalog"
-	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -188,9 +187,7 @@
 		if leadership.Confirmed {
 			office = leadership.Since
 		}
-		c.lender.SetOffice(steady.Now(), control.Office{
-			Leads: leadership.Leads, Since: leadership.Since, Vacant: leadership.Vacant, Until: leadership.Until,
-		})
+		c.lender.SetOffice(steady.Now(), leadership.Office())
 		if leadership.Leads {
 			c.setLimits()
 			c.tidyMembers(ctx)
@@ -219,11 +216,7 @@
 		return
 	}
 	c.limited = parsed
-	text := &fleetpb.Text{}
-	for _, team := range parsed.Teams {
-		text.Teams = append(text.Teams, &fleetpb.Team{Name: string(team.Name), Rate: team.Rule.Rate, Burst: team.Rule.Burst})
-	}
-	c.lender.SetState(steady.Now(), text, nil)
+	c.lender.SetRules(steady.Now(), parsed.Rules())
 }
 
 // problem returns an error for a log line, without a trace.
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -52,13 +52,24 @@
 	return limit
 }
 
-// refusal is the answer to a statement that did not run in time.
+// refusal is the answer to a statement that did not run in time; last is what became of the last try.
 func refusal(o *operation, last error) *statement.Failure {
-	reason := "no upstream had room in time"
-	if last != nil {
-		reason = last.Error()
+	return &statement.Failure{Code: statement.CodeBusy, Text: last.Error() + retryText(o.route)}
+}
+
+// do runs a use on a line and remembers the try.
+func (s *session) do(ctx context.Context, line upstream.Line, use upstream.Use) (upstream.Outcome, error) {
+	outcome, err := line.Do(ctx, use)
+	s.tried(line.Target().Upstream, outcome, err)
+	return outcome, err
+}
+
+// resultOf returns the result of a try, with a failure of the statement as the error.
+func resultOf(outcome upstream.Outcome, err error) (statement.Result, error) {
+	if err == nil && outcome.Result.Failure != nil {
+		err = outcome.Result.Failure
 	}
-	return &statement.Failure{Code: statement.CodeBusy, Text: reason + retryText(o.route)}
+	return outcome.Result, err
 }
 
 // readOnce runs a single read wherever the data is fresh enough.
@@ -150,18 +161,12 @@
 	use.Since = since
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	outcome, err := s.server.options.Table.Line(pool, o.teamName(), o.priority()).Do(ctx, use)
-	s.tried(pool.Target().Upstream, outcome, err)
-	if err == nil && outcome.Result.Failure != nil {
-		return outcome.Result, outcome.Result.Failure
-	}
-	return outcome.Result, err
+	return resultOf(s.do(ctx, s.server.options.Table.Line(pool, o.teamName(), o.priority()), use))
 }
 
 // readPrimary runs a single read inside a transaction: only an upstream that still leads opens one, and a read after its
 // lead has ended fails there, so that the read sees everything acknowledged before.
 func (s *session) readPrimary(ctx context.Context, o *operation, w work) (statement.Result, *statement.Failure) {
-	var last error
 	for {
 		result, err := s.readInside(ctx, o, w)
 		if err == nil {
@@ -170,10 +175,9 @@
 		if failure := ranInVain(err); failure != nil {
 			return result, failure
 		}
-		last = err
 		s.server.options.Table.Suspect()
 		if !pauseOrEnd(ctx) {
-			return result, refusal(o, last)
+			return result, refusal(o, err)
 		}
 	}
 }
@@ -184,11 +188,7 @@
 	if err != nil {
 		return statement.Result{}, err
 	}
-	outcome, err := s.open(ctx, line, o, use)
-	if err == nil && outcome.Result.Failure != nil {
-		return outcome.Result, outcome.Result.Failure
-	}
-	return outcome.Result, err
+	return resultOf(s.open(ctx, line, o, use))
 }
 
 // errNoPrimary reports a service without a primary to use.
@@ -208,8 +208,7 @@
 func (s *session) open(ctx context.Context, line upstream.Line, o *operation, use upstream.Use) (upstream.Outcome, error) {
 	use.Opening = upstream.OpenPrimary
 	asOf := steady.Now()
-	outcome, err := line.Do(ctx, use)
-	s.tried(line.Target().Upstream, outcome, err)
+	outcome, err := s.do(ctx, line, use)
 	s.server.options.Table.Learn(o.route.Service, outcome.Opened, asOf)
 	return outcome, err
 }
@@ -218,8 +217,6 @@
 func (s *session) write(o *operation, w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.context(o.route)
 	defer cancel()
-	table := s.server.options.Table
-	var last error
 	for {
 		result, ran, err := s.writeOnce(ctx, o, w)
 		var failure *statement.Failure
@@ -233,10 +230,9 @@
 		case ran:
 			return result, &statement.Failure{Code: statement.CodeInDoubt, Text: err.Error()}
 		}
-		last = err
-		table.Suspect()
+		s.server.options.Table.Suspect()
 		if !pauseOrEnd(ctx) {
-			return result, refusal(o, last)
+			return result, refusal(o, err)
 		}
 	}
 }
@@ -247,8 +243,7 @@
 		return statement.Result{}, false, err
 	}
 	asOf := steady.Now()
-	outcome, err := line.Do(ctx, s.use(&w, o.route.Timeout))
-	s.tried(line.Target().Upstream, outcome, err)
+	outcome, err := s.do(ctx, line, s.use(&w, o.route.Timeout))
 	if err != nil {
 		return outcome.Result, outcome.Ran, err
 	}
@@ -304,9 +299,7 @@
 // stepOn runs a statement on the transaction's line, which it opens with the first one.
 func (s *session) stepOn(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
 	if s.tx.line != nil {
-		outcome, err := s.tx.line.Do(ctx, use)
-		s.tried(s.tx.line.Target().Upstream, outcome, err)
-		return outcome, err
+		return s.do(ctx, s.tx.line, use)
 	}
 	return s.first(ctx, use, writes)
 }
@@ -383,8 +376,7 @@
 	for _, candidate := range table.Candidates(tx.route, tx.team, since) {
 		line := table.Line(candidate.Pool, tx.teamName(), tx.priority())
 		var outcome upstream.Outcome
-		outcome, err = line.Do(ctx, use)
-		s.tried(line.Target().Upstream, outcome, err)
+		outcome, err = s.do(ctx, line, use)
 		if err == nil {
 			tx.line = line
 			return outcome, nil
--- a/node/routing/candidates.go
+++ b/node/routing/candidates.go
@@ -35,8 +35,7 @@
 	}
 	list := make([]Candidate, 0, len(g.members))
 	for _, m := range g.members {
-		target := m.pool.Target()
-		if m.leaving || m.evacuated || !t.Catalog().Allows(route, team, target.Region) || m.pool.Lacks(now, since) {
+		if !t.serves(m, route, team) || m.pool.Lacks(now, since) {
 			continue
 		}
 		list = append(list, Candidate{Pool: m.pool, cost: t.cost(m.pool, now)})
@@ -45,6 +44,11 @@
 	return list
 }
 
+// serves reports whether an upstream may run requests of a route for a team.
+func (t *Table) serves(m *member, route *catalog.Route, team *catalog.Team) bool {
+	return !m.leaving && !m.evacuated && t.Catalog().Allows(route, team, m.pool.Target().Region)
+}
+
 func (t *Table) cost(pool *upstream.Pool, now ident.Time) int {
 	target, load := pool.Target(), pool.Load(now)
 	cost := load.Busy * costBusy
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -223,8 +223,7 @@
 		return nil
 	}
 	for _, m := range g.members {
-		target := m.pool.Target()
-		if target.Upstream == g.primary && !m.leaving && !m.evacuated && t.Catalog().Allows(route, team, target.Region) {
+		if m.pool.Target().Upstream == g.primary && t.serves(m, route, team) {
 			return m.pool
 		}
 	}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -176,7 +176,7 @@
 	},
 	{
 		0, "EVAC: an evacuated availability zone gets no work",
-		"node/routing/candidates.go", "if m.leaving || m.evacuated || !t.Catalog()", "if m.leaving || !t.Catalog()",
+		"node/routing/candidates.go", "return !m.leaving && !m.evacuated && t.Catalog()", "return !m.leaving && t.Catalog()",
 		"./node/routing", "Candidates",
 	},
 	{
