--- a/fleet/burn/meter.go
+++ b/fleet/burn/meter.go
@@ -46,11 +46,9 @@
 	// due is a lower bound of the requests of each team for which it had a token.
 	due  map[ident.Team]float64
 	gaps []time.Duration
-	// changing is set if requests were counted during a zone change; asked is their number, and failed the number of
-	// those that failed.
+	// changing is set if requests were counted during a zone change; failed is the number of those that failed.
 	changing bool
 	failed   uint64
-	asked    uint64
 }
 
 // Meter keeps the last hour of counts.
@@ -89,7 +87,6 @@
 	b.teams[team] = b.teams[team].Plus(c)
 	if m.hasZoneChange && now.Sub(m.lastZoneChange) < zoneChangeWindow {
 		b.changing = true
-		b.asked += c.Asked
 		b.failed += c.RefusedOther + c.Unknown
 	}
 }
--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -82,7 +82,7 @@
 
 // Causes of an InvalidError.
 const (
-	// CauseService means that a route's service is not described.
+	// CauseService means that a route's service is not described, or described twice.
 	CauseService Cause = iota
 	// CauseRoute means that two routes have the same database and prefix.
 	CauseRoute
@@ -92,6 +92,8 @@
 	CauseKey
 	// CauseKind means that a route has an unknown kind.
 	CauseKind
+	// CauseTeam means that two teams have the same name.
+	CauseTeam
 )
 
 //go:generate enumer -type=Cause -trimprefix=Cause -transform=snake
@@ -99,7 +101,7 @@
 // InvalidError reports a description that is not valid and cannot come into force.
 type InvalidError struct {
 	Cause Cause
-	// Subject is the name of the invalid route or team.
+	// Subject is the name of the invalid route, service or team.
 	Subject string
 }
 
@@ -127,7 +129,11 @@
 		keys:        map[string]*Team{},
 	}
 	for i := range d.Services {
-		c.services[d.Services[i].Name] = &d.Services[i]
+		service := &d.Services[i]
+		if c.services[service.Name] != nil {
+			return nil, &InvalidError{CauseService, string(service.Name)}
+		}
+		c.services[service.Name] = service
 	}
 	if err := c.addRoutes(); err != nil {
 		return nil, err
@@ -168,6 +174,9 @@
 func (c *Catalog) addTeams() error {
 	for i := range c.Teams {
 		team := &c.Teams[i]
+		if c.teams[team.Name] != nil {
+			return &InvalidError{CauseTeam, string(team.Name)}
+		}
 		c.teams[team.Name] = team
 		for _, key := range team.Keys {
 			if other := c.keys[key]; other != nil && other != team {
--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -35,7 +35,11 @@
 		"same database and prefix": {func(d *catalog.Description) { d.Routes[1].Database = "db1" }, catalog.CauseRoute},
 		"no timeout":               {func(d *catalog.Description) { d.Routes[0].Timeout = 0 }, catalog.CauseTimeout},
 		"unknown kind":             {func(d *catalog.Description) { d.Routes[0].Kind = 9 }, catalog.CauseKind},
-		"shared key":               {func(d *catalog.Description) { d.Teams[1].Keys = append(d.Teams[1].Keys, "k2") }, catalog.CauseKey},
+		"repeated service":         {func(d *catalog.Description) { d.Services = append(d.Services, d.Services[0]) }, catalog.CauseService},
+		"repeated team": {func(d *catalog.Description) {
+			d.Teams = append(d.Teams, catalog.Team{Name: "t1", Keys: []string{"k4"}})
+		}, catalog.CauseTeam},
+		"shared key": {func(d *catalog.Description) { d.Teams[1].Keys = append(d.Teams[1].Keys, "k2") }, catalog.CauseKey},
 	} {
 		d := description()
 		c.change(&d)
--- a/fleet/catalog/cause_enumer.go
+++ b/fleet/catalog/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "serviceroutetimeoutkeykind"
+const _CauseName = "serviceroutetimeoutkeykindteam"
 
-var _CauseIndex = [...]uint8{0, 7, 12, 19, 22, 26}
+var _CauseIndex = [...]uint8{0, 7, 12, 19, 22, 26, 30}
 
-const _CauseLowerName = "serviceroutetimeoutkeykind"
+const _CauseLowerName = "serviceroutetimeoutkeykindteam"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[CauseTimeout-(2)]
 	_ = x[CauseKey-(3)]
 	_ = x[CauseKind-(4)]
+	_ = x[CauseTeam-(5)]
 }
 
-var _CauseValues = []Cause{CauseService, CauseRoute, CauseTimeout, CauseKey, CauseKind}
+var _CauseValues = []Cause{CauseService, CauseRoute, CauseTimeout, CauseKey, CauseKind, CauseTeam}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:7]:   CauseService,
@@ -39,6 +40,7 @@
 	_CauseName[12:19]: CauseTimeout,
 	_CauseName[19:22]: CauseKey,
 	_CauseName[22:26]: CauseKind,
+	_CauseName[26:30]: CauseTeam,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
@@ -47,6 +49,7 @@
 	_CauseLowerName[12:19]: CauseTimeout,
 	_CauseLowerName[19:22]: CauseKey,
 	_CauseLowerName[22:26]: CauseKind,
+	_CauseLowerName[26:30]: CauseTeam,
 }
 
 var _CauseNames = []string{
@@ -55,6 +58,7 @@
 	_CauseName[12:19],
 	_CauseName[19:22],
 	_CauseName[22:26],
+	_CauseName[26:30],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/fleet/control/leader.go
+++ b/fleet/control/leader.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"tamarackshunt.dev/fleet/burn"
@@ -123,6 +124,7 @@
 		l.expireHosts(now)
 		l.expireUpstreams(now)
 		l.decideEpoch(now)
+		l.forgetProposals(now)
 	}
 	return l.takeActions()
 }
@@ -157,6 +159,11 @@
 	l.actions = append(l.actions, Propose{Change: change})
 }
 
+// forgetProposals drops the proposals that may be repeated.
+func (l *Leader) forgetProposals(now ident.Time) {
+	maps.DeleteFunc(l.proposed, func(_ string, at ident.Time) bool { return now.Sub(at) >= proposalTimeout })
+}
+
 func (l *Leader) record(now ident.Time, kind Kind, subject, cause string) {
 	event := Event{At: now, Kind: kind, Subject: subject, Cause: cause}
 	l.actions = append(l.actions, Record{Event: event})
--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -48,16 +48,13 @@
 	if a.GetGone() && a.GetService() == "" {
 		return d.recordEnd(now, known, a)
 	}
-	if known != nil && !newer(a, known.announcement) {
+	if d.newer(a) != nil {
 		return false
 	}
 	for other, r := range d.records {
 		if other == id || r.announcement.GetAddress() != a.GetAddress() || r.announcement.GetGone() {
 			continue
 		}
-		if r.announcement.GetBorn() > a.GetBorn() {
-			return false
-		}
 		r.announcement = proto.CloneOf(r.announcement)
 		r.announcement.Gone, r.announcement.Leaving = true, true
 		r.updatedAt = now
@@ -66,9 +63,35 @@
 	return true
 }
 
+// Newer returns the announcement because of which Record refuses an announcement, or nil if it would not refuse it. It tells a host
+// that was down at the time about the end or the later start of an upstream.
+func (d *Directory) Newer(a *fleetpb.Announcement) *fleetpb.Announcement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return proto.CloneOf(d.newer(a))
+}
+
+func (d *Directory) newer(a *fleetpb.Announcement) *fleetpb.Announcement {
+	id := ident.Upstream(a.GetUpstream())
+	if known := d.records[id]; known != nil && !newer(a, known.announcement) {
+		return known.announcement
+	}
+	for other, r := range d.records {
+		if other != id && r.announcement.GetAddress() == a.GetAddress() && !r.announcement.GetGone() && r.announcement.GetBorn() > a.GetBorn() {
+			return r.announcement
+		}
+	}
+	return nil
+}
+
 // recordEnd records the end of an upstream from an announcement without a service. Fields that such an announcement omits
 // are kept from the earlier one.
 func (d *Directory) recordEnd(now ident.Time, known *record, a *fleetpb.Announcement) bool {
+	if known == nil && a.GetBorn() != 0 {
+		// The end has overtaken the first announcement, or this host was down when that arrived. No list changes.
+		d.records[ident.Upstream(a.GetUpstream())] = &record{proto.CloneOf(a), now}
+		return false
+	}
 	if known == nil || known.announcement.GetGone() || (a.GetBorn() != 0 && a.GetBorn() < known.announcement.GetBorn()) {
 		return false
 	}
@@ -88,6 +111,9 @@
 	if known.GetGone() {
 		return false
 	}
+	if a.GetGone() {
+		return true
+	}
 	return a.GetSeq() > known.GetSeq()
 }
 
--- a/fleet/directory/directory_test.go
+++ b/fleet/directory/directory_test.go
@@ -35,6 +35,18 @@
 		// list is the resulting list, as id@address, with ! for an upstream that is leaving.
 		list []string
 	}{
+		"end before the first announcement": {
+			[]step{{end(1), false}, {announce("a", "x:1", 1, 1), false}},
+			nil,
+		},
+		"end before the first announcement of a later start": {
+			[]step{{end(1), false}, {announce("a", "x:1", 2, 1), true}},
+			[]string{"a@x:1"},
+		},
+		"end of an unknown start": {
+			[]step{{end(0), false}, {announce("a", "x:1", 1, 1), true}},
+			[]string{"a@x:1"},
+		},
 		"later number": {
 			[]step{{announce("a", "x:1", 1, 1), true}, {leaving(announce("a", "x:1", 1, 2)), true}},
 			[]string{"a@x:1!"},
@@ -103,3 +115,24 @@
 	require.Len(t, list, 1)
 	require.Equal(t, uint32(31000), list[0].GetAgeMs())
 }
+
+// Guards against a host that was down when an upstream ended and uses it again after a delayed announcement: the hosts that know
+// of the end answer with it.
+func TestNewerIsWhatRefusesAnAnnouncement(t *testing.T) {
+	now := ident.Time(time.Hour)
+	informed, restarted := directory.New(), directory.New()
+	require.True(t, informed.Record(now, announce("a", "x:1", 1, 1)))
+	require.True(t, informed.Record(now, end(1)))
+	late := announce("a", "x:1", 1, 1)
+	require.True(t, restarted.Record(now, late))
+	require.False(t, informed.Record(now, late))
+	newer := informed.Newer(late)
+	require.True(t, newer.GetGone())
+	require.True(t, restarted.Record(now, newer))
+	require.Empty(t, restarted.List(now))
+	require.Nil(t, informed.Newer(announce("a", "x:1", 2, 1)), "a later start is not refused")
+
+	// The address was taken over by another upstream.
+	require.True(t, informed.Record(now, announce("b", "x:2", 5, 1)))
+	require.Equal(t, "b", informed.Newer(announce("c", "x:2", 4, 9)).GetUpstream())
+}
--- a/fleet/ident/ident.go
+++ b/fleet/ident/ident.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,12 +111,13 @@
 	if !found {
 		return Position{}, trace.BadParameter("position %q is not of the form term/lsn", text)
 	}
-	var p Position
-	if _, err := fmt.Sscanf(term, "%X", &p.Term); err != nil {
+	termNumber, err := strconv.ParseUint(term, 16, 64)
+	if err != nil {
 		return Position{}, trace.BadParameter("position %q has no hexadecimal term", text)
 	}
-	if _, err := fmt.Sscanf(lsn, "%X", &p.LSN); err != nil {
+	lsnNumber, err := strconv.ParseUint(lsn, 16, 64)
+	if err != nil {
 		return Position{}, trace.BadParameter("position %q has no hexadecimal lsn", text)
 	}
-	return p, nil
+	return Position{Term: Term(termNumber), LSN: LSN(lsnNumber)}, nil
 }
--- a/fleet/ident/ident_test.go
+++ b/fleet/ident/ident_test.go
@@ -33,7 +33,7 @@
 	got, err := ident.ParsePosition(p.String())
 	require.NoError(t, err)
 	require.Equal(t, p, got)
-	for _, bad := range []string{"", "3", "/", "3/", "zz/1"} {
+	for _, bad := range []string{"", "3", "/", "3/", "zz/1", "3/1x", "3/1 ", "3x/1", "-3/1", "3/+1"} {
 		_, err := ident.ParsePosition(bad)
 		require.Error(t, err, bad)
 	}
--- a/fleet/limit/local_bucket.go
+++ b/fleet/limit/local_bucket.go
@@ -67,7 +67,9 @@
 	ownerUnresponsive bool
 	ownerReturned     ident.Time
 	lastResponse      ident.Time
-	reserve           reserve
+	// lastDecision is when an owner last lent tokens that could still be spent, or fewer than were wanted.
+	lastDecision ident.Time
+	reserve      reserve
 	// period is the time between borrow requests.
 	period time.Duration
 }
@@ -210,6 +212,9 @@
 			lb.retryAfter = max(min(max(retry, minRequestGap), RequestPeriod), lb.period-RequestPeriod)
 		}
 	}
+	if lb.lastResponse == now && (lent < lb.waiting || now < expires) {
+		lb.lastDecision = now
+	}
 	if lent > 0 && now < expires {
 		lb.loans = append(lb.loans, &localLoan{seq: seq, held: lent, acknowledged: true, expires: expires})
 		slices.SortStableFunc(lb.loans, func(x, y *localLoan) int { return int(x.expires - y.expires) })
@@ -258,15 +263,15 @@
 		if now < lb.waitEnd(w) {
 			return false
 		}
-		outcomes = append(outcomes, Outcome{ID: w.id, Refused: lb.exceeded(now.Sub(w.since))})
+		outcomes = append(outcomes, Outcome{ID: w.id, Refused: lb.exceeded(w, now)})
 		return true
 	})
 	return outcomes
 }
 
-func (lb *localBucket) exceeded(waited time.Duration) *Exceeded {
-	e := &Exceeded{Team: lb.team, Cause: CauseRate, Waited: waited}
-	if lb.ownerUnresponsive || lb.retryAfter == 0 {
+func (lb *localBucket) exceeded(w waiter, now ident.Time) *Exceeded {
+	e := &Exceeded{Team: lb.team, Cause: CauseRate, Waited: now.Sub(w.since)}
+	if lb.ownerUnresponsive || lb.lastDecision < w.since {
 		e.Cause = CauseNoOwner
 	}
 	return e
--- a/fleet/limit/waiting_test.go
+++ b/fleet/limit/waiting_test.go
@@ -102,3 +102,24 @@
 	require.Len(t, refused, 1)
 	require.Equal(t, limit.CauseNoOwner, refused[0].Refused.Cause)
 }
+
+// Guards against a refusal that says that no owner answers although one has lent every token that was wanted.
+func TestRefusalAfterAnAnswerNamesTheRate(t *testing.T) {
+	at := ident.Time(time.Hour)
+	b := limit.NewBorrower(limit.BorrowerOptions{Host: "h", Incarnation: 1})
+	take := func(maxWait time.Duration) {
+		decision, _ := b.Take(at, limit.Request{Team: "t", MaxWait: maxWait}, at.Add(time.Second))
+		require.IsType(t, limit.Wait{}, decision)
+	}
+	take(100 * time.Millisecond)
+	request := b.NextRequest(at)
+	// A second request arrives while the call for the first one's token is in flight.
+	take(100 * time.Millisecond)
+	served := b.HandleResponse(at.Add(20*time.Millisecond), &fleetpb.BorrowResponse{
+		Seq: request.GetSeq(), LifetimeMs: 500, Lent: []*fleetpb.Tokens{{Team: "t", Amount: 1, Loan: request.GetSeq()}},
+	})
+	require.Len(t, served, 1)
+	refused := b.Expire(at.Add(100*time.Millisecond), "t")
+	require.Len(t, refused, 1)
+	require.Equal(t, limit.CauseRate, refused[0].Refused.Cause)
+}
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -160,7 +160,6 @@
 	n.vote = n.self.GetMember()
 	n.ballots = map[string]bool{n.self.GetMember(): true}
 	n.noLeaderSince = n.leaseEnd()
-	n.transferred = transfer
 	last := n.log.last()
 	for _, voter := range n.otherVoters() {
 		n.send(voter.GetMember(), voter.GetPeer(), &fleetpb.Message{
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -156,7 +156,6 @@
 	ballots          map[string]bool
 	// noLeaderSince is the latest lease end that this candidate and its voters know of.
 	noLeaderSince ident.Time
-	transferred   bool
 
 	leaderState leaderState
 	outsider    outsider
@@ -280,7 +279,6 @@
 func (n *Node) resetRole(leader *fleetpb.Voter) {
 	n.leader = leader
 	n.ballots = nil
-	n.transferred = false
 	if n.role == Leader {
 		n.ledUntil = n.now
 	}
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -144,7 +144,7 @@
 	Planned bool
 	// Candidates are the upstreams that can become the primary.
 	Candidates []ident.Upstream
-	// Replicas is the number of members in the directory minus one for the primary.
+	// Replicas is the number of members that may hold an acknowledged write besides the primary.
 	Replicas int
 }
 
@@ -159,7 +159,7 @@
 			decision.Candidates = append(decision.Candidates, m.Upstream)
 		}
 	}
-	decision.Replicas = len(d.members) - 1
+	decision.Replicas = d.replicas(now)
 	if len(decision.Candidates) == 0 {
 		return nil
 	}
@@ -184,6 +184,19 @@
 	return decision
 }
 
+// replicas returns the number of members other than the primary. A primary that is not a member any more was none of them. If the
+// primary is unknown, a member that has stopped announcing itself is taken for it.
+func (d *Decider) replicas(now ident.Time) int {
+	primaryListed := d.member(d.primary) != nil
+	if d.primary == "" {
+		primaryListed = slices.ContainsFunc(d.members, func(m Member) bool { return now.Sub(m.LastAnnounced) >= announcementMaxAge })
+	}
+	if primaryListed {
+		return len(d.members) - 1
+	}
+	return len(d.members)
+}
+
 // primaryDead reports whether the primary neither answers any host nor announces itself.
 func (d *Decider) primaryDead(now ident.Time, primary *Member) bool {
 	return d.failedProbes >= minFailedProbes && now.Sub(d.lastAnswer) > deadAfter && now.Sub(primary.LastAnnounced) > deadAfter
--- a/fleet/takeover/takeover_test.go
+++ b/fleet/takeover/takeover_test.go
@@ -167,3 +167,39 @@
 		require.Equal(t, c.want != "", ok, name)
 	}
 }
+
+// Guards against a promotion that loses an acknowledged write because the primary, which is no longer a member, was not counted
+// among the members but subtracted from them.
+func TestReplicasWithoutThePrimary(t *testing.T) {
+	s := newSimulation()
+	require.Nil(t, s.run(4*time.Second))
+	delete(s.members, "a")
+	s.order = []ident.Upstream{"b", "c"}
+	decision := s.run(4 * time.Second)
+	require.NotNil(t, decision)
+	require.Equal(t, "the primary has ended", decision.Cause)
+	_, ok := takeover.Choose(decision, map[ident.Upstream]ident.Position{"b": {Term: 1, LSN: 4}}, 1)
+	require.False(t, ok, "the other replica may hold a later acknowledged write")
+	chosen, ok := takeover.Choose(decision, map[ident.Upstream]ident.Position{"b": {Term: 1, LSN: 4}, "c": {Term: 1, LSN: 5}}, 1)
+	require.True(t, ok)
+	require.Equal(t, ident.Upstream("c"), chosen)
+}
+
+// Guards against a service without a primary for as long as a dead primary is listed: a new leader that does not know which
+// upstream was the primary takes the one that no longer announces itself for it.
+func TestReplicasOfAnUnknownPrimary(t *testing.T) {
+	s := newSimulation()
+	s.members["a"].primary, s.members["a"].announces = false, false
+	for range 20 {
+		decision := s.run(10 * time.Second)
+		require.NotNil(t, decision)
+		require.Equal(t, "no upstream is the primary", decision.Cause)
+		_, ok := takeover.Choose(decision, map[ident.Upstream]ident.Position{"b": {Term: 1, LSN: 4}}, 1)
+		require.False(t, ok, "the other replica may hold a later acknowledged write")
+		if _, ok = takeover.Choose(decision, map[ident.Upstream]ident.Position{"b": {Term: 1, LSN: 4}, "c": {Term: 1, LSN: 5}}, 1); ok {
+			return
+		}
+		s.decider.NotPromoted(s.now)
+	}
+	require.Fail(t, "no replica is promoted while the dead primary is listed")
+}
--- a/host/entry/entry_test.go
+++ b/host/entry/entry_test.go
@@ -333,3 +333,47 @@
 	require.Equal(t, []string{"select one", "select three"}, []string{first, third})
 	require.Equal(t, 1, f.upstream.count("run insert two"))
 }
+
+// Guards against a write that is answered as done although its position could not be read, so that nobody waited until a majority
+// held it.
+func TestUnreadablePosition(t *testing.T) {
+	for _, position := range []string{"unreadable1/1", "1/1x", ""} {
+		f := newFixture(t)
+		f.upstream.badPosition = position
+		if position == "" {
+			f.upstream.badPosition = "/"
+		}
+		conn := f.connect(t, testService, testKey, "&default_query_exec_mode=simple_protocol")
+		_, err := conn.Exec(t.Context(), "insert unacknowledged")
+		requireCode(t, err, "08007")
+		require.Empty(t, f.deps.acked)
+		require.Equal(t, 1, f.upstream.count("run insert unacknowledged"))
+	}
+}
+
+// Guards against a prepared statement whose name needs quotes and that DEALLOCATE does not drop, or that drops all others.
+func TestDeallocateQuotedName(t *testing.T) {
+	f := newFixture(t)
+	conn := f.connect(t, testService, testKey, "")
+	for _, name := range []string{"Two Words", "all", `with"quote`, "lower"} {
+		_, err := conn.Prepare(t.Context(), name, "select 1")
+		require.NoError(t, err)
+	}
+	run := func(name string) error {
+		_, err := conn.PgConn().ExecPrepared(t.Context(), name, nil, nil, nil).Close()
+		return err
+	}
+	exec := func(sql string) {
+		_, err := conn.Exec(t.Context(), sql, pgx.QueryExecModeSimpleProtocol)
+		require.NoError(t, err)
+	}
+	exec(`DEALLOCATE "all"`)
+	requireCode(t, run("all"), "26000")
+	exec(`DEALLOCATE PREPARE "Two Words";`)
+	requireCode(t, run("Two Words"), "26000")
+	exec(`DEALLOCATE "with""quote"`)
+	requireCode(t, run(`with"quote`), "26000")
+	require.NoError(t, run("lower"))
+	exec(`DEALLOCATE LOWER`)
+	requireCode(t, run("lower"), "26000")
+}
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -37,7 +37,9 @@
 	received []string
 	lsn      int
 	readOnly bool
-	release  chan struct{}
+	// badPosition is reported after each write in place of its position, unless it is empty.
+	badPosition string
+	release     chan struct{}
 	// sessions is the number of the last connection; cancelled holds the connections that a cancel request named.
 	sessions  uint32
 	cancelled map[uint32]bool
@@ -224,9 +226,12 @@
 		s.wrote = false
 		s.fake.mutex.Lock()
 		s.fake.lsn++
-		position := ident.Position{Term: 1, LSN: ident.LSN(s.fake.lsn)}
+		position := ident.Position{Term: 1, LSN: ident.LSN(s.fake.lsn)}.String()
+		if s.fake.badPosition != "" {
+			position = s.fake.badPosition
+		}
 		s.fake.mutex.Unlock()
-		s.backend.Send(&pgproto3.ParameterStatus{Name: "tamarack.position", Value: position.String()})
+		s.backend.Send(&pgproto3.ParameterStatus{Name: "tamarack.position", Value: position})
 	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
 }
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/binary"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -240,12 +241,15 @@
 func (s *Server) accept(ctx context.Context) {
 	for {
 		socket, err := s.listener.Accept()
-		if err != nil {
-			if !s.refusesCallers() {
-				klog.ErrorS(err, "accepting callers failed")
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The process may be out of descriptors, which callers that leave give back.
+			klog.ErrorS(err, "accepting callers failed")
+			time.Sleep(pollInterval)
+			continue
+		}
 		c, err := s.register(socket)
 		if err != nil {
 			socket.Close()
--- a/host/entry/settings.go
+++ b/host/entry/settings.go
@@ -49,16 +49,35 @@
 		c.statements = make(map[string]*statement)
 		return "DISCARD " + strings.ToUpper(words[1]), true
 	case "deallocate":
-		c.deallocate(words[len(words)-1])
+		c.deallocate(sql)
 		return "DEALLOCATE", true
 	}
 	return "", true
 }
 
-func (c *caller) deallocate(name string) {
+// deallocate drops the prepared statement that a DEALLOCATE statement names, or all of them. PostgreSQL folds a name without quotes
+// to lower case, and only the word ALL without quotes means all statements.
+func (c *caller) deallocate(sql string) {
+	name := strings.TrimRight(strings.TrimSpace(sql), "; \t\n")
+	name = trimWord(name, "deallocate")
+	name = trimWord(name, "prepare")
+	if quoted, ok := strings.CutPrefix(name, `"`); ok {
+		delete(c.statements, strings.ReplaceAll(strings.TrimSuffix(quoted, `"`), `""`, `"`))
+		return
+	}
+	name = strings.ToLower(name)
 	if name == "all" {
 		c.statements = make(map[string]*statement)
 		return
 	}
-	delete(c.statements, strings.Trim(name, `"`))
+	delete(c.statements, name)
+}
+
+// trimWord removes a leading word in any case and the space after it; a text that does not begin with the word is unchanged.
+func trimWord(text, word string) string {
+	end := strings.IndexAny(text, " \t\n")
+	if end < 0 || !strings.EqualFold(text[:end], word) {
+		return text
+	}
+	return strings.TrimSpace(text[end:])
 }
--- a/host/rejections/rejections.go
+++ b/host/rejections/rejections.go
@@ -11,8 +11,7 @@
 	"tamarackshunt.dev/fleet/sqlstate"
 )
 
-// maxGroups bounds the groups of rejections that are added between two syncs, so that control traffic stays small under
-// overload.
+// maxGroups bounds the groups of rejections that are reported in one sync, so that control traffic stays small under overload.
 const maxGroups = 16
 
 // Log groups rejections by service, team and reason until a sync has reported them to the control leader. Its methods are safe
@@ -21,7 +20,7 @@
 	host    ident.Host
 	mutex   sync.Mutex
 	pending map[group]*tally
-	// sent holds the groups of the last sync. Report adds them to the next one again, unless Delivered was called.
+	// sent holds the groups of the last sync. They are part of the next one again, unless Delivered was called.
 	sent map[group]*tally
 }
 
@@ -64,14 +63,17 @@
 func (l *Log) Report(request *fleetpb.SyncRequest) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for key, t := range l.sent {
-		if newer := l.pending[key]; newer != nil {
-			newer.count += t.count
-			continue
+	if l.sent == nil {
+		l.sent = make(map[group]*tally)
+	}
+	for key, t := range l.pending {
+		switch waiting := l.sent[key]; {
+		case waiting != nil:
+			waiting.count, waiting.last, waiting.cause = waiting.count+t.count, t.last, t.cause
+		case len(l.sent) < maxGroups:
+			l.sent[key] = t
 		}
-		l.pending[key] = t
 	}
-	l.sent = l.pending
 	l.pending = make(map[group]*tally)
 	for key, t := range l.sent {
 		request.Rejections = append(request.Rejections, &fleetpb.Event{
--- a/host/rejections/rejections_test.go
+++ b/host/rejections/rejections_test.go
@@ -26,3 +26,16 @@
 	log.Report(&third)
 	require.Empty(t, third.GetRejections())
 }
+
+// Guards against groups that grow with each failed sync, so that a long overload makes the control traffic grow with it.
+func TestUndeliveredGroupsAreBounded(t *testing.T) {
+	log := rejections.New("h1")
+	var request fleetpb.SyncRequest
+	for i := range 100 {
+		request = fleetpb.SyncRequest{}
+		log.Add(ident.Session{Service: "ledger", Team: ident.Team(rune('a' + i)), User: "anna"}, sqlstate.New(sqlstate.RateExceeded, nil))
+		log.Report(&request)
+	}
+	require.LessOrEqual(t, len(request.GetRejections()), 16)
+	require.Equal(t, "ledger/a", request.GetRejections()[0].GetSubject(), "the groups that wait for delivery stay")
+}
--- a/host/switchover/switchover.go
+++ b/host/switchover/switchover.go
@@ -23,8 +23,8 @@
 	tick = 50 * time.Millisecond
 	// proposeTimeout is the timeout of one proposal to the control log.
 	proposeTimeout = 2 * time.Second
-	// maxObservers is the number of hosts that observe a group if the fleet has that many.
-	maxObservers = 3
+	// maxObserverZones is the number of availability zones with a host that observes a group, if the fleet has that many.
+	maxObserverZones = 3
 )
 
 var (
@@ -62,14 +62,20 @@
 	since  ident.Time
 	runner *promotion.Runner
 	groups map[ident.Service]*failover.Group
-	// lastSync is when each host sent its last sync. observerCount is the number of observers last passed to the groups.
-	lastSync      map[ident.Host]ident.Time
-	observerCount int
+	// lastSync is when each host sent its last sync. observerZones is the number of zones last passed to the groups.
+	lastSync      map[ident.Host]syncRecord
+	observerZones int
 	ctx           context.Context
 	cancel        context.CancelFunc
 	proposals     sync.WaitGroup
 }
 
+// syncRecord is the time and the availability zone of a host's sync.
+type syncRecord struct {
+	at   ident.Time
+	zone ident.Zone
+}
+
 // New returns a Switchover that makes no decisions before Start.
 func New(opts Options) *Switchover {
 	return &Switchover{opts: opts, stop: make(chan struct{}), done: make(chan struct{})}
@@ -131,7 +137,7 @@
 
 func (s *Switchover) newLeadership(since ident.Time) *leadership {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &leadership{since: since, groups: make(map[ident.Service]*failover.Group), lastSync: make(map[ident.Host]ident.Time), ctx: ctx, cancel: cancel}
+	l := &leadership{since: since, groups: make(map[ident.Service]*failover.Group), lastSync: make(map[ident.Host]syncRecord), ctx: ctx, cancel: cancel}
 	l.runner = promotion.New(promotion.Options{
 		User:     s.opts.User,
 		Password: s.opts.Password,
@@ -189,7 +195,7 @@
 	for name, size := range sizes {
 		service := ident.Service(name)
 		s.step(now, service, zones)
-		s.step(now, service, failover.ControlOf(states[name], size, s.leadership.observerCount))
+		s.step(now, service, failover.ControlOf(states[name], size, s.leadership.observerZones))
 	}
 	for service := range s.leadership.groups {
 		if _, named := sizes[string(service)]; !named {
@@ -202,31 +208,34 @@
 func (s *Switchover) Observed(now ident.Time, host ident.Host, zone ident.Zone, observed []*fleetpb.Observed) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.recordSync(now, host)
+	s.recordSync(now, host, zone)
 	for _, o := range observed {
 		s.stepExisting(now, ident.Service(o.GetService()), failover.ObservedOf(host, zone, o))
 	}
 }
 
-// recordSync records the sync of a host and updates the number of observers. A primary counts as failed only when the
-// availability zones that report a fault are a majority of that number, and a fleet with fewer than maxObservers hosts has fewer
-// observers. The number is updated only from one lease after the start of the leadership.
-func (s *Switchover) recordSync(now ident.Time, host ident.Host) {
+// recordSync records the sync of a host and updates the number of zones that observe. A primary counts as failed only when the
+// availability zones that report a fault are a majority of that number, and a fleet in fewer than maxObserverZones zones has fewer.
+// The number is updated only from one lease after the start of the leadership.
+func (s *Switchover) recordSync(now ident.Time, host ident.Host, zone ident.Zone) {
 	l := s.leadership
 	if l == nil {
 		return
 	}
-	l.lastSync[host] = now
+	l.lastSync[host] = syncRecord{now, zone}
 	if now < l.since.Add(control.Lease) {
 		return
 	}
-	for name, at := range l.lastSync {
-		if now.Sub(at) > control.Lease {
+	zones := make(map[ident.Zone]bool)
+	for name, last := range l.lastSync {
+		if now.Sub(last.at) > control.Lease {
 			delete(l.lastSync, name)
+			continue
 		}
+		zones[last.zone] = true
 	}
-	if count := min(maxObservers, len(l.lastSync)); count != l.observerCount {
-		l.observerCount = count
+	if count := min(maxObserverZones, len(zones)); count != l.observerZones {
+		l.observerZones = count
 		s.distributeState(now)
 	}
 }
--- a/host/switchover/switchover_test.go
+++ b/host/switchover/switchover_test.go
@@ -123,3 +123,22 @@
 	ended.end()
 	require.Empty(t, s.proposals)
 }
+
+// Guards against a fleet in one availability zone that never replaces a failed primary: a majority of the zones has to report the
+// fault, so zones are counted and not hosts.
+func TestObserverZonesAreCounted(t *testing.T) {
+	s := newSimulation(t)
+	s.SetLeadership(s.now, control.Leadership{Leads: true, Since: s.now})
+	observe := func(zones ...ident.Zone) int {
+		s.now = s.now.Add(control.Lease)
+		for i, zone := range zones {
+			s.Observed(s.now, ident.Host(string(rune('a'+i))), zone, nil)
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return s.leadership.observerZones
+	}
+	require.Equal(t, 1, observe("north", "north", "north", "north"))
+	require.Equal(t, 2, observe("north", "south", "south", "south"))
+	require.Equal(t, 3, observe("north", "south", "east", "west"))
+}
--- a/host/upstream/conn.go
+++ b/host/upstream/conn.go
@@ -164,7 +164,9 @@
 			c.status = m.TxStatus
 		case *pgproto3.ParameterStatus:
 			if m.Name == positionParameter {
-				c.notePosition(m.Value)
+				if err := c.notePosition(m.Value); err != nil {
+					return nil, trace.Wrap(err)
+				}
 			}
 			continue
 		case *pgproto3.NotificationResponse:
@@ -174,14 +176,16 @@
 	}
 }
 
-func (c *Conn) notePosition(value string) {
+// notePosition records the position that the upstream reports after a write. A write whose position cannot be read must not count
+// as acknowledged, so the error ends the connection and leaves the outcome of the write unknown.
+func (c *Conn) notePosition(value string) error {
 	position, err := ident.ParsePosition(value)
 	if err != nil {
-		// A write whose position cannot be read must not count as acknowledged.
 		c.stale.Store(true)
-		return
+		return trace.Wrap(err)
 	}
 	c.position = position
+	return nil
 }
 
 // TakePosition returns and clears the last position that the upstream reported, and whether there was one.
--- a/host/upstream/pool.go
+++ b/host/upstream/pool.go
@@ -39,7 +39,6 @@
 	opts        Options
 	mutex       sync.Mutex
 	targetPools map[member.Target]*targetPool
-	leaving     bool
 	group       sync.WaitGroup
 }
 
@@ -124,9 +123,6 @@
 
 // Close stops providing connections, closes each when it is released, and waits for connections being opened or cleaned.
 func (p *Pool) Close() {
-	p.mutex.Lock()
-	p.leaving = true
-	p.mutex.Unlock()
 	for _, t := range p.allTargetPools() {
 		t.leave()
 	}
--- a/load/launch/fleet.go
+++ b/load/launch/fleet.go
@@ -184,16 +184,6 @@
 	return nil
 }
 
-// HostAt returns the host with a peer address, or nil.
-func (f *Fleet) HostAt(peer string) *Host {
-	for _, h := range f.Hosts {
-		if h.Settings.GetPeer() == peer {
-			return h
-		}
-	}
-	return nil
-}
-
 // Standin returns the stand-in upstream with a name, or nil.
 func (f *Fleet) Standin(name string) *Standin {
 	for _, s := range f.Standins {
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -380,6 +380,9 @@
 		klog.V(1).InfoS("Announcement not forwarded", "host", host, "problem", problem(err))
 		return err
 	}
+	for _, newer := range result.GetNewer() {
+		c.recordAnnouncement(newer)
+	}
 	if !result.GetLeads() {
 		return errNotLeader
 	}
@@ -427,7 +430,11 @@
 	}
 	c.mu.Lock()
 	for name, host := range c.hosts {
-		if now.Sub(host.lastRequest) < entryHostTimeout && !host.leaving {
+		if now.Sub(host.lastRequest) >= entryHostTimeout {
+			delete(c.hosts, name)
+			continue
+		}
+		if !host.leaving {
 			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
 		}
 	}
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -89,10 +89,16 @@
 
 // PassOn records announcements that another core host has received.
 func (s service) PassOn(_ context.Context, batch *fleetpb.AnnounceBatch) (*fleetpb.AnnounceResult, error) {
+	result := &fleetpb.AnnounceResult{Leads: s.core.leads()}
 	for _, a := range batch.GetAnnouncements() {
+		newer := s.core.directory.Newer(a)
 		s.core.recordAnnouncement(a)
+		// A repeated announcement needs no answer. One of an ended start does: the sender may have been down when it ended.
+		if newer != nil && (newer.GetGone() || newer.GetBorn() > a.GetBorn()) {
+			result.Newer = append(result.Newer, newer)
+		}
 	}
-	return &fleetpb.AnnounceResult{Leads: s.core.leads()}, nil
+	return result, nil
 }
 
 // Enroll adds a core host that has no log yet, or answers a host with a log whether it is still a member.
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -43,12 +43,12 @@
 		}
 		s.saved.Configuration, s.catalog = kind.Configure, parsed
 	case *fleetpb.Change_Evacuate:
-		zones := slices.DeleteFunc(s.saved.GetEvacuated(), func(zone string) bool { return zone == kind.Evacuate.GetZone() })
+		zones := slices.DeleteFunc(slices.Clone(s.saved.GetEvacuated()), func(zone string) bool { return zone == kind.Evacuate.GetZone() })
 		if kind.Evacuate.GetActive() {
 			zones = append(zones, kind.Evacuate.GetZone())
 			slices.Sort(zones)
 		}
-		s.saved.Evacuated = slices.Clone(zones)
+		s.saved.Evacuated = zones
 	case *fleetpb.Change_Succession:
 		s.saved.Successions = slices.DeleteFunc(s.saved.GetSuccessions(), func(other *fleetpb.SavedSuccession) bool {
 			return other.GetSuccession().GetService() == kind.Succession.GetService()
@@ -104,6 +104,7 @@
 	return s.catalog
 }
 
+// evacuated returns the availability zones that are out of service. Apply replaces the slice and never changes it.
 func (s *state) evacuated() []string {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/node/core/state_test.go
+++ b/node/core/state_test.go
@@ -82,3 +82,14 @@
 	require.NoError(t, err)
 	return string(source)
 }
+
+// Guards against a list of evacuated zones that changes while a caller reads it without the state's lock.
+func TestEvacuatedIsNotChangedInPlace(t *testing.T) {
+	s := newState(parseStub)
+	s.Apply(1, evacuate("z0", true))
+	s.Apply(2, evacuate("z1", true))
+	held := s.evacuated()
+	s.Apply(3, evacuate("z0", false))
+	require.Equal(t, []string{"z0", "z1"}, held)
+	require.Equal(t, []string{"z1"}, s.evacuated())
+}
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -268,12 +268,13 @@
 			return false
 		}
 		if c.options.Table.SetCatalog(parsed) {
+			c.setReserves()
 			klog.InfoS("Configuration in force", "version", parsed.Version, "routes", len(parsed.Routes), "teams", len(parsed.Teams))
 		}
 	}
 	if d := response.GetDirectory(); d != nil && c.options.Table.Catalog() != nil {
 		c.options.Table.SetDirectory(d)
-		c.setReserves(len(d.GetHosts()))
+		c.setReserves()
 		klog.InfoS("Directory changed", "upstreams", len(d.GetUpstreams()), "evacuated", d.GetEvacuated(), "primaries", primaryNames(d))
 		c.mu.Lock()
 		c.digest = response.GetDigest()
@@ -291,8 +292,9 @@
 }
 
 // setReserves sets this host's share of what teams may run beyond their limits. It is spent while no owner of tokens answers.
-func (c *Client) setReserves(hosts int) {
+func (c *Client) setReserves() {
 	overrun := c.options.Overrun
+	hosts := c.options.Table.HostCount()
 	reserves := map[ident.Team]limit.Reserve{}
 	for team, rule := range c.options.Table.Catalog().Rules() {
 		allowed := float64(rule.Rate)*overrun.Window.Seconds() + float64(rule.Burst)
--- a/node/coreclient/coreclient_test.go
+++ b/node/coreclient/coreclient_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/node/routing"
 )
 
 // Guards against a host that keeps querying only a leader that does not answer its calls for tokens, and against a late
@@ -25,3 +31,31 @@
 	c.Leave()
 	require.Len(t, c.wake, 1)
 }
+
+// Guards against reserves of tokens that stay those of an earlier configuration until the next change of the directory: a team
+// whose rate was lowered could still run the old reserve while no owner of tokens answers.
+func TestConfigurationChangesReserves(t *testing.T) {
+	var reserves map[ident.Team]limit.Reserve
+	rates := map[uint64]uint32{1: 100, 2: 10}
+	c := New(Options{
+		Peers: peer.New(peer.Options{Trusted: true}), Table: routing.New(routing.Options{}), Overrun: Overrun{Window: time.Second, Fraction: 1},
+		Reserves: func(r map[ident.Team]limit.Reserve) { reserves = r },
+		Parse: func(source []byte) (*catalog.Catalog, error) {
+			version := uint64(len(source))
+			return catalog.New(catalog.Description{
+				Version: ident.Version(version), Teams: []catalog.Team{{Name: "t", Rule: limit.Rule{Rate: rates[version], Burst: rates[version]}}},
+			})
+		},
+	})
+	receive := func(version uint64, directory *fleetpb.Directory) {
+		packed, err := catalog.Pack(make([]byte, version))
+		require.NoError(t, err)
+		require.True(t, c.handleResponse(1, "leader", &fleetpb.WatchResponse{
+			Leads: true, Configuration: &fleetpb.Configure{Version: version, Packed: packed}, Directory: directory,
+		}))
+	}
+	receive(1, &fleetpb.Directory{})
+	require.Equal(t, int64(100), reserves["t"].Tokens)
+	receive(2, nil)
+	require.Equal(t, int64(10), reserves["t"].Tokens)
+}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -47,7 +47,9 @@
 	mu       sync.RWMutex
 	groups   map[ident.Service]*group
 	received bool
-	hosts    []*fleetpb.EntryHost
+	// directory is the last one that was set, or nil.
+	directory *fleetpb.Directory
+	hosts     []*fleetpb.EntryHost
 	// avoided maps the hosts whose gateway did not answer to the time until which they are not used.
 	avoided map[string]ident.Time
 }
@@ -87,11 +89,21 @@
 			return false
 		}
 		if t.catalog.CompareAndSwap(old, c) {
+			t.applyLimits()
 			return true
 		}
 	}
 }
 
+// applyLimits applies the limits of the current configuration to the pools of the current directory.
+func (t *Table) applyLimits() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.directory != nil {
+		t.setDirectory(t.directory)
+	}
+}
+
 // Received reports whether the host has a configuration and a directory.
 func (t *Table) Received() bool {
 	t.mu.RLock()
@@ -99,6 +111,13 @@
 	return t.received && t.Catalog() != nil
 }
 
+// HostCount returns the number of entry hosts in the directory.
+func (t *Table) HostCount() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.hosts)
+}
+
 // RequestRefresh asks for a newer directory, after an upstream turned out to be in another state than the directory says.
 func (t *Table) RequestRefresh() {
 	select {
@@ -114,13 +133,17 @@
 
 // SetDirectory replaces the upstreams, primaries and hosts, and closes the pools of upstreams that are no longer listed.
 func (t *Table) SetDirectory(d *fleetpb.Directory) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received, t.directory = true, d
+	t.setDirectory(d)
+}
+
+func (t *Table) setDirectory(d *fleetpb.Directory) {
 	primaries := map[string]string{}
 	for _, p := range d.GetPrimaries() {
 		primaries[p.GetService()] = p.GetUpstream()
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.received = true
 	t.hosts = d.GetHosts()
 	members := map[ident.Service][]*member{}
 	for _, a := range d.GetUpstreams() {
@@ -255,7 +278,7 @@
 	return reports
 }
 
-// Run closes idle connections periodically until ctx ends.
+// Run closes idle connections periodically until ctx ends. It then closes all pools.
 func (t *Table) Run(ctx context.Context) {
 	ticker := time.NewTicker(trimInterval)
 	defer ticker.Stop()
@@ -263,6 +286,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			t.closePools()
 			return
 		}
 		now := steady.Now()
@@ -275,3 +299,13 @@
 		t.mu.RUnlock()
 	}
 }
+
+func (t *Table) closePools() {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, g := range t.groups {
+		for _, m := range g.members {
+			m.pool.Close()
+		}
+	}
+}
--- a/node/routing/table_test.go
+++ b/node/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -92,3 +93,30 @@
 	require.NotSame(t, b, table.Pool("svc", "b"), "a restart under the same id gets a new pool")
 	require.Nil(t, table.Pool("svc", "c"))
 }
+
+// Guards against connections to upstreams that stay open after the host has shut down.
+func TestRunClosesConnections(t *testing.T) {
+	table := newTestTable(t, func(*fleetpb.Directory) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	table.Run(ctx)
+	for _, id := range []ident.Upstream{"a", "b", "c"} {
+		require.True(t, table.Pool("svc", id).Closed(), id)
+	}
+}
+
+// Guards against limits of connections and warm-up rates that stay those of an earlier configuration until the next change of
+// the directory.
+func TestConfigurationChangesLimits(t *testing.T) {
+	table := newTestTable(t, func(*fleetpb.Directory) {})
+	require.Equal(t, 18-reservedConnections, table.Pool("svc", "a").Limit())
+	next, err := catalog.New(catalog.Description{
+		Version: 2, Services: []catalog.Service{{Name: "svc", Connections: 9}},
+		Routes: []catalog.Route{{Name: "r", Database: "db", Timeout: time.Second, Service: "svc"}},
+	})
+	require.NoError(t, err)
+	pool := table.Pool("svc", "a")
+	require.True(t, table.SetCatalog(next))
+	require.Same(t, pool, table.Pool("svc", "a"))
+	require.Equal(t, 9-reservedConnections, pool.Limit())
+}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -69,10 +69,13 @@
 type waiter struct {
 	team     ident.Team
 	priority int
-	// grant receives a connection of the team, or nil for a reservation.
+	// grant receives a connection of the team, or nil for a reservation. It is closed without a value when the pool is closed.
 	grant chan *Conn
 }
 
+// errPoolClosed is the cause when the upstream has left the directory.
+var errPoolClosed = errors.New("the upstream is no longer listed")
+
 // NewPool returns a pool without connections.
 func NewPool(target Target, protocol Protocol, limit int) *Pool {
 	return &Pool{target: target, protocol: protocol, limiter: newLimiter(), limit: max(1, limit)}
@@ -114,6 +117,27 @@
 	p.limit = max(1, limit)
 }
 
+// Limit returns the maximum number of connections.
+func (p *Pool) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
+// Waiting returns the number of statements that wait for a connection.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting)
+}
+
+// Closed reports whether Close was called.
+func (p *Pool) Closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 // Load describes how busy and how healthy an upstream is, as seen by one host.
 type Load struct {
 	// InFlight counts the statements of this host that wait or run.
@@ -210,6 +234,10 @@
 // acquire returns a free connection, or nil with a reservation to open one. The reservation is counted in total.
 func (p *Pool) acquire(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, p.closedError()
+	}
 	if conn := p.takeIdle(team); conn != nil {
 		p.mu.Unlock()
 		return conn, nil
@@ -233,7 +261,10 @@
 	p.waiting = slices.Insert(p.waiting, at, w)
 	p.mu.Unlock()
 	select {
-	case conn := <-w.grant:
+	case conn, open := <-w.grant:
+		if !open {
+			return nil, p.closedError()
+		}
 		return conn, nil
 	case <-ctx.Done():
 	}
@@ -245,14 +276,20 @@
 	}
 	p.mu.Unlock()
 	// The grant was made at the same time as ctx ended: pass it on.
-	if conn := <-w.grant; conn != nil {
+	switch conn, open := <-w.grant; {
+	case !open:
+	case conn != nil:
 		p.put(conn)
-	} else {
+	default:
 		p.releaseReservation()
 	}
 	return nil, ctx.Err()
 }
 
+func (p *Pool) closedError() error {
+	return &UnreachableError{p.target.Upstream, errPoolClosed}
+}
+
 // takeIdle returns a live idle connection of the team, the most recently used one first, or nil. The caller must hold mu.
 func (p *Pool) takeIdle(team ident.Team) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -332,14 +369,18 @@
 	}
 }
 
-// Close closes idle connections now, and the others when they are released.
+// Close closes idle connections now, and the others when they are released. Statements that wait for a connection get an
+// UnreachableError at once, so that they can run elsewhere.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	idle := p.idle
-	p.idle = nil
+	idle, waiting := p.idle, p.waiting
+	p.idle, p.waiting = nil, nil
 	p.total -= len(idle)
 	p.mu.Unlock()
+	for _, w := range waiting {
+		close(w.grant)
+	}
 	for _, i := range idle {
 		i.conn.close()
 	}
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -164,3 +164,28 @@
 }
 
 func protocol(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) }
+
+// Guards against statements that wait until their deadline for a connection to an upstream that is no longer listed.
+func TestCloseEndsWaits(t *testing.T) {
+	_, _, target := startUpstream(t, 3)
+	p := upstream.NewPool(target, protocol, 1)
+	held, err := p.Get(contextWithTimeout(t), "one", 1)
+	require.NoError(t, err)
+	const waiters = 3
+	results := make(chan error, waiters)
+	for i := range waiters {
+		go func() {
+			_, err := p.Get(contextWithTimeout(t), ident.Team(fmt.Sprint("t", i)), 1)
+			results <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return p.Waiting() == waiters }, timeout, time.Millisecond)
+	p.Close()
+	var unreachable *upstream.UnreachableError
+	for range waiters {
+		require.ErrorAs(t, <-results, &unreachable)
+	}
+	_, err = p.Get(contextWithTimeout(t), "one", 1)
+	require.ErrorAs(t, err, &unreachable)
+	held.Release()
+}
--- a/proofs/main.go
+++ b/proofs/main.go
@@ -104,10 +104,19 @@
 	if output, err := goCommand(root, "test", "-run", "^$", r.pkg); err != nil {
 		return false, trace.BadParameter("the copy does not build: %s", output)
 	}
-	_, err = goCommand(root, "test", "-count=1", "-timeout=120s", "-run", r.test, r.pkg)
+	output, err := goCommand(root, "test", "-count=1", "-timeout=120s", "-run", r.test, r.pkg)
+	if err != nil && !provesFailure(output) {
+		return false, trace.BadParameter("the tests ended without a failed test: %s", output)
+	}
 	return err != nil, nil
 }
 
+// provesFailure reports whether the output of go test names a failed test. A build that fails or tests that cannot be started prove
+// nothing.
+func provesFailure(output string) bool {
+	return strings.Contains(output, "--- FAIL: ") || strings.Contains(output, "panic: test timed out")
+}
+
 func goCommand(root string, args ...string) (string, error) {
 	command := exec.Command("go", args...)
 	command.Dir = root
--- a/standin/server/fence_test.go
+++ b/standin/server/fence_test.go
@@ -54,3 +54,18 @@
 		require.Fail(t, "the fence was answered before the answer to the commit was sent")
 	}
 }
+
+// Guards against an upstream that leaves while a caller is between two statements of a transaction.
+func TestIdleWaitsForTransactions(t *testing.T) {
+	s, ss, _ := committed(t)
+	_, err := s.changeRole("tamarack_fence", 2, "")
+	require.NoError(t, err)
+	require.True(t, s.Idle())
+	begin, err := statement.Parse("BEGIN")
+	require.NoError(t, err)
+	_, err = ss.runStatement(begin[0].Statement, nil)
+	require.NoError(t, err)
+	require.False(t, s.Idle())
+	ss.rollback()
+	require.True(t, s.Idle())
+}
--- a/standin/server/run.go
+++ b/standin/server/run.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ss.tx = tx
+	ss.setTransaction(tx)
 	return &result{tag: "BEGIN"}, nil
 }
 
@@ -140,7 +140,7 @@
 		return &result{tag: "COMMIT"}, nil
 	}
 	tx := ss.tx
-	ss.tx = nil
+	ss.setTransaction(nil)
 	done, err := tx.Commit()
 	if err != nil {
 		return nil, err
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -38,6 +38,8 @@
 	slots   chan struct{}
 	open    atomic.Int64
 	running atomic.Int64
+	// transactions is the number of open transactions.
+	transactions atomic.Int64
 	// answerLock is locked for reading while the answer to a commit is sent. Every change of the role locks it for writing
 	// before its own answer, so that no commit is answered after a fence was answered.
 	answerLock sync.RWMutex
@@ -95,9 +97,9 @@
 	s.closeSessions()
 }
 
-// Idle reports whether the upstream is a replica that runs no statement. It does not check for open transactions.
+// Idle reports whether the upstream is a replica that runs no statement and has no open transaction.
 func (s *Server) Idle() bool {
-	return s.running.Load() == 0 && !s.ledger.State().Primary
+	return s.running.Load() == 0 && s.transactions.Load() == 0 && !s.ledger.State().Primary
 }
 
 // ServeConn serves one connection until it ends.
--- a/standin/server/session.go
+++ b/standin/server/session.go
@@ -276,7 +276,7 @@
 func (ss *session) rollback() {
 	if ss.tx != nil {
 		ss.tx.Rollback()
-		ss.tx = nil
+		ss.setTransaction(nil)
 	}
 	ss.failed = false
 }
@@ -306,3 +306,14 @@
 func canceledError() error {
 	return &statement.Error{Code: "57014", Message: "canceling statement due to user request"}
 }
+
+// setTransaction sets the open transaction, or nil, and counts it for Server.Idle.
+func (ss *session) setTransaction(tx *ledger.Transaction) {
+	switch {
+	case ss.tx == nil && tx != nil:
+		ss.server.transactions.Add(1)
+	case ss.tx != nil && tx == nil:
+		ss.server.transactions.Add(-1)
+	}
+	ss.tx = tx
+}
