Answer requests that arrive as a session is closed; contain panics

Change: a session that a shutdown ends reads once more for 20 ms and answers what had arrived. Sessions recover from panics, which are counted and logged.

--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +109,7 @@
 }
 
 type counters struct {
-	callers, handshakes, plaintext, refusedPlaintext, unknownService, wrongKey *metrics.Counter
+	callers, handshakes, panics, plaintext, refusedPlaintext, unknownService, wrongKey *metrics.Counter
 }
 
 // New listens for callers, whom Start serves.
@@ -123,6 +124,7 @@
 		metrics: &counters{
 			callers:          metrics.GetOrCreateCounter("tamarack_callers_total"),
 			handshakes:       metrics.GetOrCreateCounter("tamarack_caller_handshake_errors_total"),
+			panics:           metrics.GetOrCreateCounter("tamarack_caller_panics_total"),
 			plaintext:        metrics.GetOrCreateCounter(`tamarack_plaintext_callers_total{outcome="served"}`),
 			refusedPlaintext: metrics.GetOrCreateCounter(`tamarack_plaintext_callers_total{outcome="refused"}`),
 			unknownService:   metrics.GetOrCreateCounter("tamarack_unknown_service_total"),
@@ -256,10 +258,22 @@
 			continue
 		}
 		s.metrics.callers.Inc()
-		s.group.Go(func() { c.serve(ctx) })
+		s.group.Go(func() { s.serveCaller(ctx, c) })
 	}
 }
 
+// serveCaller serves a caller until it leaves. A panic ends only its connection, as in net/http: one unexpected message must not
+// cost the connections of all other callers.
+func (s *Server) serveCaller(ctx context.Context, c *caller) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			s.metrics.panics.Inc()
+			klog.ErrorS(nil, "caller panicked", "failure", failure, "stack", string(debug.Stack()))
+		}
+	}()
+	c.serve(ctx)
+}
+
 // register adds a caller under a random process id, which its cancel requests contain.
 func (s *Server) register(socket net.Conn) (*caller, error) {
 	var random [8]byte
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 var (
 	sessions     = metrics.NewCounter("tamarack_entry_sessions_total")
 	sessionsOpen = metrics.NewCounter("tamarack_entry_sessions_open")
+	// sessionPanics counts sessions that ended with a panic.
+	sessionPanics = metrics.NewCounter("tamarack_entry_session_panics_total")
 )
 
 // Quota spends the tokens of teams, which are counted over the whole fleet.
@@ -97,16 +100,26 @@
 		s.mu.Lock()
 		s.sessions[caller] = struct{}{}
 		s.mu.Unlock()
-		go func() {
-			caller.serve()
-			sessionsOpen.Dec()
-			s.mu.Lock()
-			delete(s.sessions, caller)
-			s.mu.Unlock()
-		}()
+		go s.serveSession(caller)
 	}
 }
 
+// serveSession serves a session until its end. A panic ends only that session, as in net/http: one unexpected message must not
+// cost the sessions of all other callers.
+func (s *Server) serveSession(caller *session) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			sessionPanics.Inc()
+			klog.ErrorS(nil, "Session panicked", "database", caller.start.Database, "failure", failure, "stack", string(debug.Stack()))
+		}
+		sessionsOpen.Dec()
+		s.mu.Lock()
+		delete(s.sessions, caller)
+		s.mu.Unlock()
+	}()
+	caller.serve()
+}
+
 // Draining reports whether a shutdown has begun.
 func (s *Server) Draining() bool {
 	return s.draining.Load()
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -28,6 +28,8 @@
 	quotaWaitDivisor = 4
 	// defaultIdleTransaction bounds the idle time of a transaction if the configuration does not.
 	defaultIdleTransaction = 10 * time.Second
+	// lastReadTimeout is how long a session that a shutdown ends still reads. A request that had arrived by then is answered.
+	lastReadTimeout = 20 * time.Millisecond
 )
 
 // activity is what a session is doing, as far as a shutdown needs to know.
@@ -145,6 +147,9 @@
 // serveRequest reads and answers one request; it returns false at the end of the session.
 func (s *session) serveRequest() bool {
 	query, err := s.read()
+	if s.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		query, err = s.readLast()
+	}
 	if err != nil {
 		return s.handleReadError(err)
 	}
@@ -174,6 +179,12 @@
 	return s.caller.ReadQuery()
 }
 
+// readLast reads a request that arrived just before a shutdown interrupted the wait for it.
+func (s *session) readLast() (statement.Query, error) {
+	_ = s.raw.SetReadDeadline(time.Now().Add(lastReadTimeout))
+	return s.caller.ReadQuery()
+}
+
 // idleTransactionLimit returns how long a transaction may be idle.
 func (s *session) idleTransactionLimit() time.Duration {
 	if limit := s.server.options.Table.Catalog().IdleTransaction; limit > 0 {
