Send entry hosts the changes of the directory, not the whole of it

Cause: the leader sent the whole directory (60 upstreams, 200 hosts, about 14 KB) to each of 200 hosts whenever one host or upstream changed, and each host reported every primary with each request, although nearly all statements run through gateways. On a rolling restart that is hosts times hosts.

Change: the leader keeps the latest 64 directories by digest and answers with the difference; a host applies it and compares the digest, and asks for the whole if it doesn't fit. The directory is built at most every 50 ms for all requests. A host reports a primary only if it answered on a connection of its own; gateways do that for the fleet.

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -30,6 +30,9 @@
 	forwardTimeout = 800 * time.Millisecond
 	// entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
 	entryHostTimeout = 3 * time.Second
+	// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the
+	// interval of their requests, of which there are many in it.
+	directoryInterval = 50 * time.Millisecond
 	// tickInterval is the interval at which the leader checks its members and the groups.
 	tickInterval = 200 * time.Millisecond
 	// leadershipCheckInterval is the interval at which a host checks whether it has become the leader. Entry hosts send a
@@ -89,6 +92,11 @@
 	// hosts are the entry hosts that send Watch requests to this leader.
 	hosts map[ident.Host]*entryHost
 
+	historyMu sync.Mutex
+	// history holds the latest directories for entry hosts, the last one as of directoryAt.
+	history     directory.History
+	directoryAt ident.Time
+
 	// limitsCatalog is the configuration whose limits are set on the lender. Only Run uses it.
 	limitsCatalog *catalog.Catalog
 }
@@ -439,6 +447,21 @@
 		}
 	}
 	c.mu.Unlock()
-	sortHosts(d.Hosts)
+	directory.Sort(d)
 	return d
 }
+
+// directoryUpdate returns the digest of the directory for entry hosts, and what a host needs that has the directory with another
+// digest: the change or the whole directory.
+func (c *Core) directoryUpdate(now ident.Time, digest uint64) (uint64, *fleetpb.Directory, *fleetpb.DirectoryChange, error) {
+	c.historyMu.Lock()
+	defer c.historyMu.Unlock()
+	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
+		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
+			return 0, nil, nil, err
+		}
+		c.directoryAt = now
+	}
+	latest, whole, change := c.history.Update(digest)
+	return latest, whole, change, nil
+}
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -1,14 +1,10 @@
 package core
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -66,22 +62,14 @@
 	if current := c.state.configuration(); current != nil && current.GetVersion() > request.GetVersion() {
 		response.Configuration = current
 	}
-	directory := c.entryDirectory(now)
-	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(directory)
+	var err error
+	response.Digest, response.Directory, response.Change, err = c.directoryUpdate(now, request.GetDigest())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	response.Digest = xxhash.Sum64(raw)
-	if response.Digest != request.GetDigest() {
-		response.Directory = directory
-	}
 	return response, nil
 }
 
-func sortHosts(hosts []*fleetpb.EntryHost) {
-	slices.SortFunc(hosts, func(x, y *fleetpb.EntryHost) int { return cmp.Compare(x.GetHost(), y.GetHost()) })
-}
-
 // Order executes an order if this host is the leader.
 func (s service) Order(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
 	return s.core.execute(ctx, request)
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
@@ -79,10 +80,11 @@
 	leader      string
 	members     []string
 	lastContact ident.Time
-	// digest is that of the directory in use; the leader answers with a directory only if its digest is another one.
-	digest  uint64
-	leaving bool
-	wake    chan struct{}
+	// directory is the one in use and digest identifies it; the leader answers with what changed since.
+	directory *fleetpb.Directory
+	digest    uint64
+	leaving   bool
+	wake      chan struct{}
 }
 
 // New returns a client that does not know the leader yet.
@@ -232,7 +234,7 @@
 		c.handleFailure(address, err)
 		return false
 	}
-	return c.handleResponse(sentAt, address, response)
+	return c.handleResponse(sentAt, address, request.GetDigest(), response)
 }
 
 func (c *Client) handleFailure(address string, err error) {
@@ -244,7 +246,9 @@
 	}
 }
 
-func (c *Client) handleResponse(sentAt ident.Time, address string, response *fleetpb.WatchResponse) bool {
+// handleResponse handles a response to a request that was sent with the digest of a directory, and reports whether it came from the
+// leader and was usable.
+func (c *Client) handleResponse(sentAt ident.Time, address string, digest uint64, response *fleetpb.WatchResponse) bool {
 	c.mu.Lock()
 	if len(response.GetMembers()) > 0 {
 		c.members = response.GetMembers()
@@ -272,17 +276,54 @@
 			klog.InfoS("Configuration in force", "version", parsed.Version, "routes", len(parsed.Routes), "teams", len(parsed.Teams))
 		}
 	}
-	if d := response.GetDirectory(); d != nil && c.options.Table.Catalog() != nil {
+	if d := c.nextDirectory(digest, response); d != nil && c.options.Table.Catalog() != nil {
 		c.options.Table.SetDirectory(d)
 		c.setReserves()
-		klog.InfoS("Directory changed", "upstreams", len(d.GetUpstreams()), "evacuated", d.GetEvacuated(), "primaries", primaryNames(d))
+		logDirectory(d, response.GetChange())
 		c.mu.Lock()
-		c.digest = response.GetDigest()
+		c.directory, c.digest = d, response.GetDigest()
 		c.mu.Unlock()
 	}
 	return true
 }
 
+// nextDirectory returns the directory that a response leads to, or nil if it leads to none. A change that doesn't lead to the
+// leader's directory is dropped, and the whole directory is requested next.
+func (c *Client) nextDirectory(digest uint64, response *fleetpb.WatchResponse) *fleetpb.Directory {
+	if response.GetChange() == nil {
+		return response.GetDirectory()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.digest != digest || c.directory == nil {
+		// Another response has been handled since the request was sent.
+		return nil
+	}
+	next := directory.Apply(c.directory, response.GetChange())
+	if got, err := directory.Digest(next); err != nil || got != response.GetDigest() {
+		klog.ErrorS(err, "Change of the directory does not fit", "digest", got, "expected", response.GetDigest())
+		c.digest = 0
+		return nil
+	}
+	return next
+}
+
+// logDirectory logs a new directory by its sizes, and the upstreams, primaries and hosts that changed; change is nil for a whole
+// directory.
+func logDirectory(d *fleetpb.Directory, change *fleetpb.DirectoryChange) {
+	if change == nil {
+		klog.InfoS("Directory received", "upstreams", len(d.GetUpstreams()), "hosts", len(d.GetHosts()), "evacuated", d.GetEvacuated(),
+			"primaries", primaryNames(d.GetPrimaries()))
+		return
+	}
+	var upstreams []string
+	for _, a := range change.GetUpstreams() {
+		upstreams = append(upstreams, a.GetUpstream())
+	}
+	klog.InfoS("Directory changed", "upstreams", upstreams, "removed", change.GetRemovedUpstreams(), "evacuated", d.GetEvacuated(),
+		"primaries", primaryNames(change.GetPrimaries()), "hosts", len(change.GetHosts()), "removedHosts", change.GetRemovedHosts())
+}
+
 func (c *Client) parse(configuration *fleetpb.Configure) (*catalog.Catalog, error) {
 	source, err := catalog.Unpack(configuration.GetPacked())
 	if err != nil {
@@ -304,9 +345,9 @@
 	c.options.Reserves(reserves)
 }
 
-func primaryNames(d *fleetpb.Directory) []string {
-	list := make([]string, 0, len(d.GetPrimaries()))
-	for _, p := range d.GetPrimaries() {
+func primaryNames(primaries []*fleetpb.PrimaryView) []string {
+	list := make([]string, 0, len(primaries))
+	for _, p := range primaries {
 		list = append(list, p.GetService()+"="+p.GetUpstream())
 	}
 	return list
--- a/node/coreclient/coreclient_test.go
+++ b/node/coreclient/coreclient_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
@@ -50,7 +51,7 @@
 	receive := func(version uint64, directory *fleetpb.Directory) {
 		packed, err := catalog.Pack(make([]byte, version))
 		require.NoError(t, err)
-		require.True(t, c.handleResponse(1, "leader", &fleetpb.WatchResponse{
+		require.True(t, c.handleResponse(1, "leader", 0, &fleetpb.WatchResponse{
 			Leads: true, Configuration: &fleetpb.Configure{Version: version, Packed: packed}, Directory: directory,
 		}))
 	}
@@ -59,3 +60,39 @@
 	receive(2, nil)
 	require.Equal(t, int64(10), reserves["t"].Tokens)
 }
+
+// Guards against a host that applies a change to another directory than the leader meant, and against one that stays at a
+// directory that differs from the leader's.
+func TestDirectoryChanges(t *testing.T) {
+	table := routing.New(routing.Options{})
+	empty, err := catalog.New(catalog.Description{Version: 1})
+	require.NoError(t, err)
+	table.SetCatalog(empty)
+	c := New(Options{Peers: peer.New(peer.Options{Trusted: true}), Table: table, Reserves: func(map[ident.Team]limit.Reserve) {}})
+	var history directory.History
+	receive := func(digest uint64, hosts ...string) {
+		d := &fleetpb.Directory{}
+		for _, host := range hosts {
+			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: host})
+		}
+		_, err := history.Add(d)
+		require.NoError(t, err)
+		response := &fleetpb.WatchResponse{Leads: true}
+		response.Digest, response.Directory, response.Change = history.Update(digest)
+		require.True(t, c.handleResponse(1, "leader", digest, response))
+	}
+	receive(c.digest, "a", "b")
+	require.Equal(t, 2, table.HostCount())
+	first := c.digest
+	receive(c.digest, "a", "b", "c")
+	require.Equal(t, 3, table.HostCount())
+	second := c.digest
+	receive(first, "a")
+	require.Equal(t, second, c.digest, "a late response to an earlier request changes nothing")
+	require.Equal(t, 3, table.HostCount())
+	c.directory = &fleetpb.Directory{}
+	receive(c.digest, "a", "d")
+	require.Zero(t, c.digest, "the next request asks for the whole directory")
+	receive(c.digest, "a", "d")
+	require.Equal(t, 2, table.HostCount())
+}
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -86,7 +86,7 @@
 	var unreachable *upstream.UnreachableError
 	switch {
 	case err == nil:
-		c.pool.RecordAnswer(steady.Now())
+		c.pool.RecordReachable()
 	case !c.gatewayFailed && (errors.As(err, &broken) || errors.As(err, &unreachable)):
 		c.pool.RecordFailure(steady.Now())
 	}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -22,6 +22,9 @@
 	reservedConnections = 4
 	// nonGatewayConnections is the number of connections to an upstream that a host other than its gateway may open.
 	nonGatewayConnections = 1
+	// reportMaxAge is the age of an answer from which on it says nothing about whether the primary runs. It is longer than the
+	// time without answers after which a primary counts as dead.
+	reportMaxAge = 3 * time.Second
 	// trimInterval is the interval between checks for idle connections to close.
 	trimInterval = 100 * time.Millisecond
 )
@@ -255,7 +258,8 @@
 	return nil
 }
 
-// Reports returns, for each known primary, how long ago it last answered this host.
+// Reports returns, for each primary that has lately answered on a connection of this host, how long ago that was. Statements that
+// ran through a gateway are reported by the gateway's host, so a primary is not reported by every host of the fleet.
 func (t *Table) Reports(now ident.Time) []*fleetpb.PrimaryReport {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -267,12 +271,11 @@
 				continue
 			}
 			answered := m.pool.LastAnswer()
-			report := &fleetpb.PrimaryReport{Service: string(service), Upstream: string(target.Upstream)}
-			if answered != 0 {
-				age := uint32(max(0, now.Sub(answered)/time.Millisecond))
-				report.AnsweredMs = &age
+			if answered == 0 || now.Sub(answered) > reportMaxAge {
+				continue
 			}
-			reports = append(reports, report)
+			age := uint32(max(0, now.Sub(answered)/time.Millisecond))
+			reports = append(reports, &fleetpb.PrimaryReport{Service: string(service), Upstream: string(target.Upstream), AnsweredMs: &age})
 		}
 	}
 	return reports
--- a/node/routing/table_test.go
+++ b/node/routing/table_test.go
@@ -120,3 +120,21 @@
 	require.Same(t, pool, table.Pool("svc", "a"))
 	require.Equal(t, 9-reservedConnections, pool.Limit())
 }
+
+// Guards against reports that every host sends for every primary, so that control traffic grows with hosts times services, and
+// against a report of an answer that is too old to count.
+func TestReports(t *testing.T) {
+	table := newTestTable(t, func(*fleetpb.Directory) {})
+	now := steady.Now().Add(time.Minute)
+	require.Empty(t, table.Reports(now), "no answer yet")
+	pool := table.Pool("svc", "a")
+	pool.RecordReachable()
+	require.Empty(t, table.Reports(now), "another host's connection got the answer")
+	pool.RecordAnswer(now.Add(-time.Second))
+	reports := table.Reports(now)
+	require.Len(t, reports, 1)
+	require.Equal(t, uint32(1000), reports[0].GetAnsweredMs())
+	require.Empty(t, table.Reports(now.Add(5*time.Second)))
+	table.Pool("svc", "b").RecordAnswer(now)
+	require.Len(t, table.Reports(now), 1, "only the primary is reported")
+}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -51,7 +51,7 @@
 	// inFlight counts the statements that executors of this host wait for or run.
 	inFlight int
 	// avoidUntil is the time until which the upstream is the last choice, after a failure; lastAnswer is the time of its last
-	// answer, or 0.
+	// answer on a connection of this pool, or 0.
 	avoidUntil ident.Time
 	lastAnswer ident.Time
 	// position is the last observed position of the upstream's log, as of positionAt.
@@ -167,20 +167,27 @@
 	p.inFlight--
 }
 
-// LastAnswer returns when the upstream last answered, or 0 if it never did.
+// LastAnswer returns when the upstream last answered on a connection of this pool, or 0 if it never did.
 func (p *Pool) LastAnswer() ident.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.lastAnswer
 }
 
-// RecordAnswer records a complete answer of the upstream; the upstream is no longer the last choice.
+// RecordAnswer records a complete answer of the upstream on a connection of this pool; the upstream is no longer the last choice.
 func (p *Pool) RecordAnswer(now ident.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastAnswer, p.avoidUntil = now, 0
 }
 
+// RecordReachable records an answer that the upstream gave to another host; the upstream is no longer the last choice.
+func (p *Pool) RecordReachable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidUntil = 0
+}
+
 // RecordFailure records a connection that broke or could not be opened; the upstream is the last choice for failurePenalty.
 func (p *Pool) RecordFailure(now ident.Time) {
 	p.mu.Lock()
