Let the next leader of the core continue the directory

Cause: the list of entry hosts of a new leader began empty and filled with their requests. Hosts that search for the leader asked all core hosts for everything at once.

Change: core hosts follow the leader's directory; the next leader continues it. The search is a small request; the directory and the configuration follow from the leader, with 2 s while the host has neither.

--- a/fleet/directory/change.go
+++ b/fleet/directory/change.go
@@ -142,3 +142,39 @@
 	}
 	return last.digest, last.directory, nil
 }
+
+// Copy is a host's copy of the leader's directory. It is not safe for concurrent use.
+type Copy struct {
+	directory *fleetpb.Directory
+	digest    uint64
+}
+
+// Directory returns the copied directory, or nil before the first one.
+func (c *Copy) Directory() *fleetpb.Directory { return c.directory }
+
+// Digest returns the digest to send with the next request. It is 0 while the whole directory is needed.
+func (c *Copy) Digest() uint64 { return c.digest }
+
+// Set replaces the copy.
+func (c *Copy) Set(d *fleetpb.Directory, digest uint64) {
+	c.directory, c.digest = d, digest
+}
+
+// Next returns the directory that the response to a request leads to, or nil if it leads to none. The request was sent with the
+// digest sent; the response names the digest of the latest directory and has the whole of it or the change. A change that doesn't
+// lead to that digest is dropped, and the whole directory is requested next.
+func (c *Copy) Next(sent, latest uint64, whole *fleetpb.Directory, change *fleetpb.DirectoryChange) *fleetpb.Directory {
+	if change == nil {
+		return whole
+	}
+	if c.directory == nil || c.digest != sent {
+		// Another response has been handled since the request was sent.
+		return nil
+	}
+	next := Apply(c.directory, change)
+	if digest, err := Digest(next); err != nil || digest != latest {
+		c.digest = 0
+		return nil
+	}
+	return next
+}
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -96,6 +97,10 @@
 	// history holds the latest directories for entry hosts, the last one as of directoryAt.
 	history     directory.History
 	directoryAt ident.Time
+	// followed is this host's copy of the directory of the leader that it followed.
+	followed directory.Copy
+	// takenOver is the start of the leadership for which this host has taken over the directory.
+	takenOver atomic.Int64
 
 	// limitsCatalog is the configuration whose limits are set on the lender. Only Run uses it.
 	limitsCatalog *catalog.Catalog
@@ -180,6 +185,7 @@
 // Run performs the leader's duties, and enrolls this host while no leader counts it as a member, until ctx ends. It returns the
 // failure that stopped the replica, or a RemovedError.
 func (c *Core) Run(ctx context.Context) error {
+	go c.followDirectory(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	leadershipTicker := time.NewTicker(leadershipCheckInterval)
@@ -194,14 +200,20 @@
 		case <-c.replica.Done():
 			return trace.Wrap(c.replica.Err())
 		case <-leadershipTicker.C:
-			if leadership = c.replica.Leadership(); !leadership.Confirmed || leadership.Since == handledSince {
+			leadership = c.replica.Leadership()
+			if leadership.Confirmed && leadership.Since == handledSince {
+				c.takeOver(leadership)
+				continue
+			}
+			if !leadership.Confirmed {
 				continue
 			}
 		case <-ticker.C:
 			leadership = c.replica.Leadership()
 		}
-		if leadership.Confirmed {
+		if leadership.Confirmed && leadership.Since != handledSince {
 			handledSince = leadership.Since
+			c.inheritDirectory(steady.Now())
 		}
 		c.lender.SetLeadership(steady.Now(), leadership.Control())
 		if leadership.Leads {
@@ -212,6 +224,9 @@
 			}
 		}
 		c.groups.tick(ctx, leadership.Confirmed)
+		if leadership.Confirmed {
+			c.takeOver(leadership)
+		}
 	}
 }
 
--- /dev/null
+++ b/node/core/follow_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// newTestCore returns a core host without a log.
+func newTestCore() *Core {
+	c := &Core{state: newState(parseStub), directory: directory.New(), hosts: map[ident.Host]*entryHost{}}
+	c.groups = newGroups(c)
+	return c
+}
+
+// Guards against a leader change after which 200 hosts are sent the whole directory at once, which fills the leader's link for
+// longer than they wait, and after which the gateways of most upstreams move, since only the hosts that have already asked the new
+// leader are listed.
+func TestNextLeaderContinuesTheDirectory(t *testing.T) {
+	const hosts = 200
+	now := ident.Time(time.Hour)
+	first := newTestCore()
+	for i := range hosts {
+		name := fmt.Sprintf("front-%03d", i)
+		first.hosts[ident.Host(name)] = &entryHost{zone: "z", peer: name + ":1", lastRequest: now}
+	}
+	digest, whole, _, err := first.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Len(t, whole.GetHosts(), hosts)
+
+	next := newTestCore()
+	next.followed.Set(whole, digest)
+	now = now.Add(time.Minute)
+	next.inheritDirectory(now)
+	latest, sent, change, err := next.directoryUpdate(now, digest)
+	require.NoError(t, err)
+	require.Equal(t, digest, latest)
+	require.Nil(t, sent)
+	require.Nil(t, change)
+
+	// Hosts that don't ask the new leader are dropped, and the others get that change only.
+	for i := range hosts - 1 {
+		next.hosts[ident.Host(fmt.Sprintf("front-%03d", i))].lastRequest = now.Add(entryHostTimeout)
+	}
+	_, sent, change, err = next.directoryUpdate(now.Add(entryHostTimeout), digest)
+	require.NoError(t, err)
+	require.Nil(t, sent)
+	require.Equal(t, []string{"front-199"}, change.GetRemovedHosts())
+	require.Less(t, proto.Size(change), 100)
+}
+
+// Guards against a core host that searches among the wrong hosts for the leader, asks one twice or asks itself.
+func TestLeaderSearch(t *testing.T) {
+	s := newLeaderSearch("self", []string{"self", "a", "b", "a"})
+	s.name("b")
+	require.Equal(t, []string{"b"}, s.next(), "the host that is taken for the leader is asked first")
+	s.name("")
+	require.Equal(t, []string{"a"}, s.next())
+	s.name("new")
+	s.name("b")
+	require.Equal(t, []string{"new"}, s.next(), "a host that another one names is asked although it was not known")
+	require.Empty(t, s.next())
+
+	s = newLeaderSearch("self", []string{"a", "b"})
+	require.Equal(t, []string{"a", "b"}, s.next(), "without a leader all are asked at once")
+	require.Empty(t, s.next())
+}
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -51,13 +51,18 @@
 	c := s.core
 	now := steady.Now()
 	leadership := c.replica.Leadership()
-	response := &fleetpb.WatchResponse{Leader: leadership.Leader, Leads: leadership.Confirmed, Members: c.members()}
-	if !leadership.Confirmed {
+	// A new leader answers once it has taken over the directory: a list that is only beginning to fill would move the gateways of
+	// all upstreams.
+	leads := leadership.Confirmed && c.takenOver.Load() == int64(leadership.Since)
+	response := &fleetpb.WatchResponse{Leader: leadership.Leader, Leads: leads, Members: c.members()}
+	if leadership.Confirmed && request.GetHost() != "" {
+		c.mu.Lock()
+		c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), request.GetPeer(), now, request.GetLeaving()}
+		c.mu.Unlock()
+	}
+	if !leads || request.GetSearch() {
 		return response, nil
 	}
-	c.mu.Lock()
-	c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), request.GetPeer(), now, request.GetLeaving()}
-	c.mu.Unlock()
 	c.groups.report(now, request.GetReports())
 	if current := c.state.configuration(); current != nil && current.GetVersion() > request.GetVersion() {
 		response.Configuration = current
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -31,6 +31,9 @@
 	// watchTimeout bounds a request to the leader. It is enough to transfer a configuration of hundreds of routes, and a lost
 	// leader is detected within the time of an election.
 	watchTimeout = 500 * time.Millisecond
+	// wholeTimeout is that timeout while the host has no configuration or no directory. After a loss of power, the leader sends
+	// them to all hosts at once.
+	wholeTimeout = 2 * time.Second
 	// searchTimeout bounds the requests to all core hosts while the leader is unknown. One of them may be unresponsive, and
 	// the next requests must not wait for it. A round trip between regions takes 24 ms.
 	searchTimeout = 200 * time.Millisecond
@@ -80,9 +83,8 @@
 	leader      string
 	members     []string
 	lastContact ident.Time
-	// directory is the one in use and digest identifies it; the leader answers with what changed since.
-	directory *fleetpb.Directory
-	digest    uint64
+	// directory is the one in use; the leader answers with what changed since.
+	directory directory.Copy
 	leaving   bool
 	wake      chan struct{}
 }
@@ -183,28 +185,70 @@
 	return slices.Compact(all)
 }
 
-// watch sends a request to the leader, or to all core hosts at once while the leader is unknown. It reports whether a leader
-// answered.
+// watch sends a request to the leader, which it searches for while it is unknown. It reports whether the leader answered.
 func (c *Client) watch(ctx context.Context) bool {
-	request := c.request()
-	sentAt := steady.Now()
 	targets := c.targets()
-	timeout := watchTimeout
 	if len(targets) > 1 {
-		timeout = searchTimeout
+		leader := c.search(ctx, targets)
+		if leader == "" {
+			return false
+		}
+		targets = []string{leader}
+	}
+	request := c.request()
+	timeout := watchTimeout
+	if request.GetDigest() == 0 || request.GetVersion() == 0 {
+		timeout = wholeTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	results := make(chan bool, len(targets))
+	return c.watchHost(ctx, targets[0], request)
+}
+
+// search asks core hosts at once which of them leads. The responses are small, so that hundreds of hosts that search at the same
+// time don't fill the leader's link.
+func (c *Client) search(ctx context.Context, targets []string) (leader string) {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	request := &fleetpb.WatchRequest{Host: string(c.options.Host), Zone: string(c.options.Zone), Peer: c.options.Peer, Leaving: c.isLeaving(), Search: true}
+	leaders := make(chan string, len(targets))
 	for _, address := range targets {
-		go func() { results <- c.watchHost(ctx, sentAt, address, request) }()
+		go func() {
+			response, err := c.call(ctx, address, request)
+			if err != nil || !response.GetLeads() {
+				address = ""
+			}
+			leaders <- address
+		}()
 	}
 	for range targets {
-		if <-results {
-			return true
+		if leader = <-leaders; leader != "" {
+			return leader
 		}
 	}
-	return false
+	return ""
+}
+
+func (c *Client) isLeaving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaving
+}
+
+// call sends a request to one core host and records the members that the response names.
+func (c *Client) call(ctx context.Context, address string, request *fleetpb.WatchRequest) (*fleetpb.WatchResponse, error) {
+	watches.Inc()
+	response, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(address), c.client).Watch(ctx, request)
+	if err != nil {
+		failures.Inc()
+		return nil, err
+	}
+	if members := response.GetMembers(); len(members) > 0 {
+		c.mu.Lock()
+		c.members = members
+		c.mu.Unlock()
+	}
+	return response, nil
 }
 
 func (c *Client) request() *fleetpb.WatchRequest {
@@ -221,16 +265,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	request.Digest, request.Leaving = c.digest, c.leaving
+	request.Digest, request.Leaving = c.directory.Digest(), c.leaving
 	return request
 }
 
 // watchHost sends a request to one core host and reports whether that host is the leader and its response was usable.
-func (c *Client) watchHost(ctx context.Context, sentAt ident.Time, address string, request *fleetpb.WatchRequest) bool {
-	watches.Inc()
-	response, err := fleetpb.NewCoreProtobufClient(c.options.Peers.URL(address), c.client).Watch(ctx, request)
+func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest) bool {
+	sentAt := steady.Now()
+	response, err := c.call(ctx, address, request)
 	if err != nil {
-		failures.Inc()
 		c.handleFailure(address, err)
 		return false
 	}
@@ -250,9 +293,6 @@
 // leader and was usable.
 func (c *Client) handleResponse(sentAt ident.Time, address string, digest uint64, response *fleetpb.WatchResponse) bool {
 	c.mu.Lock()
-	if len(response.GetMembers()) > 0 {
-		c.members = response.GetMembers()
-	}
 	if !response.GetLeads() {
 		if c.leader == address {
 			c.leader = ""
@@ -276,38 +316,20 @@
 			klog.InfoS("Configuration in force", "version", parsed.Version, "routes", len(parsed.Routes), "teams", len(parsed.Teams))
 		}
 	}
-	if d := c.nextDirectory(digest, response); d != nil && c.options.Table.Catalog() != nil {
+	c.mu.Lock()
+	d := c.directory.Next(digest, response.GetDigest(), response.GetDirectory(), response.GetChange())
+	c.mu.Unlock()
+	if d != nil && c.options.Table.Catalog() != nil {
 		c.options.Table.SetDirectory(d)
 		c.setReserves()
 		logDirectory(d, response.GetChange())
 		c.mu.Lock()
-		c.directory, c.digest = d, response.GetDigest()
+		c.directory.Set(d, response.GetDigest())
 		c.mu.Unlock()
 	}
 	return true
 }
 
-// nextDirectory returns the directory that a response leads to, or nil if it leads to none. A change that doesn't lead to the
-// leader's directory is dropped, and the whole directory is requested next.
-func (c *Client) nextDirectory(digest uint64, response *fleetpb.WatchResponse) *fleetpb.Directory {
-	if response.GetChange() == nil {
-		return response.GetDirectory()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.digest != digest || c.directory == nil {
-		// Another response has been handled since the request was sent.
-		return nil
-	}
-	next := directory.Apply(c.directory, response.GetChange())
-	if got, err := directory.Digest(next); err != nil || got != response.GetDigest() {
-		klog.ErrorS(err, "Change of the directory does not fit", "digest", got, "expected", response.GetDigest())
-		c.digest = 0
-		return nil
-	}
-	return next
-}
-
 // logDirectory logs a new directory by its sizes, and the upstreams, primaries and hosts that changed; change is nil for a whole
 // directory.
 func logDirectory(d *fleetpb.Directory, change *fleetpb.DirectoryChange) {
--- a/node/coreclient/coreclient_test.go
+++ b/node/coreclient/coreclient_test.go
@@ -81,18 +81,18 @@
 		response.Digest, response.Directory, response.Change = history.Update(digest)
 		require.True(t, c.handleResponse(1, "leader", digest, response))
 	}
-	receive(c.digest, "a", "b")
+	receive(c.directory.Digest(), "a", "b")
 	require.Equal(t, 2, table.HostCount())
-	first := c.digest
-	receive(c.digest, "a", "b", "c")
+	first := c.directory.Digest()
+	receive(c.directory.Digest(), "a", "b", "c")
 	require.Equal(t, 3, table.HostCount())
-	second := c.digest
+	second := c.directory.Digest()
 	receive(first, "a")
-	require.Equal(t, second, c.digest, "a late response to an earlier request changes nothing")
+	require.Equal(t, second, c.directory.Digest(), "a late response to an earlier request changes nothing")
 	require.Equal(t, 3, table.HostCount())
-	c.directory = &fleetpb.Directory{}
-	receive(c.digest, "a", "d")
-	require.Zero(t, c.digest, "the next request asks for the whole directory")
-	receive(c.digest, "a", "d")
+	c.directory.Set(&fleetpb.Directory{}, second)
+	receive(c.directory.Digest(), "a", "d")
+	require.Zero(t, c.directory.Digest(), "the next request asks for the whole directory")
+	receive(c.directory.Digest(), "a", "d")
 	require.Equal(t, 2, table.HostCount())
 }
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -110,6 +110,31 @@
 		"fleet/quorum/lead.go", "return n.disk.syncedIndex", "return n.log.last().index",
 		"./fleet/quorum", "LeaderCounts",
 	},
+	{
+		14, "a learner takes the vote of a host that is away",
+		"fleet/quorum/voters.go", "case away != nil && len(ready) > 0:", "case away != nil && len(ready) > len(voters):",
+		"./fleet/quorum", "Voters/slow|Voters/replaced",
+	},
+	{
+		14, "a host that only restarts keeps its vote",
+		"fleet/quorum/voters.go", "if c.self || c.silence < limit {", "if c.self || c.silence < limit/8 {",
+		"./fleet/quorum", "Voters/rolling",
+	},
+	{
+		12, "the end of an upstream is remembered although no announcement came before it",
+		"fleet/directory/directory.go", "if known == nil && a.GetBorn() != 0 {", "if known == nil && a.GetBorn() != 0 && now < 0 {",
+		"./fleet/directory", "Order",
+	},
+	{
+		12, "a host whose directory differs from the leader's after a change asks for the whole of it",
+		"fleet/directory/change.go", "err != nil || digest != latest {", "err != nil && digest != latest {",
+		"./node/coreclient", "DirectoryChanges",
+	},
+	{
+		13, "a session that a shutdown ends answers the request that had arrived",
+		"node/entry/session.go", "if s.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded) {", "if s.ending.Load() && err == nil {",
+		"./node/entry", "ShutdownAnswers",
+	},
 	{
 		0, "STALE: a read of a primary route runs in a transaction that only a primary opens",
 		"node/entry/run.go", "use.Opening = upstream.OpenPrimary", "use.Opening = upstream.OpenNone",
