Keep the calls for membership out of the loop of a core host

A host that became the leader meanwhile took up its duties, tokens included, that much later. The goroutine that follows the directory also outlived a core part that failed and restarted. Change: both are goroutines of Run, which ends them and waits for them. Measured: the tests of node/core and the core tests of real processes pass.

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -185,7 +185,13 @@
 // Run performs the leader's duties, and enrolls this host while no leader counts it as a member, until ctx ends. It returns the
 // failure that stopped the replica, or a RemovedError.
 func (c *Core) Run(ctx context.Context) error {
-	go c.followDirectory(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer cancel()
+	removed := make(chan error, 1)
+	parts.Go(func() { c.followDirectory(ctx) })
+	parts.Go(func() { c.keepMembership(ctx, removed) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	leadershipTicker := time.NewTicker(leadershipCheckInterval)
@@ -199,6 +205,8 @@
 			return nil
 		case <-c.replica.Done():
 			return trace.Wrap(c.replica.Err())
+		case err := <-removed:
+			return trace.Wrap(err)
 		case <-leadershipTicker.C:
 			leadership = c.replica.Leadership()
 			if leadership.Confirmed && leadership.Since == handledSince {
@@ -218,10 +226,6 @@
 		c.lender.SetLeadership(steady.Now(), leadership.Control())
 		if leadership.Leads {
 			c.setLimits()
-		} else if c.enrollDue(leadership) {
-			if err := c.enroll(ctx); err != nil {
-				return trace.Wrap(err)
-			}
 		}
 		c.groups.tick(ctx, leadership.Confirmed)
 		if leadership.Confirmed {
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// keepMembership enrolls this host whenever no leader counts it as a member, until ctx ends. It sends a RemovedError and returns
+// once the leader answers that this host's log is not a member's. It has its own goroutine, since a call may wait for hosts that are
+// down while this host becomes the leader.
+func (c *Core) keepMembership(ctx context.Context, removed chan<- error) {
+	for steady.Wait(ctx, tickInterval) == nil {
+		leadership := c.replica.Leadership()
+		if leadership.Leads || !c.enrollDue(leadership) {
+			continue
+		}
+		if err := c.enroll(ctx); err != nil {
+			removed <- err
+			return
+		}
+	}
+}
+
 // enrollDue reports whether this host should ask the leader for membership: it has no log, or it has one but no leader contacts
 // it, which is the case once it was removed.
 func (c *Core) enrollDue(leadership replica.Leadership) bool {
