Hold both connections at once in the test of their allotted number

It required that 160 short statements open a second connection; when that one opens slowly, they end before it does. Shown on with a second connection that opens 60 ms late: the same failure. It did not fail in 800 runs there without the delay. Change: the test holds both connections at once before the load, and requires exactly two as before. Measured: host/upstream 20 times beside load, no failure.

--- a/fleet/quorum/voters.go
+++ b/fleet/quorum/voters.go
@@ -70,7 +70,8 @@
 		return demotion{mostCrowded(voters).Voter}
 	case len(ready) > 0:
 		best := successor(voters, ready)
-		if spread(without(append(slices.Clone(voters), *best), mostCrowded(append(slices.Clone(voters), *best)))) < spread(voters) {
+		grown := append(slices.Clone(voters), *best)
+		if spread(without(grown, mostCrowded(grown))) < spread(voters) {
 			return promotion{best.Voter}
 		}
 	}
--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -302,7 +302,12 @@
 func TestAllotmentBoundsConnections(t *testing.T) {
 	s := newServer(t)
 	p := newPool(t, s.address)
-	p.Release(target, acquire(t, p, view(s.address, 2, nil)))
+	first := acquire(t, p, view(s.address, 2, nil))
+	// Both connections are in use at once, so the second one is open before the load begins, however slowly it opens.
+	second := <-startAcquire(t.Context(), p)
+	require.NoError(t, second.err)
+	p.Release(target, first)
+	p.Release(target, second.conn)
 	var group sync.WaitGroup
 	for range 8 {
 		group.Go(func() {
