--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -197,7 +197,7 @@
 	},
 	{
 		0, "ROUTE, DRAIN: a late announcement does not bring back an upstream that has ended",
-		"fleet/directory/directory.go", "if known != nil && !newer(a, known.announcement) {", "if known != nil && a.GetBorn() < 0 {",
+		"fleet/directory/directory.go", "known != nil && !newer(a, known.announcement) {", "known != nil && a.GetBorn() < 0 {",
 		"./fleet/directory", "Order",
 	},
 	{
