Test the time in which a first leader collects hosts

Cause: found on reading the diff: the time that a leader without a followed directory waits before it answers had no test; one test comment was unclear. Change: TestFirstLeaderCollectsHosts, and the comment of TestLeaderKeepsItsVote. No code outside of tests.

--- a/fleet/quorum/voters_test.go
+++ b/fleet/quorum/voters_test.go
@@ -257,7 +257,7 @@
 	}
 }
 
-// Guards against a voter that only the leader's own messages make silent: the leader keeps its vote whatever it hears.
+// Guards against a leader that takes itself for silent, since it sends itself no messages, and gives its own vote away.
 func TestLeaderKeepsItsVote(t *testing.T) {
 	s := newSixHosts(2)
 	s.terse = true
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -9,7 +9,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/replica"
 )
 
 // newTestCore returns a core host without a log.
@@ -55,6 +58,25 @@
 	require.Less(t, proto.Size(change), 100)
 }
 
+// Guards against a first leader after a restart of the whole core that publishes a list of the few hosts that have asked it so far:
+// the gateways of the upstreams would move each time the list grows.
+func TestFirstLeaderCollectsHosts(t *testing.T) {
+	c := newTestCore()
+	// An hour from now, so that the time to collect has not passed however slowly the test runs.
+	leadership := replica.Leadership{Since: steady.Now().Add(time.Hour)}
+	c.takeOver(leadership)
+	require.Zero(t, c.takenOver.Load(), "the leader still collects hosts")
+	leadership.Since = steady.Now().Add(-gatherTime)
+	c.takeOver(leadership)
+	require.Equal(t, int64(leadership.Since), c.takenOver.Load())
+
+	c = newTestCore()
+	c.followed.Set(&fleetpb.Directory{}, 1)
+	leadership.Since = steady.Now().Add(time.Hour)
+	c.takeOver(leadership)
+	require.Equal(t, int64(leadership.Since), c.takenOver.Load(), "a leader that has followed a directory continues it at once")
+}
+
 // Guards against a core host that searches among the wrong hosts for the leader, asks one twice or asks itself.
 func TestLeaderSearch(t *testing.T) {
 	s := newLeaderSearch("self", []string{"self", "a", "b", "a"})
