Log why the membership of the core changes and why a host is not part of it

Cause: a core without a leader looks the same in the logs whether voters were lost, a data folder was given up or a host found nobody to ask.

Change: the leader logs each change of the membership with the member's silence and how many of the resulting voters are active; a core host logs the log that it opened; a host that is not admitted logs each new reason with the hosts that it asked; an entry host logs once when it finds no leader for three seconds. None of the decisions changes.

go test ./fleet/quorum ./host/replica ./node/core ./node/coreclient pass.

--- a/fleet/quorum/action.go
+++ b/fleet/quorum/action.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -56,8 +58,8 @@
 func (Persisted) input()  {}
 func (Compact) input()    {}
 
-// Action is a step that the caller performs, in the order returned: Persist, Send, Apply, Restore, TakeSnapshot, Proposed
-// or RoleChange.
+// Action is a step that the caller performs, in the order returned: Persist, Send, Apply, Restore, TakeSnapshot, Proposed,
+// MembersChange or RoleChange.
 type Action interface{ action() }
 
 // Persist stores its parts in one transaction; the caller answers with Persisted once they are synced to disk.
@@ -98,13 +100,42 @@
 	Err   error
 }
 
+// MemberChange is a kind of change of the membership by one member.
+type MemberChange int
+
+//go:generate enumer -type=MemberChange -transform=lower
+
+const (
+	// Admitted hosts may join with an empty data folder.
+	Admitted MemberChange = iota
+	// Joined hosts are learners with a member id.
+	Joined
+	// Promoted learners are voters.
+	Promoted
+	// Demoted voters are learners and keep their logs.
+	Demoted
+	// Removed members are no longer part of the membership.
+	Removed
+)
+
+// MembersChange reports a change of the membership that the leader has appended, for its log.
+type MembersChange struct {
+	Kind MemberChange
+	Host string
+	// Silence is the time since the leader last heard from the member, or since it became the leader.
+	Silence time.Duration
+	// Voters is the number of voters after the change, and Active the number of those that have answered recently.
+	Voters, Active int
+}
+
 // RoleChange reports a change of role, term, leader, readiness or problem.
 type RoleChange struct{ Status Status }
 
-func (Persist) action()      {}
-func (Send) action()         {}
-func (Apply) action()        {}
-func (Restore) action()      {}
-func (TakeSnapshot) action() {}
-func (Proposed) action()     {}
-func (RoleChange) action()   {}
+func (Persist) action()       {}
+func (Send) action()          {}
+func (Apply) action()         {}
+func (Restore) action()       {}
+func (TakeSnapshot) action()  {}
+func (Proposed) action()      {}
+func (MembersChange) action() {}
+func (RoleChange) action()    {}
--- a/fleet/quorum/members.go
+++ b/fleet/quorum/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -75,8 +76,12 @@
 	return n.log.votersIndex <= n.commit && n.commit >= n.leaderState.firstIndex
 }
 
-// setMembers appends a membership, which must differ from the last one by at most one voter, and returns its index.
-func (n *Node) setMembers(voters, learners []*fleetpb.Voter) uint64 {
+// setMembers appends a membership, which must differ from the last one by at most one voter, and returns its index. The kind of
+// change and the changed member are reported.
+func (n *Node) setMembers(kind MemberChange, changed *fleetpb.Voter, voters, learners []*fleetpb.Voter) uint64 {
+	n.out = append(n.out, MembersChange{
+		Kind: kind, Host: changed.GetHost(), Silence: n.silence(changed), Voters: len(voters), Active: n.activeVoters(voters),
+	})
 	index := n.appendEntry(&fleetpb.Change{Kind: &fleetpb.Change_Voters{Voters: &fleetpb.Voters{
 		Voters:   voters,
 		Learners: learners,
@@ -103,7 +108,7 @@
 		answer.Err = &MembershipError{in.Host, "it is a member already"}
 	default:
 		learner := &fleetpb.Voter{Host: in.Host, Peer: in.Peer, Zone: in.Zone, Region: in.Region}
-		answer.Index = n.setMembers(voters.GetVoters(), append(slices.Clone(voters.GetLearners()), learner))
+		answer.Index = n.setMembers(Admitted, learner, voters.GetVoters(), append(slices.Clone(voters.GetLearners()), learner))
 	}
 	n.out = append(n.out, answer)
 }
@@ -113,19 +118,20 @@
 func (n *Node) remove(in Remove) {
 	answer := Proposed{ID: in.ID, Term: n.term}
 	voters := n.log.voters
+	voter, learner := memberOfHost(voters.GetVoters(), in.Host), memberOfHost(voters.GetLearners(), in.Host)
 	switch err := n.checkLeader(); {
 	case err != nil:
 		answer.Err = err
 	case !n.mayChangeMembers():
 		answer.Err = &BusyError{}
-	case memberOfHost(voters.GetLearners(), in.Host) != nil:
-		answer.Index = n.setMembers(voters.GetVoters(), withoutHost(voters.GetLearners(), in.Host))
-	case memberOfHost(voters.GetVoters(), in.Host) == nil:
+	case learner != nil:
+		answer.Index = n.setMembers(Removed, learner, voters.GetVoters(), withoutHost(voters.GetLearners(), in.Host))
+	case voter == nil:
 		answer.Err = &MembershipError{in.Host, "it is not a member"}
 	case !n.majorityActive(withoutHost(voters.GetVoters(), in.Host)):
 		answer.Err = &MembershipError{in.Host, "without it, too few of the remaining voters answer"}
 	default:
-		answer.Index = n.setMembers(withoutHost(voters.GetVoters(), in.Host), voters.GetLearners())
+		answer.Index = n.setMembers(Removed, voter, withoutHost(voters.GetVoters(), in.Host), voters.GetLearners())
 	}
 	n.out = append(n.out, answer)
 }
@@ -156,7 +162,7 @@
 		joining = proto.CloneOf(joining)
 		joining.Replacement = true
 	}
-	n.setMembers(voters.GetVoters(), append(withoutHost(voters.GetLearners(), joining.GetHost()), joining))
+	n.setMembers(Joined, joining, voters.GetVoters(), append(withoutHost(voters.GetLearners(), joining.GetHost()), joining))
 }
 
 // updateMembers promotes learners that have caught up and makes the changes that the voter policy asks for. Each membership
@@ -184,10 +190,10 @@
 			continue
 		}
 		if len(remaining) < len(voters.GetVoters()) {
-			n.setMembers(remaining, voters.GetLearners())
+			n.setMembers(Removed, memberOfHost(voters.GetVoters(), learner.GetHost()), remaining, voters.GetLearners())
 			return true
 		}
-		n.setMembers(append(remaining, learner), withoutHost(voters.GetLearners(), learner.GetHost()))
+		n.setMembers(Promoted, learner, append(remaining, learner), withoutHost(voters.GetLearners(), learner.GetHost()))
 		return true
 	}
 	return false
@@ -200,13 +206,28 @@
 
 // majorityActive reports whether a majority of the given voters is active, so that entries can be committed with them.
 func (n *Node) majorityActive(voters []*fleetpb.Voter) bool {
+	return n.activeVoters(voters) > len(voters)/2
+}
+
+// activeVoters returns how many of the given voters are active.
+func (n *Node) activeVoters(voters []*fleetpb.Voter) int {
 	count := 0
 	for _, voter := range voters {
 		if n.isSelf(voter) || n.active(n.progress(voter.GetMember())) {
 			count++
 		}
 	}
-	return count > len(voters)/2
+	return count
+}
+
+// silence returns the time since this leader heard from a member or, if it never has, since it knows the member. It is 0 for a
+// member that is being added.
+func (n *Node) silence(member *fleetpb.Voter) time.Duration {
+	p := n.leaderState.peerProgress[member.GetMember()]
+	if n.isSelf(member) || p == nil {
+		return 0
+	}
+	return n.now.Sub(max(p.createdAt, p.lastContact))
 }
 
 func memberOfHost(members []*fleetpb.Voter, host string) *fleetpb.Voter {
--- a/fleet/quorum/voters.go
+++ b/fleet/quorum/voters.go
@@ -174,10 +174,7 @@
 	for _, member := range members {
 		c := candidate{Voter: member, self: n.isSelf(member)}
 		p := n.progress(member.GetMember())
-		c.active = c.self || n.active(p)
-		if !c.self {
-			c.silence = n.now.Sub(max(p.createdAt, p.lastContact))
-		}
+		c.active, c.silence = c.self || n.active(p), n.silence(member)
 		c.ready = member.GetMember() != "" && n.caughtUp(member)
 		list = append(list, c)
 	}
@@ -188,21 +185,26 @@
 func (n *Node) chooseVoters() {
 	voters, learners := n.log.voters.GetVoters(), n.log.voters.GetLearners()
 	settled := n.now.Sub(max(n.leaderState.since, n.leaderState.membersChangedAt))
+	var kind MemberChange
+	var changed *fleetpb.Voter
 	switch change := n.bounds.Voters.next(n.candidates(voters), n.candidates(learners), settled).(type) {
 	case promotion:
+		kind, changed = Promoted, change.member
 		voters, learners = append(slices.Clone(voters), change.member), withoutHost(learners, change.member.GetHost())
 	case demotion:
+		kind, changed = Demoted, change.member
 		voters = withoutReplacement(withoutHost(voters, change.member.GetHost()))
 		if memberOfHost(learners, change.member.GetHost()) == nil {
 			learners = append(slices.Clone(learners), change.member)
 		}
 	case removal:
+		kind, changed = Removed, change.member
 		learners = withoutHost(learners, change.member.GetHost())
 	default:
 		return
 	}
 	if n.majorityActive(voters) {
-		n.setMembers(voters, learners)
+		n.setMembers(kind, changed, voters, learners)
 	}
 }
 
--- a/host/replica/loop.go
+++ b/host/replica/loop.go
@@ -77,6 +77,8 @@
 		case quorum.RoleChange:
 			s := action.Status
 			klog.InfoS("Control log role", "host", r.options.Host, "role", s.Role, "term", s.Term, "leader", s.Leader, "ready", s.Ready, "problem", s.Problem)
+		case quorum.MembersChange:
+			klog.InfoS("Control log member change", "host", r.options.Host, "change", action.Kind, "member", action.Host, "silentMs", action.Silence.Milliseconds(), "voters", action.Voters, "active", action.Active)
 		case quorum.Apply, quorum.Restore, quorum.TakeSnapshot:
 			r.applies.push(action)
 		}
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/control"
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -202,6 +203,8 @@
 		return trace.Wrap(err)
 	}
 	r.node, r.member = node, state.Member
+	klog.InfoS("Control log opened", "host", r.options.Host, "member", state.Member, "created", state.Created,
+		"term", state.HardState.GetTerm(), "snapshot", state.Snapshot.GetIndex(), "entries", len(state.Entries))
 	r.peers = newPeers(r.options.Peers, r.stop, &r.goroutines)
 	r.publish()
 	r.goroutines.Add(3)
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -47,15 +47,22 @@
 // once the leader answers that this host's log is not a member's. It has its own goroutine, since a call may wait for hosts that are
 // down while this host becomes the leader.
 func (c *Core) keepMembership(ctx context.Context, removed chan<- error) {
+	// Only a new reason is logged.
+	lastRefusal := ""
 	for steady.Wait(ctx, tickInterval) == nil {
 		leadership := c.replica.Leadership()
 		if leadership.Leads || !c.enrollDue(leadership) {
 			continue
 		}
-		if err := c.enroll(ctx); err != nil {
+		refusal, err := c.enroll(ctx)
+		if err != nil {
 			removed <- err
 			return
 		}
+		if refusal != "" && refusal != lastRefusal {
+			klog.InfoS("Not enrolled", "host", c.options.Host, "asked", c.coreHosts(), "problem", refusal)
+		}
+		lastRefusal = refusal
 	}
 }
 
@@ -66,8 +73,8 @@
 }
 
 // enroll asks the leader to add this host as a learner or, if it has a log, whether it is still a member. It returns a
-// RemovedError if it is not.
-func (c *Core) enroll(ctx context.Context) error {
+// RemovedError if it is not, and otherwise why the leader was not found or did not add this host.
+func (c *Core) enroll(ctx context.Context) (refusal string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
 	defer cancel()
 	request := &fleetpb.JoinRequest{
@@ -80,13 +87,12 @@
 		return core.Enroll(ctx, request)
 	})
 	if err != nil {
-		klog.V(1).InfoS("Not enrolled", "host", c.options.Host, "problem", problem(err))
-		return nil
+		return problem(err), nil
 	}
 	if response.GetRemoved() {
-		return &RemovedError{"the leader's membership does not contain this host's log"}
+		return "", &RemovedError{"the leader's membership does not contain this host's log"}
 	}
-	return nil
+	return "", nil
 }
 
 // isMember reports whether the membership contains a member id.
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -87,6 +87,9 @@
 	directory directory.Copy
 	leaving   bool
 	wake      chan struct{}
+	// searchSince is the first of the last requests without an answer of the leader, or 0. Only Run uses it and searchLogged.
+	searchSince  ident.Time
+	searchLogged bool
 }
 
 // New returns a client that does not know the leader yet.
@@ -166,13 +169,31 @@
 		case <-timer.C:
 		}
 		wait := watchInterval
-		if !c.watch(ctx) {
+		found := c.watch(ctx)
+		if !found {
 			wait = minWatchInterval
 		}
+		c.logSearch(found)
 		timer.Reset(wait + time.Duration(rand.Int64N(int64(minWatchInterval))))
 	}
 }
 
+// logSearch logs once that no leader was found for a while, with the core hosts that were asked.
+func (c *Client) logSearch(found bool) {
+	now := steady.Now()
+	if found {
+		c.searchSince, c.searchLogged = 0, false
+		return
+	}
+	if c.searchSince == 0 {
+		c.searchSince = now
+	}
+	if !c.searchLogged && now.Sub(c.searchSince) >= connectedTimeout {
+		c.searchLogged = true
+		klog.InfoS("Core leader not found", "seconds", now.Sub(c.searchSince).Seconds(), "asked", c.targets())
+	}
+}
+
 // targets returns the leader, or all core hosts while the leader is unknown.
 func (c *Client) targets() []string {
 	c.mu.Lock()
