Show a core that loses its majority while a vote waits to be given away

What callers see: after the loss of two disks and of power the core has no leader for good. The last confirmed configuration is gone (CONFIG) and hosts refuse what they are asked (RECOVER).

TestVoteOfGoneHostIsTakenOverInTime is the shortest of them: a planned successor takes the vote of a host that was cut off for 4 s, and the host that it replaces keeps its own for 12 s after its end, where the deployments permit the next losses 6 s after it.

--- a/fleet/quorum/sim_test.go
+++ b/fleet/quorum/sim_test.go
@@ -67,11 +67,15 @@
 	lastIncarnation uint64
 	loss            float64 // The probability that a message is lost.
 	isolated        map[string]bool
-	terse           bool // Leaves proposals, their answers and messages out of the transcript.
-	bounds          quorum.Bounds
-	transcript      strings.Builder
-	logged          map[string]bool
-	leaders         map[uint64]string
+	// side separates the hosts into two groups that cannot reach each other; it is empty while there is no split.
+	side map[string]bool
+	// seeds are the hosts that a host without a log knows when it starts.
+	seeds      []string
+	terse      bool // Leaves proposals, their answers and messages out of the transcript.
+	bounds     quorum.Bounds
+	transcript strings.Builder
+	logged     map[string]bool
+	leaders    map[uint64]string
 	// confirmed is when each term's leader was last confirmed.
 	confirmed  map[uint64]ident.Time
 	committed  map[uint64]*fleetpb.Entry
@@ -85,6 +89,8 @@
 		names:     names,
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		isolated:  map[string]bool{},
+		side:      map[string]bool{},
+		seeds:     names[:min(3, len(names))],
 		logged:    map[string]bool{},
 		leaders:   map[uint64]string{},
 		confirmed: map[uint64]ident.Time{},
@@ -115,7 +121,7 @@
 		s.logf("%s starts with snapshot %d and entries up to %d", name, h.snapshot.GetIndex(), s.lastIndex(h))
 	}
 	var peers []*fleetpb.Voter
-	for _, peer := range s.names[:min(3, len(s.names))] {
+	for _, peer := range s.seeds {
 		peers = append(peers, &fleetpb.Voter{Host: peer, Peer: peer})
 	}
 	node, actions, err := quorum.New(s.now, quorum.Options{
@@ -253,13 +259,18 @@
 		}
 		delay := networkDelay + time.Duration(s.random.Int64N(int64(networkDelay)))
 		s.schedule(delay, func() {
-			if to.crashes == crashes && !s.isolated[from.name] && !s.isolated[to.name] {
+			if to.crashes == crashes && s.connected(from.name, to.name) {
 				s.step(to, quorum.Receive{Message: m})
 			}
 		})
 	}
 }
 
+// connected reports whether messages between two hosts arrive.
+func (s *sim) connected(a, b string) bool {
+	return !s.isolated[a] && !s.isolated[b] && s.side[a] == s.side[b]
+}
+
 // logMessage logs messages about elections and snapshots; repeated messages are logged once per term.
 func (s *sim) logMessage(from, to string, m *fleetpb.Message) {
 	line := ""
--- a/fleet/quorum/voters_test.go
+++ b/fleet/quorum/voters_test.go
@@ -213,6 +213,33 @@
 	require.Equal(t, 2, s.bearable())
 }
 
+// Guards against a host that is gone for good and keeps its vote beyond the time after which the next losses are permitted, because
+// its successor took the vote of another host that was away for a moment.
+func TestVoteOfGoneHostIsTakenOverInTime(t *testing.T) {
+	s := newSixHosts(1)
+	s.terse = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(5 * time.Second)
+	voters := slices.DeleteFunc(s.voters(), func(name string) bool { return name == s.elect() })
+	gone, away := voters[0], voters[1]
+	s.names = append(slices.Clone(s.names), "g")
+	s.hosts["g"] = &host{name: "g", zone: s.hosts[gone].zone, region: s.hosts[gone].region, replacement: true}
+	s.start("g")
+	s.run(2 * time.Second)
+	s.isolated[away] = true
+	s.run(4 * time.Second)
+	delete(s.isolated, away)
+	s.run(6 * time.Second)
+	s.crash(gone)
+	s.names = slices.DeleteFunc(s.names, func(name string) bool { return name == gone })
+	s.run(catchUpTime)
+	require.NotContains(t, s.voters(), gone)
+	require.Equal(t, toleratedLosses, s.bearable())
+	require.Empty(t, s.violations)
+}
+
 // Guards against a leader that promotes a learner to an even number of voters, or leaves a region without a vote although one of
 // its hosts is ready.
 func TestVotersAreSpread(t *testing.T) {
