Give the vote of a silent host away before the next losses are permitted

What callers see: after a planned replacement of a core machine, two lost disks and a loss of power, no leader is elected again. The last confirmed configuration is gone (CONFIG) and all requests are refused (RECOVER).

Cause: a silent voter kept its vote for 12 s, and the deployments permit the next losses catch_up_s (6 s) after a host is gone. A shorter limit of 2.5 s applied while a learner marked as a replacement waited, but the mark ended as soon as any voter had made room for it. A voter that was cut off for 4 s used it up, and the host that was really replaced stayed.

The replaced host ended at 12.0 s; the leader changed at 19.4 s, so its 12 s began again; at 28.07 s two disks were lost and three of five votes with them.

Change: one limit for all voters, half of catch_up_s, and no mark.

--- a/fleet/quorum/members.go
+++ b/fleet/quorum/members.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -158,10 +156,6 @@
 			return
 		}
 	}
-	if hello.GetReplacement() && voter == nil && learner.GetMember() == "" {
-		joining = proto.CloneOf(joining)
-		joining.Replacement = true
-	}
 	n.setMembers(Joined, joining, voters.GetVoters(), append(withoutHost(voters.GetLearners(), joining.GetHost()), joining))
 }
 
--- a/fleet/quorum/voters.go
+++ b/fleet/quorum/voters.go
@@ -17,11 +17,11 @@
 	// MaxVoters is the greatest number of voters, an odd number; 0 is the zero policy. Every change waits for a majority of the
 	// voters, so members beyond the losses that have to be borne are learners.
 	MaxVoters int
-	// AwayLimit is how long a voter may be silent before a learner takes its place. It is longer than a planned restart.
+	// AwayLimit is how long a voter may be silent before a learner takes its place. With the time of an election it must be shorter
+	// than the time after which the next losses are permitted: a host that is gone must not have a vote then.
 	AwayLimit time.Duration
-	// ReplacedLimit is the limit while a replacement waits for a vote: the host that it replaces does not return, and the next
-	// loss must find the replacement among the voters.
-	ReplacedLimit time.Duration
+	// SettleTime is the time without a change, and with all voters active, before a change that only improves the choice of voters.
+	SettleTime time.Duration
 	// LearnerLimit is how long a learner may be silent before it is removed.
 	LearnerLimit time.Duration
 }
@@ -54,7 +54,7 @@
 // next returns the next change of the membership, or nil if none is due. settled is the time since the last change.
 func (p VoterPolicy) next(voters, learners []candidate, settled time.Duration) voterChange {
 	ready := slices.DeleteFunc(slices.Clone(learners), func(c candidate) bool { return !c.ready })
-	away := p.awayVoter(voters, ready)
+	away := p.awayVoter(voters)
 	even := len(voters)%2 == 0
 	switch {
 	case away != nil && (even || len(voters) > p.MaxVoters):
@@ -63,7 +63,7 @@
 		return promotion{successor(without(voters, away), ready).Voter}
 	case len(ready) > 0 && len(voters) < p.MaxVoters && (even || len(ready) > 1):
 		return promotion{successor(voters, ready).Voter}
-	case settled < p.AwayLimit || !allActive(voters):
+	case settled < p.SettleTime || !allActive(voters):
 		// Changes that only improve the choice of voters wait, so that a member whose link loses packets does not cause one
 		// after the other.
 	case even || len(voters) > p.MaxVoters:
@@ -83,38 +83,27 @@
 	return nil
 }
 
-// awayVoter returns the voter that has been silent for the longest time, if that is longer than the limit in force. While a
-// replacement waits, a voter of its own availability zone comes first.
-func (p VoterPolicy) awayVoter(voters, ready []candidate) *candidate {
-	limit, zone := p.AwayLimit, ""
-	for _, c := range slices.Concat(voters, ready) {
-		if c.GetReplacement() {
-			limit, zone = p.ReplacedLimit, c.GetZone()
-		}
-	}
+// awayVoter returns the voter that has been silent for the longest time, if that is longer than AwayLimit.
+func (p VoterPolicy) awayVoter(voters []candidate) *candidate {
 	var away *candidate
 	for i := range voters {
 		c := &voters[i]
-		if c.self || c.silence < limit {
+		if c.self || c.silence < p.AwayLimit {
 			continue
 		}
-		sameZone, otherSameZone := c.GetZone() == zone, away != nil && away.GetZone() == zone
-		if away == nil || (sameZone && !otherSameZone) || (sameZone == otherSameZone && c.silence > away.silence) {
+		if away == nil || c.silence > away.silence {
 			away = c
 		}
 	}
 	return away
 }
 
-// successor returns the learner that becomes a voter: a replacement, or else the one that spreads the voters best.
+// successor returns the learner that becomes a voter: the one that spreads the voters best.
 func successor(voters, ready []candidate) *candidate {
 	var best *candidate
 	bestSpread := 0
 	for i := range ready {
 		c := &ready[i]
-		if c.GetReplacement() {
-			return c
-		}
 		if s := spread(append(slices.Clone(voters), *c)); best == nil || s < bestSpread {
 			best, bestSpread = c, s
 		}
@@ -193,7 +182,7 @@
 		voters, learners = append(slices.Clone(voters), change.member), withoutHost(learners, change.member.GetHost())
 	case demotion:
 		kind, changed = Demoted, change.member
-		voters = withoutReplacement(withoutHost(voters, change.member.GetHost()))
+		voters = withoutHost(voters, change.member.GetHost())
 		if memberOfHost(learners, change.member.GetHost()) == nil {
 			learners = append(slices.Clone(learners), change.member)
 		}
@@ -207,19 +196,3 @@
 		n.setMembers(kind, changed, voters, learners)
 	}
 }
-
-// withoutReplacement returns the voters with the first replacement marked as an ordinary voter, since the voter that it replaces
-// has made room.
-func withoutReplacement(voters []*fleetpb.Voter) []*fleetpb.Voter {
-	i := slices.IndexFunc(voters, (*fleetpb.Voter).GetReplacement)
-	if i < 0 {
-		return voters
-	}
-	replacement := voters[i]
-	voters = slices.Clone(voters)
-	voters[i] = &fleetpb.Voter{
-		Host: replacement.GetHost(), Peer: replacement.GetPeer(), Member: replacement.GetMember(),
-		Zone: replacement.GetZone(), Region: replacement.GetRegion(),
-	}
-	return voters
-}
--- a/node/core.go
+++ b/node/core.go
@@ -114,7 +114,7 @@
 		return trace.Wrap(err)
 	}
 	running, err := core.New(core.Options{
-		Host: s.Host, Peer: p.ownAddress, Zone: s.Zone, Region: s.Region, Losses: s.Losses,
+		Host: s.Host, Peer: p.ownAddress, Zone: s.Zone, Region: s.Region, Losses: s.Losses, CatchUp: s.CatchUp,
 		InitialHosts: initialHosts, Bootstrap: bootstrap, Folder: p.folder, Peers: p.peers,
 		Seed: uint64(time.Now().UnixNano()), Protocol: newUpstream, Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
 	})
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -64,6 +64,8 @@
 	Region ident.Region
 	// Losses is the number of core hosts whose loss at one time must leave a majority.
 	Losses int
+	// CatchUp is the time after the return of a lost core host for which it still counts as lost.
+	CatchUp time.Duration
 	// Bootstrap is set at the fleet's first start. InitialHosts are then the core hosts that bootstrap the log, otherwise the
 	// seeds.
 	InitialHosts []*fleetpb.ControlHost
@@ -136,7 +138,7 @@
 		Seed:         options.Seed,
 		Machine:      c.state,
 		Clock:        steady.Now,
-		Bounds:       bounds(options.Losses),
+		Bounds:       bounds(options.Losses, options.CatchUp),
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -154,10 +156,10 @@
 	leaderLease = 250 * time.Millisecond
 )
 
-func bounds(losses int) quorum.Bounds {
+func bounds(losses int, catchUp time.Duration) quorum.Bounds {
 	b := quorum.DefaultBounds
 	b.ElectionMin, b.ElectionMax, b.Lease = electionMin, electionMax, leaderLease
-	b.Voters = voterPolicy(losses)
+	b.Voters = voterPolicy(losses, catchUp)
 	return b
 }
 
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -25,21 +25,28 @@
 	// would wait for the disks of too many hosts.
 	minVoters = 3
 	maxVoters = 7
-	// awayLimit is longer than a host needs to shut down within the platform's grace and start again.
-	awayLimit = 12 * time.Second
-	// replacedLimit is longer than an election, so that a voter is not taken for lost because a new leader has not heard from it.
-	replacedLimit = 2500 * time.Millisecond
+	// awayFraction of the time after which the next losses are permitted is how long a voter may be silent. The rest is for an
+	// election in between and for the changes of the membership.
+	awayFraction = 0.5
+	// defaultCatchUp is that time if the settings name none.
+	defaultCatchUp = 6 * time.Second
+	// settleTime is far longer than a restart, so that a rolling restart moves no votes only for a better choice.
+	settleTime = 12 * time.Second
 	// learnerLimit is far longer than the repair of a host, so that a host that returns need not copy the log again.
 	learnerLimit = 5 * time.Minute
 )
 
-// voterPolicy returns the policy under which the loss of any given number of voters leaves a majority.
-func voterPolicy(losses int) quorum.VoterPolicy {
+// voterPolicy returns the policy under which the loss of any given number of voters leaves a majority. The next losses are permitted
+// catchUp after the return of a lost host.
+func voterPolicy(losses int, catchUp time.Duration) quorum.VoterPolicy {
+	if catchUp <= 0 {
+		catchUp = defaultCatchUp
+	}
 	return quorum.VoterPolicy{
-		MaxVoters:     min(max(2*losses+1, minVoters), maxVoters),
-		AwayLimit:     awayLimit,
-		ReplacedLimit: replacedLimit,
-		LearnerLimit:  learnerLimit,
+		MaxVoters:    min(max(2*losses+1, minVoters), maxVoters),
+		AwayLimit:    time.Duration(awayFraction * float64(catchUp)),
+		SettleTime:   settleTime,
+		LearnerLimit: learnerLimit,
 	}
 }
 
