Let a host that returned empty find the log without its first seeds

What callers would see: after a loss of power and of two disks, hosts that know only seeds which are empty or gone find no leader, and the two empty core hosts never become members again, so the next loss takes the majority.

Cause: a host without a log asked only the seeds of its start. Seeds may differ later, and the leader's messages to the lost member of the same host were dropped.

Change: such a message names a host that has the log, which is asked for admission; the seeds of the current settings are asked too.

--- a/fleet/quorum/action.go
+++ b/fleet/quorum/action.go
@@ -6,7 +6,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
-// Input is an event that a member handles: Tick, Receive, Propose, AddLearner, Remove, Transfer, Persisted or
+// Input is an event that a member handles: Tick, Receive, Propose, AddLearner, Remove, Transfer, Contacts, Persisted or
 // Compact.
 type Input interface{ input() }
 
@@ -40,6 +40,9 @@
 // Transfer asks the leader to transfer its leadership to another voter before a shutdown.
 type Transfer struct{}
 
+// Contacts names the peer addresses that a member without a log asks for admission, besides the initial control hosts.
+type Contacts struct{ Peers []string }
+
 // Persisted reports that the Persist action with this number, and all before it, are synced to disk.
 type Persisted struct{ Seq uint64 }
 
@@ -55,6 +58,7 @@
 func (AddLearner) input() {}
 func (Remove) input()     {}
 func (Transfer) input()   {}
+func (Contacts) input()   {}
 func (Persisted) input()  {}
 func (Compact) input()    {}
 
--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -16,7 +16,11 @@
 		n.handleHelloAnswer(m, kind.Greeted)
 		return
 	}
-	if m.GetTo() != n.self.GetMember() || m.GetFleet() == 0 {
+	if m.GetTo() != n.self.GetMember() {
+		n.handleMessageToPredecessor(m)
+		return
+	}
+	if m.GetFleet() == 0 {
 		return
 	}
 	if n.fleet == 0 {
--- a/fleet/quorum/losses_test.go
+++ b/fleet/quorum/losses_test.go
@@ -338,6 +338,7 @@
 			continue
 		}
 		if h.node.Members() == nil {
+			l.sim.step(h, quorum.Contacts{Peers: l.seeds})
 			l.sim.step(l.hosts[leader], quorum.AddLearner{ID: 1 << 32, Host: name, Peer: name, Zone: h.zone, Region: h.region})
 			continue
 		}
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -233,6 +233,8 @@
 		n.remove(in)
 	case Transfer:
 		n.transfer()
+	case Contacts:
+		n.outsider.contacts = in.Peers
 	case Persisted:
 		n.handlePersisted(in.Seq)
 	case Compact:
--- a/fleet/quorum/outsider.go
+++ b/fleet/quorum/outsider.go
@@ -25,8 +25,12 @@
 	hasSentHello bool
 	// A member of an existing log has answered, so this member must not bootstrap one.
 	logExists bool
-	problem   string
-	hellos    map[string]*receivedHello
+	// contacts are the peer addresses that are asked for admission besides the initial hosts, and predecessorContact is the sender of
+	// the last message for an earlier member of this host, or empty.
+	contacts           []string
+	predecessorContact string
+	problem            string
+	hellos             map[string]*receivedHello
 }
 
 // receivedHello is the Hello of another initial host that has no log either.
@@ -35,28 +39,48 @@
 	receivedAt ident.Time
 }
 
-// sendHellos sends a Hello to the initial control hosts and bootstraps the log when all of them are new.
+// sendHellos sends a Hello to the initial control hosts and the contacts, and bootstraps the log when all initial hosts are new.
 func (n *Node) sendHellos() {
 	if n.outsider.hasSentHello && n.now.Sub(n.outsider.helloSentAt) < helloInterval {
 		return
 	}
 	n.outsider.helloSentAt, n.outsider.hasSentHello = n.now, true
+	asked := map[string]bool{n.self.GetPeer(): true}
 	for _, host := range n.initialHosts {
-		if host.GetHost() == n.self.GetHost() {
-			continue
+		asked[host.GetPeer()] = true
+		if host.GetHost() != n.self.GetHost() {
+			n.sendHello(host.GetPeer())
+		}
+	}
+	for _, peer := range append(slices.Clone(n.outsider.contacts), n.outsider.predecessorContact) {
+		if peer != "" && !asked[peer] {
+			asked[peer] = true
+			n.sendHello(peer)
 		}
-		n.sendNow("", host.GetPeer(), &fleetpb.Message{Kind: &fleetpb.Message_Hello{Hello: &fleetpb.Hello{
-			Member:      n.self,
-			Fresh:       n.isNew(),
-			Replacement: n.replacement,
-			Hosts:       n.hostNames(),
-		}}})
 	}
 	if n.mayBootstrap() {
 		n.bootstrap()
 	}
 }
 
+func (n *Node) sendHello(peer string) {
+	n.sendNow("", peer, &fleetpb.Message{Kind: &fleetpb.Message_Hello{Hello: &fleetpb.Hello{
+		Member:      n.self,
+		Fresh:       n.isNew(),
+		Replacement: n.replacement,
+		Hosts:       n.hostNames(),
+	}}})
+}
+
+// handleMessageToPredecessor handles a message for an earlier member of this host, whose data is lost. Its sender has the log, so a
+// member without a log asks it for admission: the hosts that it knows otherwise may be gone.
+func (n *Node) handleMessageToPredecessor(m *fleetpb.Message) {
+	if n.log.voters != nil || m.GetFleet() == 0 || m.GetTo() == "" || HostOf(m.GetTo()) != ident.Host(n.self.GetHost()) {
+		return
+	}
+	n.outsider.logExists, n.outsider.predecessorContact = true, m.GetPeer()
+}
+
 func (n *Node) isNew() bool {
 	return n.term == 0 && !n.disk.dirtyHardState && n.log.voters == nil
 }
--- a/fleet/quorum/voters_test.go
+++ b/fleet/quorum/voters_test.go
@@ -243,6 +243,55 @@
 	require.Empty(t, s.violations)
 }
 
+// Guards against hosts that return empty and stay outside the log for good, because the seeds that they know are empty too or gone.
+func TestEmptyHostsWithoutUsableSeedsRejoin(t *testing.T) {
+	s := newSixHosts(1)
+	s.terse = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(5 * time.Second)
+	s.crash("c")
+	s.names = append(slices.DeleteFunc(slices.Clone(s.names), func(name string) bool { return name == "c" }), "g")
+	s.hosts["g"] = &host{name: "g", zone: s.hosts["c"].zone, region: s.hosts["c"].region, replacement: true}
+	s.start("g")
+	s.run(catchUpTime)
+	for _, name := range s.names {
+		s.crash(name)
+	}
+	for _, name := range []string{"a", "b"} {
+		s.wipe(name)
+		s.hosts[name].replacement = true
+	}
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(catchUpTime)
+	require.True(t, s.isMember("a"))
+	require.True(t, s.isMember("b"))
+	require.Empty(t, s.violations)
+}
+
+// Guards against a new host that asks only the seeds that it started with, although its settings name others by now.
+func TestHostAsksSeedsOfChangedSettings(t *testing.T) {
+	s := newSixHosts(1)
+	s.terse = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(5 * time.Second)
+	s.names = append(slices.Clone(s.names), "g", "h")
+	s.hosts["g"] = &host{name: "g", replacement: true}
+	s.hosts["h"] = &host{name: "h", replacement: true}
+	s.seeds = []string{"h"}
+	s.start("g")
+	s.run(time.Second)
+	require.Empty(t, s.hosts["g"].node.Status().Problem)
+	s.step(s.hosts["g"], quorum.Contacts{Peers: []string{"d"}})
+	s.run(catchUpTime)
+	require.True(t, s.isMember("g"))
+}
+
 // Guards against a leader that promotes a learner to an even number of voters, or leaves a region without a vote although one of
 // its hosts is ready.
 func TestVotersAreSpread(t *testing.T) {
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -237,6 +237,11 @@
 	return trace.Wrap(err)
 }
 
+// SetContacts names the peer addresses that this host asks for admission while it has no log, besides Options.InitialHosts.
+func (r *Replica) SetContacts(peers []string) {
+	r.submit(quorum.Contacts{Peers: peers})
+}
+
 // call passes an input to the loop and waits for its outcome.
 func (r *Replica) call(ctx context.Context, input func(id uint64) quorum.Input) (proto.Message, error) {
 	id, answer := r.waiting.open()
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -61,6 +61,9 @@
 		if leadership.Leads || !c.enrollDue(leadership) {
 			continue
 		}
+		if c.replica.Members() == nil {
+			c.replica.SetContacts(c.options.Seeds())
+		}
 		refusal, err := c.enroll(ctx)
 		if err != nil {
 			removed <- err
