--- a/fleet/store/create.go
+++ b/fleet/store/create.go
@@ -37,7 +37,11 @@
 	if err := createLog(path, identity); err != nil {
 		return false, trace.Wrap(err)
 	}
-	return true, trace.Wrap(writeMember(member, identity))
+	if err := writeMember(member, identity); err != nil {
+		return false, trace.Wrap(err)
+	}
+	// The name of the folder itself must survive a loss of power too.
+	return true, syncFolder(filepath.Dir(options.Folder))
 }
 
 // createLog writes an empty log under a temporary name and renames it, so that a crash leaves no incomplete log.
@@ -91,7 +95,12 @@
 	if err := os.Rename(path+incompleteSuffix, path); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	folder, err := os.Open(filepath.Dir(path))
+	return syncFolder(filepath.Dir(path))
+}
+
+// syncFolder makes the names in a folder durable.
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
--- a/fleet/store/store_test.go
+++ b/fleet/store/store_test.go
@@ -207,3 +207,45 @@
 	}
 	require.Greater(t, found, 1000, "too few of the changed bytes were in use")
 }
+
+// Guards against a loss of power during a save that makes the folder unusable: the host would rejoin as an empty one, and with two
+// other lost disks the log has no majority.
+func TestInterruptedSaveKeepsTheFolder(t *testing.T) {
+	folder, before := filledFolder(t)
+	path := filepath.Join(folder, "log.db")
+	// The headers are written in turn.
+	for round := range 2 {
+		old, err := os.ReadFile(path)
+		require.NoError(t, err)
+		s, _, err := open(folder)
+		require.NoError(t, err)
+		require.NoError(t, s.Save(quorum.Persist{Entries: entries(61+uint64(round), 61+uint64(round), 3)}))
+		require.NoError(t, s.Close())
+		written, err := os.ReadFile(path)
+		require.NoError(t, err)
+		s, after, err := open(folder)
+		require.NoError(t, err)
+		require.NoError(t, s.Close())
+		page := os.Getpagesize()
+		at := 0
+		first, _ := header(written)
+		if second, _ := header(written[page:]); second > first {
+			at = page
+		}
+		for size := 0; size <= 96; size++ {
+			torn := append([]byte(nil), written...)
+			copy(torn[at+size:at+page], old[at+size:at+page])
+			require.NoError(t, os.WriteFile(path, torn, 0o600))
+			s, got, err := open(folder)
+			require.NoError(t, err, "round %d, %d bytes of the header are written", round, size)
+			want := before
+			if len(got.Entries) == len(after.Entries) {
+				want = after
+			}
+			requireEqual(t, want, got, fmt.Sprint("round ", round, ", size ", size))
+			require.NoError(t, s.Close())
+		}
+		require.NoError(t, os.WriteFile(path, written, 0o600))
+		before = after
+	}
+}
