--- a/node/core/core.go
+++ b/node/core/core.go
@@ -156,8 +156,13 @@
 	leaderLease = 250 * time.Millisecond
 )
 
+// compactEntries is the number of applied entries after which the core takes a snapshot. Its state holds one configuration, while
+// each entry of a configuration is parsed again after a restart, and a new leader that does so for long misses its heartbeats.
+const compactEntries = 16
+
 func bounds(losses int, catchUp time.Duration) quorum.Bounds {
 	b := quorum.DefaultBounds
+	b.Compact = compactEntries
 	b.ElectionMin, b.ElectionMax, b.Lease = electionMin, electionMax, leaderLease
 	b.Voters = voterPolicy(losses, catchUp)
 	return b
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -115,6 +115,26 @@
 		"fleet/quorum/voters.go", "case away != nil && len(ready) > 0:", "case away != nil && len(ready) > len(voters):",
 		"./fleet/quorum", "Voters/slow|Voters/replaced",
 	},
+	{
+		14, "the vote of a host that is gone is given away before the next losses are permitted",
+		"node/core/members.go", "AwayLimit:    time.Duration(awayFraction * float64(catchUp)),", "AwayLimit:    2 * catchUp,",
+		"./node/core", "VoteIsGivenAway",
+	},
+	{
+		14, "a host that returned empty asks the hosts that send messages to its lost member",
+		"fleet/quorum/election.go", "n.handleMessageToPredecessor(m)", "_ = m.GetTo()",
+		"./fleet/quorum", "EmptyHosts",
+	},
+	{
+		14, "a save that a loss of power interrupted does not make the data folder unusable",
+		"fleet/store/verify.go", "case secondErr == nil && v.interrupted(0, first, second):", "case secondErr == nil && first.size == 0:",
+		"./fleet/store", "InterruptedSave",
+	},
+	{
+		14, "a new leader does not parse hundreds of configurations before its next heartbeat",
+		"node/core/core.go", "b.Compact = compactEntries", "b.Compact = 16 * compactEntries",
+		"./node/core", "RestartParses",
+	},
 	{
 		14, "a host that only restarts keeps its vote",
 		"fleet/quorum/voters.go", "if c.self || c.silence < p.AwayLimit {", "if c.self || c.silence < p.AwayLimit/8 {",
