--- a/fleet/quorum/losses_test.go
+++ b/fleet/quorum/losses_test.go
@@ -51,17 +51,13 @@
 // permitted loss strikes while the one before is still being repaired.
 func TestLossesDuringRepair(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := &losses{sim: newSixHosts(rapid.Uint64().Draw(t, "seed")), t: t, lostUntil: map[string]ident.Time{}, starting: map[string]bool{}, retired: map[string]bool{}, down: map[string]bool{}, overlaps: map[string]bool{}}
-		l.terse = true
-		l.events = nil
-		l.bounds.ElectionMin, l.bounds.ElectionMax, l.bounds.Lease = 300*time.Millisecond, 600*time.Millisecond, 250*time.Millisecond
-		l.schedule(enrollInterval, l.enrollOutsiders)
+		l := newLosses(t)
 		for _, name := range l.names {
 			l.start(name)
 		}
 		l.run(5 * time.Second)
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
-			l.step()
+			l.randomStep()
 			l.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond)
 		}
 		l.finish()
@@ -71,6 +67,24 @@
 	})
 }
 
+// newLosses returns six hosts on a network that loses some messages, with disks of different speed and the core's election times.
+func newLosses(t *rapid.T) *losses {
+	l := &losses{
+		sim: newSixHosts(rapid.Uint64().Draw(t, "seed")), t: t,
+		lostUntil: map[string]ident.Time{}, overlaps: map[string]bool{}, down: map[string]bool{}, retired: map[string]bool{}, starting: map[string]bool{},
+	}
+	l.terse = true
+	l.bounds.ElectionMin, l.bounds.ElectionMax, l.bounds.Lease = 300*time.Millisecond, 600*time.Millisecond, 250*time.Millisecond
+	l.loss = float64(rapid.IntRange(0, 8).Draw(t, "loss")) / 100
+	for _, name := range l.names {
+		l.hosts[name].diskDelay = time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 30, 100}).Draw(t, "disk")) * time.Millisecond
+	}
+	// enrollOutsiders takes the place of the simulation's own admission of hosts.
+	l.events = nil
+	l.schedule(enrollInterval, l.enrollOutsiders)
+	return l
+}
+
 // lost returns the hosts that count as lost; a host and its planned successor count once.
 func (l *losses) lost() []string {
 	return slices.DeleteFunc(slices.Clone(l.names), func(name string) bool { return !l.isLost(name) || l.overlaps[name] })
@@ -84,33 +98,35 @@
 	return l.lostUntil[name] > l.now
 }
 
-func (l *losses) step() {
-	present := slices.DeleteFunc(slices.Clone(l.names), l.isLost)
-	kind := rapid.SampledFrom([]string{"propose", "run", "restart", "wipe", "replace", "planned", "cut", "region", "split", "kill", "transfer", "seeds"}).Draw(l.t, "step")
-	switch kind {
+// randomStep applies one random event: one that loses nothing, or the loss of a host if a further one is permitted.
+func (l *losses) randomStep() {
+	switch kind := rapid.SampledFrom([]string{
+		"propose", "run", "restart", "wipe", "replace", "planned", "cut", "region", "split", "kill", "transfer", "seeds",
+	}).Draw(l.t, "step"); kind {
 	case "propose":
 		l.change()
-		return
 	case "run":
 		l.run(time.Duration(rapid.IntRange(0, 10).Draw(l.t, "seconds")) * time.Second)
-		return
 	case "split":
 		l.split()
-		return
 	case "kill":
 		l.killAll(rapid.IntRange(200, 1000).Draw(l.t, "down"))
-		return
 	case "transfer":
 		if leader := l.leader(); leader != "" {
-			l.sim.step(l.hosts[leader], quorum.Transfer{})
+			l.step(l.hosts[leader], quorum.Transfer{})
 		}
-		return
 	case "seeds":
 		names := rapid.Permutation(l.names).Draw(l.t, "seeds")
 		l.seeds = names[:3]
 		l.logf("the seeds are %v", l.seeds)
-		return
+	default:
+		l.loseHost(kind)
 	}
+}
+
+// loseHost makes one host or a region lost for some time, or replaces a host.
+func (l *losses) loseHost(kind string) {
+	present := slices.DeleteFunc(slices.Clone(l.names), l.isLost)
 	if len(l.lost()) >= toleratedLosses || len(present) == 0 || len(l.side) > 0 {
 		return
 	}
@@ -199,7 +215,7 @@
 			return
 		}
 		old := l.hosts[name]
-		l.sim.step(old, quorum.Transfer{})
+		l.step(old, quorum.Transfer{})
 		l.schedule(100*time.Millisecond, func() {
 			if l.finished {
 				return
@@ -338,8 +354,8 @@
 			continue
 		}
 		if h.node.Members() == nil {
-			l.sim.step(h, quorum.Contacts{Peers: l.seeds})
-			l.sim.step(l.hosts[leader], quorum.AddLearner{ID: 1 << 32, Host: name, Peer: name, Zone: h.zone, Region: h.region})
+			l.step(h, quorum.Contacts{Peers: l.seeds})
+			l.step(l.hosts[leader], quorum.AddLearner{ID: 1 << 32, Host: name, Peer: name, Zone: h.zone, Region: h.region})
 			continue
 		}
 		if l.now.Sub(h.node.Status().LeaderContact) > time.Second && !l.isMember(name) {
--- a/fleet/quorum/sim_test.go
+++ b/fleet/quorum/sim_test.go
@@ -27,10 +27,12 @@
 	// zone and region are where the host runs; replacement is set on a host that joins an existing log.
 	zone, region string
 	replacement  bool
-	member       string
-	hardState    *fleetpb.HardState
-	snapshot     *fleetpb.Snapshot
-	log          []*fleetpb.Entry
+	// diskDelay is added to syncDelay.
+	diskDelay time.Duration
+	member    string
+	hardState *fleetpb.HardState
+	snapshot  *fleetpb.Snapshot
+	log       []*fleetpb.Entry
 
 	node    *quorum.Node
 	machine *stateMachine
@@ -206,7 +208,7 @@
 		switch action := action.(type) {
 		case quorum.Persist:
 			crashes := h.crashes
-			s.schedule(syncDelay, func() { s.synced(h, crashes, action) })
+			s.schedule(syncDelay+h.diskDelay, func() { s.synced(h, crashes, action) })
 		case quorum.Send:
 			s.send(h, action)
 		case quorum.Apply:
