--- a/node/core/core.go
+++ b/node/core/core.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/directory"
@@ -26,14 +22,6 @@
 )
 
 const (
-	// forwardTimeout bounds an order, or the forwarding of an announcement. It is shorter than the second that operators and
-	// upstreams wait.
-	forwardTimeout = 800 * time.Millisecond
-	// entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
-	entryHostTimeout = 3 * time.Second
-	// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the
-	// interval of their requests, of which there are many in it.
-	directoryInterval = 50 * time.Millisecond
 	// tickInterval is the interval at which the leader checks its members and the groups.
 	tickInterval = 200 * time.Millisecond
 	// leadershipCheckInterval is the interval at which a host checks whether it has become the leader. Entry hosts send a
@@ -41,13 +29,6 @@
 	leadershipCheckInterval = 20 * time.Millisecond
 )
 
-var (
-	orders             = metrics.NewCounter("tamarack_core_orders_total")
-	orderFailures      = metrics.NewCounter("tamarack_core_order_failures_total")
-	announcements      = metrics.NewCounter("tamarack_core_announcements_total")
-	staleAnnouncements = metrics.NewCounter("tamarack_core_announcements_stale_total")
-)
-
 // Promoter orders the platform to promote an upstream to primary.
 type Promoter interface {
 	// Promote returns nil once the order is executed, and a takeover.RefusedError when it will certainly not be executed.
@@ -259,176 +240,6 @@
 	return trace.UserMessage(err)
 }
 
-// NoLeaderError reports that no leader of the core could be reached.
-type NoLeaderError struct{ Cause error }
-
-// Error implements error.
-func (e *NoLeaderError) Error() string { return fmt.Sprintf("no leader took the call: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *NoLeaderError) Unwrap() error { return e.Cause }
-
-// errNotLeader is the cause when this host is not the leader and knows no other one, or when the host that it called as the
-// leader is not the leader.
-var errNotLeader = errors.New("this host knows no leader")
-
-// Configure applies an operator's configuration. A configuration whose version is not higher than the current one changes
-// nothing.
-func (c *Core) Configure(ctx context.Context, version ident.Version, source []byte) error {
-	packed, err := catalog.Pack(source)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	configure := &fleetpb.Configure{Version: uint64(version), Packed: packed}
-	_, err = c.submit(ctx, &fleetpb.OrderRequest{Configure: configure})
-	klog.InfoS("Configuration ordered", "version", version, "bytes", len(source), "packed", len(packed), "problem", problem(err))
-	return err
-}
-
-// Configuration returns the text of the newest configuration byte for byte, or nil when there is none yet.
-func (c *Core) Configuration(ctx context.Context) ([]byte, error) {
-	response, err := c.submit(ctx, &fleetpb.OrderRequest{Read: true})
-	if err != nil {
-		return nil, err
-	}
-	if response.GetConfiguration() == nil {
-		return nil, nil
-	}
-	return catalog.Unpack(response.GetConfiguration().GetPacked())
-}
-
-// Evacuate takes an availability zone out of service or back into it.
-func (c *Core) Evacuate(ctx context.Context, zone ident.Zone, active bool) error {
-	_, err := c.submit(ctx, &fleetpb.OrderRequest{Evacuate: &fleetpb.Evacuate{Zone: string(zone), Active: active}})
-	klog.InfoS("Evacuation ordered", "zone", zone, "active", active, "problem", problem(err))
-	return err
-}
-
-// submit executes an order on the leader.
-func (c *Core) submit(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	orders.Inc()
-	response, err := c.execute(ctx, request)
-	if err != nil {
-		err = &NoLeaderError{err}
-	} else if !response.GetDone() {
-		response, err = callLeader(ctx, c, func(ctx context.Context, core fleetpb.Core) (*fleetpb.OrderResponse, error) {
-			return core.Order(ctx, request)
-		})
-	}
-	if err != nil {
-		orderFailures.Inc()
-		return nil, err
-	}
-	return response, nil
-}
-
-// execute executes an order if this host is the leader; otherwise the response names the leader.
-func (c *Core) execute(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
-	leadership := c.replica.Leadership()
-	if !leadership.Confirmed {
-		leader := leadership.Leader
-		if leader == c.options.Peer {
-			leader = ""
-		}
-		return &fleetpb.OrderResponse{Leader: leader}, nil
-	}
-	change := &fleetpb.Change{}
-	switch {
-	case request.GetRead():
-		response := &fleetpb.OrderResponse{Done: true, Configuration: c.state.configuration()}
-		if !c.leads() {
-			// The leadership may have ended before the state was read.
-			return &fleetpb.OrderResponse{}, nil
-		}
-		return response, nil
-	case request.GetConfigure() != nil:
-		if current := c.state.configuration(); current != nil && current.GetVersion() >= request.GetConfigure().GetVersion() && c.leads() {
-			return &fleetpb.OrderResponse{Done: true}, nil
-		}
-		change.Kind = &fleetpb.Change_Configure{Configure: request.GetConfigure()}
-	case request.GetEvacuate() != nil:
-		change.Kind = &fleetpb.Change_Evacuate{Evacuate: request.GetEvacuate()}
-	}
-	outcome, err := c.propose(ctx, change)
-	if err != nil {
-		return nil, err
-	}
-	return &fleetpb.OrderResponse{Done: outcome.GetDone()}, nil
-}
-
-func (c *Core) propose(ctx context.Context, change *fleetpb.Change) (*fleetpb.Outcome, error) {
-	answer, err := c.replica.Propose(ctx, change)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	outcome, ok := answer.(*fleetpb.Outcome)
-	if !ok {
-		return nil, trace.BadParameter("unexpected answer %T", answer)
-	}
-	return outcome, nil
-}
-
-// Announce records an upstream's announcement, forwards it to the other core hosts, so that they know the upstreams when one of
-// them becomes the leader, and returns once the leader has it.
-func (c *Core) Announce(ctx context.Context, a *fleetpb.Announcement) error {
-	announcements.Inc()
-	c.recordAnnouncement(a)
-	if c.leads() {
-		c.forwardAnnouncement(ctx, a)
-		return nil
-	}
-	cause := errNotLeader
-	results := c.forwardAnnouncement(ctx, a)
-	for range cap(results) {
-		err := <-results
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, errNotLeader) {
-			cause = err
-		}
-	}
-	return &NoLeaderError{cause}
-}
-
-// forwardAnnouncement sends an announcement to all other core hosts. Each of them adds a result to the returned channel: nil from
-// the leader, and an error from the others.
-func (c *Core) forwardAnnouncement(ctx context.Context, a *fleetpb.Announcement) <-chan error {
-	batch := &fleetpb.AnnounceBatch{Announcements: []*fleetpb.Announcement{a}}
-	hosts := newLeaderSearch(c.options.Peer, c.coreHosts()).next()
-	results := make(chan error, len(hosts))
-	for _, host := range hosts {
-		go func() { results <- c.passOn(ctx, host, batch) }()
-	}
-	return results
-}
-
-// passOn sends announcements to a core host. It returns errNotLeader if that host has recorded them but is not the leader.
-func (c *Core) passOn(ctx context.Context, host string, batch *fleetpb.AnnounceBatch) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
-	defer cancel()
-	result, err := c.peer(host).PassOn(ctx, batch)
-	if err != nil {
-		klog.V(1).InfoS("Announcement not forwarded", "host", host, "problem", problem(err))
-		return err
-	}
-	for _, newer := range result.GetNewer() {
-		c.recordAnnouncement(newer)
-	}
-	if !result.GetLeads() {
-		return errNotLeader
-	}
-	return nil
-}
-
-func (c *Core) recordAnnouncement(a *fleetpb.Announcement) {
-	if !c.directory.Record(steady.Now(), a) {
-		staleAnnouncements.Inc()
-	}
-}
-
 // members returns the peer addresses of the core hosts.
 func (c *Core) members() []string {
 	voters := c.replica.Members()
@@ -438,56 +249,3 @@
 	}
 	return list
 }
-
-// warmupLeft returns the rest of an upstream's warm-up in milliseconds. It is rounded up to whole seconds, so that it rarely
-// changes the directory.
-func warmupLeft(a *fleetpb.Announcement) uint32 {
-	if a.GetWarmupMs() <= a.GetAgeMs() {
-		return 0
-	}
-	const second = 1000
-	return (a.GetWarmupMs() - a.GetAgeMs() + second - 1) / second * second
-}
-
-// entryDirectory returns the directory that is sent to entry hosts.
-func (c *Core) entryDirectory(now ident.Time) *fleetpb.Directory {
-	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
-	parsed := c.state.parsed()
-	for _, a := range c.directory.List(now) {
-		if parsed == nil || parsed.Service(ident.Service(a.GetService())) == nil {
-			continue
-		}
-		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
-			Upstream: a.GetUpstream(), Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(),
-			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(), WarmupMs: warmupLeft(a),
-		})
-	}
-	c.mu.Lock()
-	for name, host := range c.hosts {
-		if now.Sub(host.lastRequest) >= entryHostTimeout {
-			delete(c.hosts, name)
-			continue
-		}
-		if !host.leaving {
-			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
-		}
-	}
-	c.mu.Unlock()
-	directory.Sort(d)
-	return d
-}
-
-// directoryUpdate returns the digest of the directory for entry hosts, and what a host needs that has the directory with another
-// digest: the change or the whole directory.
-func (c *Core) directoryUpdate(now ident.Time, digest uint64) (uint64, *fleetpb.Directory, *fleetpb.DirectoryChange, error) {
-	c.historyMu.Lock()
-	defer c.historyMu.Unlock()
-	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
-		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
-			return 0, nil, nil, err
-		}
-		c.directoryAt = now
-	}
-	latest, whole, change := c.history.Update(digest)
-	return latest, whole, change, nil
-}
--- /dev/null
+++ b/node/core/directory.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"time"
+
+	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+)
+
+const (
+	// entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
+	entryHostTimeout = 3 * time.Second
+	// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the
+	// interval of their requests, of which there are many in it.
+	directoryInterval = 50 * time.Millisecond
+)
+
+// warmupLeft returns the rest of an upstream's warm-up in milliseconds. It is rounded up to whole seconds, so that it rarely
+// changes the directory.
+func warmupLeft(a *fleetpb.Announcement) uint32 {
+	if a.GetWarmupMs() <= a.GetAgeMs() {
+		return 0
+	}
+	const second = 1000
+	return (a.GetWarmupMs() - a.GetAgeMs() + second - 1) / second * second
+}
+
+// entryDirectory returns the directory that is sent to entry hosts.
+func (c *Core) entryDirectory(now ident.Time) *fleetpb.Directory {
+	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
+	parsed := c.state.parsed()
+	for _, a := range c.directory.List(now) {
+		if parsed == nil || parsed.Service(ident.Service(a.GetService())) == nil {
+			continue
+		}
+		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
+			Upstream: a.GetUpstream(), Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(),
+			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(), WarmupMs: warmupLeft(a),
+		})
+	}
+	c.mu.Lock()
+	for name, host := range c.hosts {
+		if now.Sub(host.lastRequest) >= entryHostTimeout {
+			delete(c.hosts, name)
+			continue
+		}
+		if !host.leaving {
+			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
+		}
+	}
+	c.mu.Unlock()
+	directory.Sort(d)
+	return d
+}
+
+// directoryUpdate returns the digest of the directory for entry hosts, and what a host needs that has the directory with another
+// digest: the change or the whole directory.
+func (c *Core) directoryUpdate(now ident.Time, digest uint64) (uint64, *fleetpb.Directory, *fleetpb.DirectoryChange, error) {
+	c.historyMu.Lock()
+	defer c.historyMu.Unlock()
+	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
+		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
+			return 0, nil, nil, err
+		}
+		c.directoryAt = now
+	}
+	latest, whole, change := c.history.Update(digest)
+	return latest, whole, change, nil
+}
