Give the tests of voters their common steps

Starting six hosts and adding a successor stood several times in the tests. The golden file of a replaced host differs in which host asks first: the list of seeds shared memory with the list of hosts, from which the old steps removed a host in place.

--- a/fleet/quorum/losses_test.go
+++ b/fleet/quorum/losses_test.go
@@ -198,7 +198,7 @@
 // replace ends a host for good and starts an empty one at another address a second later.
 func (l *losses) replace(name string) {
 	l.crash(name)
-	successor := l.addSuccessor(name)
+	successor := l.planSuccessor(name)
 	l.retire(name)
 	l.down[successor] = true
 	l.startAfter(successor, 1000)
@@ -207,7 +207,7 @@
 // replacePlanned starts the successor of a host first. The host ends some time later, and the pair counts as one lost host until the
 // successor has had its time after that.
 func (l *losses) replacePlanned(name string) {
-	successor := l.addSuccessor(name)
+	successor := l.planSuccessor(name)
 	l.startAfter(successor, 0)
 	l.lostUntil[name], l.overlaps[name] = never, true
 	l.schedule(plannedOverlap, func() {
@@ -227,8 +227,8 @@
 	})
 }
 
-// addSuccessor adds an empty host in the place of another one. It counts as lost.
-func (l *losses) addSuccessor(name string) string {
+// planSuccessor adds an empty host in the place of another one, which is started later. It counts as lost.
+func (l *losses) planSuccessor(name string) string {
 	old := l.hosts[name]
 	l.lastIncarnation++
 	successor := fmt.Sprint(name[:1], l.lastIncarnation)
--- a/fleet/quorum/voters_test.go
+++ b/fleet/quorum/voters_test.go
@@ -31,6 +31,30 @@
 	return s
 }
 
+// startSixHosts returns the simulation after its hosts have had the time to choose five voters.
+func startSixHosts(seed uint64) *sim {
+	s := newSixHosts(seed)
+	s.terse = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.run(5 * time.Second)
+	return s
+}
+
+// addSuccessor adds a host in the place of another one and starts it with an empty folder.
+func (s *sim) addSuccessor(name, successor string) {
+	s.names = append(slices.Clone(s.names), successor)
+	s.hosts[successor] = &host{name: successor, zone: s.hosts[name].zone, region: s.hosts[name].region, replacement: true}
+	s.start(successor)
+}
+
+// endForGood stops a host that never returns.
+func (s *sim) endForGood(name string) {
+	s.crash(name)
+	s.names = slices.DeleteFunc(slices.Clone(s.names), func(other string) bool { return other == name })
+}
+
 // enroll asks the leader to add each host that is told to be admitted first.
 func (s *sim) enroll() {
 	for _, name := range s.names {
@@ -151,10 +175,8 @@
 func runHostReplaced(t *testing.T, s *sim) {
 	leader := s.elect()
 	lost := slices.DeleteFunc(s.voters(), func(name string) bool { return name == leader })[0]
-	s.crash(lost)
-	s.names = append(slices.DeleteFunc(s.names, func(name string) bool { return name == lost }), "g")
-	s.hosts["g"] = &host{name: "g", zone: s.hosts[lost].zone, region: s.hosts[lost].region, replacement: true}
-	s.start("g")
+	s.endForGood(lost)
+	s.addSuccessor(lost, "g")
 	s.run(4 * time.Second)
 	require.True(t, s.isMember("g"))
 	require.NotContains(t, s.voters(), lost)
@@ -219,24 +241,16 @@
 // Guards against a host that is gone for good and keeps its vote beyond the time after which the next losses are permitted, because
 // its successor took the vote of another host that was away for a moment.
 func TestVoteOfGoneHostIsTakenOverInTime(t *testing.T) {
-	s := newSixHosts(1)
-	s.terse = true
-	for _, name := range s.names {
-		s.start(name)
-	}
-	s.run(5 * time.Second)
+	s := startSixHosts(1)
 	voters := slices.DeleteFunc(s.voters(), func(name string) bool { return name == s.elect() })
 	gone, away := voters[0], voters[1]
-	s.names = append(slices.Clone(s.names), "g")
-	s.hosts["g"] = &host{name: "g", zone: s.hosts[gone].zone, region: s.hosts[gone].region, replacement: true}
-	s.start("g")
+	s.addSuccessor(gone, "g")
 	s.run(2 * time.Second)
 	s.isolated[away] = true
 	s.run(4 * time.Second)
 	delete(s.isolated, away)
 	s.run(6 * time.Second)
-	s.crash(gone)
-	s.names = slices.DeleteFunc(s.names, func(name string) bool { return name == gone })
+	s.endForGood(gone)
 	s.run(catchUpTime)
 	require.NotContains(t, s.voters(), gone)
 	require.Equal(t, toleratedLosses, s.bearable())
@@ -245,16 +259,9 @@
 
 // Guards against hosts that return empty and stay outside the log for good, because the seeds that they know are empty too or gone.
 func TestEmptyHostsWithoutUsableSeedsRejoin(t *testing.T) {
-	s := newSixHosts(1)
-	s.terse = true
-	for _, name := range s.names {
-		s.start(name)
-	}
-	s.run(5 * time.Second)
-	s.crash("c")
-	s.names = append(slices.DeleteFunc(slices.Clone(s.names), func(name string) bool { return name == "c" }), "g")
-	s.hosts["g"] = &host{name: "g", zone: s.hosts["c"].zone, region: s.hosts["c"].region, replacement: true}
-	s.start("g")
+	s := startSixHosts(1)
+	s.endForGood("c")
+	s.addSuccessor("c", "g")
 	s.run(catchUpTime)
 	for _, name := range s.names {
 		s.crash(name)
@@ -274,12 +281,7 @@
 
 // Guards against a new host that asks only the seeds that it started with, although its settings name others by now.
 func TestHostAsksSeedsOfChangedSettings(t *testing.T) {
-	s := newSixHosts(1)
-	s.terse = true
-	for _, name := range s.names {
-		s.start(name)
-	}
-	s.run(5 * time.Second)
+	s := startSixHosts(1)
 	s.names = append(slices.Clone(s.names), "g", "h")
 	s.hosts["g"] = &host{name: "g", replacement: true}
 	s.hosts["h"] = &host{name: "h", replacement: true}
@@ -338,12 +340,7 @@
 
 // Guards against a leader that takes itself for silent, since it sends itself no messages, and gives its own vote away.
 func TestLeaderKeepsItsVote(t *testing.T) {
-	s := newSixHosts(2)
-	s.terse = true
-	for _, name := range s.names {
-		s.start(name)
-	}
-	s.run(5 * time.Second)
+	s := startSixHosts(2)
 	leader := s.elect()
 	s.run(time.Minute)
 	require.Equal(t, leader, s.leader())
