--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -35,18 +35,19 @@
 
 // group is a service: one primary and its replicas.
 type group struct {
-	mu       sync.Mutex
-	record   *record
-	service  string
-	term     int
-	primary  *backend
-	members  []*backend
-	runs     []run
-	lastTx   int
-	syncOnly bool
+	mu      sync.Mutex
+	record  *record
+	service string
+	term    int
+	primary *backend
+	members []*backend
+	runs    []run
+	lastTx  int
 	// syncReplicas is 1 if a commit is acknowledged once one replica has received it.
 	syncReplicas int
 	promotions   []string
+	// rolledBack are the commits that a promoted server lacked.
+	rolledBack []string
 }
 
 // backend is one server of a service.
@@ -65,6 +66,9 @@
 	log      []entry
 	stepped  bool
 	draining bool
+	// cut is set while the server is partitioned from the core and from the other servers of its group: it is silent to sessions
+	// without a tenant, which the core opens, sends no heartbeats, and neither sends nor receives commits.
+	cut      bool
 	down     bool
 	conns    map[net.Conn]bool
 	lastConn int
@@ -181,10 +185,13 @@
 		return
 	}
 	s.tenant = fields[2]
+	if s.silent() {
+		return
+	}
 	s.send(s.idle())
 	for {
 		line, err := readMessage(s.in)
-		if err != nil {
+		if err != nil || s.silent() {
 			return
 		}
 		word, rest, _ := strings.Cut(line, " ")
@@ -205,6 +212,22 @@
 
 func (s *backendSession) done() { s.send("COMPLETE -", s.idle()) }
 
+// silent waits until the end of a partition between the core and the server, and reports whether there was one.
+func (s *backendSession) silent() bool {
+	waited := false
+	for s.tenant == "-" {
+		s.b.group.mu.Lock()
+		cut := s.b.cut
+		s.b.group.mu.Unlock()
+		if !cut {
+			break
+		}
+		waited = true
+		time.Sleep(50 * time.Millisecond)
+	}
+	return waited
+}
+
 // leads reports whether the backend leads its group.
 func (s *backendSession) leads() bool {
 	s.b.group.mu.Lock()
@@ -305,8 +328,8 @@
 func (s *backendSession) runStatement(id, text, word, rest string) {
 	b, g := s.b, s.b.group
 	b.slots <- struct{}{}
+	defer func() { <-b.slots }()
 	time.Sleep(b.work)
-	<-b.slots
 	if word == "EXECUTE" {
 		name, arguments, _ := strings.Cut(rest, " ")
 		shape, found := s.prepared[name]
@@ -333,8 +356,7 @@
 	case "STORE":
 		if s.state == "T" {
 			s.writes = append(s.writes, [2]string{item, data})
-		} else if !g.commit(b, id, [][2]string{{item, data}}) {
-			s.fail("READONLY")
+		} else if !s.commit(id, [][2]string{{item, data}}) {
 			return
 		}
 		s.send(signature, s.idle())
@@ -345,8 +367,7 @@
 			s.fail("ABORTED")
 			return
 		}
-		if len(writes) > 0 && !g.commit(b, id, writes) {
-			s.fail("READONLY")
+		if len(writes) > 0 && !s.commit(id, writes) {
 			return
 		}
 		s.send(signature, s.idle())
@@ -372,17 +393,21 @@
 	return value
 }
 
-// commit appends a commit to the primary's log, and returns once as many replicas have it as the service asks for.
-func (g *group) commit(b *backend, id string, writes [][2]string) bool {
+// commit appends a commit to the primary's log and waits until as many replicas have received it as the service asks for. If the
+// server lost the lead before the commit it answers READONLY; if it loses the lead while it waits, it closes the connection, since the
+// outcome isn't known.
+func (s *backendSession) commit(id string, writes [][2]string) bool {
+	b, g := s.b, s.b.group
 	g.mu.Lock()
 	if b != g.primary || b.stepped {
 		g.mu.Unlock()
+		s.fail("READONLY")
 		return false
 	}
 	e := entry{g.term, len(b.log) + 1, id, writes}
 	b.log = append(b.log, e)
 	received := make(chan bool, len(g.members))
-	term := g.term
+	term, needed := g.term, g.syncReplicas
 	for _, m := range g.members {
 		if m == b {
 			continue
@@ -393,14 +418,12 @@
 		}
 		time.AfterFunc(delay, func() { g.replicate(b, m, term, e.number, received) })
 	}
-	needed := g.syncReplicas
 	g.mu.Unlock()
 	g.record.printf("commit %s at %s as %d.%d: %v", id, b.id, e.term, e.number, writes)
 	for range needed {
-		select {
-		case <-received:
-		case <-time.After(5 * time.Second):
-			return true
+		if !<-received {
+			_ = s.conn.Close()
+			return false
 		}
 	}
 	return true
@@ -410,7 +433,11 @@
 func (g *group) replicate(from, to *backend, term, number int, received chan<- bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.primary != from || g.term != term || to.down || from.down {
+	if to.down || to.cut || from.cut {
+		return
+	}
+	if g.primary != from || g.term != term || from.down {
+		received <- false
 		return
 	}
 	if len(to.log) < number {
@@ -419,6 +446,13 @@
 	received <- true
 }
 
+// leader returns the primary.
+func (g *group) leader() *backend {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary
+}
+
 // promote makes a member the primary of the next term, with what it has received.
 func (g *group) promote(id string) bool {
 	g.mu.Lock()
@@ -430,12 +464,16 @@
 		if m == g.primary && !m.stepped {
 			return true
 		}
+		for _, e := range g.primary.log[min(len(m.log), len(g.primary.log)):] {
+			g.rolledBack = append(g.rolledBack, e.id)
+		}
+		g.record.printf("service %s: %s with %d commits follows %s with %d commits as the primary", g.service, m.id, len(m.log), g.primary.id, len(g.primary.log))
 		g.term++
 		g.primary = m
 		m.stepped = false
 		g.promotions = append(g.promotions, id)
 		for _, other := range g.members {
-			if other != m {
+			if other != m && !other.cut {
 				other.log = append(other.log[:0:0], m.log...)
 				other.stepped = false
 			}
@@ -462,7 +500,7 @@
 	node := 0
 	for {
 		b.group.mu.Lock()
-		down := b.down
+		down, cut := b.down, b.cut
 		role, state := "replica", "ready"
 		if b == b.group.primary && !b.stepped {
 			role = "primary"
@@ -474,6 +512,10 @@
 		if down {
 			return
 		}
+		if cut {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
 		body, _ := json.Marshal(map[string]any{
 			"service": b.group.service, "addr": b.address, "zone": b.zone, "version": "v1", "capacity": 2, "state": state,
 			"warmup_left_ms": 0, "db_role": role, "seq": b.seq.Add(1), "born": b.born,
@@ -509,6 +551,8 @@
 	mu      sync.Mutex
 	groups  map[string]*group
 	tokens  map[string]uint64
+	// orders gets the service of each accepted order before it is executed.
+	orders chan string
 }
 
 func startCloud(r *record, address string) (*cloud, error) {
@@ -516,7 +560,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cloud{address: listener.Addr().String(), groups: map[string]*group{}, tokens: map[string]uint64{}}
+	c := &cloud{address: listener.Addr().String(), groups: map[string]*group{}, tokens: map[string]uint64{}, orders: make(chan string, 100)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /failover", func(w http.ResponseWriter, request *http.Request) {
 		var order struct{ Service, ID string }
@@ -533,6 +577,7 @@
 		}
 		c.mu.Unlock()
 		if accepted {
+			c.orders <- order.Service
 			// The order takes some hundred milliseconds.
 			time.Sleep(300 * time.Millisecond)
 			accepted = g.promote(order.ID)
--- a/review/stand/lease.go
+++ b/review/stand/lease.go
@@ -36,7 +36,7 @@
 }
 
 // deployment starts a small deployment: services named svc-1 to svc-3, each with its primary in another zone, served by routes
-// db-1 to db-3 of a kind. It returns once every machine serves.
+// db-1 to db-3 of a kind and by bounded routes look-1 to look-3. It returns once every machine serves.
 func deployment(r *record, program, kind string, perZone int, adjust func(*group)) (*fleet, []*group, func(), error) {
 	f, err := newFleet(r, program, perZone)
 	if err != nil {
@@ -69,7 +69,8 @@
 			go b.announce(f, stopBeats)
 		}
 		groups = append(groups, g)
-		routes = append(routes, routeText(fmt.Sprintf("r-%d", s+1), fmt.Sprintf("db-%d", s+1), kind, g.service))
+		routes = append(routes, routeText(fmt.Sprintf("r-%d", s+1), fmt.Sprintf("db-%d", s+1), kind, g.service),
+			routeText(fmt.Sprintf("b-%d", s+1), fmt.Sprintf("look-%d", s+1), "bounded", g.service))
 		services = append(services, serviceText(g.service, g.syncReplicas))
 	}
 	err = f.start()
@@ -106,28 +107,11 @@
 
 // lease: clients have open transactions, as a machine without a disk is killed and starts again; others open transactions then.
 func lease(r *record, program string, trouble bool) ([]string, error) {
-	var f *fleet
-	var g *group
-	var victim, here, there *machine
-	// Which machine keeps the connections depends on the servers' random ids.
-	for range 4 {
-		next, groups, stop, err := deployment(r, program, "primary", 3, nil)
-		if err != nil {
-			return nil, err
-		}
-		if g, victim, here, there, err = chooseVictim(r, next, groups); err == nil {
-			f = next
-			defer stop()
-			break
-		}
-		stop()
-		if !errors.Is(err, errNoVictim) {
-			return nil, err
-		}
-	}
-	if f == nil {
-		return nil, errNoVictim
+	f, g, victim, here, there, stop, err := deploymentWithVictim(r, program)
+	if err != nil {
+		return nil, err
 	}
+	defer stop()
 	database := strings.Replace(g.service, "svc", "db", 1)
 	var early, later []*client
 	defer func() {
@@ -186,6 +170,25 @@
 
 var errNoVictim = errors.New("no machine without a disk keeps the connections of a primary")
 
+// deploymentWithVictim starts a deployment in which chooseVictim finds a machine.
+func deploymentWithVictim(r *record, program string) (f *fleet, g *group, victim, here, there *machine, stop func(), err error) {
+	// Which machine keeps the connections depends on the servers' random ids.
+	for range 4 {
+		var groups []*group
+		if f, groups, stop, err = deployment(r, program, "primary", 3, nil); err != nil {
+			return nil, nil, nil, nil, nil, nil, err
+		}
+		if g, victim, here, there, err = chooseVictim(r, f, groups); err == nil {
+			return f, g, victim, here, there, stop, nil
+		}
+		stop()
+		if !errors.Is(err, errNoVictim) {
+			break
+		}
+	}
+	return nil, nil, nil, nil, nil, nil, err
+}
+
 // chooseVictim returns a service and the machine without a disk that keeps its primary's connections for other machines, and two
 // machines of other zones. It finds that machine by an open transaction.
 func chooseVictim(r *record, f *fleet, groups []*group) (g *group, victim, here, there *machine, err error) {
