--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -45,7 +45,9 @@
 	lastTx  int
 	// syncReplicas is 1 if a commit is acknowledged once one replica has received it.
 	syncReplicas int
-	promotions   []string
+	// slots is how many statements a server runs at a time.
+	slots      int
+	promotions []string
 	// rolledBack are the commits that a promoted server lacked.
 	rolledBack []string
 }
@@ -66,14 +68,16 @@
 	log      []entry
 	stepped  bool
 	draining bool
-	// cut is set while the server is partitioned from the core and from the other servers of its group: it is silent to sessions
-	// without a tenant, which the core opens, sends no heartbeats, and neither sends nor receives commits.
-	cut      bool
-	down     bool
-	conns    map[net.Conn]bool
-	lastConn int
+	// cut is set while the server is partitioned from the core: it is silent to sessions without a tenant, which the core opens, and
+	// sends no heartbeats. alone is set while it neither sends nor receives commits.
+	cut, alone bool
+	down       bool
+	conns      map[net.Conn]bool
+	lastConn   int
 	// delay is how much later than the primary a replica receives a commit.
 	delay func() time.Duration
+	// lastArrival is when the last commit arrives at a replica.
+	lastArrival time.Time
 }
 
 // startBackend starts a server; the first one of a group is the primary.
@@ -83,7 +87,7 @@
 		return nil, err
 	}
 	b := &backend{
-		group: g, id: id, zone: zone, address: listener.Addr().String(), listener: listener, slots: make(chan struct{}, 2), maxConns: 18,
+		group: g, id: id, zone: zone, address: listener.Addr().String(), listener: listener, slots: make(chan struct{}, max(2, g.slots)), maxConns: 18,
 		work: 3 * time.Millisecond, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{},
 	}
 	g.mu.Lock()
@@ -328,8 +332,8 @@
 func (s *backendSession) runStatement(id, text, word, rest string) {
 	b, g := s.b, s.b.group
 	b.slots <- struct{}{}
-	defer func() { <-b.slots }()
 	time.Sleep(b.work)
+	<-b.slots
 	if word == "EXECUTE" {
 		name, arguments, _ := strings.Cut(rest, " ")
 		shape, found := s.prepared[name]
@@ -416,7 +420,13 @@
 		if m.delay != nil {
 			delay = m.delay()
 		}
-		time.AfterFunc(delay, func() { g.replicate(b, m, term, e.number, received) })
+		// Commits arrive in the order of the log.
+		arrival := time.Now().Add(delay)
+		if arrival.Before(m.lastArrival) {
+			arrival = m.lastArrival
+		}
+		m.lastArrival = arrival
+		time.AfterFunc(time.Until(arrival), func() { g.replicate(b, m, term, e.number, received) })
 	}
 	g.mu.Unlock()
 	g.record.printf("commit %s at %s as %d.%d: %v", id, b.id, e.term, e.number, writes)
@@ -433,7 +443,7 @@
 func (g *group) replicate(from, to *backend, term, number int, received chan<- bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if to.down || to.cut || from.cut {
+	if to.down || to.alone || from.alone {
 		return
 	}
 	if g.primary != from || g.term != term || from.down {
@@ -473,7 +483,7 @@
 		m.stepped = false
 		g.promotions = append(g.promotions, id)
 		for _, other := range g.members {
-			if other != m && !other.cut {
+			if other != m && !other.alone {
 				other.log = append(other.log[:0:0], m.log...)
 				other.stepped = false
 			}
@@ -517,7 +527,7 @@
 			continue
 		}
 		body, _ := json.Marshal(map[string]any{
-			"service": b.group.service, "addr": b.address, "zone": b.zone, "version": "v1", "capacity": 2, "state": state,
+			"service": b.group.service, "addr": b.address, "zone": b.zone, "version": "v1", "capacity": b.group.slots, "state": state,
 			"warmup_left_ms": 0, "db_role": role, "seq": b.seq.Add(1), "born": b.born,
 		})
 		for range 3 {
--- a/review/stand/lease.go
+++ b/review/stand/lease.go
@@ -54,7 +54,7 @@
 	var groups []*group
 	var routes, services []string
 	for s := range 3 {
-		g := &group{record: r, service: fmt.Sprintf("svc-%d", s+1), term: 1}
+		g := &group{record: r, service: fmt.Sprintf("svc-%d", s+1), term: 1, slots: 2}
 		if adjust != nil {
 			adjust(g)
 		}
--- /dev/null
+++ b/review/stand/lost.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { scenarios["lost"] = lost }
+
+const (
+	lostRounds  = 6
+	lostWriters = 8
+	// partitionTime bounds a partition; the site files have primary_cut for 7.0 s at most.
+	partitionTime = 6800 * time.Millisecond
+)
+
+// replicationDelay draws how much later a replica receives a commit: 60 ms in the mean, as the replicas of the Authority are behind.
+func replicationDelay() time.Duration {
+	const mean, spread, most = 60.0, 0.6, 360.0
+	ms := mean * math.Exp(spread*rand.NormFloat64()-spread*spread/2)
+	return time.Duration(min(ms, most) * float64(time.Millisecond))
+}
+
+// lost: a primary is partitioned from the core and is replaced, while callers that reach it write all the time. A commit is
+// acknowledged once one replica has received it.
+func lost(r *record, program string, trouble bool) ([]string, error) {
+	f, groups, stop, err := deployment(r, program, "primary", 2, func(g *group) { g.syncReplicas, g.slots = 1, 3 })
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	g := groups[0]
+	for _, b := range g.members {
+		b.delay = replicationDelay
+	}
+	if err := warmUp(r, f, g); err != nil {
+		return nil, err
+	}
+	acknowledged := map[string]time.Time{}
+	promoted := 0
+	for round := range lostRounds {
+		old := g.leader()
+		done := make(chan struct{})
+		go func() {
+			writeFor(r, f, g, round, partitionTime+time.Second, acknowledged)
+			close(done)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		if trouble {
+			g.mu.Lock()
+			old.cut = true
+			g.mu.Unlock()
+			r.printf("round %d: the primary %s is partitioned from the core", round, old.id)
+			for cut := time.Now(); time.Since(cut) < partitionTime && g.leader() == old; {
+				time.Sleep(20 * time.Millisecond)
+			}
+			if g.leader() != old {
+				promoted++
+			}
+			g.mu.Lock()
+			old.cut = false
+			g.mu.Unlock()
+			r.printf("round %d: the partition ends", round)
+		}
+		<-done
+		time.Sleep(3 * time.Second)
+	}
+	if trouble && promoted == 0 {
+		return nil, errors.New("no primary was replaced")
+	}
+	var breaks []string
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range g.rolledBack {
+		if at, found := acknowledged[id]; found {
+			breaks = append(breaks, fmt.Sprintf("LOST: commit %s, acknowledged at %.3f, isn't in the log of the server that was promoted", id, at.Sub(r.start).Seconds()))
+		}
+	}
+	return breaks, nil
+}
+
+// warmUp runs one write through each machine, so that connections are open.
+func warmUp(r *record, f *fleet, g *group) error {
+	for i, m := range f.machines {
+		c, err := dial(r, "warm-up", m, strings.Replace(g.service, "svc", "db", 1), keyOne)
+		if err != nil {
+			return err
+		}
+		_, a := c.query(fmt.Sprintf("STORE warm-up-%d x", i))
+		c.close()
+		if !a.ok() {
+			return fmt.Errorf("a write before the trouble failed: %s", a)
+		}
+	}
+	return nil
+}
+
+// writeFor makes callers at several machines write, one write after the other, and collects the acknowledged ones.
+func writeFor(r *record, f *fleet, g *group, round int, limit time.Duration, acknowledged map[string]time.Time) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	end := time.Now().Add(limit)
+	for w := range lostWriters {
+		wait.Go(func() {
+			c, err := dial(r, fmt.Sprintf("writer-%d-%d", round, w), f.machines[w%len(f.machines)], strings.Replace(g.service, "svc", "db", 1), []string{keyOne, keyTwo}[w%2])
+			if err != nil {
+				return
+			}
+			defer c.close()
+			for n := 0; time.Now().Before(end); n++ {
+				id, a := c.query(fmt.Sprintf("STORE item-%d-%d-%d x", round, w, n))
+				if a.ok() {
+					mu.Lock()
+					acknowledged[id] = time.Now()
+					mu.Unlock()
+				}
+				if a.err != nil {
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/review/stand/stale.go
+++ b/review/stand/stale.go
@@ -38,7 +38,7 @@
 	old := g.primary
 	if trouble {
 		g.mu.Lock()
-		old.cut = true
+		old.cut, old.alone = true, true
 		g.mu.Unlock()
 		r.printf("the primary %s is partitioned from the core and from its replicas", old.id)
 	}
@@ -93,7 +93,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	g.mu.Lock()
-	old.cut = false
+	old.cut, old.alone = false, false
 	g.mu.Unlock()
 	return breaks, nil
 }
