--- a/review/stand/lease.go
+++ b/review/stand/lease.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -133,13 +135,21 @@
 		}
 	}
 	if trouble {
-		f.kill(victim, "entry")
+		if os.Getenv("RESTART") == "planned" {
+			terminateUnderWork(f, victim, early)
+		} else {
+			f.kill(victim, "entry")
+		}
 		if err := f.startProcess(victim, "entry", false); err != nil {
 			return nil, err
 		}
 		if err := f.waitReady(2*time.Second, victim); err != nil {
 			return nil, err
 		}
+		if os.Getenv("RESTART") == "planned" {
+			// The other machines learn that it is back.
+			time.Sleep(800 * time.Millisecond)
+		}
 	}
 	refused := map[string]string{}
 	for i := range laterClients {
@@ -168,6 +178,26 @@
 	return append(foreignStatements(g, append(early, later...)), keptAfterPromise(g, refused)...), nil
 }
 
+// terminateUnderWork sends SIGTERM to a machine's entry process and waits for its end. The clients go on with their transactions.
+func terminateUnderWork(f *fleet, victim *machine, clients []*client) {
+	command := victim.processes["entry"]
+	ended := make(chan struct{})
+	f.record.printf("SIGTERM to %s entry, process %d", victim.name, command.Process.Pid)
+	_ = command.Process.Signal(syscall.SIGTERM)
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	const pause, before = 500 * time.Millisecond, 2 * time.Second
+	for sent := time.Now(); time.Since(sent) < before; time.Sleep(pause) {
+		for _, c := range clients {
+			c.query("FETCH anything")
+		}
+	}
+	<-ended
+	f.record.printf("%s entry has ended", victim.name)
+}
+
 var errNoVictim = errors.New("no machine without a disk keeps the connections of a primary")
 
 // deploymentWithVictim starts a deployment in which chooseVictim finds a machine.
