--- a/review/stand/lost.go
+++ b/review/stand/lost.go
@@ -13,8 +13,10 @@
 func init() { scenarios["lost"] = lost }
 
 const (
-	lostRounds  = 6
 	lostWriters = 8
+	// lastRound is when the last round begins, and roundPause the time between two rounds.
+	lastRound  = 95 * time.Second
+	roundPause = 4 * time.Second
 	// partitionTime bounds a partition; the site files have primary_cut for 7.0 s at most.
 	partitionTime = 6800 * time.Millisecond
 )
@@ -43,11 +45,11 @@
 	}
 	acknowledged := map[string]time.Time{}
 	promoted := 0
-	for round := range lostRounds {
+	for round := 0; time.Since(r.start) < lastRound; round++ {
 		old := g.leader()
-		done := make(chan struct{})
+		stopWriting, done := make(chan struct{}), make(chan struct{})
 		go func() {
-			writeFor(r, f, g, round, partitionTime+time.Second, acknowledged)
+			write(r, f, g, round, stopWriting, acknowledged)
 			close(done)
 		}()
 		time.Sleep(500 * time.Millisecond)
@@ -56,32 +58,42 @@
 			old.cut = true
 			g.mu.Unlock()
 			r.printf("round %d: the primary %s is partitioned from the core", round, old.id)
-			for cut := time.Now(); time.Since(cut) < partitionTime && g.leader() == old; {
-				time.Sleep(20 * time.Millisecond)
-			}
-			if g.leader() != old {
-				promoted++
-			}
-			g.mu.Lock()
-			old.cut = false
-			g.mu.Unlock()
-			r.printf("round %d: the partition ends", round)
 		}
+		for cut := time.Now(); time.Since(cut) < partitionTime && g.leader() == old; {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if g.leader() != old {
+			promoted++
+		}
+		g.mu.Lock()
+		old.cut = false
+		g.mu.Unlock()
+		r.printf("round %d: the partition ends", round)
+		time.Sleep(300 * time.Millisecond)
+		close(stopWriting)
 		<-done
-		time.Sleep(3 * time.Second)
+		if breaks := lostCommits(r, g, acknowledged); len(breaks) > 0 {
+			return breaks, nil
+		}
+		time.Sleep(roundPause)
 	}
 	if trouble && promoted == 0 {
 		return nil, errors.New("no primary was replaced")
 	}
-	var breaks []string
+	return nil, nil
+}
+
+// lostCommits returns the acknowledged commits that a promoted server lacked.
+func lostCommits(r *record, g *group, acknowledged map[string]time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var breaks []string
 	for _, id := range g.rolledBack {
 		if at, found := acknowledged[id]; found {
 			breaks = append(breaks, fmt.Sprintf("LOST: commit %s, acknowledged at %.3f, isn't in the log of the server that was promoted", id, at.Sub(r.start).Seconds()))
 		}
 	}
-	return breaks, nil
+	return breaks
 }
 
 // warmUp runs one write through each machine, so that connections are open.
@@ -100,11 +112,18 @@
 	return nil
 }
 
-// writeFor makes callers at several machines write, one write after the other, and collects the acknowledged ones.
-func writeFor(r *record, f *fleet, g *group, round int, limit time.Duration, acknowledged map[string]time.Time) {
+// write makes callers at several machines write, one write after the other, until stop is closed. It collects the acknowledged ones.
+func write(r *record, f *fleet, g *group, round int, stop <-chan struct{}, acknowledged map[string]time.Time) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	end := time.Now().Add(limit)
+	stopped := func() bool {
+		select {
+		case <-stop:
+			return true
+		default:
+			return false
+		}
+	}
 	for w := range lostWriters {
 		wait.Go(func() {
 			c, err := dial(r, fmt.Sprintf("writer-%d-%d", round, w), f.machines[w%len(f.machines)], strings.Replace(g.service, "svc", "db", 1), []string{keyOne, keyTwo}[w%2])
@@ -112,7 +131,7 @@
 				return
 			}
 			defer c.close()
-			for n := 0; time.Now().Before(end); n++ {
+			for n := 0; !stopped(); n++ {
 				id, a := c.query(fmt.Sprintf("STORE item-%d-%d-%d x", round, w, n))
 				if a.ok() {
 					mu.Lock()
