Give the leases of a gateway random ids

Cause: a gateway numbered its leases from 1 at each start. Hosts send the lease of their open transaction with its next statement, and after a restart the same number named another caller's connection.

The new test TestLeaseOfEarlierProcess failed before the change ("An error is expected but got nil": the earlier transaction's statement was accepted by the second process).

Change: an id is random text of 128 bits, so no later process at the address knows it; its statement is answered as not run, which is true, since the upstream rolled back with the connection. The gateway logs and counts statements whose lease it does not hold. Ruled out: checking only team and upstream, because two transactions of one team on one upstream would still be mixed.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -90,6 +91,52 @@
 	require.Equal(t, before+1, *failures)
 }
 
+// Guards against statements that run in another team's transaction after a gateway has started again: a lease of the earlier
+// process names no connection of the new one, neither for a statement nor for an end.
+func TestLeaseOfEarlierProcess(t *testing.T) {
+	g := platform.NewGroup("svc")
+	u, err := g.Start(platform.Options{ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+	require.NoError(t, err)
+	t.Cleanup(u.Crash)
+	target := upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}
+	start := func() http.Handler {
+		return gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 2)}).Handler()
+	}
+	process := start()
+	ended := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		process.ServeHTTP(w, r)
+		if strings.HasSuffix(r.URL.Path, "/End") {
+			ended <- struct{}{}
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+	open := func(team ident.Team, id, text string) upstream.Executor {
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, team, 1, func() {})
+		_, err := executor.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: id, Text: text, Timeout: timeout, Keep: true})
+		require.NoError(t, err)
+		return executor
+	}
+	early, abandoned := open("one", "1", "STORE early 1"), open("one", "2", "STORE abandoned 1")
+	process = start()
+	late, other := open("two", "3", "STORE late 1"), open("two", "4", "STORE other 1")
+
+	outcome, err := early.Execute(contextWithTimeout(t), upstream.Use{ID: "5", Text: "STORE intruder 1", Timeout: timeout, Keep: true})
+	var unreachable *upstream.UnreachableError
+	require.ErrorAs(t, err, &unreachable, "the connection of the transaction is gone")
+	require.False(t, outcome.Ran)
+	abandoned.Close()
+	<-ended
+	for i, executor := range []upstream.Executor{late, other} {
+		outcome, err = executor.Execute(contextWithTimeout(t), upstream.Use{ID: fmt.Sprint("commit", i), Text: "COMMIT", Timeout: timeout})
+		require.NoError(t, err)
+		require.Nil(t, outcome.Result.Failure)
+	}
+	items, _ := g.Items()
+	require.Equal(t, map[string]string{"late": "1", "other": "1"}, items)
+}
+
 // Guards against a write that may have run but is reported as not run after the gateway closes the connection.
 func TestGatewayClosesConnection(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -31,6 +31,7 @@
 	uses          = metrics.NewCounter("tamarack_gateway_uses_total")
 	leasesOpen    = metrics.NewCounter("tamarack_gateway_leases_open")
 	leasesExpired = metrics.NewCounter("tamarack_gateway_leases_expired_total")
+	leasesUnknown = metrics.NewCounter("tamarack_gateway_leases_unknown_total")
 )
 
 // Pools returns the connection pools of upstreams.
@@ -43,8 +44,8 @@
 type Server struct {
 	pools Pools
 	mu    sync.Mutex
-	// lastID is the id of the most recent lease.
-	lastID uint64
+	// leases holds the kept connections by their ids. An id is random and never used again, also not by a later process at the
+	// same address: hosts still send the ids of an earlier process.
 	leases map[string]*lease
 }
 
@@ -116,8 +117,7 @@
 	s.mu.Lock()
 	if kept {
 		if id == "" {
-			s.lastID++
-			id = strconv.FormatUint(s.lastID, 10)
+			id = rand.Text()
 			s.leases[id] = &lease{executor: executor}
 			leasesOpen.Inc()
 		}
@@ -142,6 +142,8 @@
 		defer s.mu.Unlock()
 		l := s.leases[id]
 		if l == nil || l.busy {
+			leasesUnknown.Inc()
+			klog.InfoS("Statement refused, its lease is not held", "id", request.GetId(), "lease", id, "busy", l != nil)
 			return nil, "", errNoLease
 		}
 		l.busy = true
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -190,6 +190,11 @@
 		"node/upstream/conn.go", "if !c.broken && c.state != statement.StateIdle {", "if !c.broken && c.state == statement.StateFailed {",
 		"./node/upstream", "ReleaseEndsTransaction",
 	},
+	{
+		0, "PINNED: a lease of an earlier process of a gateway names no connection",
+		"node/gateway/server.go", "id = rand.Text()", "id = rand.Text()[:0] + string(rune('a'+len(s.leases)))",
+		"./node/gateway", "EarlierProcess",
+	},
 	{
 		0, "MIXED: an answer without a signature is no success",
 		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
