Refuse names that are not text

Cause: the id came from the path unchecked into the directory for entry hosts. A message with a string that is not UTF-8 can't be serialized, so each Watch call of each host failed, and the configuration travels in its answer.

Ruled out: a leader that is not confirmed; it takes orders meanwhile.

--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -39,8 +39,12 @@
 
 // Record records an announcement that arrived at now; one with gone set is the end of its upstream. It returns false for an
 // announcement that is not newer: with the same or a lower number (seq) of the same start (born), of an older start, or of a
-// start at an address that a later start has taken over. Taking over an address ends the upstream that had it.
+// start at an address that a later start has taken over. Taking over an address ends the upstream that had it. It also returns false
+// for an announcement that fails Check, whichever way it came.
 func (d *Directory) Record(now ident.Time, a *fleetpb.Announcement) bool {
+	if Check(a) != nil {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	id := ident.Upstream(a.GetUpstream())
--- a/node/core/directory.go
+++ b/node/core/directory.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -61,6 +63,7 @@
 	defer c.historyMu.Unlock()
 	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
 		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
+			klog.ErrorS(err, "Directory not sent")
 			return 0, nil, nil, err
 		}
 		c.directoryAt = now
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -22,6 +23,13 @@
 	return c
 }
 
+// parsedCatalog returns a configuration with one service.
+func parsedCatalog(t *testing.T) *catalog.Catalog {
+	c, err := catalog.New(catalog.Description{Version: 1, Services: []catalog.Service{{Name: "svc", Connections: 18}}})
+	require.NoError(t, err)
+	return c
+}
+
 // Guards against a leader change after which 200 hosts are sent the whole directory at once, which fills the leader's link for
 // longer than they wait, and after which the gateways of most upstreams move, since only the hosts that have already asked the new
 // leader are listed.
@@ -58,6 +66,20 @@
 	require.Less(t, proto.Size(change), 100)
 }
 
+// Guards against one announcement that ends the whole directory for all hosts, and with it the configuration: its id is not UTF-8, so
+// a directory that lists it can't be serialized.
+func TestAnnouncementThatIsNoText(t *testing.T) {
+	c := newTestCore()
+	c.state.catalog = parsedCatalog(t)
+	now := steady.Now()
+	for _, id := range []string{"i-1", "i-\xff\xfe", "i-2"} {
+		c.recordAnnouncement(&fleetpb.Announcement{Upstream: id, Service: "svc", Address: "10.0.0.1:" + fmt.Sprint(len(id)+int(id[2])), Zone: "z", Seq: 1})
+	}
+	_, whole, _, err := c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Len(t, whole.GetUpstreams(), 2, "the others hold")
+}
+
 // Guards against a first leader after a restart of the whole core that publishes a list of the few hosts that have asked it so far:
 // the gateways of the upstreams would move each time the list grows.
 func TestFirstLeaderCollectsHosts(t *testing.T) {
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -215,6 +215,11 @@
 		"node/core/state.go", "if kind.Configure.GetVersion() <= s.saved", "if kind.Configure.GetVersion() < 0*s.saved",
 		"./node/core", "State",
 	},
+	{
+		0, "CONFIG: an announcement that is no text does not end the directory of all hosts",
+		"fleet/directory/check.go", "case !utf8.ValidString(name):", "case name == \"\" && !utf8.ValidString(name):",
+		"./node/core", "NoText",
+	},
 	{
 		0, "CONFIG: a host never goes back to an older configuration",
 		"node/routing/table.go", "if old != nil && old.Version >= c.Version {", "if old != nil && old == c {",
