Do not run a change that the control log can't store

Cause, related to the fault before: Evacuate.Begin/%ff was proposed to the log although its zone is not UTF-8. The store could not serialize the entry, the replica stopped, and the core process ended by itself; operators repeat an order at the next host.

Evidence: TestOrderThatCannotBeStored failed before: "Control log cannot be stored", and the next order found the log closed.

Change: Propose serializes the change before it enters the log, and returns a NotRunError if that fails. Changes are rare, so the cost does not matter.

Measured: go test ./host/replica ./node/core passes.

--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -223,8 +223,12 @@
 }
 
 // Propose appends a change to the log and returns the machine's answer once the change is applied on this host. It returns a
-// NotLeaderError or a NotRunError if the change is never applied, and an UnknownOutcomeError if it may still be applied.
+// NotLeaderError or a NotRunError if the change is never applied, and an UnknownOutcomeError if it may still be applied. A change
+// that can't be serialized is not run: a log that could not store it would stop this host, and the next leader after it.
 func (r *Replica) Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error) {
+	if _, err := proto.Marshal(change); err != nil {
+		return nil, trace.Wrap(&NotRunError{err})
+	}
 	return r.call(ctx, func(id uint64) quorum.Input { return quorum.Propose{ID: id, Change: change} })
 }
 
--- a/node/core/restart_test.go
+++ b/node/core/restart_test.go
@@ -45,3 +45,20 @@
 	require.LessOrEqual(t, int(parsed.Load()), 2*compactEntries)
 	require.NoError(t, r.Close(t.Context()))
 }
+
+// Guards against an order that ends every core process, because the log can't store a zone whose name is not UTF-8.
+func TestOrderThatCannotBeStored(t *testing.T) {
+	const eventually = 30 * time.Second
+	r, err := replica.New(replica.Options{
+		Host: "a", Peer: "127.0.0.1:1", InitialHosts: []*fleetpb.ControlHost{{Host: "a", Peer: "127.0.0.1:1"}}, Folder: t.TempDir(),
+		Peers: peer.New(peer.Options{Trusted: true}), Machine: newState(parseStub), Bounds: bounds(1, 0),
+	})
+	require.NoError(t, err)
+	defer r.Close(t.Context())
+	require.Eventually(t, func() bool { return r.Leadership().Confirmed }, eventually, time.Millisecond)
+	_, err = r.Propose(t.Context(), evacuate("z\xff", true))
+	var notRun *replica.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	_, err = r.Propose(t.Context(), evacuate("z0", true))
+	require.NoError(t, err, "the next order is stored")
+}
