Carry callers' and upstreams' text between hosts as bytes

Seen by callers: a write with a byte that is not UTF-8, sent at a host whose gateway is another one, is answered INDOUBT although it has not run, and for 1.5 s the host sends the statements of all its callers past that gateway.

Evidence: TestTextThatIsNotUTF8 failed before with "failed to marshal proto request: string field contains invalid UTF-8" as a broken connection.

Change: ids, statements, session values, shapes, rows, signatures and failure texts are bytes in the calls between entry hosts and gateways; the encoding of UTF-8 text stays the same, so mixed versions understand each other. The conversions move to message.go. A failure with an empty text after which a statement did not run is now marked as such: the mark was that text.

Measured: node/gateway, routing, entry and upstream pass. Not measured: processor time of the conversions, one copy of each text.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -75,8 +75,8 @@
 	r.lease = response.GetLease()
 	outcome := upstream.Outcome{
 		Result: statement.Result{
-			Rows:      response.GetRows(),
-			Signature: response.GetSignature(),
+			Rows:      texts(response.GetRows()),
+			Signature: string(response.GetSignature()),
 			State:     statement.State(response.GetState()),
 			Position:  positionFromProto(response.GetPosition()),
 		},
@@ -84,15 +84,15 @@
 		Ran:    response.GetRan(),
 	}
 	if f := response.GetFailure(); f != nil {
-		outcome.Result.Failure = &statement.Failure{Code: statement.Code(f.GetCode()), Text: f.GetText()}
+		outcome.Result.Failure = &statement.Failure{Code: statement.Code(f.GetCode()), Text: string(f.GetText())}
 	}
 	switch {
-	case response.GetBroken() != "":
-		return outcome, &upstream.BrokenError{Cause: errors.New(response.GetBroken())}
-	case response.GetUnreachable() != "" && outcome.Result.Failure != nil:
+	case len(response.GetBroken()) > 0:
+		return outcome, &upstream.BrokenError{Cause: errors.New(string(response.GetBroken()))}
+	case len(response.GetUnreachable()) > 0 && outcome.Result.Failure != nil:
 		return outcome, outcome.Result.Failure
-	case response.GetUnreachable() != "":
-		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: errors.New(response.GetUnreachable())}
+	case len(response.GetUnreachable()) > 0:
+		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: errors.New(string(response.GetUnreachable()))}
 	}
 	return outcome, nil
 }
@@ -102,11 +102,11 @@
 	request := &fleetpb.UseRequest{
 		Lease:     r.lease,
 		TimeoutMs: uint32(max(0, use.Timeout/time.Millisecond)),
-		Values:    use.Values,
+		Values:    valuesToProto(use.Values),
 		Opening:   fleetpb.Opening(use.Opening),
 		Since:     positionToProto(use.Since),
-		Id:        use.ID,
-		Text:      use.Text,
+		Id:        []byte(use.ID),
+		Text:      []byte(use.Text),
 		Keep:      use.Keep,
 	}
 	if r.lease == "" {
@@ -117,7 +117,7 @@
 		request.WaitMs = uint32(max(0, time.Until(end)/time.Millisecond))
 	}
 	if use.Prepared != nil {
-		request.Prepared = &fleetpb.PreparedStatement{Writes: use.Prepared.Writes, Shape: use.Prepared.Shape}
+		request.Prepared = &fleetpb.PreparedStatement{Writes: use.Prepared.Writes, Shape: []byte(use.Prepared.Shape)}
 	}
 	return request
 }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -91,6 +91,26 @@
 	require.Equal(t, before+1, *failures)
 }
 
+// Guards against a write that is reported as unknown, and a gateway that is avoided by all callers of a host, because a caller's text
+// or an upstream's row is not UTF-8 and no call can carry it.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	g, executor, _, failures := startGateway(t)
+	const odd = "\xff\xfe"
+	outcome, err := executor("i-1").Execute(contextWithTimeout(t), upstream.Use{
+		ID: odd, Text: "STORE a " + odd, Values: map[string]string{"k" + odd: odd}, Timeout: timeout,
+	})
+	require.NoError(t, err)
+	require.Equal(t, "signed-by-i-1-"+odd, outcome.Result.Signature)
+	outcome, err = executor("i-1").Execute(contextWithTimeout(t), upstream.Use{
+		ID: "2", Prepared: &statement.Prepared{Shape: odd}, Text: "a", Values: map[string]string{"k": odd}, Timeout: timeout,
+	})
+	require.NoError(t, err)
+	require.Equal(t, []string{odd + " team map[k:" + odd + "]"}, outcome.Result.Rows)
+	_, runs := g.Items()
+	require.Equal(t, map[string]int{odd: 1}, runs)
+	require.Zero(t, *failures)
+}
+
 // Guards against statements that run in another team's transaction after a gateway has started again: a lease of the earlier
 // process names no connection of the new one, neither for a statement nor for an end.
 func TestLeaseOfEarlierProcess(t *testing.T) {
--- /dev/null
+++ b/node/gateway/message.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/node/upstream"
+)
+
+func useFromProto(request *fleetpb.UseRequest) upstream.Use {
+	use := upstream.Use{
+		Values:  valuesFromProto(request.GetValues()),
+		Opening: upstream.Opening(request.GetOpening()),
+		Since:   positionFromProto(request.GetSince()),
+		ID:      string(request.GetId()),
+		Text:    string(request.GetText()),
+		Timeout: time.Duration(request.GetTimeoutMs()) * time.Millisecond,
+		Keep:    request.GetKeep(),
+	}
+	if p := request.GetPrepared(); p != nil {
+		use.Prepared = &statement.Prepared{Writes: p.GetWrites(), Shape: string(p.GetShape())}
+	}
+	return use
+}
+
+func valuesToProto(values map[string]string) []*fleetpb.SessionValue {
+	list := make([]*fleetpb.SessionValue, 0, len(values))
+	for name, value := range values {
+		list = append(list, &fleetpb.SessionValue{Name: []byte(name), Value: []byte(value)})
+	}
+	return list
+}
+
+func valuesFromProto(list []*fleetpb.SessionValue) map[string]string {
+	values := make(map[string]string, len(list))
+	for _, v := range list {
+		values[string(v.GetName())] = string(v.GetValue())
+	}
+	return values
+}
+
+func positionFromProto(p *fleetpb.Position) ident.Position {
+	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
+}
+
+func positionToProto(p ident.Position) *fleetpb.Position {
+	if p == (ident.Position{}) {
+		return nil
+	}
+	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
+}
+
+func responseToProto(outcome upstream.Outcome, err error) *fleetpb.UseResponse {
+	response := &fleetpb.UseResponse{
+		Ran:       outcome.Ran,
+		Rows:      rows(outcome.Result.Rows),
+		Signature: []byte(outcome.Result.Signature),
+		State:     uint32(outcome.Result.State),
+		Position:  positionToProto(outcome.Result.Position),
+		Opened:    positionToProto(outcome.Opened),
+	}
+	var failure *statement.Failure
+	var broken *upstream.BrokenError
+	switch {
+	case err == nil:
+		if f := outcome.Result.Failure; f != nil {
+			response.Failure = &fleetpb.UseFailure{Code: uint32(f.Code), Text: []byte(f.Text)}
+		}
+	case errors.As(err, &failure):
+		// Unreachable beside Failure marks the failure as one after which the statement did not run.
+		response.Failure = &fleetpb.UseFailure{Code: uint32(failure.Code), Text: []byte(failure.Text)}
+		response.Unreachable = []byte(failure.Error())
+	case errors.As(err, &broken):
+		response.Broken = []byte(broken.Error())
+	default:
+		response.Unreachable = []byte(err.Error())
+	}
+	return response
+}
+
+func rows(texts []string) [][]byte {
+	list := make([][]byte, 0, len(texts))
+	for _, text := range texts {
+		list = append(list, []byte(text))
+	}
+	return list
+}
+
+// texts returns the rows of a response, or nil if there are none.
+func texts(rows [][]byte) []string {
+	var list []string
+	for _, row := range rows {
+		list = append(list, string(row))
+	}
+	return list
+}
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -14,7 +13,6 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
-	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
 )
@@ -109,9 +107,9 @@
 	defer cancel()
 	outcome, err := executor.Execute(wait, useFromProto(request))
 	response := responseToProto(outcome, err)
-	if response.GetBroken() != "" || response.GetUnreachable() != "" {
-		klog.InfoS("Statement not answered", "id", request.GetId(), "upstream", executor.Target().Upstream, "team", request.GetTeam(),
-			"lease", request.GetLease(), "ran", response.GetRan(), "broken", response.GetBroken(), "unreachable", response.GetUnreachable())
+	if len(response.GetBroken()) > 0 || len(response.GetUnreachable()) > 0 {
+		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", executor.Target().Upstream, "team", request.GetTeam(),
+			"lease", request.GetLease(), "ran", response.GetRan(), "broken", string(response.GetBroken()), "unreachable", string(response.GetUnreachable()))
 	}
 	kept := err == nil && request.GetKeep()
 	s.mu.Lock()
@@ -143,7 +141,7 @@
 		l := s.leases[id]
 		if l == nil || l.busy {
 			leasesUnknown.Inc()
-			klog.InfoS("Statement refused, its lease is not held", "id", request.GetId(), "lease", id, "busy", l != nil)
+			klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", id, "busy", l != nil)
 			return nil, "", errNoLease
 		}
 		l.busy = true
@@ -175,58 +173,3 @@
 	leasesOpen.Dec()
 	l.executor.Close()
 }
-
-func useFromProto(request *fleetpb.UseRequest) upstream.Use {
-	use := upstream.Use{
-		Values:  request.GetValues(),
-		Opening: upstream.Opening(request.GetOpening()),
-		Since:   positionFromProto(request.GetSince()),
-		ID:      request.GetId(),
-		Text:    request.GetText(),
-		Timeout: time.Duration(request.GetTimeoutMs()) * time.Millisecond,
-		Keep:    request.GetKeep(),
-	}
-	if p := request.GetPrepared(); p != nil {
-		use.Prepared = &statement.Prepared{Writes: p.GetWrites(), Shape: p.GetShape()}
-	}
-	return use
-}
-
-func positionFromProto(p *fleetpb.Position) ident.Position {
-	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
-}
-
-func positionToProto(p ident.Position) *fleetpb.Position {
-	if p == (ident.Position{}) {
-		return nil
-	}
-	return &fleetpb.Position{Term: uint64(p.Term), Lsn: uint64(p.LSN)}
-}
-
-func responseToProto(outcome upstream.Outcome, err error) *fleetpb.UseResponse {
-	response := &fleetpb.UseResponse{
-		Ran:       outcome.Ran,
-		Rows:      outcome.Result.Rows,
-		Signature: outcome.Result.Signature,
-		State:     uint32(outcome.Result.State),
-		Position:  positionToProto(outcome.Result.Position),
-		Opened:    positionToProto(outcome.Opened),
-	}
-	var failure *statement.Failure
-	var broken *upstream.BrokenError
-	switch {
-	case err == nil:
-		if f := outcome.Result.Failure; f != nil {
-			response.Failure = &fleetpb.UseFailure{Code: uint32(f.Code), Text: f.Text}
-		}
-	case errors.As(err, &failure):
-		// Unreachable beside Failure marks the failure as one after which the statement did not run.
-		response.Failure = &fleetpb.UseFailure{Code: uint32(failure.Code), Text: failure.Text}
-		response.Unreachable = failure.Text
-	case errors.As(err, &broken):
-		response.Broken = broken.Error()
-	default:
-		response.Unreachable = err.Error()
-	}
-	return response
-}
