Carry the user of a session between hosts as bytes

Found by reading.

Evidence: TestUserThatIsNotUTF8 failed before with "string field contains invalid UTF-8".

Change: the field is of type bytes. The encoding of UTF-8 names stays the same.

Measured: fleet/session, host/keeper and host/tracker pass.

--- a/fleet/session/session_test.go
+++ b/fleet/session/session_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -17,6 +18,16 @@
 
 func at(lsn int) ident.Position { return ident.Position{Term: 1, LSN: ident.LSN(lsn)} }
 
+// Guards against writes that are never acknowledged, because the name of a user is not UTF-8 and no message can carry it.
+func TestUserThatIsNotUTF8(t *testing.T) {
+	odd := ident.Session{Service: "ledger", Team: "stalls", User: "member\xff"}
+	data, err := proto.Marshal(&fleetpb.PutRequest{Session: session.Message(odd)})
+	require.NoError(t, err)
+	received := &fleetpb.PutRequest{}
+	require.NoError(t, proto.Unmarshal(data, received))
+	require.Equal(t, odd, session.Name(received.GetSession()))
+}
+
 // Guards against an eviction that loses a position: the session could then read from a replica that lacks its writes.
 func TestEvictionRaisesTheFloor(t *testing.T) {
 	table := session.NewTable(256)
--- a/fleet/session/view.go
+++ b/fleet/session/view.go
@@ -192,7 +192,7 @@
 
 // Message converts a session to the message that hosts exchange.
 func Message(s ident.Session) *fleetpb.SessionName {
-	return &fleetpb.SessionName{Service: string(s.Service), Team: string(s.Team), User: string(s.User)}
+	return &fleetpb.SessionName{Service: string(s.Service), Team: string(s.Team), User: []byte(s.User)}
 }
 
 // PositionOf converts a position from its message. A missing message gives the zero position, which every upstream covers.
