Take no position from the commit of a transaction without writes

Cause: the position in the answer to a COMMIT was recorded as one that includes every write acknowledged before the request. An upstream that has lost the lead accepts the COMMIT of a transaction that wrote nothing, so the answer does not prove that it leads.

TestCommitWithoutWritesIsNoProof failed before with "position 1/0, although the host reaches the deposed primary only". Ruled out: replica lag, other recorded positions (BEGIN and writes are refused by an upstream that does not lead).

Change: a commit counts only if the transaction wrote; every other step of a transaction on the primary still does.

--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -290,7 +290,7 @@
 		}
 		failure := outcome.Result.Failure
 		if failure == nil {
-			if tx.onPrimary {
+			if tx.provesPrimary(use.Keep) {
 				s.server.options.Table.RecordPosition(tx.route.Service, outcome.Result.Position, asOf)
 			}
 			return outcome.Result, nil
@@ -302,6 +302,12 @@
 	}
 }
 
+// provesPrimary reports whether the success of a step proves that its upstream was the primary when it ran the step. A deposed primary
+// refuses each statement of a transaction that may write, and its commit, unless the transaction has written nothing.
+func (t *transaction) provesPrimary(isStatement bool) bool {
+	return t.onPrimary && (isStatement || t.wrote)
+}
+
 // tryStep runs a statement on the transaction's executor. The first statement selects the executor and opens the transaction.
 func (s *session) tryStep(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
 	if s.tx.executor != nil {
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -18,6 +18,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/entry"
 	"tamarackshunt.dev/node/routing"
 	"tamarackshunt.dev/node/upstream"
@@ -104,6 +105,37 @@
 	h.table.SetCatalog(c)
 }
 
+// dial opens a session.
+func (h *host) dial(connect string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", h.address)
+	require.NoError(h.t, err)
+	in := bufio.NewReader(c)
+	_, err = fmt.Fprintf(c, "CONNECT %s\r\n", connect)
+	require.NoError(h.t, err)
+	require.Equal(h.t, "IDLE I", readIdle(h.t, c, in)[:6])
+	return c, in
+}
+
+// ask sends a statement and returns the last line of its answer.
+func (h *host) ask(c net.Conn, in *bufio.Reader, text string) string {
+	_, err := fmt.Fprintf(c, "QUERY 1 %s\r\n", text)
+	require.NoError(h.t, err)
+	return readIdle(h.t, c, in)
+}
+
+// readIdle returns the line that ends an answer; an error in the answer fails the test.
+func readIdle(t *testing.T, c net.Conn, in *bufio.Reader) string {
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		line, err := in.ReadString('\n')
+		require.NoError(t, err)
+		require.False(t, strings.HasPrefix(line, "ERROR"), line)
+		if strings.HasPrefix(line, "IDLE") {
+			return line
+		}
+	}
+}
+
 // runScript opens a session, sends each step after the answer to the one before, and returns the transcript. A step that begins
 // with "!" is an event for applyEvent instead.
 func (h *host) runScript(connect string, steps ...string) string {
@@ -197,3 +229,30 @@
 		})
 	}
 }
+
+// Guards against stale reads after a change of the primary: the deposed primary commits a transaction without writes, and its position
+// then counts as one that includes the new primary's writes.
+func TestCommitWithoutWritesIsNoProof(t *testing.T) {
+	h := newHost(t, time.Minute)
+	c, in := h.dial("primary key")
+	defer c.Close()
+	for _, statement := range []string{"BEGIN", "FETCH a"} {
+		require.Equal(t, "IDLE T", h.ask(c, in, statement)[:6])
+	}
+	h.primary.SetReplicationPaused(true)
+	require.True(t, h.group.Promote("i-2"))
+	require.True(t, h.group.Store("after", "a", "new"))
+	acknowledged := steady.Now()
+	require.Equal(t, "IDLE I", h.ask(c, in, "COMMIT")[:6], "the deposed primary has nothing to refuse")
+
+	route := h.table.Catalog().Route("bounded")
+	position, err := h.table.Since(t.Context(), route, nil, acknowledged)
+	var unknown *routing.NoPositionError
+	require.ErrorAs(t, err, &unknown, "position %v, although the host reaches the deposed primary only", position)
+
+	h.directory.Primaries[0].Upstream = "i-2"
+	h.table.SetDirectory(h.directory)
+	position, err = h.table.Since(t.Context(), route, nil, acknowledged)
+	require.NoError(t, err)
+	require.Equal(t, ident.Term(2), position.Term)
+}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -200,6 +200,11 @@
 		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
 		"./platform/wire", "Upstream",
 	},
+	{
+		0, "STALE: a commit without writes proves no primary",
+		"node/entry/run.go", "return t.onPrimary && (isStatement || t.wrote)", "return t.onPrimary && (isStatement || !isStatement)",
+		"./node/entry", "WithoutWrites",
+	},
 	{
 		0, "QUOTA: a new owner of tokens waits for the last lease that its voters know of",
 		"fleet/quorum/election.go", "n.noLeaderSince = max(n.noLeaderSince, n.now.Add(-time.Duration(answer.GetVacantMs())*time.Millisecond))", "_ = time.Second",
