--- a/fleet/statement/request.go
+++ b/fleet/statement/request.go
@@ -61,6 +61,13 @@
 // StepDown makes a primary of a lower term a replica. The upstream answers with its Status.
 type StepDown struct{ Term ident.Term }
 
+// Pause stops an upstream from receiving the primary's log until Continue or a promotion, if the term is above the newest one. The
+// upstream answers with its Status.
+type Pause struct{ Term ident.Term }
+
+// Continue lets an upstream receive the primary's log again. The upstream answers with its Status.
+type Continue struct{}
+
 // Prepared is the definition of a prepared statement.
 type Prepared struct {
 	// Writes is set for statements that store data.
@@ -82,3 +89,5 @@
 func (Discard) request()     {}
 func (AskStatus) request()   {}
 func (StepDown) request()    {}
+func (Pause) request()       {}
+func (Continue) request()    {}
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -56,6 +56,10 @@
 	noPrimarySince ident.Time
 	// notBefore is the earliest time of the next decision after a failed promotion.
 	notBefore ident.Time
+	// unfinished is set while a replacement has to be completed, because an order may still be executed or replicas are paused;
+	// replaced is the primary that it replaces.
+	unfinished bool
+	replaced   ident.Upstream
 }
 
 // New returns the Decider of a host that became the leader at now; successor is the upstream of the latest promotion order,
@@ -121,11 +125,14 @@
 	return true
 }
 
-// Answered records an answer of an upstream to any host; at is a time before the answer.
-func (d *Decider) Answered(id ident.Upstream, at ident.Time) {
-	if id == d.primary && at > d.lastAnswer {
-		d.lastAnswer, d.failedProbes = at, 0
+// Answered records an answer of an upstream to any host; at is a time before the answer. It reports whether this is the latest answer
+// of the primary.
+func (d *Decider) Answered(id ident.Upstream, at ident.Time) bool {
+	if id != d.primary || at <= d.lastAnswer {
+		return false
 	}
+	d.lastAnswer, d.failedProbes = at, 0
+	return true
 }
 
 // Failed records a probe of the primary that was sent at the time at and got no answer.
@@ -140,8 +147,11 @@
 	Cause string
 	// Primary is the upstream to be replaced.
 	Primary ident.Upstream
-	// Planned is set when the primary is alive and is replaced because it must get no new work.
+	// Planned is set when the primary is alive and should step down before another upstream is promoted.
 	Planned bool
+	// Serving is set when the primary answers hosts although its announcements do not arrive. It is only replaced if it has stepped
+	// down, since it may acknowledge writes until then.
+	Serving bool
 	// Candidates are the upstreams that can become the primary.
 	Candidates []ident.Upstream
 	// Replicas is the number of members that may hold an acknowledged write besides the primary.
@@ -150,21 +160,28 @@
 
 // Decide returns a Decision if the service needs another primary now, or nil.
 func (d *Decider) Decide(now ident.Time) *Decision {
-	if now < d.notBefore || now.Sub(d.startedAt) < startupDelay || now.Sub(d.primarySince) < settleDelay && d.primarySince != d.startedAt {
+	if now < d.notBefore || now.Sub(d.startedAt) < startupDelay || d.settles(now) {
 		return nil
 	}
 	decision := &Decision{Primary: d.primary}
+	if d.unfinished {
+		decision.Primary = d.replaced
+	}
 	for _, m := range d.members {
-		if m.Upstream != d.primary && !m.Leaving && now.Sub(m.LastAnnounced) < announcementMaxAge {
+		if m.Upstream != decision.Primary && !m.Leaving && now.Sub(m.LastAnnounced) < announcementMaxAge {
 			decision.Candidates = append(decision.Candidates, m.Upstream)
 		}
 	}
-	decision.Replicas = d.replicas(now)
+	decision.Replicas = d.replicas(now, decision.Primary)
 	if len(decision.Candidates) == 0 {
 		return nil
 	}
 	primary := d.member(d.primary)
 	switch {
+	case d.unfinished:
+		decision.Cause = "an earlier replacement is not finished"
+	case d.noPrimarySince != 0 && now.Sub(d.noPrimarySince) > noPrimaryAfter && d.serves(now, primary):
+		decision.Cause, decision.Planned, decision.Serving = "the announcements of the primary do not arrive", true, true
 	case d.noPrimarySince != 0 && now.Sub(d.noPrimarySince) > noPrimaryAfter:
 		decision.Cause = "no upstream is the primary"
 		if primary != nil && !primary.Leaving && now.Sub(primary.LastAnnounced) < announcementMaxAge {
@@ -184,11 +201,21 @@
 	return decision
 }
 
+// settles reports whether a new primary still has time to announce itself.
+func (d *Decider) settles(now ident.Time) bool {
+	return !d.unfinished && now.Sub(d.primarySince) < settleDelay && d.primarySince != d.startedAt
+}
+
+// serves reports whether the primary has lately answered a host and has not announced itself as a replica since it became the primary.
+func (d *Decider) serves(now ident.Time, primary *Member) bool {
+	return primary != nil && now.Sub(d.lastAnswer) <= deadAfter && (primary.Primary || primary.LastAnnounced <= d.primarySince)
+}
+
 // replicas returns the number of members other than the primary. A primary that is not a member any more was none of them. If the
 // primary is unknown, a member that has stopped announcing itself is taken for it.
-func (d *Decider) replicas(now ident.Time) int {
-	primaryListed := d.member(d.primary) != nil
-	if d.primary == "" {
+func (d *Decider) replicas(now ident.Time, primary ident.Upstream) int {
+	primaryListed := d.member(primary) != nil
+	if primary == "" {
 		primaryListed = slices.ContainsFunc(d.members, func(m Member) bool { return now.Sub(m.LastAnnounced) >= announcementMaxAge })
 	}
 	if primaryListed {
@@ -214,7 +241,16 @@
 // Promoted records an executed promotion order.
 func (d *Decider) Promoted(now ident.Time, id ident.Upstream) {
 	d.setPrimary(now, id)
-	d.noPrimarySince = 0
+	d.noPrimarySince, d.unfinished, d.replaced = 0, false, ""
+}
+
+// Unfinished records that a replacement must be completed. Until then a Decision is due, also if the primary has returned: it
+// can't get its writes acknowledged while replicas are paused, and an order that may still be executed must find the logs as they were.
+func (d *Decider) Unfinished(now ident.Time) {
+	if !d.unfinished {
+		d.unfinished, d.replaced = true, d.primary
+	}
+	d.NotPromoted(now)
 }
 
 // NotPromoted records a failed promotion; the next decision waits for retryDelay.
--- a/fleet/takeover/takeover_test.go
+++ b/fleet/takeover/takeover_test.go
@@ -79,6 +79,12 @@
 		"announces only": {func(s *simulation) {
 			s.members["a"].answersHosts, s.members["a"].answersLeader = false, false
 		}, "", false},
+		"announces nothing and answers hosts": {func(s *simulation) {
+			s.members["a"].announces, s.members["a"].answersLeader = false, false
+		}, "the announcements of the primary do not arrive", true},
+		"announces nothing": {func(s *simulation) {
+			s.members["a"].announces, s.members["a"].answersLeader, s.members["a"].answersHosts = false, false, false
+		}, "the primary does not answer", false},
 		"unresponsive": {func(s *simulation) {
 			*s.members["a"] = member{primary: true, lastAnnounced: s.now}
 		}, "the primary does not answer", false},
@@ -109,10 +115,51 @@
 			require.NotNil(t, decision)
 			require.Equal(t, c.cause, decision.Cause)
 			require.Equal(t, c.planned, decision.Planned)
+			require.Equal(t, c.cause == "the announcements of the primary do not arrive", decision.Serving)
 		})
 	}
 }
 
+// Guards against an unplanned replacement of a promoted upstream that serves hosts but has not reached the core since its promotion, and
+// against keeping one that has announced itself as a replica.
+func TestPromotedUpstreamWithoutAnnouncements(t *testing.T) {
+	for _, announced := range []bool{false, true} {
+		s := newSimulation()
+		require.Nil(t, s.run(5*time.Second))
+		*s.members["a"] = member{primary: true, lastAnnounced: s.now}
+		require.NotNil(t, s.run(10*time.Second))
+		s.members["b"].announces, s.members["b"].answersLeader = announced, false
+		s.decider.Promoted(s.now, "b")
+		decision := s.run(20 * time.Second)
+		require.NotNil(t, decision)
+		require.Equal(t, ident.Upstream("b"), decision.Primary)
+		require.Equal(t, !announced, decision.Serving, decision.Cause)
+	}
+}
+
+// Guards against a replacement that is given up although replicas are paused or an order may still be executed, and against one that
+// promotes the primary which it replaces.
+func TestUnfinishedReplacementIsCompleted(t *testing.T) {
+	s := newSimulation()
+	require.Nil(t, s.run(5*time.Second))
+	s.decider.Unfinished(s.now)
+	decision := s.run(5 * time.Second)
+	require.NotNil(t, decision, "although the primary serves")
+	require.Equal(t, ident.Upstream("a"), decision.Primary)
+	require.Equal(t, []ident.Upstream{"b", "c"}, decision.Candidates)
+	require.Equal(t, 2, decision.Replicas)
+
+	// The order was executed after all.
+	s.members["a"].primary, s.members["b"].primary = false, true
+	s.decider.Unfinished(s.now)
+	decision = s.run(5 * time.Second)
+	require.NotNil(t, decision)
+	require.Equal(t, ident.Upstream("a"), decision.Primary)
+	s.decider.Promoted(s.now, "b")
+	require.Nil(t, s.run(20*time.Second))
+	require.Equal(t, ident.Upstream("b"), s.decider.Primary())
+}
+
 // Guards against a second promotion before the first has taken effect, and against a Decider that returns to the old primary.
 func TestPromotionSettles(t *testing.T) {
 	s := newSimulation()
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -32,6 +32,16 @@
 	promoting, probing bool
 	// pool holds the connection for probes of the primary; it is nil before the first probe.
 	pool *upstream.Pool
+	// relay is the entry host that reported an answer of the primary last, by its peer address.
+	relay string
+	// paused are the replicas that must be told to continue once no replacement runs; resuming is set while they are, and resumeAt is
+	// when they are told again.
+	paused   map[ident.Upstream]bool
+	resuming bool
+	resumeAt ident.Time
+	// checking is set while checkPaused runs, and checkAt is when it runs again.
+	checking bool
+	checkAt  ident.Time
 }
 
 func newGroups(core *Core) *groups {
@@ -52,8 +62,8 @@
 	return list
 }
 
-// report records an entry host's reports about primaries.
-func (g *groups) report(now ident.Time, reports []*fleetpb.PrimaryReport) {
+// report records the reports about primaries of the entry host with a peer address.
+func (g *groups) report(now ident.Time, peer string, reports []*fleetpb.PrimaryReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range reports {
@@ -61,7 +71,9 @@
 		if group == nil || r.AnsweredMs == nil {
 			continue
 		}
-		group.decider.Answered(ident.Upstream(r.GetUpstream()), now.Add(-time.Duration(r.GetAnsweredMs())*time.Millisecond))
+		if group.decider.Answered(ident.Upstream(r.GetUpstream()), now.Add(-time.Duration(r.GetAnsweredMs())*time.Millisecond)) {
+			group.relay = peer
+		}
 	}
 }
 
@@ -98,7 +110,7 @@
 		service := parsed.Services[i].Name
 		grp := g.list[service]
 		if grp == nil {
-			grp = &group{service: service, decider: takeover.New(now, g.core.state.successor(service))}
+			grp = &group{service: service, decider: takeover.New(now, g.core.state.successor(service)), paused: map[ident.Upstream]bool{}}
 			g.list[service] = grp
 		}
 		grp.decider.SetMembers(now, members[service])
@@ -123,11 +135,15 @@
 	}
 	decision := grp.decider.Decide(now)
 	if decision == nil {
+		if syncReplicas > 0 {
+			g.resumeReplicas(ctx, now, grp, targets)
+			g.checkPaused(ctx, now, grp, targets)
+		}
 		return
 	}
 	grp.promoting = true
 	klog.InfoS("Promotion due", "service", grp.service, "primary", grp.decider.Primary(), "cause", decision.Cause, "planned", decision.Planned)
-	p := &promotion{groups: g, group: grp, decision: decision, syncReplicas: syncReplicas, targets: targets}
+	p := &promotion{groups: g, group: grp, decision: decision, syncReplicas: syncReplicas, targets: targets, relay: grp.relay}
 	go func() {
 		p.run(ctx)
 		g.mu.Lock()
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -63,7 +63,7 @@
 	if !leads || request.GetSearch() {
 		return response, nil
 	}
-	c.groups.report(now, request.GetReports())
+	c.groups.report(now, request.GetPeer(), request.GetReports())
 	if current := c.state.configuration(); current != nil && current.GetVersion() > request.GetVersion() {
 		response.Configuration = current
 	}
--- /dev/null
+++ b/node/core/pause.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+const (
+	// resumeInterval is the interval at which paused replicas are told to continue until they have answered.
+	resumeInterval = 400 * time.Millisecond
+	// pauseCheckInterval is the interval at which the leader looks for replicas that an earlier leader paused.
+	pauseCheckInterval = 3 * time.Second
+)
+
+// requestStatus sends a request that an upstream answers with its status.
+func (p *promotion) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
+	return p.groups.requestStatus(ctx, target, request)
+}
+
+func (g *groups) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
+	pool := upstream.NewPool(target, g.core.options.Protocol, 1)
+	defer pool.Close()
+	return pool.Status(ctx, request)
+}
+
+// statuses sends a status request to the candidates and returns the answers.
+func (p *promotion) statuses(ctx context.Context, request statement.Request) map[ident.Upstream]statement.Status {
+	targets := map[ident.Upstream]upstream.Target{}
+	for _, candidate := range p.decision.Candidates {
+		if target, known := p.targets[candidate]; known {
+			targets[candidate] = target
+		}
+	}
+	return p.groups.requestStatuses(ctx, targets, request)
+}
+
+// requestStatuses sends a status request to upstreams at the same time and returns the answers.
+func (g *groups) requestStatuses(
+	ctx context.Context, targets map[ident.Upstream]upstream.Target, request statement.Request,
+) map[ident.Upstream]statement.Status {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	statuses := map[ident.Upstream]statement.Status{}
+	for id, target := range targets {
+		wait.Go(func() {
+			status, err := g.requestStatus(ctx, target, request)
+			if err != nil {
+				klog.InfoS("Upstream did not report its position", "service", target.Service, "upstream", id, "reason", problem(err))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[id] = status
+		})
+	}
+	wait.Wait()
+	return statuses
+}
+
+// newestTerm returns the highest term that upstreams reported.
+func newestTerm(statuses map[ident.Upstream]statement.Status) ident.Term {
+	var newest ident.Term
+	for _, status := range statuses {
+		newest = max(newest, status.Term, status.Received.Term)
+	}
+	return newest
+}
+
+// pauseReplicas stops the candidates from receiving the primary's log and returns the statuses of those that have stopped. A write that
+// waits for a replica can't be acknowledged any more once so many are paused that takeover.Choose accepts their positions.
+func (p *promotion) pauseReplicas(ctx context.Context, newest ident.Term) map[ident.Upstream]statement.Status {
+	term := newest + 1
+	p.groups.mu.Lock()
+	for _, id := range p.decision.Candidates {
+		// Recorded first, since a replica whose answer is lost may be paused too.
+		p.group.paused[id] = true
+	}
+	p.groups.mu.Unlock()
+	statuses := p.statuses(ctx, statement.Pause{Term: term})
+	maps.DeleteFunc(statuses, func(_ ident.Upstream, status statement.Status) bool { return status.PausedTerm < term })
+	klog.InfoS("Replicas paused for a promotion", "service", p.group.service, "term", term, "paused", len(statuses),
+		"candidates", len(p.decision.Candidates))
+	return statuses
+}
+
+// resumeReplicas starts to let paused replicas continue when no replacement runs. The caller holds the lock.
+func (g *groups) resumeReplicas(ctx context.Context, now ident.Time, grp *group, targets map[ident.Upstream]upstream.Target) {
+	if len(grp.paused) == 0 || grp.resuming || now < grp.resumeAt {
+		return
+	}
+	asked := map[ident.Upstream]upstream.Target{}
+	for id := range grp.paused {
+		target, known := targets[id]
+		if !known {
+			// A replica that left the directory has ended or must be listed again, which checkPaused notices.
+			delete(grp.paused, id)
+			continue
+		}
+		asked[id] = target
+	}
+	grp.resuming, grp.resumeAt = true, now.Add(resumeInterval)
+	go func() {
+		statuses := g.requestStatuses(ctx, asked, statement.Continue{})
+		klog.InfoS("Replicas continue", "service", grp.service, "answered", len(statuses), "asked", len(asked))
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		grp.resuming = false
+		for id := range statuses {
+			delete(grp.paused, id)
+		}
+	}()
+}
+
+// checkPaused starts a search for replicas that a leader paused which could not complete its replacement. The replacement is then
+// completed, since an order of that leader may still be executed. The caller holds the lock.
+func (g *groups) checkPaused(ctx context.Context, now ident.Time, grp *group, targets map[ident.Upstream]upstream.Target) {
+	if grp.checking || now < grp.checkAt || len(grp.paused) > 0 {
+		return
+	}
+	grp.checking, grp.checkAt = true, now.Add(pauseCheckInterval)
+	asked := maps.Clone(targets)
+	maps.DeleteFunc(asked, func(id ident.Upstream, target upstream.Target) bool {
+		return target.Service != grp.service || id == grp.decider.Primary()
+	})
+	go func() {
+		statuses := g.requestStatuses(ctx, asked, statement.AskStatus{})
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		grp.checking = false
+		if grp.promoting || len(grp.paused) > 0 {
+			return
+		}
+		newest := newestTerm(statuses)
+		for id, status := range statuses {
+			if status.PausedTerm > newest {
+				klog.InfoS("Replica paused by an unfinished replacement", "service", grp.service, "upstream", id, "term", status.PausedTerm)
+				grp.paused[id] = true
+				grp.decider.Unfinished(steady.Now())
+			}
+		}
+	}()
+}
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,12 +18,6 @@
 )
 
 const (
-	// statusTimeout bounds a status request to an upstream, including the retries while the upstream is busy.
-	statusTimeout = 900 * time.Millisecond
-	// statusRetryDelay is the delay between these retries.
-	statusRetryDelay = 40 * time.Millisecond
-	// catchUpTimeout is how long a planned promotion waits for a replica to receive the whole log of the old primary.
-	catchUpTimeout = 1500 * time.Millisecond
 	// orderTimeout bounds one order to the platform, and maxOrders is the number of orders that one promotion may send.
 	orderTimeout = time.Second
 	maxOrders    = 5
@@ -35,6 +28,7 @@
 var (
 	promotions        = metrics.NewCounter("tamarack_core_promotions_total")
 	promotionFailures = metrics.NewCounter("tamarack_core_promotion_failures_total")
+	primariesKept     = metrics.NewCounter("tamarack_core_primaries_kept_total")
 )
 
 // promotion is one attempt to replace the primary of a service.
@@ -45,6 +39,8 @@
 	// syncReplicas is the number of replicas that must hold a write before it is acknowledged.
 	syncReplicas int
 	targets      map[ident.Upstream]upstream.Target
+	// relay is the peer address of the entry host that got the primary's last answer, or empty.
+	relay string
 }
 
 // hasAnswered reports whether an upstream answered a request, successfully or with a failure.
@@ -53,29 +49,58 @@
 	return err == nil || errors.As(err, &failure)
 }
 
+// run replaces the primary. Where acknowledged writes are on replicas, no write may be acknowledged between the reading of the
+// replicas' positions and the promotion: either the primary has stepped down and a candidate has its whole log, or the replicas are
+// paused.
 func (p *promotion) run(ctx context.Context) {
 	start := steady.Now()
+	var before handover
 	if p.decision.Planned {
-		p.stepDownPrimary(ctx)
+		before = p.stepDownPrimary(ctx)
+	}
+	if p.decision.Serving && !before.steppedDown {
+		primariesKept.Inc()
+		klog.InfoS("Primary kept, since it serves hosts and has not stepped down", "service", p.group.service, "primary", p.decision.Primary)
+		p.finish("")
+		return
+	}
+	statuses := p.statuses(ctx, statement.AskStatus{})
+	successor, ok := p.choose(statuses)
+	paused := false
+	if ok && p.syncReplicas > 0 && !before.caughtUp {
+		statuses, paused = p.pauseReplicas(ctx, newestTerm(statuses)), true
+		successor, ok = p.choose(statuses)
 	}
-	positions := p.positions(ctx)
-	successor, ok := takeover.Choose(p.decision, positions, p.syncReplicas)
 	if !ok {
 		promotionFailures.Inc()
-		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(positions), "candidates", len(p.decision.Candidates))
+		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(statuses), "candidates", len(p.decision.Candidates))
 		p.finish("")
 		return
 	}
 	err := p.orderPromotion(ctx, successor)
-	klog.InfoS("Promotion ended", "service", p.group.service, "upstream", successor, "position", positions[successor],
+	klog.InfoS("Promotion ended", "service", p.group.service, "upstream", successor, "position", statuses[successor].Received,
 		"took", steady.Now().Sub(start), "problem", problem(err))
-	if err != nil {
-		promotionFailures.Inc()
-		p.finish("")
+	if err == nil {
+		promotions.Inc()
+		p.finish(successor)
+		return
+	}
+	promotionFailures.Inc()
+	var open *openOrderError
+	if paused && errors.As(err, &open) {
+		p.finishLater()
 		return
 	}
-	promotions.Inc()
-	p.finish(successor)
+	p.finish("")
+}
+
+// choose returns the upstream to promote, or false if there is none.
+func (p *promotion) choose(statuses map[ident.Upstream]statement.Status) (ident.Upstream, bool) {
+	positions := make(map[ident.Upstream]ident.Position, len(statuses))
+	for id, status := range statuses {
+		positions[id] = status.Received
+	}
+	return takeover.Choose(p.decision, positions, p.syncReplicas)
 }
 
 // finish reports to the decider which upstream was promoted, or that none was.
@@ -86,29 +111,59 @@
 		p.group.decider.NotPromoted(steady.Now())
 		return
 	}
+	delete(p.group.paused, successor)
 	p.group.decider.Promoted(steady.Now(), successor)
 }
 
+// finishLater reports to the decider that the replacement must be completed, since an order may still be executed.
+func (p *promotion) finishLater() {
+	p.groups.mu.Lock()
+	defer p.groups.mu.Unlock()
+	p.group.decider.Unfinished(steady.Now())
+}
+
+// openOrderError reports a promotion that failed while at least one of its orders may still be executed.
+type openOrderError struct{ Cause error }
+
+// Error implements error.
+func (e *openOrderError) Error() string { return "an order may still be executed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *openOrderError) Unwrap() error { return e.Cause }
+
 // orderPromotion orders the platform to promote the successor. Each order has its own fencing token, so that an earlier order
-// whose answer was lost is not executed after a later one.
+// whose answer was lost is not executed after a later one. It returns an openOrderError if an order without an answer was followed by
+// none that was executed.
 func (p *promotion) orderPromotion(ctx context.Context, successor ident.Upstream) error {
 	core := p.groups.core
-	var lastErr error
+	var unanswered error
 	for range maxOrders {
 		token, err := p.reserveToken(ctx, successor)
 		if err != nil {
-			return err
+			return openOrder(unanswered, err)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		lastErr = core.options.Promoter.Promote(callCtx, p.group.service, successor, token)
+		err = core.options.Promoter.Promote(callCtx, p.group.service, successor, token)
 		cancel()
-		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(lastErr))
+		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(err))
 		var refused *takeover.RefusedError
-		if lastErr == nil || errors.As(lastErr, &refused) {
-			return lastErr
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &refused):
+			return openOrder(unanswered, err)
 		}
+		unanswered = err
 	}
-	return lastErr
+	return openOrder(unanswered, unanswered)
+}
+
+// openOrder returns an error as an openOrderError if an earlier order was not answered.
+func openOrder(unanswered, err error) error {
+	if unanswered == nil {
+		return err
+	}
+	return &openOrderError{err}
 }
 
 // reserveToken returns a token that is higher than all earlier ones. The reservation is a proposal to the log, which only a
@@ -124,78 +179,3 @@
 	}
 	return outcome.GetVersion(), nil
 }
-
-// stepDownPrimary turns a primary that is to be replaced into a replica and waits until a candidate has received its whole log,
-// so that the promotion loses nothing.
-func (p *promotion) stepDownPrimary(ctx context.Context) {
-	target, found := p.targets[p.decision.Primary]
-	if !found {
-		return
-	}
-	before, err := p.requestStatus(ctx, target, statement.AskStatus{})
-	if err != nil {
-		klog.InfoS("Primary status unknown before its replacement", "service", p.group.service, "reason", problem(err))
-		return
-	}
-	after, err := p.requestStatus(ctx, target, statement.StepDown{Term: before.Term + 1})
-	if err != nil {
-		klog.InfoS("Primary did not step down", "service", p.group.service, "reason", problem(err))
-		return
-	}
-	end := steady.Now().Add(catchUpTimeout)
-	for steady.Now() < end && ctx.Err() == nil {
-		for _, position := range p.positions(ctx) {
-			if !position.Less(after.Received) {
-				return
-			}
-		}
-	}
-	klog.InfoS("No replica caught up with the old primary", "service", p.group.service, "position", after.Received)
-}
-
-// positions asks the candidates for the last positions of their logs.
-func (p *promotion) positions(ctx context.Context) map[ident.Upstream]ident.Position {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	received := map[ident.Upstream]ident.Position{}
-	for _, candidate := range p.decision.Candidates {
-		target, known := p.targets[candidate]
-		if !known {
-			continue
-		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			status, err := p.requestStatus(ctx, target, statement.AskStatus{})
-			if err != nil {
-				klog.InfoS("Candidate did not report its position", "service", p.group.service, "upstream", candidate, "reason", problem(err))
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			received[candidate] = status.Received
-		}()
-	}
-	wait.Wait()
-	return received
-}
-
-// requestStatus sends a request that an upstream answers with its status, and repeats it while the upstream is busy.
-func (p *promotion) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	pool := upstream.NewPool(target, p.groups.core.options.Protocol, 1)
-	defer pool.Close()
-	conn, err := pool.Get(ctx, "", 0)
-	if err != nil {
-		return statement.Status{}, err
-	}
-	defer conn.Release()
-	for {
-		status, err := conn.Status(request, statusTimeout)
-		var refused *statement.Failure
-		if !errors.As(err, &refused) || refused.Code != statement.CodeBusy || steady.Wait(ctx, statusRetryDelay) != nil {
-			return status, err
-		}
-	}
-}
--- /dev/null
+++ b/node/core/promotion_test.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/fleet/takeover"
+	"tamarackshunt.dev/host/peer"
+	"tamarackshunt.dev/host/replica"
+	"tamarackshunt.dev/node/gateway"
+	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/platform/wire"
+	standin "tamarackshunt.dev/standin/platform"
+)
+
+// eventually bounds the wait for a condition. It is far longer than needed, even on a busy machine.
+const eventually = 30 * time.Second
+
+func protocol(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) }
+
+// promoterFunc is a platform that executes an order with a function.
+type promoterFunc func(id ident.Upstream) error
+
+// Promote implements Promoter.
+func (f promoterFunc) Promote(_ context.Context, _ ident.Service, id ident.Upstream, _ uint64) error {
+	return f(id)
+}
+
+// serviceUnderTest is a group of three upstreams whose writes wait for one replica, and the leader of the core.
+type serviceUnderTest struct {
+	t       *testing.T
+	core    *Core
+	group   *standin.Group
+	members map[ident.Upstream]*standin.Upstream
+	targets map[ident.Upstream]upstream.Target
+}
+
+func newServiceUnderTest(t *testing.T) *serviceUnderTest {
+	s := &serviceUnderTest{
+		t: t, core: newTestCore(), group: standin.NewGroup("svc"), members: map[ident.Upstream]*standin.Upstream{},
+		targets: map[ident.Upstream]upstream.Target{},
+	}
+	s.group.SetSyncReplicas(1)
+	for _, id := range []ident.Upstream{"i-0", "i-1", "i-2"} {
+		u, err := s.group.Start(standin.Options{ID: string(id), Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+		require.NoError(t, err)
+		t.Cleanup(u.Crash)
+		s.members[id], s.targets[id] = u, upstream.Target{Service: "svc", Upstream: id, Address: u.Address}
+	}
+	s.core.options.Peers = peer.New(peer.Options{Trusted: true})
+	s.core.options.Protocol = protocol
+	s.core.client = s.core.options.Peers.Client(0)
+	var err error
+	s.core.replica, err = replica.New(replica.Options{
+		Host: "a", Peer: "127.0.0.1:1", InitialHosts: []*fleetpb.ControlHost{{Host: "a", Peer: "127.0.0.1:1"}}, Folder: t.TempDir(),
+		Peers: s.core.options.Peers, Machine: s.core.state, Bounds: bounds(1, 0),
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.core.replica.Close(context.Background()) })
+	require.Eventually(t, func() bool { return s.core.replica.Leadership().Confirmed }, eventually, time.Millisecond)
+	require.True(t, s.group.Store("first", "first", "x"))
+	return s
+}
+
+// promotion returns a replacement of the first primary, whose orders the promoter executes.
+func (s *serviceUnderTest) promotion(promoter promoterFunc) *promotion {
+	s.core.options.Promoter = promoter
+	now := steady.Now()
+	grp := &group{service: "svc", decider: takeover.New(now, "i-0"), paused: map[ident.Upstream]bool{}}
+	decision := &takeover.Decision{Cause: "test", Primary: "i-0", Candidates: []ident.Upstream{"i-1", "i-2"}, Replicas: 2}
+	return &promotion{groups: s.core.groups, group: grp, decision: decision, syncReplicas: 1, targets: s.targets}
+}
+
+// execute executes an order to promote.
+func (s *serviceUnderTest) execute(id ident.Upstream) error {
+	if !s.group.Promote(string(id)) {
+		return &takeover.RefusedError{Text: "it is down"}
+	}
+	return nil
+}
+
+// storeLate starts a write at the present primary and returns once that has it in its log or has refused it. The returned function
+// reports whether the write was acknowledged.
+func (s *serviceUnderTest) storeLate(id string) (acknowledged func() bool) {
+	result := make(chan bool, 1)
+	ended := make(chan struct{})
+	go func() {
+		result <- s.group.Store(id, id, "x")
+		close(ended)
+	}()
+	require.Eventually(s.t, func() bool {
+		_, runs := s.group.Items()
+		select {
+		case <-ended:
+			return true
+		default:
+			return runs[id] > 0
+		}
+	}, eventually, time.Millisecond)
+	return func() bool { return <-result }
+}
+
+// Guards against the loss of an acknowledged write: the primary, which the core can't reach, acknowledges it through one replica after
+// the replicas have reported their positions and before the other one is promoted.
+func TestPromotionKeepsWritesOfReplacedPrimary(t *testing.T) {
+	s := newServiceUnderTest(t)
+	s.members["i-0"].SetCutOff(true)
+	var acknowledged func() bool
+	s.promotion(func(id ident.Upstream) error {
+		s.members[id].SetReplicationPaused(true)
+		acknowledged = s.storeLate("late")
+		return s.execute(id)
+	}).run(t.Context())
+	require.NotEqual(t, "i-0", s.group.Primary())
+	_, runs := s.group.Items()
+	require.Contains(t, runs, "first")
+	if acknowledged() {
+		require.Contains(t, runs, "late", "an acknowledged write is in the log of the promoted upstream")
+	}
+}
+
+// serve serves a gateway whose host holds a connection of a team to the primary, and returns its address.
+func (s *serviceUnderTest) serve() string {
+	pool := upstream.NewPool(s.targets["i-0"], protocol, 1)
+	executor := pool.Executor("team", 1)
+	ctx, cancel := context.WithTimeout(s.t.Context(), eventually)
+	defer cancel()
+	_, err := executor.Execute(ctx, upstream.Use{ID: "1", Text: "STORE second x", Timeout: eventually})
+	require.NoError(s.t, err)
+	server := httptest.NewServer(peer.TrustedHandler(gateway.NewServer(onePool{pool}).Handler()))
+	s.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+type onePool struct{ pool *upstream.Pool }
+
+// Pool implements gateway.Pools.
+func (p onePool) Pool(ident.Service, ident.Upstream) *upstream.Pool { return p.pool }
+
+// Guards against the loss of acknowledged writes by the replacement of a primary that serves hosts and that only the core can't reach:
+// a host that reaches it must have it step down first.
+func TestServingPrimaryStepsDownThroughHost(t *testing.T) {
+	s := newServiceUnderTest(t)
+	relay := s.serve()
+	s.members["i-0"].SetCutOff(true)
+	var acknowledged func() bool
+	p := s.promotion(func(id ident.Upstream) error {
+		acknowledged = s.storeLate("late")
+		return s.execute(id)
+	})
+	p.decision.Planned, p.decision.Serving, p.relay = true, true, relay
+	p.run(t.Context())
+	require.NotEqual(t, "i-0", s.group.Primary())
+	require.False(t, acknowledged(), "the old primary has stepped down")
+	_, runs := s.group.Items()
+	require.Contains(t, runs, "first")
+	require.Empty(t, p.group.paused, "no replica needs to be paused")
+}
+
+// Guards against the replacement of a primary that serves hosts and can't be made to step down.
+func TestServingPrimaryIsKept(t *testing.T) {
+	s := newServiceUnderTest(t)
+	s.members["i-0"].SetCutOff(true)
+	for _, relay := range []string{"", "127.0.0.1:1"} {
+		p := s.promotion(func(ident.Upstream) error {
+			t.Error("an order was sent")
+			return nil
+		})
+		p.decision.Planned, p.decision.Serving, p.relay = true, true, relay
+		p.run(t.Context())
+		require.Equal(t, "i-0", s.group.Primary())
+		require.True(t, s.group.Store("after"+relay, "after", "x"))
+	}
+}
+
+// Guards against replicas that stay paused after a replacement that was refused, or after one that succeeded: no write would be
+// acknowledged any more.
+func TestPausedReplicasContinue(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		s := newServiceUnderTest(t)
+		p := s.promotion(func(id ident.Upstream) error {
+			if refused {
+				return &takeover.RefusedError{Text: "no"}
+			}
+			return s.execute(id)
+		})
+		p.run(t.Context())
+		require.NotEmpty(t, p.group.paused)
+		acknowledged := s.storeLate("after")
+		g := s.core.groups
+		require.Eventually(t, func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.resumeReplicas(t.Context(), steady.Now(), p.group, s.targets)
+			return len(p.group.paused) == 0
+		}, eventually, time.Millisecond)
+		require.True(t, acknowledged())
+	}
+}
+
+// Guards against a replacement that is given up while an order without an answer may still be executed, and against a new leader that
+// leaves replicas paused which the earlier leader has paused.
+func TestOrderWithoutAnswerIsCompleted(t *testing.T) {
+	s := newServiceUnderTest(t)
+	p := s.promotion(func(ident.Upstream) error { return context.DeadlineExceeded })
+	p.run(t.Context())
+	require.Equal(t, "i-0", s.group.Primary())
+	require.NotEmpty(t, p.group.paused)
+	decider := p.group.decider
+	later := steady.Now().Add(time.Minute)
+	announce(decider, later)
+	require.NotNil(t, decider.Decide(later), "the replacement is due although the primary is back")
+
+	// The next leader knows nothing of the replacement but what the replicas say.
+	g := s.core.groups
+	next := &group{service: "svc", decider: takeover.New(steady.Now(), "i-0"), paused: map[ident.Upstream]bool{}}
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.checkPaused(t.Context(), steady.Now(), next, s.targets)
+		return len(next.paused) == 2
+	}, eventually, time.Millisecond)
+	announce(next.decider, later)
+	decision := next.decider.Decide(later)
+	require.NotNil(t, decision)
+	p = s.promotion(s.execute)
+	p.group, p.decision = next, decision
+	p.run(t.Context())
+	require.NotEqual(t, "i-0", s.group.Primary())
+	announce(next.decider, later.Add(time.Second))
+	require.Nil(t, next.decider.Decide(later.Add(time.Second)))
+}
+
+// announce lets all three members announce themselves at a time.
+func announce(decider *takeover.Decider, now ident.Time) {
+	decider.SetMembers(now, []takeover.Member{
+		{Upstream: "i-0", Primary: decider.Primary() == "i-0", LastAnnounced: now},
+		{Upstream: "i-1", Primary: decider.Primary() == "i-1", LastAnnounced: now},
+		{Upstream: "i-2", Primary: decider.Primary() == "i-2", LastAnnounced: now},
+	})
+}
--- a/node/core/restart_test.go
+++ b/node/core/restart_test.go
@@ -16,7 +16,6 @@
 // Guards against a core host that parses hundreds of configurations after a restart: as a new leader it sends no heartbeats in that
 // time and loses its leadership.
 func TestRestartParsesFewConfigurations(t *testing.T) {
-	const eventually = 30 * time.Second
 	var parsed atomic.Int32
 	folder := t.TempDir()
 	start := func() (*state, *replica.Replica) {
@@ -48,7 +47,6 @@
 
 // Guards against an order that ends every core process, because the log can't store a zone whose name is not UTF-8.
 func TestOrderThatCannotBeStored(t *testing.T) {
-	const eventually = 30 * time.Second
 	r, err := replica.New(replica.Options{
 		Host: "a", Peer: "127.0.0.1:1", InitialHosts: []*fleetpb.ControlHost{{Host: "a", Peer: "127.0.0.1:1"}}, Folder: t.TempDir(),
 		Peers: peer.New(peer.Options{Trusted: true}), Machine: newState(parseStub), Bounds: bounds(1, 0),
--- /dev/null
+++ b/node/core/stepdown.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+const (
+	// catchUpTimeout is how long a planned promotion waits for a replica to receive the whole log of the old primary.
+	catchUpTimeout = 1500 * time.Millisecond
+	// relayTimeout bounds a request to an upstream through an entry host. It exceeds the time that the host gives the upstream.
+	relayTimeout = 1200 * time.Millisecond
+)
+
+// handover is how far a primary that is to be replaced has handed over its role.
+type handover struct {
+	// steppedDown is set when the primary acknowledges no further writes.
+	steppedDown bool
+	// caughtUp is set when a candidate also has its whole log.
+	caughtUp bool
+}
+
+// stepDownPrimary turns a primary that is to be replaced into a replica and waits until a candidate has received its whole log,
+// so that the promotion loses nothing.
+func (p *promotion) stepDownPrimary(ctx context.Context) handover {
+	target, found := p.targets[p.decision.Primary]
+	if !found {
+		return handover{}
+	}
+	status, err := p.requestPrimary(ctx, target, 0)
+	if err != nil {
+		klog.InfoS("Primary status unknown before its replacement", "service", p.group.service, "reason", problem(err))
+		return handover{}
+	}
+	if status.Primary {
+		if status, err = p.requestPrimary(ctx, target, status.Term+1); err != nil {
+			klog.InfoS("Primary did not step down", "service", p.group.service, "reason", problem(err))
+			return handover{}
+		}
+	}
+	klog.InfoS("Primary stepped down", "service", p.group.service, "primary", p.decision.Primary, "position", status.Received)
+	end := steady.Now().Add(catchUpTimeout)
+	for steady.Now() < end && ctx.Err() == nil {
+		for _, candidate := range p.statuses(ctx, statement.AskStatus{}) {
+			if !candidate.Received.Less(status.Received) {
+				return handover{steppedDown: true, caughtUp: true}
+			}
+		}
+	}
+	klog.InfoS("No replica caught up with the old primary", "service", p.group.service, "position", status.Received)
+	return handover{steppedDown: true}
+}
+
+// requestPrimary returns the status of the primary, after it has stepped down if a term is given. If the core does not reach the
+// primary, the entry host that got its last answer sends the request.
+func (p *promotion) requestPrimary(ctx context.Context, target upstream.Target, stepDown ident.Term) (statement.Status, error) {
+	if p.decision.Serving && p.relay != "" {
+		return p.requestThroughRelay(ctx, target, stepDown)
+	}
+	var request statement.Request = statement.AskStatus{}
+	if stepDown != 0 {
+		request = statement.StepDown{Term: stepDown}
+	}
+	status, err := p.requestStatus(ctx, target, request)
+	if err != nil && p.relay != "" {
+		return p.requestThroughRelay(ctx, target, stepDown)
+	}
+	return status, err
+}
+
+func (p *promotion) requestThroughRelay(ctx context.Context, target upstream.Target, stepDown ident.Term) (statement.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	core := p.groups.core
+	host := fleetpb.NewGatewayProtobufClient(core.options.Peers.URL(p.relay), core.client)
+	response, err := host.StatusOf(ctx, &fleetpb.StatusOfRequest{
+		Service: string(target.Service), Upstream: string(target.Upstream), StepDownTerm: uint64(stepDown),
+	})
+	if err != nil {
+		return statement.Status{}, err
+	}
+	return statement.Status{
+		Primary: response.GetPrimary(), Term: ident.Term(response.GetTerm()),
+		Received: ident.Position{Term: ident.Term(response.GetReceived().GetTerm()), LSN: ident.LSN(response.GetReceived().GetLsn())},
+	}, nil
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -90,11 +90,12 @@
 }
 
 // configuration describes one service with three routes, and two teams. revoked omits the second team's key; rate is the first
-// team's rate per second and its burst.
+// team's rate per second and its burst; syncReplicas is the number of replicas for which the service's writes wait.
 type configuration struct {
-	version int
-	revoked bool
-	rate    int
+	version      int
+	revoked      bool
+	rate         int
+	syncReplicas int
 }
 
 func (c configuration) body() string {
@@ -106,9 +107,9 @@
 {"name":"r1","host":"primary","path_prefix":"/","type":"primary","timeout_ms":3000,"slo_ms":2000,"priority":1,"service":"svc","public":false},
 {"name":"r2","host":"session","path_prefix":"/","type":"session","timeout_ms":3000,"slo_ms":2000,"priority":1,"service":"svc","max_staleness_ms":2500,"public":false},
 {"name":"r3","host":"bounded","path_prefix":"/","type":"bounded","timeout_ms":3000,"slo_ms":2000,"priority":2,"service":"svc","max_staleness_ms":1500,"public":false}],
-"services":[{"name":"svc","max_conns":20,"sync_replicas":0}],"limits":{"tx_idle_ms":3000},
+"services":[{"name":"svc","max_conns":20,"sync_replicas":%d}],"limits":{"tx_idle_ms":3000},
 "tenants":[{"name":"one","api_keys":["key-one"],"rate_per_s":%d,"burst":%d},{"name":"two","api_keys":[%s],"rate_per_s":500,"burst":500}]}`,
-		c.version, c.rate, c.rate, key)
+		c.version, c.syncReplicas, c.rate, c.rate, key)
 }
 
 func (f *fleet) ip(i int) string { return fmt.Sprintf("%s.%d", f.net, i+1) }
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -13,6 +13,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
 )
@@ -96,6 +97,9 @@
 // errNoLease reports an unknown or busy lease. An expired lease is unknown; its transaction was rolled back.
 var errNoLease = twirp.NotFound.Error("the connection of this transaction was given up")
 
+// errUnknownUpstream reports an upstream that is not in this host's directory.
+var errUnknownUpstream = twirp.FailedPrecondition.Error("this host does not know the upstream")
+
 // Use implements fleetpb.Gateway.
 func (s *Server) Use(ctx context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
 	uses.Inc()
@@ -149,7 +153,7 @@
 	}
 	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
 	if pool == nil {
-		return nil, "", twirp.FailedPrecondition.Error("this host does not know the upstream")
+		return nil, "", errUnknownUpstream
 	}
 	return pool.Executor(ident.Team(request.GetTeam()), int(request.GetPriority())), "", nil
 }
@@ -160,6 +164,33 @@
 	return &fleetpb.EndResponse{}, nil
 }
 
+// StatusOf implements fleetpb.Gateway.
+func (s *Server) StatusOf(ctx context.Context, request *fleetpb.StatusOfRequest) (*fleetpb.StatusOfResponse, error) {
+	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
+	if pool == nil {
+		return nil, errUnknownUpstream
+	}
+	var ask statement.Request = statement.AskStatus{}
+	if term := request.GetStepDownTerm(); term != 0 {
+		ask = statement.StepDown{Term: ident.Term(term)}
+	}
+	status, err := pool.Status(ctx, ask)
+	klog.InfoS("Status requested for the core", "service", request.GetService(), "upstream", request.GetUpstream(),
+		"stepDownTerm", request.GetStepDownTerm(), "primary", status.Primary, "position", status.Received, "problem", problem(err))
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	return &fleetpb.StatusOfResponse{Primary: status.Primary, Term: uint64(status.Term), Received: positionToProto(status.Received)}, nil
+}
+
+// problem returns the text of an error for a log line.
+func problem(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // end closes the connection of a lease, unless the lease is unknown or busy.
 func (s *Server) end(id string) {
 	s.mu.Lock()
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/steady"
 )
 
 // Guards against a fleet that does not start on its own, loses or mixes the state of sessions, reads data that is too old for a
@@ -80,6 +83,64 @@
 	require.Empty(t, f.group.Violations())
 }
 
+// Guards against the loss of acknowledged writes when a primary is replaced that serves callers all the time and that only the core can't
+// reach. Each write waits for one replica; while the platform executes the order, the promoted upstream receives nothing and the other
+// replica does.
+func TestServingPrimaryIsReplacedWithoutLoss(t *testing.T) {
+	// promotionTime is how long the platform takes for an order.
+	const promotionTime = 300 * time.Millisecond
+	f := newFleet(t)
+	f.group.SetSyncReplicas(1)
+	f.put(configuration{version: 2, rate: 500, syncReplicas: 1})
+	f.do(0, "primary", "key-one", "STORE before x")
+	ctx, cancel := context.WithCancel(t.Context())
+	var mu sync.Mutex
+	var acknowledged []string
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				c, err := f.dial(i%3, "primary", "key-one", fmt.Sprintf("writer%d-%d", i, n))
+				if err != nil {
+					continue
+				}
+				for ctx.Err() == nil {
+					a, err := c.Do(fmt.Sprintf("STORE item%d x", i))
+					if err != nil || a.Error != "" {
+						break
+					}
+					mu.Lock()
+					acknowledged = append(acknowledged, a.ID)
+					mu.Unlock()
+				}
+				c.Close()
+			}
+		})
+	}
+	f.cloud.SetBeforeOrder(func(id string) {
+		for _, u := range f.upstreams {
+			u.SetReplicationPaused(u.ID == id)
+		}
+		_ = steady.Wait(ctx, promotionTime)
+	})
+	f.upstreams[0].SetCutOff(true)
+	f.eventually("another primary", func() bool { return f.group.Primary() != "i-0" })
+	f.upstreams[0].SetCutOff(false)
+	f.cloud.SetBeforeOrder(nil)
+	for _, u := range f.upstreams {
+		u.SetReplicationPaused(false)
+	}
+	f.do(1, "primary", "key-one", "STORE after x")
+	cancel()
+	callers.Wait()
+	_, runs := f.group.Items()
+	require.NotEmpty(t, acknowledged)
+	for _, id := range acknowledged {
+		require.Equal(t, 1, runs[id], "the acknowledged write %s is in the log once", id)
+	}
+	require.Empty(t, f.group.Violations())
+}
+
 // Guards against a write whose answer was lost and that is reported as not run, or is sent again.
 func TestLostAnswer(t *testing.T) {
 	f := newFleet(t)
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -75,7 +75,7 @@
 	// has reached it. The id is empty for requests that the host issues itself. After an error the outcome is unknown and the
 	// connection must not be used again.
 	Run(id string, since ident.Position, request statement.Request) (statement.Result, error)
-	// Status parses the answer to a statement.AskStatus or a statement.StepDown.
+	// Status parses the answer to a statement.AskStatus, StepDown, Pause or Continue.
 	Status(result statement.Result) (statement.Status, error)
 }
 
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -54,6 +54,8 @@
 	// answer on a connection of this pool, or 0.
 	avoidUntil ident.Time
 	lastAnswer ident.Time
+	// lastTeam is the team of the connection that was last released.
+	lastTeam ident.Team
 	// position is the last observed position of the upstream's log, as of positionAt.
 	position   ident.Position
 	positionAt ident.Time
@@ -319,6 +321,7 @@
 // is broken, exceeds the limit or belongs to a closed pool is closed.
 func (p *Pool) put(conn *Conn) {
 	p.mu.Lock()
+	p.lastTeam = conn.Team
 	if conn.broken || p.closed || p.total > p.limit {
 		p.mu.Unlock()
 		conn.close()
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -255,4 +255,19 @@
 		"fleet/takeover/takeover.go", "positions[best].Less(position)", "position.Less(positions[best])",
 		"./fleet/takeover", "Choose",
 	},
+	{
+		0, "LOST: replicas are paused before their positions count",
+		"node/core/promotion.go", "if ok && p.syncReplicas > 0 && !before.caughtUp {", "if ok && p.syncReplicas < 0 && !before.caughtUp {",
+		"./node/core", "KeepsWrites",
+	},
+	{
+		0, "LOST: a primary that serves hosts is replaced only once it has stepped down",
+		"node/core/promotion.go", "if p.decision.Serving && !before.steppedDown {", "if !p.decision.Planned && p.decision.Serving {",
+		"./node/core", "IsKept",
+	},
+	{
+		0, "LOST: a replacement whose order may still be executed is completed",
+		"fleet/takeover/takeover.go", "case d.unfinished:", "case d.unfinished && d.primary == \"\":",
+		"./fleet/takeover", "Unfinished",
+	},
 }
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -22,6 +22,8 @@
 	promotions []string
 	// answersToDrop is the number of further orders that are executed but not answered.
 	answersToDrop int
+	// beforeOrder, if it is set, is called with the upstream of each order before the order is executed.
+	beforeOrder func(id string)
 }
 
 // NewCloud returns a Cloud that accepts orders until ctx ends.
@@ -60,6 +62,13 @@
 	c.answersToDrop = n
 }
 
+// SetBeforeOrder sets a function that is called with the upstream of each order before the order is executed.
+func (c *Cloud) SetBeforeOrder(f func(id string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeOrder = f
+}
+
 func (c *Cloud) failover(w http.ResponseWriter, r *http.Request) {
 	var order struct{ Service, ID string }
 	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
@@ -68,6 +77,12 @@
 		return
 	}
 	c.mu.Lock()
+	before := c.beforeOrder
+	c.mu.Unlock()
+	if before != nil {
+		before(order.ID)
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.groups[order.Service]
 	if g == nil || token < c.fencingTokens[order.Service] || !g.promote(order.ID) {
@@ -122,7 +137,7 @@
 	defer g.mu.Unlock()
 	var list []announcement
 	for _, m := range g.members {
-		if m.down {
+		if m.down || m.cutOff {
 			continue
 		}
 		m.seq++
--- a/standin/platform/group.go
+++ b/standin/platform/group.go
@@ -30,16 +30,29 @@
 type Group struct {
 	Service string
 	mu      sync.Mutex
+	// changed is signalled when a log, a pause or the primary changes.
+	changed *sync.Cond
 	term    int
 	primary *Upstream
 	members []*Upstream
+	// syncReplicas is the number of replicas that must have received a write before it is acknowledged.
+	syncReplicas int
 	// violations are the statements that violated the protocol of the upstreams.
 	violations []string
 }
 
 // NewGroup returns a group without members.
 func NewGroup(service string) *Group {
-	return &Group{Service: service, term: 1}
+	g := &Group{Service: service, term: 1}
+	g.changed = sync.NewCond(&g.mu)
+	return g
+}
+
+// SetSyncReplicas sets how many replicas must have received a write before it is acknowledged.
+func (g *Group) SetSyncReplicas(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncReplicas = n
 }
 
 // Violations returns the statements that violated the protocol of the upstreams.
@@ -71,12 +84,12 @@
 // Promote makes a member the primary without the fleet's knowledge, as does an order whose answer was lost.
 func (g *Group) Promote(id string) bool { return g.promote(id) }
 
-// Store commits a write at the primary without the fleet's knowledge.
+// Store commits a write at the primary without the fleet's knowledge, and reports whether the write is acknowledged.
 func (g *Group) Store(id, item, data string) bool {
 	g.mu.Lock()
 	primary := g.primary
 	g.mu.Unlock()
-	return g.commit(primary, id, map[string]string{item: data})
+	return g.commit(primary, id, map[string]string{item: data}) == committed
 }
 
 // promote makes a member the primary of the next term, and the others replicate its log. It returns false if the member is down.
@@ -87,12 +100,14 @@
 		if m.ID != id || m.down {
 			continue
 		}
-		if m == g.primary {
+		if m == g.primary && !m.steppedDown {
 			return true
 		}
 		g.term++
 		g.primary = m
-		m.paused = false
+		// The others stay paused until they are told to continue: a promotion need not end their pauses.
+		m.pausedTerm, m.steppedDown = 0, false
+		defer g.changed.Broadcast()
 		for _, other := range g.members {
 			other.log = other.log[:commonPrefix(other.log, m.log)]
 			g.replicate(other)
@@ -114,24 +129,55 @@
 // replicate copies the primary's log to a replica, unless PAUSE or SetReplicationPaused has stopped replication, or the replica
 // or the primary is down. The caller holds the lock.
 func (g *Group) replicate(m *Upstream) {
-	if m == g.primary || m.paused || m.replicationPaused || m.down || g.primary.down {
+	if m == g.primary || m.pausedTerm != 0 || m.replicationPaused || m.down || g.primary.down {
 		return
 	}
+	defer g.changed.Broadcast()
 	m.log = append(m.log[:commonPrefix(m.log, g.primary.log)], g.primary.log[commonPrefix(m.log, g.primary.log):]...)
 }
 
-// commit appends an entry to the primary's log. It returns false if the member is not the primary or has stepped down.
-func (g *Group) commit(m *Upstream, id string, items map[string]string) bool {
+// commitResult is the outcome of a commit at an upstream.
+type commitResult int
+
+const (
+	// committed is an acknowledged commit.
+	committed commitResult = iota
+	// refused is a commit at an upstream that is not the primary or has stepped down.
+	refused
+	// unanswered is a commit whose upstream lost the lead before enough replicas had received it.
+	unanswered
+)
+
+// commit appends an entry to the primary's log and waits until enough replicas have received it.
+func (g *Group) commit(m *Upstream, id string, items map[string]string) commitResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if m != g.primary || m.steppedDown {
-		return false
+		return refused
 	}
-	m.log = append(m.log, Entry{Term: g.term, ID: id, Items: maps.Clone(items)})
+	term := g.term
+	m.log = append(m.log, Entry{Term: term, ID: id, Items: maps.Clone(items)})
+	number := len(m.log)
 	for _, other := range g.members {
 		g.replicate(other)
 	}
-	return true
+	for g.receivers(number) < g.syncReplicas {
+		if g.changed.Wait(); g.term != term || m.down {
+			return unanswered
+		}
+	}
+	return committed
+}
+
+// receivers returns the number of replicas that have received the log up to an entry's number. The caller holds the lock.
+func (g *Group) receivers(number int) int {
+	n := 0
+	for _, m := range g.members {
+		if m != g.primary && !m.down && len(m.log) >= number {
+			n++
+		}
+	}
+	return n
 }
 
 func (g *Group) isPrimary(m *Upstream) bool {
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -33,12 +33,15 @@
 
 	// The following fields, up to born, are guarded by the group's lock.
 	log []Entry
-	// paused is set by the command PAUSE, and replicationPaused by SetReplicationPaused; each stops the receipt of the log.
-	paused            bool
+	// pausedTerm is the term of the command PAUSE, or 0, and replicationPaused is set by SetReplicationPaused; each stops the receipt
+	// of the log.
+	pausedTerm        int
 	replicationPaused bool
-	down              bool
-	steppedDown       bool
-	leaving           bool
+	// cutOff is set while the core can't reach the upstream, nor the upstream the core.
+	cutOff      bool
+	down        bool
+	steppedDown bool
+	leaving     bool
 	// seq is the number of the last announcement, and born the start time in Unix milliseconds that announcements contain.
 	seq  int
 	born int64
@@ -78,6 +81,7 @@
 func (u *Upstream) Crash() {
 	u.group.mu.Lock()
 	u.down = true
+	u.group.changed.Broadcast()
 	u.group.mu.Unlock()
 	_ = u.listener.Close()
 	u.mu.Lock()
@@ -95,6 +99,21 @@
 	u.group.replicate(u)
 }
 
+// SetCutOff cuts the upstream off from the core or ends that: it sends no announcements, and sessions without a team, which the core
+// opens, get no answers. Sessions of teams are not affected.
+func (u *Upstream) SetCutOff(cutOff bool) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.cutOff = cutOff
+}
+
+// isSilent reports whether a session of a team gets no answers.
+func (u *Upstream) isSilent(team string) bool {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	return u.cutOff && team == "-"
+}
+
 // SetLeaving makes the upstream's announcements say from now on that it is leaving.
 func (u *Upstream) SetLeaving() {
 	u.group.mu.Lock()
@@ -207,13 +226,18 @@
 		return
 	}
 	s.team = fields[2]
-	s.sendIdle()
+	if !s.upstream.isSilent(s.team) {
+		s.sendIdle()
+	}
 	for {
 		line, ok := s.readLine()
 		word, rest, _ := strings.Cut(line, " ")
 		if !ok || word != "QUERY" {
 			return
 		}
+		if s.upstream.isSilent(s.team) {
+			continue
+		}
 		id, text, _ := strings.Cut(rest, " ")
 		if !s.query(id, text) {
 			return
@@ -273,7 +297,7 @@
 		clear(s.prepared)
 		return s.sendComplete()
 	case "STATUS", "PAUSE", "CONTINUE", "STEPDOWN":
-		return s.controlCommand(word)
+		return s.controlCommand(word, rest)
 	}
 	return s.runInSlot(id, word, rest)
 }
@@ -286,25 +310,26 @@
 	return own.Number >= n && own.Term >= t
 }
 
-func (s *session) controlCommand(word string) bool {
-	g := s.upstream.group
+func (s *session) controlCommand(word, argument string) bool {
+	g, u := s.upstream.group, s.upstream
 	g.mu.Lock()
-	switch word {
-	case "PAUSE":
-		s.upstream.paused = true
-	case "CONTINUE":
-		s.upstream.paused = false
-		g.replicate(s.upstream)
-	case "STEPDOWN":
-		s.upstream.steppedDown = true
+	term, _ := strconv.Atoi(argument)
+	switch {
+	case word == "PAUSE" && term > g.term:
+		u.pausedTerm = term
+	case word == "CONTINUE":
+		u.pausedTerm = 0
+		g.replicate(u)
+	case word == "STEPDOWN" && term > g.term:
+		u.steppedDown = true
 	}
 	role := "replica"
-	if s.upstream == g.primary && !s.upstream.steppedDown {
+	if u == g.primary && !u.steppedDown {
 		role = "primary"
 	}
-	term := g.term
+	row := fmt.Sprintf("ROW %s %d %%s %d 0 0 1", role, g.term, u.pausedTerm)
 	g.mu.Unlock()
-	s.sendLine("ROW %s %d %s 0 0 0 1", role, term, s.upstream.position())
+	s.sendLine(row, u.position())
 	return s.sendComplete()
 }
 
@@ -340,10 +365,10 @@
 		return s.write(id, rest)
 	case "COMMIT":
 		s.endTransaction()
-		if len(s.writes) > 0 && !s.upstream.group.commit(s.upstream, id, s.writes) {
-			return s.fail("READONLY")
+		if len(s.writes) > 0 {
+			return s.commit(id, s.writes)
 		}
-		return s.sendSigned(id, len(s.writes) > 0)
+		return s.sendSigned(id, false)
 	}
 	s.upstream.group.recordViolation("statement %q", word+" "+rest)
 	return s.fail("MALFORMED")
@@ -370,8 +395,16 @@
 		s.writes[item] = data
 		return s.sendSigned(id, false)
 	}
-	if !s.upstream.group.commit(s.upstream, id, map[string]string{item: data}) {
+	return s.commit(id, map[string]string{item: data})
+}
+
+// commit commits writes and answers, unless the outcome is not known. It returns false if the connection must be closed.
+func (s *session) commit(id string, items map[string]string) bool {
+	switch s.upstream.group.commit(s.upstream, id, items) {
+	case refused:
 		return s.fail("READONLY")
+	case unanswered:
+		return false
 	}
 	return s.sendSigned(id, true)
 }
