Refuse odd entries of other writers

Reported by other operators: one entry that is deeply nested, has a number that is too large or a port out of range ended the machines that read the list, or they stopped following it.

Here: no process ended and all followed, but 16 of 22 such heartbeats and 3 of 5 ends were acknowledged: ports out of range, host names, starts in nanoseconds, numbers beyond 53 or 32 bits, text after the body. They were listed as upstreams that nobody can use. A sequence number of 2^64 depended on the processor.

Cause: the parser checked presence and wholeness, not ranges; Go's conversion of a float that does not fit is up to the processor.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # Runs each fuzz target for a minute. The targets' seed inputs also run with the tests.
 FUZZ := fleet/text:FuzzParse fleet/route:FuzzClassify fleet/group:FuzzParseState fleet/group:FuzzParseRow \
 	fleet/store:FuzzOpen fleet/store:FuzzRecord fleet/store:FuzzVerify fleet/quorum:FuzzMessage standin/server:FuzzSession \
-	platform/wire:FuzzCaller platform/wire:FuzzUpstream platform/api:FuzzConfiguration platform/api:FuzzAnnouncement \
+	platform/wire:FuzzCaller platform/wire:FuzzUpstream platform/api:FuzzConfiguration platform/api:FuzzAnnouncement node/routing:FuzzDirectory \
 	standin/ledger:FuzzApply standin/ledger:FuzzDecode standin/statement:FuzzParse host/entry:FuzzCaller
 
 fuzz:
--- a/fleet/control/leader_test.go
+++ b/fleet/control/leader_test.go
@@ -64,6 +64,25 @@
 	sim.assertGolden("epochs")
 }
 
+// Guards against an announcement whose address nobody can connect to and that makes its sender a member of the group.
+func TestAnnouncementWithoutUsableAddress(t *testing.T) {
+	sim := newSimulation(t)
+	sim.applyText("a1", 0, yaml)
+	sim.startHost("h1", "north")
+	sim.run(3*time.Second, "h1", "orders/u1/north")
+	for _, address := range []string{"u2", "u2:", "u2:0", "u2:65536", "u2:99999999999", "u2:-1", "u2:http", ":5432", "u2:5432:1"} {
+		request := &fleetpb.AnnounceRequest{
+			Service: "orders", LeaseMs: 1000, Member: &fleetpb.Member{Upstream: "u2", Address: address, Zone: "north", Region: "r"},
+		}
+		response, _, err := sim.leader.Announce(sim.now, request)
+		require.NoError(t, err)
+		require.False(t, response.GetAccepted(), address)
+		require.NotEmpty(t, response.GetProblem())
+	}
+	response := sim.announce("orders/u2/north")
+	require.True(t, response.GetAccepted(), response.GetProblem())
+}
+
 // Guards invariant 8 in the status that operators see. A zone that is out of service but still holds a primary must
 // be reported, its upstreams may then stop, and they must return before the text counts as met again.
 func TestStatusAcrossZoneChange(t *testing.T) {
--- a/fleet/control/upstreams.go
+++ b/fleet/control/upstreams.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -77,6 +79,8 @@
 	switch {
 	case member.GetUpstream() == "" || member.GetAddress() == "":
 		return "the announcement names no upstream or no address"
+	case !isAddress(member.GetAddress()):
+		return fmt.Sprintf("the address %q is not a host with a port from 1 to 65535", member.GetAddress())
 	case request.GetLeaseMs() == 0:
 		return "the announcement has no lease, expected leaseMs above 0"
 	case l.machine.service(request.GetService()) == nil:
@@ -88,6 +92,16 @@
 	}
 }
 
+// isAddress reports whether a text is a host with a port to which a connection can be opened.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 func (l *Leader) recordRefusal(now ident.Time, id upstreamID, problem string) {
 	if l.refusals[id] == problem {
 		return
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/standin/platform"
 )
 
 // Guards against a fleet that does not start on its own, loses or mixes the state of sessions, reads data that is too old for a
@@ -372,6 +373,47 @@
 	require.Positive(t, refused.Load())
 }
 
+// Guards against processes that end by themselves, or hosts that stop following the core, because of an entry of another writer: one that is
+// nested deeply, has a number that is too large or a port out of range, or a name that is no text.
+func TestOddEntries(t *testing.T) {
+	f := newFleet(t)
+	const entry = `{"service":"svc","addr":"127.0.0.1:%s","zone":"z0","capacity":%s,"state":"ready","warmup_left_ms":0,"db_role":"primary","seq":%s,"born":%s}`
+	nested := strings.Repeat("[", 30000) + strings.Repeat("]", 30000)
+	for name, body := range map[string]string{
+		"i-nested":   nested,
+		"i-inside":   `{"service":` + nested + `}`,
+		"i-port":     fmt.Sprintf(entry, "65536", "2", "1", "1"),
+		"i-negative": fmt.Sprintf(entry, "-1", "2", "1", "1"),
+		"i-capacity": fmt.Sprintf(entry, "1", "1e300", "1", "1"),
+		"i-seq":      fmt.Sprintf(entry, "1", "2", "18446744073709551616", "1"),
+		"i-born":     fmt.Sprintf(entry, "1", "2", "1", "1e999"),
+		"i-%ff%fe":   fmt.Sprintf(entry, "1", "2", "1", "1"),
+		"i-%0d%0a":   fmt.Sprintf(entry, "1", "2", "1", "1"),
+	} {
+		for _, address := range f.controlAddresses() {
+			require.Equal(t, http.StatusBadRequest, platform.Announce(address, name, body), name)
+		}
+	}
+	require.Equal(t, http.StatusBadRequest, f.operator(0).Evacuate("%ff", true))
+	f.put(configuration{version: 2, revoked: true, rate: 500})
+	for i := range 3 {
+		f.eventually("the new configuration is in force", func() bool {
+			_, err := f.dial(i, "primary", "key-two", "revoked")
+			return err != nil
+		})
+		f.do(i, "primary", "key-one", "STORE after x")
+		require.True(t, f.ready(i))
+	}
+	for _, p := range append(f.cores, f.entries...) {
+		select {
+		case <-p.done:
+			require.Fail(t, "a process has ended", tail(p.log.String()))
+		default:
+		}
+	}
+	require.Equal(t, "i-0", f.group.Primary())
+}
+
 // Guards against requests that are sent to the upstreams of an evacuated zone, its primary included.
 func TestEvacuation(t *testing.T) {
 	f := newFleet(t)
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// announcementPath is the path of announcements, up to the escaped id of the upstream.
+const announcementPath = "/tamarackshunt/Instances.Heartbeat/"
+
 type announcement struct {
 	id   string
 	body []byte
@@ -160,7 +163,7 @@
 }
 
 func post(ctx context.Context, client *http.Client, address string, a announcement) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/tamarackshunt/Instances.Heartbeat/"+a.id, bytes.NewReader(a.body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+announcementPath+a.id, bytes.NewReader(a.body))
 	if err != nil {
 		return false
 	}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -35,6 +35,12 @@
 	return status
 }
 
+// Announce sends the announcement of another writer under an escaped id to a core host, and returns the status.
+func Announce(address, id, body string) int {
+	status, _ := Operator{address}.call(http.MethodPost, "Instances.Heartbeat/"+id, body)
+	return status
+}
+
 // Ready reports whether the host at an address accepts new sessions. It sends the same request as the load balancer.
 func Ready(address string) bool {
 	status, _ := Operator{address}.call(http.MethodGet, "readyz", "")
