End messages of the line protocol at CR LF only

Cause: the reader ended a message at each line feed.

Change: a message ends at CR LF only, on the connections of callers and upstreams, and only these two bytes are dropped.

--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -205,6 +205,11 @@
 		"node/entry/run.go", "return t.onPrimary && (isStatement || t.wrote)", "return t.onPrimary && (isStatement || !isStatement)",
 		"./node/entry", "WithoutWrites",
 	},
+	{
+		0, "UNASKED: a line feed alone ends no message",
+		"platform/wire/line.go", "return bytes.HasSuffix(text, []byte(lineEnd))", "return bytes.HasSuffix(text, []byte(lineEnd[1:]))",
+		"./platform/wire", "LineFeed",
+	},
 	{
 		0, "QUOTA: a new owner of tokens waits for the last lease that its voters know of",
 		"fleet/quorum/election.go", "n.noLeaderSince = max(n.noLeaderSince, n.now.Add(-time.Duration(answer.GetVacantMs())*time.Millisecond))", "_ = time.Second",
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -52,8 +52,19 @@
 
 func (c *Client) readLine() (string, error) {
 	_ = c.conn.SetReadDeadline(time.Now().Add(callTimeout))
-	line, err := c.reader.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+	return readLine(c.reader)
+}
+
+// readLine reads a line up to its end, which is a carriage return and a line feed.
+func readLine(from *bufio.Reader) (string, error) {
+	var line strings.Builder
+	for {
+		part, err := from.ReadString('\n')
+		line.WriteString(part)
+		if text, ended := strings.CutSuffix(line.String(), "\r\n"); ended || err != nil {
+			return text, err
+		}
+	}
 }
 
 // Do sends a request and reads its answer. An error means that the session has ended.
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -207,8 +207,8 @@
 func (s *session) sendIdle() { s.sendLine("IDLE %s %s", s.state, s.upstream.position()) }
 
 func (s *session) readLine() (string, bool) {
-	line, err := s.reader.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err == nil
+	line, err := readLine(s.reader)
+	return line, err == nil
 }
 
 func (s *session) run() {
