--- a/node/core/restart_test.go
+++ b/node/core/restart_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,7 +53,7 @@
 		Peers: peer.New(peer.Options{Trusted: true}), Machine: newState(parseStub), Bounds: bounds(1, 0),
 	})
 	require.NoError(t, err)
-	defer r.Close(t.Context())
+	t.Cleanup(func() { _ = r.Close(context.Background()) })
 	require.Eventually(t, func() bool { return r.Leadership().Confirmed }, eventually, time.Millisecond)
 	_, err = r.Propose(t.Context(), evacuate("z\xff", true))
 	var notRun *replica.NotRunError
