--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -34,14 +34,12 @@
 	pool *upstream.Pool
 	// relay is the entry host that reported an answer of the primary last, by its peer address.
 	relay string
-	// paused are the replicas that must be told to continue once no replacement runs; resuming is set while they are, and resumeAt is
-	// when they are told again.
-	paused   map[ident.Upstream]bool
-	resuming bool
-	resumeAt ident.Time
-	// checking is set while checkPaused runs, and checkAt is when it runs again.
-	checking bool
-	checkAt  ident.Time
+	// pauses are the replicas of the service that are paused.
+	pauses pauses
+}
+
+func newGroup(service ident.Service, decider *takeover.Decider) *group {
+	return &group{service: service, decider: decider, pauses: pauses{upstreams: map[ident.Upstream]bool{}}}
 }
 
 func newGroups(core *Core) *groups {
@@ -110,7 +108,7 @@
 		service := parsed.Services[i].Name
 		grp := g.list[service]
 		if grp == nil {
-			grp = &group{service: service, decider: takeover.New(now, g.core.state.successor(service)), paused: map[ident.Upstream]bool{}}
+			grp = newGroup(service, takeover.New(now, g.core.state.successor(service)))
 			g.list[service] = grp
 		}
 		grp.decider.SetMembers(now, members[service])
--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -21,11 +21,19 @@
 	pauseCheckInterval = 3 * time.Second
 )
 
-// requestStatus sends a request that an upstream answers with its status.
-func (p *promotion) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
-	return p.groups.requestStatus(ctx, target, request)
+// pauses are the paused replicas of one service, and when the leader cares for them.
+type pauses struct {
+	// upstreams must be told to continue once no replacement runs; resuming is set while they are, and resumeAt is when they are told
+	// again.
+	upstreams map[ident.Upstream]bool
+	resuming  bool
+	resumeAt  ident.Time
+	// checking is set while checkPaused runs, and checkAt is when it runs again.
+	checking bool
+	checkAt  ident.Time
 }
 
+// requestStatus sends a request that an upstream answers with its status.
 func (g *groups) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
 	pool := upstream.NewPool(target, g.core.options.Protocol, 1)
 	defer pool.Close()
@@ -82,7 +90,7 @@
 	p.groups.mu.Lock()
 	for _, id := range p.decision.Candidates {
 		// Recorded first, since a replica whose answer is lost may be paused too.
-		p.group.paused[id] = true
+		p.group.pauses.upstreams[id] = true
 	}
 	p.groups.mu.Unlock()
 	statuses := p.statuses(ctx, statement.Pause{Term: term})
@@ -94,28 +102,28 @@
 
 // resumeReplicas starts to let paused replicas continue when no replacement runs. The caller holds the lock.
 func (g *groups) resumeReplicas(ctx context.Context, now ident.Time, grp *group, targets map[ident.Upstream]upstream.Target) {
-	if len(grp.paused) == 0 || grp.resuming || now < grp.resumeAt {
+	if len(grp.pauses.upstreams) == 0 || grp.pauses.resuming || now < grp.pauses.resumeAt {
 		return
 	}
 	asked := map[ident.Upstream]upstream.Target{}
-	for id := range grp.paused {
+	for id := range grp.pauses.upstreams {
 		target, known := targets[id]
 		if !known {
 			// A replica that left the directory has ended or must be listed again, which checkPaused notices.
-			delete(grp.paused, id)
+			delete(grp.pauses.upstreams, id)
 			continue
 		}
 		asked[id] = target
 	}
-	grp.resuming, grp.resumeAt = true, now.Add(resumeInterval)
+	grp.pauses.resuming, grp.pauses.resumeAt = true, now.Add(resumeInterval)
 	go func() {
 		statuses := g.requestStatuses(ctx, asked, statement.Continue{})
 		klog.InfoS("Replicas continue", "service", grp.service, "answered", len(statuses), "asked", len(asked))
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		grp.resuming = false
+		grp.pauses.resuming = false
 		for id := range statuses {
-			delete(grp.paused, id)
+			delete(grp.pauses.upstreams, id)
 		}
 	}()
 }
@@ -123,10 +131,10 @@
 // checkPaused starts a search for replicas that a leader paused which could not complete its replacement. The replacement is then
 // completed, since an order of that leader may still be executed. The caller holds the lock.
 func (g *groups) checkPaused(ctx context.Context, now ident.Time, grp *group, targets map[ident.Upstream]upstream.Target) {
-	if grp.checking || now < grp.checkAt || len(grp.paused) > 0 {
+	if grp.pauses.checking || now < grp.pauses.checkAt || len(grp.pauses.upstreams) > 0 {
 		return
 	}
-	grp.checking, grp.checkAt = true, now.Add(pauseCheckInterval)
+	grp.pauses.checking, grp.pauses.checkAt = true, now.Add(pauseCheckInterval)
 	asked := maps.Clone(targets)
 	maps.DeleteFunc(asked, func(id ident.Upstream, target upstream.Target) bool {
 		return target.Service != grp.service || id == grp.decider.Primary()
@@ -135,15 +143,15 @@
 		statuses := g.requestStatuses(ctx, asked, statement.AskStatus{})
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		grp.checking = false
-		if grp.promoting || len(grp.paused) > 0 {
+		grp.pauses.checking = false
+		if grp.promoting || len(grp.pauses.upstreams) > 0 {
 			return
 		}
 		newest := newestTerm(statuses)
 		for id, status := range statuses {
 			if status.PausedTerm > newest {
 				klog.InfoS("Replica paused by an unfinished replacement", "service", grp.service, "upstream", id, "term", status.PausedTerm)
-				grp.paused[id] = true
+				grp.pauses.upstreams[id] = true
 				grp.decider.Unfinished(steady.Now())
 			}
 		}
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -61,7 +61,7 @@
 	if p.decision.Serving && !before.steppedDown {
 		primariesKept.Inc()
 		klog.InfoS("Primary kept, since it serves hosts and has not stepped down", "service", p.group.service, "primary", p.decision.Primary)
-		p.finish("")
+		p.notPromoted()
 		return
 	}
 	statuses := p.statuses(ctx, statement.AskStatus{})
@@ -74,7 +74,7 @@
 	if !ok {
 		promotionFailures.Inc()
 		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(statuses), "candidates", len(p.decision.Candidates))
-		p.finish("")
+		p.notPromoted()
 		return
 	}
 	err := p.orderPromotion(ctx, successor)
@@ -82,16 +82,16 @@
 		"took", steady.Now().Sub(start), "problem", problem(err))
 	if err == nil {
 		promotions.Inc()
-		p.finish(successor)
+		p.promoted(successor)
 		return
 	}
 	promotionFailures.Inc()
 	var open *openOrderError
 	if paused && errors.As(err, &open) {
-		p.finishLater()
+		p.unfinished()
 		return
 	}
-	p.finish("")
+	p.notPromoted()
 }
 
 // choose returns the upstream to promote, or false if there is none.
@@ -103,20 +103,23 @@
 	return takeover.Choose(p.decision, positions, p.syncReplicas)
 }
 
-// finish reports to the decider which upstream was promoted, or that none was.
-func (p *promotion) finish(successor ident.Upstream) {
+// promoted tells the decider that the successor is the primary.
+func (p *promotion) promoted(successor ident.Upstream) {
 	p.groups.mu.Lock()
 	defer p.groups.mu.Unlock()
-	if successor == "" {
-		p.group.decider.NotPromoted(steady.Now())
-		return
-	}
-	delete(p.group.paused, successor)
+	delete(p.group.pauses.upstreams, successor)
 	p.group.decider.Promoted(steady.Now(), successor)
 }
 
-// finishLater reports to the decider that the replacement must be completed, since an order may still be executed.
-func (p *promotion) finishLater() {
+// notPromoted tells the decider that no upstream was promoted.
+func (p *promotion) notPromoted() {
+	p.groups.mu.Lock()
+	defer p.groups.mu.Unlock()
+	p.group.decider.NotPromoted(steady.Now())
+}
+
+// unfinished tells the decider that the replacement must be completed, since an order may still be executed.
+func (p *promotion) unfinished() {
 	p.groups.mu.Lock()
 	defer p.groups.mu.Unlock()
 	p.group.decider.Unfinished(steady.Now())
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -75,7 +75,7 @@
 func (s *serviceUnderTest) promotion(promoter promoterFunc) *promotion {
 	s.core.options.Promoter = promoter
 	now := steady.Now()
-	grp := &group{service: "svc", decider: takeover.New(now, "i-0"), paused: map[ident.Upstream]bool{}}
+	grp := newGroup("svc", takeover.New(now, "i-0"))
 	decision := &takeover.Decision{Cause: "test", Primary: "i-0", Candidates: []ident.Upstream{"i-1", "i-2"}, Replicas: 2}
 	return &promotion{groups: s.core.groups, group: grp, decision: decision, syncReplicas: 1, targets: s.targets}
 }
@@ -163,7 +163,7 @@
 	require.False(t, acknowledged(), "the old primary has stepped down")
 	_, runs := s.group.Items()
 	require.Contains(t, runs, "first")
-	require.Empty(t, p.group.paused, "no replica needs to be paused")
+	require.Empty(t, p.group.pauses.upstreams, "no replica needs to be paused")
 }
 
 // Guards against the replacement of a primary that serves hosts and can't be made to step down.
@@ -194,14 +194,14 @@
 			return s.execute(id)
 		})
 		p.run(t.Context())
-		require.NotEmpty(t, p.group.paused)
+		require.NotEmpty(t, p.group.pauses.upstreams)
 		acknowledged := s.storeLate("after")
 		g := s.core.groups
 		require.Eventually(t, func() bool {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.resumeReplicas(t.Context(), steady.Now(), p.group, s.targets)
-			return len(p.group.paused) == 0
+			return len(p.group.pauses.upstreams) == 0
 		}, eventually, time.Millisecond)
 		require.True(t, acknowledged())
 	}
@@ -214,7 +214,7 @@
 	p := s.promotion(func(ident.Upstream) error { return context.DeadlineExceeded })
 	p.run(t.Context())
 	require.Equal(t, "i-0", s.group.Primary())
-	require.NotEmpty(t, p.group.paused)
+	require.NotEmpty(t, p.group.pauses.upstreams)
 	decider := p.group.decider
 	later := steady.Now().Add(time.Minute)
 	announce(decider, later)
@@ -222,12 +222,12 @@
 
 	// The next leader knows nothing of the replacement but what the replicas say.
 	g := s.core.groups
-	next := &group{service: "svc", decider: takeover.New(steady.Now(), "i-0"), paused: map[ident.Upstream]bool{}}
+	next := newGroup("svc", takeover.New(steady.Now(), "i-0"))
 	require.Eventually(t, func() bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.checkPaused(t.Context(), steady.Now(), next, s.targets)
-		return len(next.paused) == 2
+		return len(next.pauses.upstreams) == 2
 	}, eventually, time.Millisecond)
 	announce(next.decider, later)
 	decision := next.decider.Decide(later)
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -69,7 +69,7 @@
 	if stepDown != 0 {
 		request = statement.StepDown{Term: stepDown}
 	}
-	status, err := p.requestStatus(ctx, target, request)
+	status, err := p.groups.requestStatus(ctx, target, request)
 	if err != nil && p.relay != "" {
 		return p.requestThroughRelay(ctx, target, stepDown)
 	}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -257,7 +257,7 @@
 	},
 	{
 		0, "LOST: the candidate whose log reaches furthest is promoted",
-		"fleet/takeover/takeover.go", "positions[best].Less(position)", "position.Less(positions[best])",
+		"fleet/takeover/decision.go", "positions[best].Less(position)", "position.Less(positions[best])",
 		"./fleet/takeover", "Choose",
 	},
 	{
