Guard the tokens of the entry tests against concurrent sessions

Cause: the race detector reports the map of the fake Quota, which sessions of TestReadKeepsQueuePosition use at the same time. A fault of the test's fake, not of the product.

Change: the fake has a lock. No check changes.

--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,14 +28,24 @@
 )
 
 // tokens holds the remaining tokens of each team.
-type tokens map[ident.Team]int
+type tokens struct {
+	mu   sync.Mutex
+	left map[ident.Team]int
+}
+
+// newTokens returns tokens of one team.
+func newTokens(count int) *tokens {
+	return &tokens{left: map[ident.Team]int{"team": count}}
+}
 
 // Take implements entry.Quota.
-func (t tokens) Take(_ context.Context, request limit.Request) error {
-	if t[request.Team] == 0 {
+func (t *tokens) Take(_ context.Context, request limit.Request) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left[request.Team] == 0 {
 		return errors.New("none left")
 	}
-	t[request.Team]--
+	t.left[request.Team]--
 	return nil
 }
 
@@ -83,7 +94,7 @@
 	h.address = listener.Addr().String()
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
-		Table:    h.table, Quota: tokens{"team": 100}, Grace: time.Minute,
+		Table:    h.table, Quota: newTokens(100), Grace: time.Minute,
 	})
 	go func() { _ = server.Serve(listener) }()
 	return h
--- a/node/entry/shutdown_test.go
+++ b/node/entry/shutdown_test.go
@@ -122,7 +122,7 @@
 	listener := newConnListener(connection)
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
-		Table:    h.table, Quota: tokens{"team": 100}, Grace: 2 * time.Second,
+		Table:    h.table, Quota: newTokens(100), Grace: 2 * time.Second,
 	})
 	go func() { _ = server.Serve(listener) }()
 	require.Eventually(t, func() bool { return connection.written() == "IDLE I -\r\n" }, waitLimit, time.Millisecond)
@@ -140,7 +140,7 @@
 	listener := newConnListener(first, second)
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return &panicCaller{wire.NewCaller(connection)} },
-		Table:    h.table, Quota: tokens{}, Grace: 2 * time.Second,
+		Table:    h.table, Quota: newTokens(0), Grace: 2 * time.Second,
 	})
 	go func() { _ = server.Serve(listener) }()
 	waitFor(t, first.closed)
