Keep replicas paused between two attempts of an open replacement

A promotion could also pause a replica while the request to continue was on its way. And a serving primary was kept if the host that had reported it was gone, although the core reached it.

Change: replicas continue only when no replacement is open, no promotion starts while they are told to, and the primary is asked both ways, through the host first if it serves. Log line "Primary not reached, trying another way".

Evidence: TestNoReplicaContinuesWhileOrderIsOpen failed before ("Should be false": the replicas were told to continue); TestServingPrimaryStepsDownDirectly covers a lost host.

--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -228,6 +228,11 @@
 	d.NotPromoted(now)
 }
 
+// IsUnfinished reports whether a replacement must be completed, also while no Decision is due yet.
+func (d *Decider) IsUnfinished() bool {
+	return d.unfinished
+}
+
 // NotPromoted records a failed promotion; the next decision waits for retryDelay.
 func (d *Decider) NotPromoted(now ident.Time) {
 	d.notBefore = now.Add(retryDelay)
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -128,13 +128,16 @@
 		grp.probing = true
 		go g.probe(ctx, grp, grp.pool)
 	}
-	if grp.promoting {
+	if grp.promoting || grp.pauses.resuming {
+		// A replica that is told to continue must not be paused meanwhile: the two requests could arrive in either order.
 		return
 	}
 	decision := grp.decider.Decide(now)
 	if decision == nil {
-		if syncReplicas > 0 {
+		if !grp.decider.IsUnfinished() {
 			g.resumeReplicas(ctx, now, grp, targets)
+		}
+		if syncReplicas > 0 {
 			g.checkPaused(ctx, now, grp, targets)
 		}
 		return
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -240,6 +240,51 @@
 	require.Nil(t, next.decider.Decide(later.Add(time.Second)))
 }
 
+// Guards against replicas that continue in the pause before the next attempt, while an order without an answer may still be executed, and
+// against a promotion that pauses replicas which are just told to continue.
+func TestNoReplicaContinuesWhileOrderIsOpen(t *testing.T) {
+	s := newServiceUnderTest(t)
+	p := s.promotion(func(ident.Upstream) error { return context.DeadlineExceeded })
+	p.run(t.Context())
+	g, grp := s.core.groups, p.group
+	step := func(now ident.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		announce(grp.decider, now)
+		g.probeOrPromote(t.Context(), now, grp, s.targets, 1)
+	}
+	// The decider waits before its next attempt.
+	now := steady.Now().Add(time.Hour)
+	grp.decider.Unfinished(now)
+	step(now)
+	require.False(t, grp.promoting)
+	require.False(t, grp.pauses.resuming)
+	require.Len(t, grp.pauses.upstreams, 2)
+
+	grp.pauses.resuming = true
+	step(now.Add(time.Minute))
+	require.False(t, grp.promoting)
+	grp.pauses.resuming = false
+	s.core.options.Promoter = promoterFunc(s.execute)
+	step(now.Add(time.Minute))
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return !grp.promoting && !grp.decider.IsUnfinished()
+	}, eventually, time.Millisecond)
+	require.NotEqual(t, "i-0", s.group.Primary())
+}
+
+// Guards against a serving primary that is kept, although the core reaches it, because the host that reported it is gone.
+func TestServingPrimaryStepsDownDirectly(t *testing.T) {
+	s := newServiceUnderTest(t)
+	for _, relay := range []string{"", "127.0.0.1:1"} {
+		p := s.promotion(s.execute)
+		p.decision.Planned, p.decision.Serving, p.relay = true, true, relay
+		require.True(t, p.stepDownPrimary(t.Context()).caughtUp)
+	}
+}
+
 // announce lets all three members announce themselves at a time.
 func announce(decider *takeover.Decider, now ident.Time) {
 	decider.SetMembers(now, []takeover.Member{
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -60,23 +61,36 @@
 }
 
 // requestPrimary returns the status of the primary, after it has stepped down if a term is given. If the core does not reach the
-// primary, the entry host that got its last answer sends the request.
+// primary, the entry host that got its last answer sends the request. A serving primary is asked through that host first, since the
+// core is unlikely to reach it.
 func (p *promotion) requestPrimary(ctx context.Context, target upstream.Target, stepDown ident.Term) (statement.Status, error) {
-	if p.decision.Serving && p.relay != "" {
-		return p.requestThroughRelay(ctx, target, stepDown)
+	direct := func() (statement.Status, error) {
+		var request statement.Request = statement.AskStatus{}
+		if stepDown != 0 {
+			request = statement.StepDown{Term: stepDown}
+		}
+		return p.groups.requestStatus(ctx, target, request)
 	}
-	var request statement.Request = statement.AskStatus{}
-	if stepDown != 0 {
-		request = statement.StepDown{Term: stepDown}
+	relayed := func() (statement.Status, error) { return p.requestThroughRelay(ctx, target, stepDown) }
+	first, second := direct, relayed
+	if p.decision.Serving {
+		first, second = relayed, direct
 	}
-	status, err := p.groups.requestStatus(ctx, target, request)
-	if err != nil && p.relay != "" {
-		return p.requestThroughRelay(ctx, target, stepDown)
+	status, err := first()
+	if err == nil {
+		return status, nil
 	}
-	return status, err
+	klog.InfoS("Primary not reached, trying another way", "service", target.Service, "primary", target.Upstream, "reason", problem(err))
+	return second()
 }
 
+// errNoRelay is the cause when no entry host has reported an answer of the primary.
+var errNoRelay = errors.New("no entry host has reported an answer of the primary")
+
 func (p *promotion) requestThroughRelay(ctx context.Context, target upstream.Target, stepDown ident.Term) (statement.Status, error) {
+	if p.relay == "" {
+		return statement.Status{}, errNoRelay
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	core := p.groups.core
