Allow blanks in the names of zones

Cause: the check of names refused blanks in zones too, although no line to an upstream contains a zone; a deployment may name them so.

Change: zones need UTF-8 without control characters only.

--- a/fleet/directory/check.go
+++ b/fleet/directory/check.go
@@ -40,21 +40,30 @@
 	return CheckZone(a.GetZone())
 }
 
-// CheckZone returns an InvalidError for a text that cannot be the name of an availability zone.
+// CheckZone returns an InvalidError for a text that cannot be the name of an availability zone. It is sent to hosts only, so it may
+// contain blanks.
 func CheckZone(zone string) error {
-	return checkName("zone", zone)
+	return checkText("zone", zone)
 }
 
+// checkName checks a text that is a field of a line.
 func checkName(field, name string) error {
+	if strings.ContainsFunc(name, unicode.IsSpace) {
+		return &InvalidError{field, "contains a blank"}
+	}
+	return checkText(field, name)
+}
+
+func checkText(field, text string) error {
 	switch {
-	case name == "":
+	case text == "":
 		return &InvalidError{field, "is missing"}
-	case len(name) > maxName:
+	case len(text) > maxName:
 		return &InvalidError{field, "is too long"}
-	case !utf8.ValidString(name):
+	case !utf8.ValidString(text):
 		return &InvalidError{field, "is not UTF-8"}
-	case strings.ContainsFunc(name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }):
-		return &InvalidError{field, "contains a blank or a control character"}
+	case strings.ContainsFunc(text, unicode.IsControl):
+		return &InvalidError{field, "contains a control character"}
 	}
 	return nil
 }
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -327,9 +327,9 @@
 	if u == g.primary && !u.steppedDown {
 		role = "primary"
 	}
-	row := fmt.Sprintf("ROW %s %d %%s %d 0 0 1", role, g.term, u.pausedTerm)
+	newest, paused := g.term, u.pausedTerm
 	g.mu.Unlock()
-	s.sendLine(row, u.position())
+	s.sendLine("ROW %s %d %s %d 0 0 1", role, newest, u.position(), paused)
 	return s.sendComplete()
 }
 
