Look for paused replicas rarely once each has answered

Cause: the leader asked every replica of a service with sync_replicas for its status every 3 s for good. At the two-year size that is thousands of connections a second.

Change: every 3 s until each replica has answered once, which finds what an earlier leader left, and every 30 s then.

Measured: node/core passes.

--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -17,8 +17,10 @@
 const (
 	// resumeInterval is the interval at which paused replicas are told to continue until they have answered.
 	resumeInterval = 400 * time.Millisecond
-	// pauseCheckInterval is the interval at which the leader looks for replicas that an earlier leader paused.
-	pauseCheckInterval = 3 * time.Second
+	// pauseCheckInterval is the interval at which the leader looks for replicas that an earlier leader paused, until each replica has
+	// answered once. pauseRecheckInterval is the interval after that, for the pause of an earlier leader that was frozen meanwhile.
+	pauseCheckInterval   = 3 * time.Second
+	pauseRecheckInterval = 30 * time.Second
 )
 
 // pauses are the paused replicas of one service, and when the leader cares for them.
@@ -144,6 +146,9 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		grp.pauses.checking = false
+		if len(statuses) == len(asked) {
+			grp.pauses.checkAt = now.Add(pauseRecheckInterval)
+		}
 		if grp.promoting || len(grp.pauses.upstreams) > 0 {
 			return
 		}
