Check replicas for pauses when they are listed late

Only services with sync_replicas are affected.

Change: until the next regular check the leader checks again as soon as more replicas are listed than have answered.

Evidence: TestReplicasListedLateAreChecked failed before ("should have 2 item(s), but has 0").

--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -30,9 +30,12 @@
 	upstreams map[ident.Upstream]bool
 	resuming  bool
 	resumeAt  ident.Time
-	// checking is set while checkPaused runs, and checkAt is when it runs again.
-	checking bool
-	checkAt  ident.Time
+	// checking is set while checkPaused runs, and checkAt is the earliest time of its next run. Until recheckAt it runs only if more
+	// than checked replicas are listed, the number that answered last time.
+	checking  bool
+	checkAt   ident.Time
+	checked   int
+	recheckAt ident.Time
 }
 
 // requestStatus sends a request that an upstream answers with its status.
@@ -136,18 +139,21 @@
 	if grp.pauses.checking || now < grp.pauses.checkAt || len(grp.pauses.upstreams) > 0 {
 		return
 	}
-	grp.pauses.checking, grp.pauses.checkAt = true, now.Add(pauseCheckInterval)
 	asked := maps.Clone(targets)
 	maps.DeleteFunc(asked, func(id ident.Upstream, target upstream.Target) bool {
 		return target.Service != grp.service || id == grp.decider.Primary()
 	})
+	if len(asked) <= grp.pauses.checked && now < grp.pauses.recheckAt {
+		return
+	}
+	grp.pauses.checking, grp.pauses.checkAt = true, now.Add(pauseCheckInterval)
 	go func() {
 		statuses := g.requestStatuses(ctx, asked, statement.AskStatus{})
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		grp.pauses.checking = false
 		if len(statuses) == len(asked) {
-			grp.pauses.checkAt = now.Add(pauseRecheckInterval)
+			grp.pauses.checked, grp.pauses.recheckAt = len(asked), now.Add(pauseRecheckInterval)
 		}
 		if grp.promoting || len(grp.pauses.upstreams) > 0 {
 			return
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -285,6 +285,27 @@
 	}
 }
 
+// Guards against a new leader that leaves replicas paused for long, because it looked for them when none had announced itself yet.
+func TestReplicasListedLateAreChecked(t *testing.T) {
+	s := newServiceUnderTest(t)
+	s.promotion(func(ident.Upstream) error { return context.DeadlineExceeded }).run(t.Context())
+	g, next := s.core.groups, newGroup("svc", takeover.New(steady.Now(), "i-0"))
+	check := func(now ident.Time, targets map[ident.Upstream]upstream.Target) {
+		g.mu.Lock()
+		g.checkPaused(t.Context(), now, next, targets)
+		g.mu.Unlock()
+		require.Eventually(t, func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return !next.pauses.checking
+		}, eventually, time.Millisecond)
+	}
+	now := steady.Now()
+	check(now, nil)
+	check(now.Add(pauseCheckInterval), s.targets)
+	require.Len(t, next.pauses.upstreams, 2)
+}
+
 // announce lets all three members announce themselves at a time.
 func announce(decider *takeover.Decider, now ident.Time) {
 	decider.SetMembers(now, []takeover.Member{
