Log for whom a gateway keeps a connection and why it refuses a lease

Change: a host names the transaction for which a connection is kept with a random id. The gateway logs and counts a statement whose lease is kept for another transaction; nothing is refused for that yet. The id of a lease begins with the id of the gateway's process, so the line of a refusal gives the reason. "Request failed" names the team, and under "tried" the gateway and the lease.

--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -299,16 +299,20 @@
 // logFailure logs what is needed to explain a failed request: its failure, the state and configuration that applied, its
 // duration and the attempts to run it.
 func (s *session) logFailure(query *statement.Query, failure *statement.Failure, tx *transaction) {
-	transaction := ""
-	if tx != nil {
-		transaction = tx.id
-	}
+	var transaction string
+	var team ident.Team
 	var version ident.Version
 	if c := s.server.options.Table.Catalog(); c != nil {
 		version = c.Version
+		if t := c.TeamOf(s.start.Key); t != nil {
+			team = t.Name
+		}
+	}
+	if tx != nil {
+		transaction, team = tx.id, tx.teamName()
 	}
 	klog.InfoS("Request failed", "id", query.ID, "code", failure.Code, "reason", failure.Text, "database", s.start.Database,
-		"transaction", transaction, "state", s.state, "took", steady.Now().Sub(s.began), "tried", s.attemptLog,
+		"team", team, "transaction", transaction, "state", s.state, "took", steady.Now().Sub(s.began), "tried", s.attemptLog,
 		"configuration", version)
 }
 
@@ -332,6 +336,12 @@
 	case outcome.Result.Failure != nil:
 		result = outcome.Result.Failure.Code.String()
 	}
+	if outcome.Gateway != "" {
+		result += "@" + outcome.Gateway
+	}
+	if outcome.Lease != "" {
+		result += "/" + outcome.Lease
+	}
 	s.attemptLog = append(s.attemptLog, string(id)+":"+result)
 }
 
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
 	"time"
@@ -37,13 +39,17 @@
 
 // remoteExecutor runs statements on a connection of a gateway on another host.
 type remoteExecutor struct {
-	client   *Client
+	client *Client
+	// address is the gateway's peer address.
+	address  string
 	gateway  fleetpb.Gateway
 	target   upstream.Target
 	team     ident.Team
 	priority int
 	// lease identifies the connection that the gateway keeps for this executor; it is empty if there is none.
 	lease string
+	// transaction identifies this executor to the gateway that keeps a connection for it; it is empty before the first such request.
+	transaction string
 	// onFailure is called after a call that the gateway did not answer.
 	onFailure func()
 }
@@ -54,7 +60,7 @@
 	address string, target upstream.Target, team ident.Team, priority int, onFailure func(),
 ) upstream.Executor {
 	return &remoteExecutor{
-		client: c, gateway: fleetpb.NewGatewayProtobufClient(c.url(address), c.http),
+		client: c, address: address, gateway: fleetpb.NewGatewayProtobufClient(c.url(address), c.http),
 		target: target, team: team, priority: priority, onFailure: onFailure,
 	}
 }
@@ -74,6 +80,7 @@
 	}
 	r.lease = response.GetLease()
 	outcome := upstream.Outcome{
+		Gateway: r.address, Lease: cmp.Or(r.lease, request.GetLease()),
 		Result: statement.Result{
 			Rows:      texts(response.GetRows()),
 			Signature: string(response.GetSignature()),
@@ -99,15 +106,19 @@
 
 // request returns the request for a use. The remaining time of ctx is the maximum wait for a connection and the limiter.
 func (r *remoteExecutor) request(ctx context.Context, use *upstream.Use) *fleetpb.UseRequest {
+	if use.Keep && r.transaction == "" {
+		r.transaction = rand.Text()
+	}
 	request := &fleetpb.UseRequest{
-		Lease:     r.lease,
-		TimeoutMs: uint32(max(0, use.Timeout/time.Millisecond)),
-		Values:    valuesToProto(use.Values),
-		Opening:   fleetpb.Opening(use.Opening),
-		Since:     positionToProto(use.Since),
-		Id:        []byte(use.ID),
-		Text:      []byte(use.Text),
-		Keep:      use.Keep,
+		Lease:       r.lease,
+		Transaction: r.transaction,
+		TimeoutMs:   uint32(max(0, use.Timeout/time.Millisecond)),
+		Values:      valuesToProto(use.Values),
+		Opening:     fleetpb.Opening(use.Opening),
+		Since:       positionToProto(use.Since),
+		Id:          []byte(use.ID),
+		Text:        []byte(use.Text),
+		Keep:        use.Keep,
 	}
 	if r.lease == "" {
 		request.Service, request.Upstream = string(r.target.Service), string(r.target.Upstream)
@@ -127,11 +138,13 @@
 func (r *remoteExecutor) callFailed(use *upstream.Use, err error) (upstream.Outcome, error) {
 	callFailures.Inc()
 	r.onFailure()
+	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	r.lease = ""
 	if neverSent(err) {
-		return upstream.Outcome{}, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
+		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
 	}
-	return upstream.Outcome{Ran: use.ID != ""}, &upstream.BrokenError{Cause: trace.Wrap(err)}
+	outcome.Ran = use.ID != ""
+	return outcome, &upstream.BrokenError{Cause: trace.Wrap(err)}
 }
 
 // Close implements upstream.Executor.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -10,8 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/gateway"
@@ -157,6 +160,47 @@
 	require.Equal(t, map[string]string{"late": "1", "other": "1"}, items)
 }
 
+// Guards against logs and metrics that can't tell why the connection of a transaction is gone: whether its gateway has started again, the
+// lease has ended, or the lease was given to another transaction.
+func TestRefusedLeasesAreCountedByReason(t *testing.T) {
+	g := platform.NewGroup("svc")
+	u, err := g.Start(platform.Options{ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+	require.NoError(t, err)
+	t.Cleanup(u.Crash)
+	start := func() *gateway.Server {
+		return gateway.NewServer(pools{"i-1": upstream.NewPool(upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}, protocol, 2)})
+	}
+	counts := func() (list []uint64) {
+		for _, name := range []string{`refused_total{reason="other_process"}`, `refused_total{reason="not_held"}`, "mismatched_total"} {
+			list = append(list, metrics.GetOrCreateCounter("tamarack_gateway_leases_"+name).Get())
+		}
+		return list
+	}
+	first := &fleetpb.UseRequest{
+		Service: "svc", Upstream: "i-1", Team: "team", Opening: fleetpb.Opening_OPENING_PRIMARY, Id: []byte("1"), Text: []byte("FETCH a"),
+		WaitMs: uint32(timeout.Milliseconds()), TimeoutMs: uint32(timeout.Milliseconds()), Keep: true, Transaction: "one",
+	}
+	process, before := start(), counts()
+	response, err := process.Use(t.Context(), first)
+	require.NoError(t, err)
+	next := proto.CloneOf(first)
+	next.Lease, next.Opening = response.GetLease(), fleetpb.Opening_OPENING_NONE
+	_, err = start().Use(t.Context(), next)
+	require.Error(t, err)
+	_, err = process.End(t.Context(), &fleetpb.EndRequest{Lease: next.GetLease()})
+	require.NoError(t, err)
+	_, err = process.Use(t.Context(), next)
+	require.Error(t, err)
+	response, err = process.Use(t.Context(), first)
+	require.NoError(t, err)
+	next.Lease, next.Transaction = response.GetLease(), "two"
+	_, _ = process.Use(t.Context(), next)
+	after := counts()
+	for i := range after {
+		require.Equal(t, before[i]+1, after[i])
+	}
+}
+
 // Guards against a write that may have run but is reported as not run after the gateway closes the connection.
 func TestGatewayClosesConnection(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
+	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,20 +17,10 @@
 	"tamarackshunt.dev/node/upstream"
 )
 
-const (
-	// leaseTimeout is the time without a statement after which a lease expires. The session's host ends idle transactions sooner,
-	// so an expired lease means that the host was lost.
-	leaseTimeout = 12 * time.Second
-	// sweepInterval is the interval between checks for expired leases.
-	sweepInterval = time.Second
-)
+// sweepInterval is the interval between checks for expired leases.
+const sweepInterval = time.Second
 
-var (
-	uses          = metrics.NewCounter("tamarack_gateway_uses_total")
-	leasesOpen    = metrics.NewCounter("tamarack_gateway_leases_open")
-	leasesExpired = metrics.NewCounter("tamarack_gateway_leases_expired_total")
-	leasesUnknown = metrics.NewCounter("tamarack_gateway_leases_unknown_total")
-)
+var uses = metrics.NewCounter("tamarack_gateway_uses_total")
 
 // Pools returns the connection pools of upstreams.
 type Pools interface {
@@ -41,23 +30,13 @@
 
 // Server runs statements for other entry hosts on this host's connections.
 type Server struct {
-	pools Pools
-	mu    sync.Mutex
-	// leases holds the kept connections by their ids. An id is random and never used again, also not by a later process at the
-	// same address: hosts still send the ids of an earlier process.
-	leases map[string]*lease
-}
-
-// lease is a connection that is kept for a session of another host.
-type lease struct {
-	executor upstream.Executor
-	lastUsed ident.Time
-	busy     bool
+	pools  Pools
+	leases *leases
 }
 
 // NewServer returns a server without leases.
 func NewServer(pools Pools) *Server {
-	return &Server{pools: pools, leases: map[string]*lease{}}
+	return &Server{pools: pools, leases: newLeases()}
 }
 
 // Handler returns an HTTP handler for the Gateway service under its Twirp path.
@@ -69,6 +48,7 @@
 
 // Run closes the connections of expired leases periodically until ctx ends.
 func (s *Server) Run(ctx context.Context) {
+	klog.InfoS("Gateway started", "process", s.leases.process)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -76,20 +56,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		s.mu.Lock()
-		var expired []upstream.Executor
-		for id, l := range s.leases {
-			if !l.busy && steady.Now().Sub(l.lastUsed) > leaseTimeout {
-				expired = append(expired, l.executor)
-				delete(s.leases, id)
-			}
-		}
-		s.mu.Unlock()
-		for _, executor := range expired {
-			leasesExpired.Inc()
-			leasesOpen.Dec()
-			executor.Close()
+			s.leases.expire(steady.Now())
 		}
 	}
 }
@@ -103,64 +70,68 @@
 // Use implements fleetpb.Gateway.
 func (s *Server) Use(ctx context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
 	uses.Inc()
-	executor, id, err := s.executor(request)
+	entry, id, err := s.lease(request)
 	if err != nil {
 		return nil, err
 	}
 	wait, cancel := context.WithTimeout(ctx, time.Duration(request.GetWaitMs())*time.Millisecond)
 	defer cancel()
-	outcome, err := executor.Execute(wait, useFromProto(request))
+	outcome, err := entry.executor.Execute(wait, useFromProto(request))
 	response := responseToProto(outcome, err)
 	if len(response.GetBroken()) > 0 || len(response.GetUnreachable()) > 0 {
-		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", executor.Target().Upstream, "team", request.GetTeam(),
-			"lease", request.GetLease(), "ran", response.GetRan(), "broken", string(response.GetBroken()), "unreachable", string(response.GetUnreachable()))
+		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", entry.executor.Target().Upstream, "team", entry.team,
+			"lease", id, "transaction", entry.transaction, "ran", response.GetRan(), "broken", string(response.GetBroken()),
+			"unreachable", string(response.GetUnreachable()))
 	}
-	kept := err == nil && request.GetKeep()
-	s.mu.Lock()
-	if kept {
-		if id == "" {
-			id = rand.Text()
-			s.leases[id] = &lease{executor: executor}
-			leasesOpen.Inc()
-		}
-		s.leases[id].lastUsed, s.leases[id].busy = steady.Now(), false
+	switch kept := err == nil && request.GetKeep(); {
+	case kept && id == "":
+		response.Lease = s.leases.add(entry)
+	case kept:
 		response.Lease = id
-	} else if id != "" {
-		delete(s.leases, id)
-		leasesOpen.Dec()
+		s.leases.release(id)
+	case id != "":
+		s.leases.remove(id)
 	}
-	s.mu.Unlock()
-	if kept && ctx.Err() != nil {
+	if response.Lease != "" && ctx.Err() != nil {
 		// The host that sent the request has cancelled it and never receives the lease.
-		s.end(id)
+		s.leases.end(response.Lease)
 	}
 	return response, nil
 }
 
-// executor returns the executor and id of a request's lease, or a new executor and no id.
-func (s *Server) executor(request *fleetpb.UseRequest) (upstream.Executor, string, error) {
+// lease returns the lease of a request and its id, or a new lease that has no id yet.
+func (s *Server) lease(request *fleetpb.UseRequest) (*lease, string, error) {
 	if id := request.GetLease(); id != "" {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		l := s.leases[id]
-		if l == nil || l.busy {
-			leasesUnknown.Inc()
-			klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", id, "busy", l != nil)
+		entry, refusal := s.leases.take(id)
+		if entry == nil {
+			refused(refusal).Inc()
+			klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", id,
+				"transaction", request.GetTransaction(), "reason", refusal, "process", s.leases.process)
 			return nil, "", errNoLease
 		}
-		l.busy = true
-		return l.executor, id, nil
+		if entry.transaction != request.GetTransaction() {
+			leasesMismatched.Inc()
+			klog.InfoS("Lease is kept for another transaction", "id", string(request.GetId()), "lease", id,
+				"transaction", request.GetTransaction(), "keptFor", entry.transaction, "team", entry.team)
+		}
+		return entry, id, nil
 	}
 	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
 	if pool == nil {
 		return nil, "", errUnknownUpstream
 	}
-	return pool.Executor(ident.Team(request.GetTeam()), int(request.GetPriority())), "", nil
+	team := ident.Team(request.GetTeam())
+	return &lease{executor: pool.Executor(team, int(request.GetPriority())), transaction: request.GetTransaction(), team: team}, "", nil
+}
+
+// refused returns the counter of the statements that were refused for a reason.
+func refused(reason Refusal) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_gateway_leases_refused_total{reason=%q}", reason))
 }
 
 // End implements fleetpb.Gateway.
 func (s *Server) End(_ context.Context, request *fleetpb.EndRequest) (*fleetpb.EndResponse, error) {
-	s.end(request.GetLease())
+	s.leases.end(request.GetLease())
 	return &fleetpb.EndResponse{}, nil
 }
 
@@ -190,17 +161,3 @@
 	}
 	return err.Error()
 }
-
-// end closes the connection of a lease, unless the lease is unknown or busy.
-func (s *Server) end(id string) {
-	s.mu.Lock()
-	l := s.leases[id]
-	if l == nil || l.busy {
-		s.mu.Unlock()
-		return
-	}
-	delete(s.leases, id)
-	s.mu.Unlock()
-	leasesOpen.Dec()
-	l.executor.Close()
-}
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -46,6 +46,9 @@
 	Opened ident.Position
 	// Ran is set if the upstream may have run the caller's statement.
 	Ran bool
+	// Gateway is the peer address of the gateway that the statement was sent to, and Lease names the connection that it kept for the
+	// statement's transaction. Both are empty for this host's own connections.
+	Gateway, Lease string
 }
 
 // Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError or a
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -192,7 +192,7 @@
 	},
 	{
 		0, "PINNED: a lease of an earlier process of a gateway names no connection",
-		"node/gateway/server.go", "id = rand.Text()", "id = rand.Text()[:0] + string(rune('a'+len(s.leases)))",
+		"node/gateway/lease.go", "id := l.process + \".\" + rand.Text()", "id := rand.Text()[:0] + string(rune('a'+len(l.kept)))",
 		"./node/gateway", "EarlierProcess",
 	},
 	{
