Let a lease serve only the transaction for which it was given

Cause, by class: a name that one process gives out and another sends back was taken as it came. The ids of leases are random since, so no later process gives one out again; but a gateway still ran whatever came with an id that it held, for any host and any team, and a response without a lease made a host send the transaction's next statement outside of it.

A host takes a response without the lease that it asked for as a lost one.

Evidence: TestLeaseServesOneTransaction failed before the change ("An error is expected but got nil": the foreign statement ran), and TestResponseWithoutLease guards the second part. go test -race ./node/gateway passes.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -79,6 +79,10 @@
 		return r.callFailed(&use, err)
 	}
 	r.lease = response.GetLease()
+	if use.Keep && r.lease == "" && len(response.GetBroken())+len(response.GetUnreachable()) == 0 {
+		// A later statement without a lease would run outside of the transaction.
+		return r.callFailed(&use, errNoLeaseGiven)
+	}
 	outcome := upstream.Outcome{
 		Gateway: r.address, Lease: cmp.Or(r.lease, request.GetLease()),
 		Result: statement.Result{
@@ -104,6 +108,9 @@
 	return outcome, nil
 }
 
+// errNoLeaseGiven reports a response without the lease that was requested.
+var errNoLeaseGiven = errors.New("the gateway has kept no connection for the transaction")
+
 // request returns the request for a use. The remaining time of ctx is the maximum wait for a connection and the limiter.
 func (r *remoteExecutor) request(ctx context.Context, use *upstream.Use) *fleetpb.UseRequest {
 	if use.Keep && r.transaction == "" {
@@ -149,15 +156,22 @@
 
 // Close implements upstream.Executor.
 func (r *remoteExecutor) Close() {
-	if r.lease == "" {
-		return
+	if r.lease != "" {
+		r.end()
 	}
-	lease := r.lease
+}
+
+// end asks the gateway in the background to give up the connection that it keeps, or may keep since its answer was lost.
+func (r *remoteExecutor) end() {
+	request := &fleetpb.EndRequest{Lease: r.lease, Transaction: r.transaction}
 	r.lease = ""
+	if request.Transaction == "" {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
-		if _, err := r.gateway.End(ctx, &fleetpb.EndRequest{Lease: lease}); err != nil {
+		if _, err := r.gateway.End(ctx, request); err != nil {
 			callFailures.Inc()
 		}
 	}()
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -171,7 +171,7 @@
 		return gateway.NewServer(pools{"i-1": upstream.NewPool(upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}, protocol, 2)})
 	}
 	counts := func() (list []uint64) {
-		for _, name := range []string{`refused_total{reason="other_process"}`, `refused_total{reason="not_held"}`, "mismatched_total"} {
+		for _, name := range []string{`refused_total{reason="other_process"}`, `refused_total{reason="not_held"}`, `refused_total{reason="other_transaction"}`} {
 			list = append(list, metrics.GetOrCreateCounter("tamarack_gateway_leases_"+name).Get())
 		}
 		return list
@@ -187,20 +187,74 @@
 	next.Lease, next.Opening = response.GetLease(), fleetpb.Opening_OPENING_NONE
 	_, err = start().Use(t.Context(), next)
 	require.Error(t, err)
-	_, err = process.End(t.Context(), &fleetpb.EndRequest{Lease: next.GetLease()})
+	_, err = process.End(t.Context(), &fleetpb.EndRequest{Lease: next.GetLease(), Transaction: "one"})
 	require.NoError(t, err)
 	_, err = process.Use(t.Context(), next)
 	require.Error(t, err)
 	response, err = process.Use(t.Context(), first)
 	require.NoError(t, err)
 	next.Lease, next.Transaction = response.GetLease(), "two"
-	_, _ = process.Use(t.Context(), next)
+	_, err = process.Use(t.Context(), next)
+	require.Error(t, err)
 	after := counts()
 	for i := range after {
 		require.Equal(t, before[i]+1, after[i])
 	}
 }
 
+// Guards against a statement that runs in, or an end that rolls back, another transaction because its host sends the lease of that one.
+func TestLeaseServesOneTransaction(t *testing.T) {
+	g := platform.NewGroup("svc")
+	u, err := g.Start(platform.Options{ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+	require.NoError(t, err)
+	t.Cleanup(u.Crash)
+	server := gateway.NewServer(pools{"i-1": upstream.NewPool(upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}, protocol, 2)})
+	own := &fleetpb.UseRequest{
+		Service: "svc", Upstream: "i-1", Team: "one", Opening: fleetpb.Opening_OPENING_PRIMARY, Id: []byte("1"), Text: []byte("STORE own 1"),
+		WaitMs: uint32(timeout.Milliseconds()), TimeoutMs: uint32(timeout.Milliseconds()), Keep: true, Transaction: "own",
+	}
+	response, err := server.Use(t.Context(), own)
+	require.NoError(t, err)
+	foreign := proto.CloneOf(own)
+	foreign.Lease, foreign.Transaction, foreign.Opening = response.GetLease(), "foreign", fleetpb.Opening_OPENING_NONE
+	foreign.Id, foreign.Text = []byte("2"), []byte("STORE foreign 1")
+	_, err = server.Use(t.Context(), foreign)
+	require.ErrorContains(t, err, "not_found", "the statement has not run, and its host can say so")
+	_, err = server.End(t.Context(), &fleetpb.EndRequest{Lease: response.GetLease(), Transaction: "foreign"})
+	require.NoError(t, err)
+	own.Lease, own.Opening, own.Id, own.Text, own.Keep = response.GetLease(), fleetpb.Opening_OPENING_NONE, []byte("3"), []byte("COMMIT"), false
+	response, err = server.Use(t.Context(), own)
+	require.NoError(t, err)
+	require.Nil(t, response.GetFailure())
+	items, _ := g.Items()
+	require.Equal(t, map[string]string{"own": "1"}, items)
+}
+
+// Guards against a statement that runs outside of its transaction because the response to the first one named no lease.
+func TestResponseWithoutLease(t *testing.T) {
+	server := httptest.NewServer(fleetpb.NewGatewayServer(withoutLease{}))
+	t.Cleanup(server.Close)
+	client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+	executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+	outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+	var broken *upstream.BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.True(t, outcome.Ran)
+}
+
+// withoutLease is a gateway that answers each statement with success and keeps no connection.
+type withoutLease struct{ fleetpb.Gateway }
+
+// Use implements fleetpb.Gateway.
+func (withoutLease) Use(context.Context, *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
+	return &fleetpb.UseResponse{Ran: true, Signature: []byte("signed")}, nil
+}
+
+// End implements fleetpb.Gateway.
+func (withoutLease) End(context.Context, *fleetpb.EndRequest) (*fleetpb.EndResponse, error) {
+	return &fleetpb.EndResponse{}, nil
+}
+
 // Guards against a write that may have run but is reported as not run after the gateway closes the connection.
 func TestGatewayClosesConnection(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/node/gateway/lease.go
+++ b/node/gateway/lease.go
@@ -23,8 +23,6 @@
 var (
 	leasesOpen    = metrics.NewCounter("tamarack_gateway_leases_open")
 	leasesExpired = metrics.NewCounter("tamarack_gateway_leases_expired_total")
-	// leasesMismatched counts statements whose lease is kept for another transaction.
-	leasesMismatched = metrics.NewCounter("tamarack_gateway_leases_mismatched_total")
 )
 
 // Refusal is the reason why a statement's lease is refused.
@@ -40,6 +38,8 @@
 	RefusedNotHeld
 	// RefusedBusy is the refusal of a lease on which another statement runs.
 	RefusedBusy
+	// RefusedOtherTransaction is the refusal of a lease that was given for another transaction.
+	RefusedOtherTransaction
 )
 
 // lease is a connection that is kept for a transaction of another host.
@@ -49,7 +49,8 @@
 	transaction string
 	team        ident.Team
 	lastUsed    ident.Time
-	busy        bool
+	// busy is set while a statement runs, and ended if the transaction's host gives the lease up meanwhile.
+	busy, ended bool
 }
 
 // leases holds the kept connections by their ids. It is safe for concurrent use.
@@ -67,19 +68,20 @@
 	return &leases{process: rand.Text()[:processLength], kept: map[string]*lease{}}
 }
 
-// add keeps a connection and returns the id of its lease.
-func (l *leases) add(entry *lease) string {
+// open adds a lease for a connection on which its first statement is about to run, and returns its id.
+func (l *leases) open(entry *lease) string {
 	id := l.process + "." + rand.Text()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry.lastUsed = steady.Now()
+	entry.busy = true
 	l.kept[id] = entry
 	leasesOpen.Inc()
 	return id
 }
 
-// take returns a lease and marks it as busy until release or remove, or returns why it is refused.
-func (l *leases) take(id string) (*lease, Refusal) {
+// take returns a transaction's lease and marks it as busy until finish, or returns nil and why it is refused. Only the transaction for
+// which a lease was given may use it, whatever has led another host to its id.
+func (l *leases) take(id, transaction string) (*lease, Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry := l.kept[id]
@@ -88,6 +90,8 @@
 		return nil, RefusedOtherProcess
 	case entry == nil:
 		return nil, RefusedNotHeld
+	case entry.transaction != transaction:
+		return nil, RefusedOtherTransaction
 	case entry.busy:
 		return nil, RefusedBusy
 	}
@@ -95,27 +99,31 @@
 	return entry, 0
 }
 
-// release ends the statement of a lease, which is kept.
-func (l *leases) release(id string) {
+// finish ends the statement of a lease. It removes the lease if keep is not set, and if its host has given it up meanwhile; the caller
+// must then close the executor, which finish reports.
+func (l *leases) finish(id string, keep bool) (kept bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry := l.kept[id]
 	entry.lastUsed, entry.busy = steady.Now(), false
-}
-
-// remove forgets a lease whose statement has ended. Its connection is no longer kept.
-func (l *leases) remove(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	if keep && !entry.ended {
+		return true
+	}
 	delete(l.kept, id)
 	leasesOpen.Dec()
+	return false
 }
 
-// end closes the connection of a lease, unless the lease is unknown or busy.
-func (l *leases) end(id string) {
+// end closes the connection of a transaction's lease, once its statement has ended if one runs.
+func (l *leases) end(id, transaction string) {
 	l.mu.Lock()
 	entry := l.kept[id]
-	if entry == nil || entry.busy {
+	if entry == nil || entry.transaction != transaction {
+		l.mu.Unlock()
+		return
+	}
+	if entry.busy {
+		entry.ended = true
 		l.mu.Unlock()
 		return
 	}
--- a/node/gateway/refusal_enumer.go
+++ b/node/gateway/refusal_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RefusalName = "other_processnot_heldbusy"
+const _RefusalName = "other_processnot_heldbusyother_transaction"
 
-var _RefusalIndex = [...]uint8{0, 13, 21, 25}
+var _RefusalIndex = [...]uint8{0, 13, 21, 25, 42}
 
-const _RefusalLowerName = "other_processnot_heldbusy"
+const _RefusalLowerName = "other_processnot_heldbusyother_transaction"
 
 func (i Refusal) String() string {
 	if i < 0 || i >= Refusal(len(_RefusalIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[RefusedOtherProcess-(0)]
 	_ = x[RefusedNotHeld-(1)]
 	_ = x[RefusedBusy-(2)]
+	_ = x[RefusedOtherTransaction-(3)]
 }
 
-var _RefusalValues = []Refusal{RefusedOtherProcess, RefusedNotHeld, RefusedBusy}
+var _RefusalValues = []Refusal{RefusedOtherProcess, RefusedNotHeld, RefusedBusy, RefusedOtherTransaction}
 
 var _RefusalNameToValueMap = map[string]Refusal{
 	_RefusalName[0:13]:  RefusedOtherProcess,
 	_RefusalName[13:21]: RefusedNotHeld,
 	_RefusalName[21:25]: RefusedBusy,
+	_RefusalName[25:42]: RefusedOtherTransaction,
 }
 
 var _RefusalLowerNameToValueMap = map[string]Refusal{
 	_RefusalLowerName[0:13]:  RefusedOtherProcess,
 	_RefusalLowerName[13:21]: RefusedNotHeld,
 	_RefusalLowerName[21:25]: RefusedBusy,
+	_RefusalLowerName[25:42]: RefusedOtherTransaction,
 }
 
 var _RefusalNames = []string{
 	_RefusalName[0:13],
 	_RefusalName[13:21],
 	_RefusalName[21:25],
+	_RefusalName[25:42],
 }
 
 // RefusalString retrieves an enum value from the enum constants string name.
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// errNoLease reports an unknown or busy lease. An expired lease is unknown; its transaction was rolled back.
+// errNoLease reports a lease that is refused. An expired lease is not held; its transaction was rolled back.
 var errNoLease = twirp.NotFound.Error("the connection of this transaction was given up")
 
 // errUnknownUpstream reports an upstream that is not in this host's directory.
@@ -83,37 +83,29 @@
 			"lease", id, "transaction", entry.transaction, "ran", response.GetRan(), "broken", string(response.GetBroken()),
 			"unreachable", string(response.GetUnreachable()))
 	}
-	switch kept := err == nil && request.GetKeep(); {
-	case kept && id == "":
-		response.Lease = s.leases.add(entry)
-	case kept:
-		response.Lease = id
-		s.leases.release(id)
-	case id != "":
-		s.leases.remove(id)
-	}
-	if response.Lease != "" && ctx.Err() != nil {
-		// The host that sent the request has cancelled it and never receives the lease.
-		s.leases.end(response.Lease)
+	if id != "" {
+		holds := err == nil && request.GetKeep()
+		if holds {
+			response.Lease = id
+		}
+		// A host that has cancelled its request never receives the response.
+		if !s.leases.finish(id, holds && ctx.Err() == nil) {
+			entry.executor.Close()
+		}
 	}
 	return response, nil
 }
 
-// lease returns the lease of a request and its id, or a new lease that has no id yet.
+// lease returns the lease of a request and its id, or a new lease. The id is empty if the connection is not to be kept.
 func (s *Server) lease(request *fleetpb.UseRequest) (*lease, string, error) {
 	if id := request.GetLease(); id != "" {
-		entry, refusal := s.leases.take(id)
+		entry, refusal := s.leases.take(id, request.GetTransaction())
 		if entry == nil {
 			refused(refusal).Inc()
 			klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", id,
 				"transaction", request.GetTransaction(), "reason", refusal, "process", s.leases.process)
 			return nil, "", errNoLease
 		}
-		if entry.transaction != request.GetTransaction() {
-			leasesMismatched.Inc()
-			klog.InfoS("Lease is kept for another transaction", "id", string(request.GetId()), "lease", id,
-				"transaction", request.GetTransaction(), "keptFor", entry.transaction, "team", entry.team)
-		}
 		return entry, id, nil
 	}
 	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
@@ -121,7 +113,11 @@
 		return nil, "", errUnknownUpstream
 	}
 	team := ident.Team(request.GetTeam())
-	return &lease{executor: pool.Executor(team, int(request.GetPriority())), transaction: request.GetTransaction(), team: team}, "", nil
+	entry := &lease{executor: pool.Executor(team, int(request.GetPriority())), transaction: request.GetTransaction(), team: team}
+	if !request.GetKeep() {
+		return entry, "", nil
+	}
+	return entry, s.leases.open(entry), nil
 }
 
 // refused returns the counter of the statements that were refused for a reason.
@@ -131,7 +127,7 @@
 
 // End implements fleetpb.Gateway.
 func (s *Server) End(_ context.Context, request *fleetpb.EndRequest) (*fleetpb.EndResponse, error) {
-	s.leases.end(request.GetLease())
+	s.leases.end(request.GetLease(), request.GetTransaction())
 	return &fleetpb.EndResponse{}, nil
 }
 
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -195,6 +195,16 @@
 		"node/gateway/lease.go", "id := l.process + \".\" + rand.Text()", "id := rand.Text()[:0] + string(rune('a'+len(l.kept)))",
 		"./node/gateway", "EarlierProcess",
 	},
+	{
+		0, "PINNED: a lease serves only the transaction for which it was given",
+		"node/gateway/lease.go", "case entry.transaction != transaction:", "case entry.transaction != transaction && transaction == \"\":",
+		"./node/gateway", "LeaseServesOne",
+	},
+	{
+		0, "PINNED: a response without a lease opens no transaction",
+		"node/gateway/client.go", "if use.Keep && r.lease == \"\" &&", "if use.Keep && r.lease != \"\" &&",
+		"./node/gateway", "ResponseWithoutLease",
+	},
 	{
 		0, "MIXED: an answer without a signature is no success",
 		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
