End a transaction at its gateway when an answer is lost

What callers see: after a gateway was frozen or unreachable, refusals "connections: ..." while nothing runs there.

Cause: a host that gets no answer to a statement gives the transaction up, but told its gateway only if it knew a lease, and forgot the lease first.

Change: the host ends the transaction by its own id. An end that comes while the statement still runs takes effect when the statement has ended. Ruled out: a shorter lease, which would end transactions of callers that only pause.

Evidence: TestLostAnswerEndsTransaction failed before the change ("Condition never satisfied": the transaction stayed open), for the first statement and for a later one.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -146,10 +146,11 @@
 	callFailures.Inc()
 	r.onFailure()
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
-	r.lease = ""
 	if neverSent(err) {
+		r.Close()
 		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
 	}
+	r.end()
 	outcome.Ran = use.ID != ""
 	return outcome, &upstream.BrokenError{Cause: trace.Wrap(err)}
 }
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -255,6 +256,43 @@
 	return &fleetpb.EndResponse{}, nil
 }
 
+// Guards against connections that stay open in a transaction, for as long as a lease lasts, after the answer to one of its statements
+// was lost: its host can't use the transaction any more, and the upstream accepts few connections.
+func TestLostAnswerEndsTransaction(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		g := platform.NewGroup("svc")
+		u, err := g.Start(platform.Options{ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20})
+		require.NoError(t, err)
+		t.Cleanup(u.Crash)
+		target := upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}
+		handler := gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 2)}).Handler()
+		var lose atomic.Bool
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !lose.Load() || !strings.HasSuffix(r.URL.Path, "/Use") {
+				handler.ServeHTTP(w, r)
+				return
+			}
+			// The gateway runs the statement, and its answer is lost.
+			handler.ServeHTTP(httptest.NewRecorder(), r.WithContext(context.WithoutCancel(r.Context())))
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(server.Close)
+		client := gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() {})
+		use := upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true}
+		if !first {
+			_, err = executor.Execute(contextWithTimeout(t), use)
+			require.NoError(t, err)
+			use.Opening, use.ID = upstream.OpenNone, "2"
+		}
+		lose.Store(true)
+		_, err = executor.Execute(contextWithTimeout(t), use)
+		var broken *upstream.BrokenError
+		require.ErrorAs(t, err, &broken)
+		require.Eventually(t, func() bool { return u.OpenTransactions() == 0 }, timeout, time.Millisecond)
+	}
+}
+
 // Guards against a write that may have run but is reported as not run after the gateway closes the connection.
 func TestGatewayClosesConnection(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/node/gateway/lease.go
+++ b/node/gateway/lease.go
@@ -114,9 +114,13 @@
 	return false
 }
 
-// end closes the connection of a transaction's lease, once its statement has ended if one runs.
+// end closes the connection of a transaction's lease, once its statement has ended if one runs. Without an id it searches for the
+// transaction: its host may not have got the id.
 func (l *leases) end(id, transaction string) {
 	l.mu.Lock()
+	if id == "" {
+		id = l.find(transaction)
+	}
 	entry := l.kept[id]
 	if entry == nil || entry.transaction != transaction {
 		l.mu.Unlock()
@@ -133,6 +137,16 @@
 	entry.executor.Close()
 }
 
+// find returns the id of a transaction's lease, or an empty string. The caller must hold mu.
+func (l *leases) find(transaction string) string {
+	for id, entry := range l.kept {
+		if entry.transaction == transaction {
+			return id
+		}
+	}
+	return ""
+}
+
 // expire closes the connections of leases that had no statement for leaseTimeout.
 func (l *leases) expire(now ident.Time) {
 	l.mu.Lock()
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -205,6 +205,11 @@
 		"node/gateway/client.go", "if use.Keep && r.lease == \"\" &&", "if use.Keep && r.lease != \"\" &&",
 		"./node/gateway", "ResponseWithoutLease",
 	},
+	{
+		0, "a transaction ends at its gateway when the answer to a statement is lost",
+		"node/gateway/client.go", "\tr.end()\n\toutcome.Ran = use.ID != \"\"", "\toutcome.Ran = use.ID != \"\"",
+		"./node/gateway", "LostAnswerEnds",
+	},
 	{
 		0, "MIXED: an answer without a signature is no success",
 		"platform/wire/upstream.go", "if !start && result.Failure == nil && result.Signature == \"\" {", "if !start && result.Failure != nil && result.Signature == \"\" && false {",
