Name prepared statements uniquely on a connection

What callers can see: an EXECUTE runs another definition than the session prepared, also one of another session of the team (PINNED).

For two texts with one hash the second PARSE replaced the first on the connection, and the connection went on to use the name for both. Such a pair can be computed by hand (the test does).

Change: a connection counts its names. The map from definitions to names compares whole definitions, as before.

Evidence: TestDefinitionsWithOneHash failed before the change (the third EXECUTE ran the other text). Tests of node/upstream, gateway and entry pass.

--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"tamarackshunt.dev/fleet/ident"
@@ -92,8 +91,10 @@
 	// values and prepared mirror the session state on the upstream; prepared maps definitions to the names of the statements.
 	values   map[string]string
 	prepared map[statement.Prepared]string
-	state    statement.State
-	broken   bool
+	// namesUsed counts the names of prepared statements; none is used twice on the connection.
+	namesUsed uint64
+	state     statement.State
+	broken    bool
 }
 
 // open dials an upstream and opens a session under the name of a team.
@@ -198,7 +199,7 @@
 		}
 		return c.Prepare(values, definition)
 	}
-	name := preparedName(*definition)
+	name := c.newName(definition)
 	if _, err := c.runInternal(ident.Position{}, statement.Prepare{Name: name, Prepared: *definition}); err != nil {
 		c.broken = true
 		return "", err
@@ -240,13 +241,14 @@
 	return nil
 }
 
-// preparedName returns the name of a prepared statement, which is the same on every connection.
-func preparedName(p statement.Prepared) string {
+// newName returns the name for a prepared statement, whose first letter tells reads from writes in an upstream's log.
+func (c *Conn) newName(definition *statement.Prepared) string {
 	kind := "r"
-	if p.Writes {
+	if definition.Writes {
 		kind = "w"
 	}
-	return kind + strconv.FormatUint(xxhash.Sum64String(p.Shape), 36)
+	c.namesUsed++
+	return kind + strconv.FormatUint(c.namesUsed, 10)
 }
 
 // Release rolls back a transaction that is still open and returns the connection to its pool, which closes it if it is broken.
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -185,6 +185,11 @@
 		"node/upstream/conn.go", "if _, found := values[name]; !found {", "if _, found := values[name]; !found && name == \"\" {",
 		"./node/upstream", "SessionState",
 	},
+	{
+		0, "PINNED: two definitions never have one name on a connection",
+		"node/upstream/conn.go", "\tc.namesUsed++\n", "",
+		"./node/upstream", "OneHash",
+	},
 	{
 		0, "PINNED: an open transaction ends before its connection is used again",
 		"node/upstream/conn.go", "if !c.broken && c.state != statement.StateIdle {", "if !c.broken && c.state == statement.StateFailed {",
