Check statements under a storm of restarts with real processes

TestStorm runs 60 callers of two teams with pauses inside transactions, plain and prepared statements, session values, rollbacks and callers that leave, while entry processes are killed, restarted beside their predecessor and frozen, configurations change and zones are evacuated, so that primaries move. It compares what upstreams ran with what callers sent: transaction, team, values, definition, and what was kept after each answer.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -84,7 +84,9 @@
 	upstreams []*platform.Upstream
 	cores     []*process
 	entries   []*process
-	version   int
+	// started has all processes, also those that were replaced.
+	started []*process
+	version int
 	// grace is the time from SIGTERM to SIGKILL in seconds.
 	grace int
 }
@@ -167,6 +169,7 @@
 	p := &process{command: exec.Command(program, role, "--settings", settings), done: make(chan struct{}), log: &syncBuffer{}}
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	require.NoError(f.t, p.command.Start())
+	f.started = append(f.started, p)
 	go func() {
 		_ = p.command.Wait()
 		close(p.done)
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -67,10 +67,13 @@
 	}
 }
 
+// NextID returns the id that the next request will have.
+func (c *Client) NextID() string { return fmt.Sprintf("%s-%d", c.name, c.lastID+1) }
+
 // Do sends a request and reads its answer. An error means that the session has ended.
 func (c *Client) Do(text string) (Answer, error) {
+	a := Answer{ID: c.NextID()}
 	c.lastID++
-	a := Answer{ID: fmt.Sprintf("%s-%d", c.name, c.lastID)}
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", a.ID, text); err != nil {
 		return a, err
 	}
--- a/standin/platform/group.go
+++ b/standin/platform/group.go
@@ -39,6 +39,9 @@
 	syncReplicas int
 	// violations are the statements that violated the protocol of the upstreams.
 	violations []string
+	// runs are the statements that ran, and lastTransaction is the number of the last transaction.
+	runs            []Run
+	lastTransaction int
 }
 
 // NewGroup returns a group without members.
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -190,6 +190,8 @@
 	// readWrite is set if the last transaction was opened as one that may write, which only a primary does.
 	readWrite bool
 	writes    map[string]string
+	// transaction is the number of the last transaction.
+	transaction int
 }
 
 // endTransaction ends the open transaction, if there is one.
@@ -279,7 +281,7 @@
 		}
 		s.endTransaction()
 		s.upstream.openTransactions.Add(1)
-		s.state, s.writes = "T", map[string]string{}
+		s.state, s.writes, s.transaction = "T", map[string]string{}, s.upstream.group.newTransaction()
 		return s.sendComplete()
 	case "ROLLBACK":
 		s.endTransaction()
@@ -346,15 +348,18 @@
 	time.Sleep(s.upstream.Work)
 	<-s.upstream.slots
 	<-s.upstream.queued
+	text := word + " " + rest
 	if word == "EXECUTE" {
 		name, arguments, _ := strings.Cut(rest, " ")
-		shape, found := s.prepared[name]
+		definition, found := s.prepared[name]
 		if !found {
 			return s.fail("UNKNOWN")
 		}
-		word, _, _ = strings.Cut(shape, " ")
+		text = definition + " " + arguments
+		word, _, _ = strings.Cut(definition, " ")
 		rest = arguments
 	}
+	s.recordRun(id, text)
 	if s.state == "T" && s.readWrite && !s.upstream.group.isPrimary(s.upstream) && (word != "COMMIT" || len(s.writes) > 0) {
 		return s.fail("READONLY")
 	}
@@ -364,6 +369,10 @@
 	case "STORE":
 		return s.write(id, rest)
 	case "COMMIT":
+		if s.state != "T" {
+			s.upstream.group.recordViolation("commit %s outside of a transaction", id)
+			return s.fail("MALFORMED")
+		}
 		s.endTransaction()
 		if len(s.writes) > 0 {
 			return s.commit(id, s.writes)
