Let TestStorm run without restarts of processes

To tell causes apart: a storm without restarts shows only faults that need none, such as answers that reach another host's call or a connection that is reused inside a transaction. The default is unchanged in kinds and shares of disruptions.

--- a/node/storm_test.go
+++ b/node/storm_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,8 @@
 var (
 	stormSeed = flag.Uint64("storm.seed", 1, "seed of the disruptions and callers of TestStorm")
 	stormTime = flag.Duration("storm.time", 8*time.Second, "duration of TestStorm's load")
+	// Without restarts a storm shows faults that have another cause than what one process remembers of another's earlier start.
+	stormRestarts = flag.Bool("storm.restarts", true, "whether TestStorm kills and restarts processes")
 )
 
 const (
@@ -29,6 +32,8 @@
 	// maxDisruptionGap bounds the time between two disruptions, and maxFreeze that for which a process is stopped.
 	maxDisruptionGap = 350 * time.Millisecond
 	maxFreeze        = 1500 * time.Millisecond
+	// restartGrace is the time from SIGTERM to SIGKILL.
+	restartGrace = 4 * time.Second
 )
 
 // sent is a statement that a caller has sent.
@@ -78,39 +83,48 @@
 	require.NotZero(t, s.count(func(st *sent) bool { return st.commits && st.transaction != "" && st.answer == done }), "no transaction was committed")
 }
 
-// disrupt disrupts hosts until a time, and then brings all back.
+// disrupt disrupts hosts, one after the other and overlapping, until a time.
 func (s *storm) disrupt(random *rand.Rand, until time.Time) {
 	f := s.f
 	for time.Now().Before(until) {
 		time.Sleep(upTo(random, maxDisruptionGap))
 		// Half of the disruptions hit the gateway of the first primary.
 		host := max(0, random.IntN(2*len(f.entries))-len(f.entries))
-		switch random.IntN(10) {
-		case 0, 1, 2, 3:
-			f.entries[host].kill()
-			f.entries[host] = f.start("entry", f.settings("entry", host, false, 0, 1, 2))
-		case 4, 5:
-			s.restart(host)
-		case 6, 7:
+		kinds := 10
+		if !*stormRestarts {
+			kinds = 4
+		}
+		switch random.IntN(kinds) {
+		case 0, 1:
 			s.freeze(f.entries[host], upTo(random, maxFreeze))
-		case 8:
+		case 2:
 			f.put(configuration{version: f.version + 1, rate: 500})
-		case 9:
-			zone := "z" + fmt.Sprint(host)
-			f.operator(random.IntN(3)).Evacuate(zone, true)
-			time.Sleep(upTo(random, maxDisruptionGap))
-			f.eventually("end acknowledged", func() bool { return f.operator(random.IntN(3)).Evacuate(zone, false) == 200 })
+		case 3:
+			s.evacuate(random, "z"+fmt.Sprint(host))
+		case 4, 5:
+			s.restart(host)
+		default:
+			f.entries[host].kill()
+			f.entries[host] = f.start("entry", f.settings("entry", host, false, 0, 1, 2))
 		}
 	}
 }
 
+// evacuate takes a zone out of service for a while, so that its primaries move.
+func (s *storm) evacuate(random *rand.Rand, zone string) {
+	f := s.f
+	f.operator(random.IntN(3)).Evacuate(zone, true)
+	time.Sleep(upTo(random, maxDisruptionGap))
+	f.eventually("end acknowledged", func() bool { return f.operator(random.IntN(3)).Evacuate(zone, false) == http.StatusOK })
+}
+
 // restart ends an entry process as planned, and starts another one while it still serves.
 func (s *storm) restart(host int) {
 	f := s.f
 	old := f.entries[host]
 	_ = old.command.Process.Signal(syscall.SIGTERM)
 	go func() {
-		time.Sleep(4 * time.Second)
+		time.Sleep(restartGrace)
 		_ = old.command.Process.Kill()
 	}()
 	beside := f.start("entry", f.settings("entry", host, false, 0, 1, 2))
