Send no end for a lease that its gateway refused

The end was useless: a gateway that refuses a lease does not hold it for that transaction, and one that can't be reached gets no end either. It also made TestLeaseOfEarlierProcess wait for another end than the one that it is about.

go test -race ./node/gateway passes.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -147,7 +147,8 @@
 	r.onFailure()
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	if neverSent(err) {
-		r.Close()
+		// The gateway does not hold the lease, or can't be reached to end it.
+		r.lease = ""
 		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
 	}
 	r.end()
