--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -14,14 +14,17 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
 )
 
 const (
 	// callMargin is added to the wait and the statement's timeout to get the timeout of a call.
 	callMargin = 150 * time.Millisecond
-	// endTimeout bounds the call that releases a connection.
-	endTimeout = 2 * time.Second
+	// endTimeout bounds the calls that release a connection, which are repeated after endRetryDelay: the connection to the gateway
+	// may have broken just before.
+	endTimeout    = 2 * time.Second
+	endRetryDelay = 500 * time.Millisecond
 )
 
 var callFailures = metrics.NewCounter("tamarack_gateway_call_failures_total")
@@ -173,8 +176,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
-		if _, err := r.gateway.End(ctx, request); err != nil {
+		for {
+			if _, err := r.gateway.End(ctx, request); err == nil {
+				return
+			}
 			callFailures.Inc()
+			if steady.Wait(ctx, endRetryDelay) != nil {
+				return
+			}
 		}
 	}()
 }
--- a/node/gateway/lease_test.go
+++ b/node/gateway/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,10 +17,28 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
+	"tamarackshunt.dev/standin/platform"
 )
 
+// firstRequest returns the request for the first statement of a transaction, a write.
+func firstRequest(transaction string) *fleetpb.UseRequest {
+	return &fleetpb.UseRequest{
+		Service: "svc", Upstream: "i-1", Team: "team", Opening: fleetpb.Opening_OPENING_PRIMARY, Id: []byte("1"), Text: []byte("STORE a 1"),
+		WaitMs: uint32(timeout.Milliseconds()), TimeoutMs: uint32(timeout.Milliseconds()), Keep: true, Transaction: transaction,
+	}
+}
+
+// mustUse sends a request that must succeed.
+func mustUse(t *testing.T, server *gateway.Server, request *fleetpb.UseRequest) *fleetpb.UseResponse {
+	response, err := server.Use(t.Context(), request)
+	require.NoError(t, err)
+	require.Nil(t, response.GetFailure())
+	return response
+}
+
 // Guards against statements that run in another team's transaction after a gateway has started again: a lease of the earlier
 // process names no connection of the new one, neither for a statement nor for an end.
 func TestLeaseOfEarlierProcess(t *testing.T) {
@@ -75,10 +94,7 @@
 		}
 		return list
 	}
-	first := &fleetpb.UseRequest{
-		Service: "svc", Upstream: "i-1", Team: "team", Opening: fleetpb.Opening_OPENING_PRIMARY, Id: []byte("1"), Text: []byte("FETCH a"),
-		WaitMs: uint32(timeout.Milliseconds()), TimeoutMs: uint32(timeout.Milliseconds()), Keep: true, Transaction: "one",
-	}
+	first := firstRequest("one")
 	process, before := start(), counts()
 	response, err := process.Use(t.Context(), first)
 	require.NoError(t, err)
@@ -105,10 +121,7 @@
 func TestLeaseServesOneTransaction(t *testing.T) {
 	g, _, target := startPrimary(t)
 	server := gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 2)})
-	own := &fleetpb.UseRequest{
-		Service: "svc", Upstream: "i-1", Team: "one", Opening: fleetpb.Opening_OPENING_PRIMARY, Id: []byte("1"), Text: []byte("STORE own 1"),
-		WaitMs: uint32(timeout.Milliseconds()), TimeoutMs: uint32(timeout.Milliseconds()), Keep: true, Transaction: "own",
-	}
+	own := firstRequest("own")
 	response, err := server.Use(t.Context(), own)
 	require.NoError(t, err)
 	foreign := proto.CloneOf(own)
@@ -123,7 +136,7 @@
 	require.NoError(t, err)
 	require.Nil(t, response.GetFailure())
 	items, _ := g.Items()
-	require.Equal(t, map[string]string{"own": "1"}, items)
+	require.Equal(t, map[string]string{"a": "1"}, items)
 }
 
 // Guards against a statement that runs outside of its transaction because the response to the first one named no lease.
@@ -151,6 +164,105 @@
 	return &fleetpb.EndResponse{}, nil
 }
 
+// recorder is a gateway that records the transactions of requests.
+type recorder struct {
+	withoutLease
+	transactions []string
+}
+
+// Use implements fleetpb.Gateway.
+func (r *recorder) Use(_ context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
+	r.transactions = append(r.transactions, request.GetTransaction())
+	return &fleetpb.UseResponse{Ran: true, Signature: []byte("signed"), Lease: "lease"}, nil
+}
+
+// Guards against transactions of one or of two hosts under one id.
+func TestTransactionsHaveDifferentIDs(t *testing.T) {
+	r := &recorder{}
+	server := httptest.NewServer(fleetpb.NewGatewayServer(r))
+	t.Cleanup(server.Close)
+	ids := map[string]bool{}
+	for range 2 {
+		client := newClient()
+		for range 2 {
+			executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+			for range 2 {
+				_, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+				require.NoError(t, err)
+			}
+			require.Equal(t, r.transactions[len(r.transactions)-2], r.transactions[len(r.transactions)-1], "a transaction keeps its id")
+			ids[r.transactions[len(r.transactions)-1]] = true
+		}
+	}
+	require.Len(t, ids, 4)
+	require.NotContains(t, ids, "")
+}
+
+// Guards against a connection that is kept for a host that no longer awaits the response.
+func TestCancelledRequestKeepsNothing(t *testing.T) {
+	_, u, target := startPrimary(t)
+	server := gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 2)})
+	ctx, cancel := context.WithCancel(t.Context())
+	request := firstRequest("one")
+	request.Lease, request.Opening = mustUse(t, server, request).GetLease(), fleetpb.Opening_OPENING_NONE
+	cancel()
+	_, err := server.Use(ctx, request)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return u.OpenTransactions() == 0 }, timeout, time.Millisecond)
+}
+
+// panicking is a session that panics after it has sent the statement with the id "panic".
+type panicking struct {
+	upstream.Session
+	connection io.Writer
+}
+
+// Run implements upstream.Session.
+func (p panicking) Run(id string, since ident.Position, request statement.Request) (statement.Result, error) {
+	if id == "panic" {
+		_, _ = io.WriteString(p.connection, "QUERY panic STORE b 1\r\n")
+		panic(id)
+	}
+	return p.Session.Run(id, since, request)
+}
+
+// Guards against a connection that is kept for good after a panic while a statement ran on it.
+func TestPanicKeepsNothing(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		_, u, target := startPrimary(t)
+		pool := upstream.NewPool(target, func(c io.ReadWriter) upstream.Session { return panicking{protocol(c), c} }, 1)
+		server := gateway.NewServer(pools{"i-1": pool})
+		request := firstRequest("one")
+		if !first {
+			request.Lease, request.Opening = mustUse(t, server, request).GetLease(), fleetpb.Opening_OPENING_NONE
+		}
+		request.Id = []byte("panic")
+		require.Panics(t, func() { _, _ = server.Use(t.Context(), request) })
+		require.Eventually(t, func() bool { return u.OpenTransactions() == 0 }, timeout, time.Millisecond)
+		mustUse(t, server, firstRequest("two"))
+	}
+}
+
+// Guards against an answer that reaches another statement, and a pool that runs out of connections, after a panic while a single statement
+// was under way.
+func TestPanicDuringSingleStatement(t *testing.T) {
+	g := platform.NewGroup("svc")
+	u, err := g.Start(platform.Options{
+		ID: "i-1", Zone: "z", Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20, Work: 200 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	t.Cleanup(u.Crash)
+	target := upstream.Target{Service: "svc", Upstream: "i-1", Address: u.Address}
+	pool := upstream.NewPool(target, func(c io.ReadWriter) upstream.Session { return panicking{protocol(c), c} }, 1)
+	server := gateway.NewServer(pools{"i-1": pool})
+	request := firstRequest("")
+	request.Keep, request.Opening = false, fleetpb.Opening_OPENING_NONE
+	request.Id = []byte("panic")
+	require.Panics(t, func() { _, _ = server.Use(t.Context(), request) })
+	request.Id = []byte("2")
+	require.Equal(t, "signed-by-i-1-2", string(mustUse(t, server, request).GetSignature()))
+}
+
 // Guards against connections that stay open in a transaction, for as long as a lease lasts, after the answer to one of its statements
 // was lost: its host can't use the transaction any more, and the upstream accepts few connections.
 func TestLostAnswerEndsTransaction(t *testing.T) {
--- a/node/gateway/refusal_enumer.go
+++ b/node/gateway/refusal_enumer.go
@@ -7,15 +7,16 @@
 	"strings"
 )
 
-const _RefusalName = "other_processnot_heldbusyother_transaction"
+const _RefusalName = "other_processnot_heldbusyother_transactionended"
 
-var _RefusalIndex = [...]uint8{0, 13, 21, 25, 42}
+var _RefusalIndex = [...]uint8{0, 13, 21, 25, 42, 47}
 
-const _RefusalLowerName = "other_processnot_heldbusyother_transaction"
+const _RefusalLowerName = "other_processnot_heldbusyother_transactionended"
 
 func (i Refusal) String() string {
+	i -= 1
 	if i < 0 || i >= Refusal(len(_RefusalIndex)-1) {
-		return fmt.Sprintf("Refusal(%d)", i)
+		return fmt.Sprintf("Refusal(%d)", i+1)
 	}
 	return _RefusalName[_RefusalIndex[i]:_RefusalIndex[i+1]]
 }
@@ -24,19 +25,21 @@
 // Re-run the stringer command to generate them again.
 func _RefusalNoOp() {
 	var x [1]struct{}
-	_ = x[RefusedOtherProcess-(0)]
-	_ = x[RefusedNotHeld-(1)]
-	_ = x[RefusedBusy-(2)]
-	_ = x[RefusedOtherTransaction-(3)]
+	_ = x[RefusedOtherProcess-(1)]
+	_ = x[RefusedNotHeld-(2)]
+	_ = x[RefusedBusy-(3)]
+	_ = x[RefusedOtherTransaction-(4)]
+	_ = x[RefusedEnded-(5)]
 }
 
-var _RefusalValues = []Refusal{RefusedOtherProcess, RefusedNotHeld, RefusedBusy, RefusedOtherTransaction}
+var _RefusalValues = []Refusal{RefusedOtherProcess, RefusedNotHeld, RefusedBusy, RefusedOtherTransaction, RefusedEnded}
 
 var _RefusalNameToValueMap = map[string]Refusal{
 	_RefusalName[0:13]:  RefusedOtherProcess,
 	_RefusalName[13:21]: RefusedNotHeld,
 	_RefusalName[21:25]: RefusedBusy,
 	_RefusalName[25:42]: RefusedOtherTransaction,
+	_RefusalName[42:47]: RefusedEnded,
 }
 
 var _RefusalLowerNameToValueMap = map[string]Refusal{
@@ -44,6 +47,7 @@
 	_RefusalLowerName[13:21]: RefusedNotHeld,
 	_RefusalLowerName[21:25]: RefusedBusy,
 	_RefusalLowerName[25:42]: RefusedOtherTransaction,
+	_RefusalLowerName[42:47]: RefusedEnded,
 }
 
 var _RefusalNames = []string{
@@ -51,6 +55,7 @@
 	_RefusalName[13:21],
 	_RefusalName[21:25],
 	_RefusalName[25:42],
+	_RefusalName[42:47],
 }
 
 // RefusalString retrieves an enum value from the enum constants string name.
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -70,59 +70,63 @@
 // Use implements fleetpb.Gateway.
 func (s *Server) Use(ctx context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
 	uses.Inc()
-	entry, id, err := s.lease(request)
+	held, id, err := s.leaseFor(request)
 	if err != nil {
 		return nil, err
 	}
+	// A host that has cancelled its request never receives the response, so nothing is kept for it; nor is it after a panic.
+	keep := false
+	defer func() {
+		if id == "" || !s.leases.finish(id, keep && ctx.Err() == nil) {
+			held.executor.Close()
+		}
+	}()
 	wait, cancel := context.WithTimeout(ctx, time.Duration(request.GetWaitMs())*time.Millisecond)
 	defer cancel()
-	outcome, err := entry.executor.Execute(wait, useFromProto(request))
+	outcome, err := held.executor.Execute(wait, useFromProto(request))
 	response := responseToProto(outcome, err)
 	if len(response.GetBroken()) > 0 || len(response.GetUnreachable()) > 0 {
-		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", entry.executor.Target().Upstream, "team", entry.team,
-			"lease", id, "transaction", entry.transaction, "ran", response.GetRan(), "broken", string(response.GetBroken()),
+		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", held.executor.Target().Upstream, "team", held.team,
+			"lease", id, "transaction", held.transaction, "ran", response.GetRan(), "broken", string(response.GetBroken()),
 			"unreachable", string(response.GetUnreachable()))
 	}
-	if id != "" {
-		holds := err == nil && request.GetKeep()
-		if holds {
-			response.Lease = id
-		}
-		// A host that has cancelled its request never receives the response.
-		if !s.leases.finish(id, holds && ctx.Err() == nil) {
-			entry.executor.Close()
-		}
+	if keep = err == nil && request.GetKeep(); keep {
+		response.Lease = id
 	}
 	return response, nil
 }
 
-// lease returns the lease of a request and its id, or a new lease. The id is empty if the connection is not to be kept.
-func (s *Server) lease(request *fleetpb.UseRequest) (*lease, string, error) {
+// leaseFor returns the lease of a request and its id, or a new lease. The id is empty if the connection is not to be kept.
+func (s *Server) leaseFor(request *fleetpb.UseRequest) (*lease, string, error) {
 	if id := request.GetLease(); id != "" {
-		entry, refusal := s.leases.take(id, request.GetTransaction())
-		if entry == nil {
-			refused(refusal).Inc()
-			klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", id,
-				"transaction", request.GetTransaction(), "reason", refusal, "process", s.leases.process)
-			return nil, "", errNoLease
+		held, refusal := s.leases.take(id, request.GetTransaction())
+		if held == nil {
+			return nil, "", s.refuse(request, refusal)
 		}
-		return entry, id, nil
+		return held, id, nil
 	}
 	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
 	if pool == nil {
 		return nil, "", errUnknownUpstream
 	}
 	team := ident.Team(request.GetTeam())
-	entry := &lease{executor: pool.Executor(team, int(request.GetPriority())), transaction: request.GetTransaction(), team: team}
+	held := &lease{executor: pool.Executor(team, int(request.GetPriority())), transaction: request.GetTransaction(), team: team}
 	if !request.GetKeep() {
-		return entry, "", nil
+		return held, "", nil
+	}
+	id, refusal := s.leases.open(held)
+	if id == "" {
+		return nil, "", s.refuse(request, refusal)
 	}
-	return entry, s.leases.open(entry), nil
+	return held, id, nil
 }
 
-// refused returns the counter of the statements that were refused for a reason.
-func refused(reason Refusal) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_gateway_leases_refused_total{reason=%q}", reason))
+// refuse logs and counts a statement that is refused, and returns the error for its host.
+func (s *Server) refuse(request *fleetpb.UseRequest, reason Refusal) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_gateway_leases_refused_total{reason=%q}", reason)).Inc()
+	klog.InfoS("Statement refused, its lease is not held", "id", string(request.GetId()), "lease", request.GetLease(),
+		"transaction", request.GetTransaction(), "reason", reason, "process", s.leases.process)
+	return errNoLease
 }
 
 // End implements fleetpb.Gateway.
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -140,12 +140,13 @@
 // Run sends a request and returns the upstream's answer, or a BrokenError if the outcome is unknown.
 func (c *Conn) Run(id string, since ident.Position, request statement.Request, timeout time.Duration) (statement.Result, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
+	// It stays so after a panic as well: the rest of an answer may still arrive.
+	c.broken = true
 	result, err := c.session.Run(id, since, request)
 	if err != nil {
-		c.broken = true
 		return result, &BrokenError{err}
 	}
-	c.state = result.State
+	c.broken, c.state = false, result.State
 	return result, nil
 }
 
