Name the transaction of a commit that failed in the log

The transaction was dropped before the line was written, so "Request failed" of a COMMIT had an empty "transaction". The line has no test of its own; the tests of node/entry pass.

--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -136,9 +136,10 @@
 	}
 	result, failure := s.commit(query)
 	if failure != nil {
+		tx := s.tx
 		s.dropTransaction()
 		s.state = statement.StateIdle
-		return answerError(s.fail(query, failure))
+		return answerError(s.answerFailure(query, failure, tx))
 	}
 	s.recordLatency(&s.tx.operation)
 	if s.tx.wrote {
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -286,12 +286,18 @@
 // fail answers a request with a failure. It rolls back an open transaction, which the caller can then only end. It returns
 // false if the caller can't be answered.
 func (s *session) fail(query *statement.Query, failure *statement.Failure) bool {
-	countFailure(failure)
 	tx := s.tx
 	if s.state != statement.StateIdle {
 		s.dropTransaction()
 		s.state = statement.StateFailed
 	}
+	return s.answerFailure(query, failure, tx)
+}
+
+// answerFailure answers a request of a transaction, which may be nil, with a failure, in the session's state. It returns false if the
+// caller can't be answered.
+func (s *session) answerFailure(query *statement.Query, failure *statement.Failure, tx *transaction) bool {
+	countFailure(failure)
 	s.logFailure(query, failure, tx)
 	return s.caller.Fail(failure, s.state) == nil
 }
