Inherit the latest directory when a leader is elected again

What callers see: after a core host is elected again without having followed another leader, entry hosts take hosts that ended long ago for gateways of upstreams, until these time out after 3 s. Statements for these upstreams first try an address that is not served, or that another process has by now.

Cause: the directory that a core host had followed before its first leadership was kept, and was inherited again by each later leadership, with its hosts counted as running.

Evidence: TestLeaderElectedAgainListsNoEarlierHosts failed before the change: the directory of the second leadership listed a host that had been dropped an hour earlier.

Change: the leader keeps the directory that it sends in the place of the followed one, so a leadership inherits the latest directory that the host knows. The field has a new name.

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -80,8 +80,9 @@
 	// history holds the latest directories for entry hosts, the last one as of directoryAt.
 	history     directory.History
 	directoryAt ident.Time
-	// followed is this host's copy of the directory of the leader that it followed.
-	followed directory.Copy
+	// inheritable is the latest directory that this host has sent as the leader or has received from another one. It is the first one
+	// of this host's next leadership.
+	inheritable directory.Copy
 	// takenOver is the start of the leadership for which this host has taken over the directory.
 	takenOver atomic.Int64
 
--- a/node/core/directory.go
+++ b/node/core/directory.go
@@ -62,11 +62,15 @@
 	c.historyMu.Lock()
 	defer c.historyMu.Unlock()
 	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
-		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
+		current := c.entryDirectory(now)
+		latest, err := c.history.Add(current)
+		if err != nil {
 			klog.ErrorS(err, "Directory not sent")
 			return 0, nil, nil, err
 		}
 		c.directoryAt = now
+		// This host may be elected again without having followed another leader.
+		c.inheritable.Set(current, latest)
 	}
 	latest, whole, change := c.history.Update(digest)
 	return latest, whole, change, nil
--- a/node/core/follow.go
+++ b/node/core/follow.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	c.historyMu.Lock()
-	digest := c.followed.Digest()
+	digest := c.inheritable.Digest()
 	c.historyMu.Unlock()
 	// The highest version is requested, since the log brings the configuration.
 	response, err := c.peer(leader).Watch(ctx, &fleetpb.WatchRequest{Version: math.MaxUint64, Digest: digest})
@@ -51,33 +51,33 @@
 	}
 	c.historyMu.Lock()
 	defer c.historyMu.Unlock()
-	if next := c.followed.Next(digest, response.GetDigest(), response.GetDirectory(), response.GetChange()); next != nil {
-		c.followed.Set(next, response.GetDigest())
+	if next := c.inheritable.Next(digest, response.GetDigest(), response.GetDirectory(), response.GetChange()); next != nil {
+		c.inheritable.Set(next, response.GetDigest())
 	}
 	return nil
 }
 
-// inheritDirectory makes the directory that this host followed the first one of its own leadership. Its hosts count as running
-// until they had time to find the new leader.
+// inheritDirectory makes the latest directory of the core's leaders that this host knows the first one of its own leadership. Its hosts
+// count as running until they had time to find the new leader.
 func (c *Core) inheritDirectory(now ident.Time) {
 	c.historyMu.Lock()
-	followed := c.followed.Directory()
+	inherited := c.inheritable.Directory()
 	c.directoryAt = 0
-	if followed != nil {
-		if _, err := c.history.Add(followed); err != nil {
+	if inherited != nil {
+		if _, err := c.history.Add(inherited); err != nil {
 			klog.ErrorS(err, "Directory not inherited")
 		}
 	}
 	c.historyMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, h := range followed.GetHosts() {
+	for _, h := range inherited.GetHosts() {
 		name := ident.Host(h.GetHost())
 		if known := c.hosts[name]; known == nil || now.Sub(known.lastRequest) >= entryHostTimeout {
 			c.hosts[name] = &entryHost{zone: ident.Zone(h.GetZone()), peer: h.GetPeer(), lastRequest: now}
 		}
 	}
-	klog.InfoS("Directory inherited", "hosts", len(followed.GetHosts()), "upstreams", len(followed.GetUpstreams()))
+	klog.InfoS("Directory inherited", "hosts", len(inherited.GetHosts()), "upstreams", len(inherited.GetUpstreams()))
 }
 
 // takeOver marks the directory as taken over for a leadership once its list of hosts is complete.
@@ -86,7 +86,7 @@
 		return
 	}
 	c.historyMu.Lock()
-	inherited := c.followed.Directory() != nil
+	inherited := c.inheritable.Directory() != nil
 	c.historyMu.Unlock()
 	if inherited || steady.Now().Sub(leadership.Since) >= gatherTime {
 		c.takenOver.Store(int64(leadership.Since))
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -46,7 +46,7 @@
 	require.Len(t, whole.GetHosts(), hosts)
 
 	next := newTestCore()
-	next.followed.Set(whole, digest)
+	next.inheritable.Set(whole, digest)
 	now = now.Add(time.Minute)
 	next.inheritDirectory(now)
 	latest, sent, change, err := next.directoryUpdate(now, digest)
@@ -93,7 +93,7 @@
 	require.Equal(t, int64(leadership.Since), c.takenOver.Load())
 
 	c = newTestCore()
-	c.followed.Set(&fleetpb.Directory{}, 1)
+	c.inheritable.Set(&fleetpb.Directory{}, 1)
 	leadership.Since = steady.Now().Add(time.Hour)
 	c.takeOver(leadership)
 	require.Equal(t, int64(leadership.Since), c.takenOver.Load(), "a leader that has followed a directory continues it at once")
@@ -115,3 +115,28 @@
 	require.Equal(t, []string{"a", "b"}, s.next(), "without a leader all are asked at once")
 	require.Empty(t, s.next())
 }
+
+// Guards against a leader that is elected again and lists the hosts of the directory that it followed before its first election: hosts
+// that ended since then would be gateways until they time out.
+func TestLeaderElectedAgainListsNoEarlierHosts(t *testing.T) {
+	followed := &fleetpb.Directory{Hosts: []*fleetpb.EntryHost{{Host: "ended", Zone: "z", Peer: "ended:1"}}}
+	digest, err := directory.Digest(followed)
+	require.NoError(t, err)
+	c := newTestCore()
+	c.inheritable.Set(followed, digest)
+	now := ident.Time(time.Hour)
+	c.inheritDirectory(now)
+	_, whole, _, err := c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Len(t, whole.GetHosts(), 1)
+	now = now.Add(time.Hour)
+	_, whole, _, err = c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Empty(t, whole.GetHosts())
+
+	now = now.Add(time.Second)
+	c.inheritDirectory(now)
+	_, whole, _, err = c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Empty(t, whole.GetHosts())
+}
