Keep the starts of an entry host apart at the core leader

What callers see: when an entry host restarts, a request that its earlier process had sent to the core leader may arrive late. It then removes the running process from the directory ("leaving"), or lists the address of the earlier one. The gateways of upstreams move and move back, with new connections each time. In the same way, a request that was sent before a host began to leave and arrives after one that says so makes the host a gateway again.

Cause: the leader kept one record for each host name, and each Watch request overwrote it. Nobody compared the incarnation in the request, and a search for the leader did not contain it.

Change: the leader keeps a record for each start and lists the one that it has first heard from last, unless that one leaves. A start that leaves stays so. Incarnations are compared for equality only, so a step of the clock between two starts does not matter. The record of a host that is known only from an earlier leader's directory ends with the host's first request. TestNextLeaderContinuesTheDirectory fills the list through requests now, with the same checks.

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -74,7 +74,7 @@
 
 	mu sync.Mutex
 	// hosts are the entry hosts that send Watch requests to this leader.
-	hosts map[ident.Host]*entryHost
+	hosts entryHosts
 
 	historyMu sync.Mutex
 	// history holds the latest directories for entry hosts, the last one as of directoryAt.
@@ -90,13 +90,6 @@
 	limitsCatalog *catalog.Catalog
 }
 
-type entryHost struct {
-	zone        ident.Zone
-	peer        string
-	lastRequest ident.Time
-	leaving     bool
-}
-
 // New opens the data folder and starts this host's replica of the core's log.
 func New(options Options) (*Core, error) {
 	c := &Core{
@@ -105,7 +98,7 @@
 		directory: directory.New(),
 		lender:    lending.New(),
 		client:    options.Peers.Client(0),
-		hosts:     map[ident.Host]*entryHost{},
+		hosts:     entryHosts{},
 	}
 	var err error
 	c.replica, err = replica.New(replica.Options{
--- a/node/core/directory.go
+++ b/node/core/directory.go
@@ -10,13 +10,9 @@
 	"tamarackshunt.dev/fleet/ident"
 )
 
-const (
-	// entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
-	entryHostTimeout = 3 * time.Second
-	// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the
-	// interval of their requests, of which there are many in it.
-	directoryInterval = 50 * time.Millisecond
-)
+// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the interval of
+// their requests, of which there are many in it.
+const directoryInterval = 50 * time.Millisecond
 
 // warmupLeft returns the rest of an upstream's warm-up in milliseconds. It is rounded up to whole seconds, so that it rarely
 // changes the directory.
@@ -42,15 +38,7 @@
 		})
 	}
 	c.mu.Lock()
-	for name, host := range c.hosts {
-		if now.Sub(host.lastRequest) >= entryHostTimeout {
-			delete(c.hosts, name)
-			continue
-		}
-		if !host.leaving {
-			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
-		}
-	}
+	d.Hosts = c.hosts.list(now)
 	c.mu.Unlock()
 	directory.Sort(d)
 	return d
--- a/node/core/follow.go
+++ b/node/core/follow.go
@@ -71,12 +71,7 @@
 	c.historyMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, h := range inherited.GetHosts() {
-		name := ident.Host(h.GetHost())
-		if known := c.hosts[name]; known == nil || now.Sub(known.lastRequest) >= entryHostTimeout {
-			c.hosts[name] = &entryHost{zone: ident.Zone(h.GetZone()), peer: h.GetPeer(), lastRequest: now}
-		}
-	}
+	c.hosts.inherit(now, inherited.GetHosts())
 	klog.InfoS("Directory inherited", "hosts", len(inherited.GetHosts()), "upstreams", len(inherited.GetUpstreams()))
 }
 
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -18,7 +18,7 @@
 
 // newTestCore returns a core host without a log.
 func newTestCore() *Core {
-	c := &Core{state: newState(parseStub), directory: directory.New(), hosts: map[ident.Host]*entryHost{}}
+	c := &Core{state: newState(parseStub), directory: directory.New(), hosts: entryHosts{}}
 	c.groups = newGroups(c)
 	return c
 }
@@ -39,7 +39,7 @@
 	first := newTestCore()
 	for i := range hosts {
 		name := fmt.Sprintf("front-%03d", i)
-		first.hosts[ident.Host(name)] = &entryHost{zone: "z", peer: name + ":1", lastRequest: now}
+		first.hosts.record(now, &fleetpb.WatchRequest{Host: name, Incarnation: 1, Zone: "z", Peer: name + ":1"})
 	}
 	digest, whole, _, err := first.directoryUpdate(now, 0)
 	require.NoError(t, err)
@@ -57,7 +57,8 @@
 
 	// Hosts that don't ask the new leader are dropped, and the others get that change only.
 	for i := range hosts - 1 {
-		next.hosts[ident.Host(fmt.Sprintf("front-%03d", i))].lastRequest = now.Add(entryHostTimeout)
+		name := fmt.Sprintf("front-%03d", i)
+		next.hosts.record(now.Add(entryHostTimeout), &fleetpb.WatchRequest{Host: name, Incarnation: 1, Zone: "z", Peer: name + ":1"})
 	}
 	_, sent, change, err = next.directoryUpdate(now.Add(entryHostTimeout), digest)
 	require.NoError(t, err)
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -57,7 +57,7 @@
 	response := &fleetpb.WatchResponse{Leader: leadership.Leader, Leads: leads, Members: c.members()}
 	if leadership.Confirmed && request.GetHost() != "" {
 		c.mu.Lock()
-		c.hosts[ident.Host(request.GetHost())] = &entryHost{ident.Zone(request.GetZone()), request.GetPeer(), now, request.GetLeaving()}
+		c.hosts.record(now, request)
 		c.mu.Unlock()
 	}
 	if !leads || request.GetSearch() {
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -231,7 +231,10 @@
 func (c *Client) search(ctx context.Context, targets []string) (leader string) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	request := &fleetpb.WatchRequest{Host: string(c.options.Host), Zone: string(c.options.Zone), Peer: c.options.Peer, Leaving: c.isLeaving(), Search: true}
+	request := &fleetpb.WatchRequest{
+		Host: string(c.options.Host), Incarnation: uint64(c.options.Incarnation), Zone: string(c.options.Zone), Peer: c.options.Peer,
+		Leaving: c.isLeaving(), Search: true,
+	}
 	leaders := make(chan string, len(targets))
 	for _, address := range targets {
 		go func() {
--- a/node/coreclient/coreclient_test.go
+++ b/node/coreclient/coreclient_test.go
@@ -1,6 +1,8 @@
 package coreclient
 
 import (
+	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -96,3 +98,27 @@
 	receive(c.directory.Digest(), "a", "d")
 	require.Equal(t, 2, table.HostCount())
 }
+
+// coreStub records the incarnations of the Watch requests that it gets.
+type coreStub struct {
+	fleetpb.Core
+	incarnations chan uint64
+}
+
+// Watch implements fleetpb.Core.
+func (s coreStub) Watch(_ context.Context, request *fleetpb.WatchRequest) (*fleetpb.WatchResponse, error) {
+	s.incarnations <- request.GetIncarnation()
+	return &fleetpb.WatchResponse{Leads: true}, nil
+}
+
+// Guards against a search for the leader that does not say which start of the host sends it: one that arrives after a restart would be
+// taken for a request of the running process.
+func TestSearchNamesTheStart(t *testing.T) {
+	stub := coreStub{incarnations: make(chan uint64, 1)}
+	server := httptest.NewServer(peer.TrustedHandler(fleetpb.NewCoreServer(stub)))
+	defer server.Close()
+	c := New(Options{Host: "e", Incarnation: 7, Peers: peer.New(peer.Options{Trusted: true})})
+	address := server.Listener.Addr().String()
+	require.Equal(t, address, c.search(t.Context(), []string{address}))
+	require.Equal(t, uint64(7), <-stub.incarnations)
+}
