Remember the end of a later start of an upstream

What callers see: an upstream starts again under the same id and ends soon after. If its end arrives before a delayed announcement of the same start, the ended upstream is listed as running, for up to a minute, and hosts try to connect to it.

Cause: the end was recorded under the earlier start, or not at all if that one had ended too, so the announcement of the later start counted as newer than its own end.

Evidence: two new cases of TestOrder failed before the change, "end of a later start before its first announcement" and the same after the end of an earlier start: the late announcement was accepted.

Change: such an end is recorded for its own start, as it is for an unknown upstream.

Run: go test ./directory and golangci-lint on it in fleet/; go test ./core ./routing ./coreclient in node/.

--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -89,14 +89,18 @@
 }
 
 // recordEnd records the end of an upstream from an announcement without a service. Fields that such an announcement omits
-// are kept from the earlier one.
+// are kept from the earlier one of the same start.
 func (d *Directory) recordEnd(now ident.Time, known *record, a *fleetpb.Announcement) bool {
-	if known == nil && a.GetBorn() != 0 {
-		// The end has overtaken the first announcement, or this host was down when that arrived. No list changes.
-		d.records[ident.Upstream(a.GetUpstream())] = &record{proto.CloneOf(a), now}
+	if known == nil && a.GetBorn() == 0 {
 		return false
 	}
-	if known == nil || known.announcement.GetGone() || (a.GetBorn() != 0 && a.GetBorn() < known.announcement.GetBorn()) {
+	if known == nil || a.GetBorn() > known.announcement.GetBorn() {
+		// The end has overtaken the first announcement of its start, or this host was down when that arrived. Nothing is kept from an
+		// earlier start, whose address may belong to another upstream by now.
+		d.records[ident.Upstream(a.GetUpstream())] = &record{proto.CloneOf(a), now}
+		return known != nil && !known.announcement.GetGone()
+	}
+	if known.announcement.GetGone() || (a.GetBorn() != 0 && a.GetBorn() < known.announcement.GetBorn()) {
 		return false
 	}
 	ended := proto.CloneOf(known.announcement)
--- a/fleet/directory/directory_test.go
+++ b/fleet/directory/directory_test.go
@@ -43,6 +43,18 @@
 			[]step{{end(1), false}, {announce("a", "x:1", 2, 1), true}},
 			[]string{"a@x:1"},
 		},
+		"end of a later start before its first announcement": {
+			[]step{{announce("a", "x:1", 1, 9), true}, {end(2), true}, {announce("a", "x:2", 2, 1), false}},
+			nil,
+		},
+		"end of a later start before its first announcement, after the end of an earlier one": {
+			[]step{{announce("a", "x:1", 1, 9), true}, {end(1), true}, {end(2), false}, {announce("a", "x:2", 2, 1), false}},
+			nil,
+		},
+		"start after the end of a later start before its first announcement": {
+			[]step{{announce("a", "x:1", 1, 9), true}, {end(2), true}, {announce("a", "x:2", 3, 1), true}},
+			[]string{"a@x:2"},
+		},
 		"end of an unknown start": {
 			[]step{{end(0), false}, {announce("a", "x:1", 1, 1), true}},
 			[]string{"a@x:1"},
