Let only the present leader change upstreams

What callers see: where writes wait for a replica, an acknowledged write can be lost, or a service is left without a primary until the next leader has promoted one.

Cause: CONTINUE carries no term, and STEPDOWN and PAUSE are executed by any upstream of a lower term. A core host whose leadership had ended went on with a promotion that it had begun: it let the primary step down or paused replicas and then failed to reserve a token, or it told replicas to continue that the next leader had paused for its own promotion. When the host became the leader again, such a promotion ordered on with higher tokens and with positions read before.

Evidence: TestEarlierLeaderContinuesNoReplicas, TestEarlierLeaderReplacesNoPrimary and TestPromotionEndsWithItsLeadership failed before the change: the replicas continued, the primary stepped down, and an order of the ended leadership ran into its timeout instead of being cancelled. The loss of a write itself was not reproduced.

Change: a request that changes an upstream is sent only while this host is the confirmed leader. What the leader does for the groups runs under a context that ends with the leadership. A process that is frozen after the check can still send one request late.

Run: go test -race ./core and golangci-lint on all packages in node/.

--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -22,6 +22,9 @@
 
 	mu   sync.Mutex
 	list map[ident.Service]*group
+	// leadership ends with the leadership, and with it what this host does for the groups. It is nil while this host is not the leader.
+	leadership    context.Context
+	endLeadership context.CancelFunc
 }
 
 // group is the leader's record of one service.
@@ -81,10 +84,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !leads {
-		// A running promotion fails at its next proposal to the log.
 		g.list = map[ident.Service]*group{}
+		if g.leadership != nil {
+			g.endLeadership()
+			g.leadership = nil
+		}
 		return
 	}
+	if g.leadership == nil {
+		g.leadership, g.endLeadership = context.WithCancel(ctx)
+	}
 	parsed := g.core.state.parsed()
 	if parsed == nil {
 		return
@@ -112,7 +121,7 @@
 			g.list[service] = grp
 		}
 		grp.decider.SetMembers(now, members[service])
-		g.probeOrPromote(ctx, now, grp, targets, parsed.Services[i].SyncReplicas)
+		g.probeOrPromote(g.leadership, now, grp, targets, parsed.Services[i].SyncReplicas)
 	}
 }
 
--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -38,8 +39,15 @@
 	recheckAt ident.Time
 }
 
-// requestStatus sends a request that an upstream answers with its status.
+// errLeadershipEnded reports a request that only a leader may send.
+var errLeadershipEnded = errors.New("this host is no longer the leader")
+
+// requestStatus sends a request that an upstream answers with its status. Only a leader sends one that changes the upstream: upstreams
+// don't know who leads, and the request of an earlier leader would undo what the next one has ordered.
 func (g *groups) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
+	if _, asks := request.(statement.AskStatus); !asks && !g.core.leads() {
+		return statement.Status{}, errLeadershipEnded
+	}
 	pool := upstream.NewPool(target, g.core.options.Protocol, 1)
 	defer pool.Close()
 	return pool.Status(ctx, request)
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -91,6 +91,9 @@
 	if p.relay == "" {
 		return statement.Status{}, errNoRelay
 	}
+	if stepDown != 0 && !p.groups.core.leads() {
+		return statement.Status{}, errLeadershipEnded
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	core := p.groups.core
