--- a/node/core/core.go
+++ b/node/core/core.go
@@ -74,14 +74,15 @@
 
 	mu sync.Mutex
 	// hosts are the entry hosts that send Watch requests to this leader.
-	hosts map[ident.Host]*entryHost
+	hosts entryHosts
 
 	historyMu sync.Mutex
 	// history holds the latest directories for entry hosts, the last one as of directoryAt.
 	history     directory.History
 	directoryAt ident.Time
-	// followed is this host's copy of the directory of the leader that it followed.
-	followed directory.Copy
+	// inheritable is the latest directory that this host has sent as the leader or has received from another one. It is the first one
+	// of this host's next leadership.
+	inheritable directory.Copy
 	// takenOver is the start of the leadership for which this host has taken over the directory.
 	takenOver atomic.Int64
 
@@ -89,13 +90,6 @@
 	limitsCatalog *catalog.Catalog
 }
 
-type entryHost struct {
-	zone        ident.Zone
-	peer        string
-	lastRequest ident.Time
-	leaving     bool
-}
-
 // New opens the data folder and starts this host's replica of the core's log.
 func New(options Options) (*Core, error) {
 	c := &Core{
@@ -104,7 +98,7 @@
 		directory: directory.New(),
 		lender:    lending.New(),
 		client:    options.Peers.Client(0),
-		hosts:     map[ident.Host]*entryHost{},
+		hosts:     entryHosts{},
 	}
 	var err error
 	c.replica, err = replica.New(replica.Options{
--- a/node/core/directory.go
+++ b/node/core/directory.go
@@ -10,13 +10,9 @@
 	"tamarackshunt.dev/fleet/ident"
 )
 
-const (
-	// entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
-	entryHostTimeout = 3 * time.Second
-	// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the
-	// interval of their requests, of which there are many in it.
-	directoryInterval = 50 * time.Millisecond
-)
+// directoryInterval is the least interval at which the directory for entry hosts is built anew. It is short beside the interval of
+// their requests, of which there are many in it.
+const directoryInterval = 50 * time.Millisecond
 
 // warmupLeft returns the rest of an upstream's warm-up in milliseconds. It is rounded up to whole seconds, so that it rarely
 // changes the directory.
@@ -42,15 +38,7 @@
 		})
 	}
 	c.mu.Lock()
-	for name, host := range c.hosts {
-		if now.Sub(host.lastRequest) >= entryHostTimeout {
-			delete(c.hosts, name)
-			continue
-		}
-		if !host.leaving {
-			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(host.zone), Peer: host.peer})
-		}
-	}
+	d.Hosts = c.hosts.list(now)
 	c.mu.Unlock()
 	directory.Sort(d)
 	return d
@@ -62,11 +50,15 @@
 	c.historyMu.Lock()
 	defer c.historyMu.Unlock()
 	if c.directoryAt == 0 || now.Sub(c.directoryAt) >= directoryInterval {
-		if _, err := c.history.Add(c.entryDirectory(now)); err != nil {
+		current := c.entryDirectory(now)
+		latest, err := c.history.Add(current)
+		if err != nil {
 			klog.ErrorS(err, "Directory not sent")
 			return 0, nil, nil, err
 		}
 		c.directoryAt = now
+		// This host may be elected again without having followed another leader.
+		c.inheritable.Set(current, latest)
 	}
 	latest, whole, change := c.history.Update(digest)
 	return latest, whole, change, nil
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -18,7 +18,7 @@
 
 // newTestCore returns a core host without a log.
 func newTestCore() *Core {
-	c := &Core{state: newState(parseStub), directory: directory.New(), hosts: map[ident.Host]*entryHost{}}
+	c := &Core{state: newState(parseStub), directory: directory.New(), hosts: entryHosts{}}
 	c.groups = newGroups(c)
 	return c
 }
@@ -39,14 +39,14 @@
 	first := newTestCore()
 	for i := range hosts {
 		name := fmt.Sprintf("front-%03d", i)
-		first.hosts[ident.Host(name)] = &entryHost{zone: "z", peer: name + ":1", lastRequest: now}
+		first.hosts.record(now, &fleetpb.WatchRequest{Host: name, Incarnation: 1, Zone: "z", Peer: name + ":1"})
 	}
 	digest, whole, _, err := first.directoryUpdate(now, 0)
 	require.NoError(t, err)
 	require.Len(t, whole.GetHosts(), hosts)
 
 	next := newTestCore()
-	next.followed.Set(whole, digest)
+	next.inheritable.Set(whole, digest)
 	now = now.Add(time.Minute)
 	next.inheritDirectory(now)
 	latest, sent, change, err := next.directoryUpdate(now, digest)
@@ -57,7 +57,8 @@
 
 	// Hosts that don't ask the new leader are dropped, and the others get that change only.
 	for i := range hosts - 1 {
-		next.hosts[ident.Host(fmt.Sprintf("front-%03d", i))].lastRequest = now.Add(entryHostTimeout)
+		name := fmt.Sprintf("front-%03d", i)
+		next.hosts.record(now.Add(entryHostTimeout), &fleetpb.WatchRequest{Host: name, Incarnation: 1, Zone: "z", Peer: name + ":1"})
 	}
 	_, sent, change, err = next.directoryUpdate(now.Add(entryHostTimeout), digest)
 	require.NoError(t, err)
@@ -93,7 +94,7 @@
 	require.Equal(t, int64(leadership.Since), c.takenOver.Load())
 
 	c = newTestCore()
-	c.followed.Set(&fleetpb.Directory{}, 1)
+	c.inheritable.Set(&fleetpb.Directory{}, 1)
 	leadership.Since = steady.Now().Add(time.Hour)
 	c.takeOver(leadership)
 	require.Equal(t, int64(leadership.Since), c.takenOver.Load(), "a leader that has followed a directory continues it at once")
@@ -115,3 +116,28 @@
 	require.Equal(t, []string{"a", "b"}, s.next(), "without a leader all are asked at once")
 	require.Empty(t, s.next())
 }
+
+// Guards against a leader that is elected again and lists the hosts of the directory that it followed before its first election: hosts
+// that ended since then would be gateways until they time out.
+func TestLeaderElectedAgainListsNoEarlierHosts(t *testing.T) {
+	followed := &fleetpb.Directory{Hosts: []*fleetpb.EntryHost{{Host: "ended", Zone: "z", Peer: "ended:1"}}}
+	digest, err := directory.Digest(followed)
+	require.NoError(t, err)
+	c := newTestCore()
+	c.inheritable.Set(followed, digest)
+	now := ident.Time(time.Hour)
+	c.inheritDirectory(now)
+	_, whole, _, err := c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Len(t, whole.GetHosts(), 1)
+	now = now.Add(time.Hour)
+	_, whole, _, err = c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Empty(t, whole.GetHosts())
+
+	now = now.Add(time.Second)
+	c.inheritDirectory(now)
+	_, whole, _, err = c.directoryUpdate(now, 0)
+	require.NoError(t, err)
+	require.Empty(t, whole.GetHosts())
+}
