Give statements with different texts different names

What callers see: a caller whose statement has the same name on an upstream connection as a statement that another caller prepared there runs that other statement, and is answered with success. The other caller may be of another team.

Cause: the name of a prepared statement is the digest of the text followed by the parameter types, without a mark between the two. The text "... >" without types and the text "... > 1234" with one type, whose four bytes are "5678", had the same name. A caller chooses the types of its Parse freely. Connections are shared, and a statement that is prepared under a name is not prepared again.

Whether PostgreSQL accepts such a type for an unused parameter was not tried.

Change: a zero byte, which no text of the protocol contains, separates the text from the types.

--- a/host/entry/batch.go
+++ b/host/entry/batch.go
@@ -23,6 +23,8 @@
 func newStatement(sql string, oids []uint32) *statement {
 	digest := sha256.New()
 	digest.Write([]byte(sql))
+	// A text of the protocol contains no zero byte, so the separator keeps the end of the text and the first type apart.
+	digest.Write([]byte{0})
 	for _, oid := range oids {
 		digest.Write(binary.BigEndian.AppendUint32(nil, oid))
 	}
