Count the allotment of a host that returns with a lower incarnation

What callers see: more connections may be open at an upstream than it accepts, so it refuses some of them and requests fail for a moment.

Cause: the incarnation of a host is its wall clock at the start. The allocator compared it with that of the host's record even after the lease of the record had ended, since only the report of another host or a newer start removed the record. A host whose clock was stepped back before its restart got the allotment of its earlier start, which was then no longer counted.

Change: Report removes the records whose lease has ended before it looks for that of the host.

--- a/fleet/pool/allocator.go
+++ b/fleet/pool/allocator.go
@@ -65,6 +65,9 @@
 // open than the highest of the open and allotted ones that it reported and the allotment returned here. Lease is the
 // end of the lease that the same response grants.
 func (a *Allocator) Report(now ident.Time, host ident.Host, incarnation ident.Incarnation, demand *fleetpb.Demand, lease ident.Time) int {
+	// The record of an earlier start ends with its lease, so that the incarnations are compared only during the lease: the
+	// leader may accept a start with a lower incarnation after that.
+	a.expire(now)
 	s := a.hostShare(host)
 	switch {
 	case incarnation < s.incarnation || (incarnation == s.incarnation && demand.GetSeq() <= s.seq):
--- a/fleet/pool/allocator_test.go
+++ b/fleet/pool/allocator_test.go
@@ -155,3 +155,18 @@
 		}
 	})
 }
+
+// Guards against connections that the leader does not count: a host whose clock was stepped back before its restart reports with a
+// lower incarnation, and its allotment must count after the lease of the earlier start has ended.
+func TestRestartWithALowerIncarnation(t *testing.T) {
+	const limit = 16
+	allocator := pool.NewAllocator(pool.AllocatorOptions{Limit: limit})
+	demand := &fleetpb.Demand{Seq: 1, Wanted: limit}
+	before := allocator.Report(0, "h1", 1000, demand, 2000*ms)
+	require.Equal(t, limit-pool.Reserved, before)
+	require.Equal(t, before, allocator.Report(1999*ms, "h1", 5, demand, 3999*ms), "the lease of the earlier start has not ended")
+	first := allocator.Report(2000*ms, "h1", 5, demand, 4000*ms)
+	second := allocator.Report(2000*ms, "h2", 1, demand, 4000*ms)
+	require.LessOrEqual(t, first+second, limit-pool.Reserved)
+	require.Equal(t, first+second, allocator.MaxOpen(2000*ms))
+}
