Tell the starts of a keeper apart without its clock

What callers see: a read may miss the caller's last write. After a restart, writes may also wait for the next keeper epoch.

Cause: a keeper records writes for earlier starts of its host, and took every start with a lower incarnation for an earlier one. The incarnation is the wall clock at the start. When the clock was stepped back between two starts, the replaced process recorded writes for the later one, whose table was without them, and the later one refused writes for the process that it had replaced.

Evidence: TestPutsForOtherStartsOfTheHost failed before the change: with the clock stepped back both answers were the wrong ones. A read that misses a write also needs a Put for the later start that reaches the replaced process, for instance its own while it holds a lease from another leader; that was not produced with processes.

Change: the earlier starts are those that the first view of a host names. A later view may name starts that are later than the host, so their Puts are refused, as those of other hosts are. A host that first synced before any epoch cannot tell and refuses them too; the write then waits for the next epoch.

--- a/fleet/session/keeper.go
+++ b/fleet/session/keeper.go
@@ -46,6 +46,9 @@
 	history []*Set
 	// floors contains the epoch for which each service's floor was read.
 	floors map[ident.Service]ident.Epoch
+	// started is set by the first Adopt, and earlierStarts contains the other starts of this host that its view named.
+	started       bool
+	earlierStarts []Member
 }
 
 // NewKeeper returns a Keeper without a lease, an epoch or floors, which is not authoritative for any session.
@@ -68,18 +71,18 @@
 func (k *Keeper) Adopt(view *View) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	old := k.state.Load()
-	if view.Epoch() < old.view.Epoch() || view == nil {
-		return
+	next := *k.state.Load()
+	if !next.started {
+		next.started, next.earlierStarts = true, view.otherStarts(k.self)
 	}
-	if view.Epoch() == old.view.Epoch() {
-		if old.view.Settled {
-			return
-		}
-		k.state.Store(&keeperState{view: view, history: old.history, floors: old.floors})
-		return
+	switch {
+	case view == nil || view.Epoch() < next.view.Epoch():
+	case view.Epoch() > next.view.Epoch():
+		next.view, next.history = view, extendHistory(next.history, view)
+	case !next.view.Settled:
+		next.view = view
 	}
-	k.state.Store(&keeperState{view: view, history: extendHistory(old.history, view), floors: old.floors})
+	k.state.Store(&next)
 }
 
 // extendHistory appends the sets of a newer view. If an epoch in between is missing, the keeper cannot prove that it was a
@@ -156,7 +159,9 @@
 	for len(history) > 1 && history[0].Epoch < oldest {
 		history = history[1:]
 	}
-	k.state.Store(&keeperState{view: old.view, history: history, floors: floors})
+	next := *old
+	next.history, next.floors = history, floors
+	k.state.Store(&next)
 }
 
 // Put records a position if this keeper may hold the session. Recording is always safe; the response states whether the writer
@@ -175,8 +180,8 @@
 
 // accepts reports whether a Put is accepted: this host must be a holder in the adopted epoch or in the previous one. A Put of a
 // newer epoch is always accepted, because only a newer view shows whether this keeper is a holder in it. A restarted host
-// accepts Puts for its earlier incarnation, which no longer answers reads; otherwise a restart would delay writes until the
-// next epoch.
+// accepts Puts for its earlier starts, which no longer answer reads; otherwise a restart would delay writes until the next
+// epoch. They are those that the host's first view named: what a later view names may have started after this host.
 func (k *Keeper) accepts(state *keeperState, epoch ident.Epoch, hash uint64) bool {
 	if epoch > state.view.Epoch() {
 		return true
@@ -184,10 +189,16 @@
 	if state.view == nil {
 		return false
 	}
-	if state.view.Current.assigns(k.self, hash) {
+	if state.assigns(state.view.Current, k.self, hash) {
 		return true
 	}
-	return state.view.Previous != nil && state.view.Previous.assigns(k.self, hash)
+	return state.view.Previous != nil && state.assigns(state.view.Previous, k.self, hash)
+}
+
+// assigns reports whether self or an earlier start of its host is a holder of the session in a set.
+func (s *keeperState) assigns(set *Set, self Member, hash uint64) bool {
+	m, found := set.holder(self.Zone, hash)
+	return found && (m.same(self) || slices.ContainsFunc(s.earlierStarts, m.same))
 }
 
 // Get returns the session's position if the lease is valid at now and the keeper is authoritative for the session.
--- a/fleet/session/session_test.go
+++ b/fleet/session/session_test.go
@@ -158,3 +158,39 @@
 		})
 	}
 }
+
+// Guards invariant 1 against a keeper that records a write for a later start of its host: the writer would count that start as a
+// holder, although its table is without the write. The order of the starts must not follow from their numbers, since the clock of
+// a host may be stepped back before a restart. A restarted host must still accept writes for the start that it replaces.
+func TestPutsForOtherStartsOfTheHost(t *testing.T) {
+	view := func(e ident.Epoch, m session.Member) *session.View {
+		return &session.View{Current: session.NewSet(e, []session.Member{m}), Settled: true}
+	}
+	tests := []struct {
+		name        string
+		self, other ident.Incarnation
+	}{
+		{"clocks in order", 2, 1},
+		{"clock stepped back", 1, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			earlier, later := member("a1", tt.other), member("a1", tt.self)
+			request := session.NewWriter(name(0), at(0x100), 1000).Request(1)
+			put := func(views []*session.View, self session.Member) bool {
+				keeper := session.NewKeeper(session.KeeperOptions{Self: self})
+				for _, v := range views {
+					keeper.Adopt(v)
+				}
+				return keeper.Put(request).GetRecorded()
+			}
+			before, after := view(1, earlier), view(2, later)
+			require.Equal(t, []bool{true, true, true, false}, []bool{
+				put([]*session.View{before}, later), put([]*session.View{before, after}, later),
+				put([]*session.View{before}, earlier), put([]*session.View{before, after}, earlier),
+			})
+			// A host that synced before the first epoch cannot tell whether that names an earlier or a later start.
+			require.False(t, put([]*session.View{nil, before}, later))
+		})
+	}
+}
--- a/fleet/session/view.go
+++ b/fleet/session/view.go
@@ -78,12 +78,6 @@
 	return found && m.same(self)
 }
 
-// assigns reports whether self or an earlier incarnation of its host is a holder of the session.
-func (s *Set) assigns(self Member, hash uint64) bool {
-	m, found := s.holder(self.Zone, hash)
-	return found && m.Host == self.Host && m.Incarnation <= self.Incarnation
-}
-
 func (s *Set) holder(zone ident.Zone, hash uint64) (Member, bool) {
 	for _, z := range s.zones {
 		if z.zone == zone {
@@ -167,6 +161,27 @@
 	return v.Current.Epoch
 }
 
+// otherStarts returns the members that are other starts of the host of self.
+func (v *View) otherStarts(self Member) []Member {
+	if v == nil {
+		return nil
+	}
+	var starts []Member
+	for _, set := range []*Set{v.Current, v.Previous} {
+		if set == nil {
+			continue
+		}
+		for _, z := range set.zones {
+			for _, m := range z.members {
+				if m.Host == self.Host && !m.same(self) {
+					starts = append(starts, m)
+				}
+			}
+		}
+	}
+	return starts
+}
+
 // Required returns the holders that must record a write: those of the epoch and, until it is settled, of the previous one.
 func (v *View) Required(session ident.Session) []Member {
 	holders := v.Current.Holders(session)
