Accept a host whose clock was stepped back before a restart

What callers see: a host that is restarted after its wall clock was stepped back answers every request with 57P03 until the control leader changes, or forgets the earlier start ten minutes after its last sync.

Cause: the incarnation of a host is its wall clock at the start, and the leader refused every incarnation below the latest one as one that had been replaced.

Change: the leader remembers the incarnations that it has seen replaced and gives none of them a lease again, whatever their numbers. An unknown incarnation with a lower number is accepted once the latest one has no lease, at most 2 s after its last sync and at once after a planned restart. It is still refused if the keeper epoch names it, since it then had a lease from an earlier leader. A higher number still takes over at once, so that a restart within a lease is not delayed.

Not covered: a leader that has just taken over cannot tell a late request of a replaced start with a higher number from a new start. The live host is then refused, as before.

--- a/fleet/control/hosts.go
+++ b/fleet/control/hosts.go
@@ -29,6 +29,8 @@
 	// leased is set from the first lease until the leader has noticed its end.
 	leased  bool
 	stopped bool
+	// replaced holds the earlier incarnations of the host that this leader knows; none of them gets a lease again.
+	replaced map[ident.Incarnation]bool
 	// reported is set once the host has reported counts to this leader.
 	reported bool
 	counts   map[ident.Team]burn.Counts
@@ -82,7 +84,7 @@
 }
 
 // findOrAddHost returns the record of the host that sent a request. A new incarnation gets a new record, which replaces
-// that of the previous one.
+// that of the previous one; requests of replaced incarnations are refused.
 func (l *Leader) findOrAddHost(now ident.Time, request *fleetpb.SyncRequest) (*host, error) {
 	name, incarnation := ident.Host(request.GetHost()), ident.Incarnation(request.GetIncarnation())
 	refuse := func(cause string) error {
@@ -93,19 +95,42 @@
 	switch {
 	case name == "":
 		return nil, refuse("the sync names no host")
-	case h != nil && incarnation < latest:
-		return nil, refuse(fmt.Sprintf("incarnation %d has taken its place", latest))
-	case h != nil && incarnation == latest && h.stopped:
+	case h == nil:
+		return l.addHost(name, map[ident.Incarnation]bool{}), nil
+	case incarnation == latest && h.stopped:
 		return nil, refuse("it has said that it is gone")
-	case h != nil && incarnation == latest:
+	case incarnation == latest:
 		return h, nil
+	case l.mayBeReplaced(now, h, incarnation):
+		return nil, refuse(fmt.Sprintf("incarnation %d has taken its place", latest))
 	}
-	if h != nil && h.expires > now {
+	if h.expires > now {
 		l.replacedLeases = append(l.replacedLeases, replacedLease{host: name, incarnation: latest, expires: h.expires})
 	}
-	h = &host{counts: map[ident.Team]burn.Counts{}}
+	h.replaced[latest] = true
+	return l.addHost(name, h.replaced), nil
+}
+
+func (l *Leader) addHost(name ident.Host, replaced map[ident.Incarnation]bool) *host {
+	h := &host{replaced: replaced, counts: map[ident.Team]burn.Counts{}}
 	l.hosts[name] = h
-	return h, nil
+	return h
+}
+
+// mayBeReplaced reports whether an incarnation other than the latest one of a host may have started before it. The clock of a host
+// may be stepped back before a restart, so a lower number alone does not show that: it counts while the latest incarnation has a
+// lease, and for a keeper, which had a lease from an earlier leader.
+func (l *Leader) mayBeReplaced(now ident.Time, h *host, incarnation ident.Incarnation) bool {
+	if h.replaced[incarnation] {
+		return true
+	}
+	if incarnation > ident.Incarnation(h.alive.GetIncarnation()) {
+		return false
+	}
+	wasKeeper := slices.ContainsFunc(l.machine.Keepers().GetCurrent(), func(k *fleetpb.Keeper) bool {
+		return k.GetHost() == h.alive.GetHost() && ident.Incarnation(k.GetIncarnation()) == incarnation
+	})
+	return wasKeeper || now < h.expires
 }
 
 func (h *host) getAlive() *fleetpb.Alive {
--- a/fleet/control/leader_test.go
+++ b/fleet/control/leader_test.go
@@ -292,3 +292,46 @@
 	about := sim.leader.Explain(sim.now, "u1")
 	require.Equal(t, control.KindStatus, about[len(about)-1].Kind, "u1 is not announced")
 }
+
+// Guards against a host that is refused for minutes because its clock was stepped back before a restart, and against requests of
+// replaced starts that get a lease, whatever the order of the numbers.
+func TestRestartAfterClockStep(t *testing.T) {
+	sim := newSimulation(t)
+	sim.applyText("a1", 0, yaml)
+	sim.startHost("h1", "north")
+	sim.startHost("h2", "south").Incarnation = 1000
+	sim.run(3*time.Second, "h1 h2", "")
+	sim.logKeepers()
+	crashed := proto.CloneOf(sim.hosts["h2"])
+	sim.logf("h2 crashes and starts again with a clock that was stepped back")
+	sim.startHost("h2", "south").Incarnation = 5
+	syncOf := func(request *fleetpb.SyncRequest) string {
+		if _, err := sim.sync(request); err != nil {
+			return err.Error()
+		}
+		return "accepted"
+	}
+	sim.run(1750*time.Millisecond, "h1", "")
+	sim.logf("h2 syncs within the lease of the earlier start, which may still serve: %s", syncOf(sim.hosts["h2"]))
+	sim.run(250*time.Millisecond, "h1", "")
+	sim.logf("h2 syncs: %s", syncOf(sim.hosts["h2"]))
+	sim.run(time.Second, "h1 h2", "")
+	sim.logKeepers()
+	sim.logf("a late request of the earlier start arrives: %s", syncOf(crashed))
+	sim.logf("h2 shuts down, and starts again with a clock that was stepped back further")
+	gone := proto.CloneOf(sim.hosts["h2"])
+	gone.Gone = true
+	sim.logf("h2 syncs for the last time: %s", syncOf(gone))
+	sim.startHost("h2", "south").Incarnation = 3
+	sim.logf("h2 syncs: %s", syncOf(sim.hosts["h2"]))
+	sim.run(2500*time.Millisecond, "h1", "")
+	sim.logf("late requests of the earlier starts arrive after the lease of h2 has ended: %s; %s", syncOf(crashed), syncOf(gone))
+	sim.logf("h1 restarts just after a new leader took over, and its lease ends before an epoch is without the earlier start")
+	keeper := proto.CloneOf(sim.hosts["h1"])
+	sim.restart()
+	sim.startHost("h1", "north")
+	sim.logf("h1 syncs: %s", syncOf(sim.hosts["h1"]))
+	sim.now = sim.now.Add(control.Lease)
+	sim.logf("a late request of the earlier start, which is a keeper, arrives: %s", syncOf(keeper))
+	sim.assertGolden("clock_step")
+}
--- a/fleet/ident/ident.go
+++ b/fleet/ident/ident.go
@@ -12,7 +12,8 @@
 // Host is the id of one machine of the fleet, from its settings.
 type Host string
 
-// Incarnation numbers the starts of one host; a higher number is a later start.
+// Incarnation identifies one start of a host. A higher number is usually a later start, but not if the host's clock was stepped
+// back in between.
 type Incarnation uint64
 
 // Zone is the name of an availability zone.
--- a/host/deps.go
+++ b/host/deps.go
@@ -78,7 +78,8 @@
 		peers: peer.New(peer.Options{
 			Secret: settings.GetSecrets().GetFleet(), Certificates: certificates.peer, Control: settings.GetControl(),
 		}),
-		// The wall clock orders the incarnations of a host that stores nothing on disk.
+		// A host stores nothing on disk, so the wall clock numbers its starts. The leader accepts a lower number once the lease of
+		// the previous start has ended.
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
 		clock:       clock.New(),
 		rejections:  rejections.New(ident.Host(settings.GetHost())),
