Use no connection to the earlier address of an upstream

What callers see: after an upstream of the same name has announced itself at another address, their statements still run on the machine at the earlier address for as long as pooled connections to it stay open. A read may miss the caller's last write, since the positions by which reads are routed are those of the new machine. If the earlier machine is gone without closing its connections, statements fail at their deadline.

Cause: the pool keeps connections by the name of the upstream, and did not compare the address that they were opened to.

Evidence: TestConnectionsToAnEarlierAddressAreNotUsed failed before the change, for a connection that was idle and for one that was in use when the address changed: the next statement ran on the earlier server.

Change: a connection to another address than the member's current one is closed in place of being reused. Queued work chooses its upstream again, as after a change of role. An open transaction still ends on its connection.

--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,6 +248,7 @@
 		{"primary", func(v *member.View) { v.Groups["orders"].Primary = "o2" }, true},
 		{"term", func(v *member.View) { v.Groups["orders"].Term = 2 }, true},
 		{"announcement", func(v *member.View) { v.Announced = nil }, true},
+		{"address", func(v *member.View) { v.Groups["orders"].Members[0].Address = "127.0.0.1:1" }, true},
 		{"lease", func(v *member.View) { *v = member.View{} }, true},
 		{"other group", func(v *member.View) { v.Groups["dues"] = &fleetpb.Group{Term: 7} }, false},
 	}
@@ -273,6 +275,37 @@
 	}
 }
 
+// Guards against a statement that runs on the machine that had an upstream's name before: an upstream that is replaced announces
+// itself at another address, while the earlier machine may still answer with old data.
+func TestConnectionsToAnEarlierAddressAreNotUsed(t *testing.T) {
+	for _, idle := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idle %t", idle), func(t *testing.T) {
+			earlier, current := newServer(t), newServer(t)
+			var adopted atomic.Pointer[member.View]
+			adopted.Store(view(earlier.address, 1, nil))
+			p := upstream.NewPool(upstream.Options{Clock: clock.New(), View: adopted.Load, SyncNow: func() {}})
+			t.Cleanup(p.Close)
+			conn := acquire(t, p, adopted.Load())
+			if idle {
+				p.Release(target, conn)
+			}
+			adopted.Store(view(current.address, 1, nil))
+			p.Adopt(adopted.Load())
+			if !idle {
+				// A transaction that is open when the address changes ends on its connection.
+				require.NoError(t, conn.Exec("COMMIT"))
+				p.Release(target, conn)
+			}
+			got := <-startAcquire(t.Context(), p)
+			require.NoError(t, got.err)
+			require.NoError(t, got.conn.Exec("SELECT 1"))
+			p.Release(target, got.conn)
+			require.NotContains(t, earlier.statements(), "1 SELECT 1")
+			require.Equal(t, []string{"1 SELECT 1"}, current.statements())
+		})
+	}
+}
+
 // Guards against a connection that leaks when its caller cancels while it waits, or at the moment of the assignment.
 func TestCancelledAcquireReturnsConnection(t *testing.T) {
 	s := newServer(t)
--- a/host/upstream/target_pool.go
+++ b/host/upstream/target_pool.go
@@ -39,11 +39,12 @@
 	primary   string
 	term      uint64
 	inService bool
+	address   string
 }
 
 func roleOf(view *member.View, target member.Target) role {
 	group := view.Groups[target.Service]
-	return role{group.GetPrimary(), group.GetTerm(), view.InService(target)}
+	return role{group.GetPrimary(), group.GetTerm(), view.InService(target), view.Member(target).GetAddress()}
 }
 
 type waiter struct {
@@ -110,7 +111,7 @@
 	t.queue.RecordServiceTime(now, now.Sub(t.assignedAt[conn]))
 	delete(t.assignedAt, conn)
 	id := t.ids[conn]
-	if conn.Usable() {
+	if t.usable(conn) {
 		t.pool.Released(now, id, conn.Dirty())
 	} else {
 		conn.Close()
@@ -206,11 +207,16 @@
 	}
 }
 
-// assign hands a connection to the next work in the queue. A connection that the upstream has closed is removed instead, and
-// the work waits for another one.
+// usable reports whether a connection may be reused. One to an earlier address may lead to a machine that the upstream has left.
+func (t *targetPool) usable(conn *Conn) bool {
+	return conn.address == t.role.address && conn.Usable()
+}
+
+// assign hands a connection to the next work in the queue. A connection that is no longer usable is removed instead, and the
+// work waits for another one.
 func (t *targetPool) assign(now ident.Time, id pool.ConnID) {
 	conn := t.conns[id]
-	if !conn.Usable() {
+	if !t.usable(conn) {
 		conn.Close()
 		t.removeConn(id)
 		return
