Cancel only the statement that a cancel request is for

What callers see: a statement is cancelled with 57014 although its caller sent no cancel request. It may be the statement of another team.

Cause: a cancel request looked up the connection on which its caller's statement ran, and then cancelled whatever statement of a caller ran on that connection. When the caller's statement ended in between, the connection could already run the next caller's.

The race was not produced with processes.

Change: a started statement is a value of its own, whose Cancel does nothing once it is not the one that the connection runs.

--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -61,8 +61,8 @@
 	unsynced bool
 	// skipToSync is set between an error in a flushed batch and the next Sync.
 	skipToSync bool
-	// active is the connection that runs a batch at the moment, for cancel requests.
-	active atomic.Pointer[upstream.Conn]
+	// active is the statement that runs at the moment, for cancel requests.
+	active atomic.Pointer[upstream.Statement]
 	// idle is set while the caller waits outside a transaction, so that a shutdown may close its connection.
 	idle atomic.Bool
 }
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -302,11 +302,11 @@
 		conn.SetDeadline(deadline)
 	}
 	defer conn.SetDeadline(time.Time{})
-	conn.StartStatement()
-	c.active.Store(conn)
+	running := conn.StartStatement()
+	c.active.Store(running)
 	err := exchange(conn, b, out)
 	c.active.Store(nil)
-	conn.EndStatement()
+	running.End()
 	return err
 }
 
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -313,13 +313,13 @@
 	if c == nil || subtle.ConstantTimeCompare(c.secret, secret) != 1 {
 		return
 	}
-	conn := c.active.Load()
-	if conn == nil {
+	running := c.active.Load()
+	if running == nil {
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
-	if err := conn.Cancel(ctx); err != nil {
+	if err := running.Cancel(ctx); err != nil {
 		klog.V(1).InfoS("cancel request not delivered", "err", err)
 	}
 }
--- a/host/upstream/conn.go
+++ b/host/upstream/conn.go
@@ -49,7 +49,7 @@
 // Unwrap returns the cause.
 func (e *ConnectError) Unwrap() error { return e.Cause }
 
-// Conn is one connection to an upstream. Apart from Cancel, one goroutine uses it at a time.
+// Conn is one connection to an upstream. One goroutine uses it at a time, apart from Statement.Cancel.
 type Conn struct {
 	// raw is the TCP connection under socket. Without TLS they are the same.
 	raw      net.Conn
@@ -65,9 +65,9 @@
 	status   byte
 	position ident.Position
 	stale    atomic.Bool
-	// cancelMutex protects running, which is set while a caller's statement runs.
+	// cancelMutex protects running, the caller's statement that runs at the moment.
 	cancelMutex sync.Mutex
-	running     bool
+	running     *Statement
 	opened      time.Time
 }
 
@@ -297,25 +297,34 @@
 	}
 }
 
-// StartStatement marks the start of a caller's statement, which Cancel may cancel.
-func (c *Conn) StartStatement() {
-	c.cancelMutex.Lock()
-	c.running = true
-	c.cancelMutex.Unlock()
+// Statement is one statement of a caller on a connection. Its methods are safe for concurrent use.
+type Statement struct {
+	conn *Conn
 }
 
-// EndStatement marks the end of a caller's statement. It waits for a cancel request that is being sent.
-func (c *Conn) EndStatement() {
+// StartStatement returns a caller's statement that runs on the connection until its End.
+func (c *Conn) StartStatement() *Statement {
+	s := &Statement{conn: c}
 	c.cancelMutex.Lock()
-	c.running = false
+	c.running = s
 	c.cancelMutex.Unlock()
+	return s
+}
+
+// End marks the end of the statement. It waits for a cancel request that is being sent.
+func (s *Statement) End() {
+	s.conn.cancelMutex.Lock()
+	s.conn.running = nil
+	s.conn.cancelMutex.Unlock()
 }
 
-// Cancel sends a cancel request for the running statement. Without one it does nothing.
-func (c *Conn) Cancel(ctx context.Context) error {
+// Cancel sends a cancel request for the statement. It does nothing once the statement has ended, since the connection may run
+// another caller's statement by then.
+func (s *Statement) Cancel(ctx context.Context) error {
+	c := s.conn
 	c.cancelMutex.Lock()
 	defer c.cancelMutex.Unlock()
-	if !c.running {
+	if c.running != s {
 		return nil
 	}
 	// The upstream may handle the request late, so the connection must not run another caller's statement.
--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -200,9 +200,9 @@
 			[]string{"1 BEGIN", "2 SELECT 1"},
 		},
 		{"cancel request", func(t *testing.T, conn *upstream.Conn) {
-			conn.StartStatement()
-			require.NoError(t, conn.Cancel(t.Context()))
-			conn.EndStatement()
+			statement := conn.StartStatement()
+			require.NoError(t, statement.Cancel(t.Context()))
+			statement.End()
 		}, []string{"2 SELECT 1"}},
 	}
 	for _, tt := range tests {
@@ -381,3 +381,20 @@
 		require.ErrorAs(t, (<-result).err, &refused)
 	}
 }
+
+// Guards against a cancel request that ends another caller's statement: it may be handled after the statement that it is for has
+// ended and the connection runs the next one.
+func TestLateCancelSparesTheNextStatement(t *testing.T) {
+	s := newServer(t)
+	p := newPool(t, s.address)
+	conn := acquire(t, p, view(s.address, 1, nil))
+	first := conn.StartStatement()
+	first.End()
+	next := conn.StartStatement()
+	require.NoError(t, first.Cancel(t.Context()))
+	require.False(t, conn.Stale(), "a cancel request was sent")
+	require.NoError(t, next.Cancel(t.Context()))
+	require.True(t, conn.Stale(), "no cancel request was sent")
+	next.End()
+	p.Release(target, conn)
+}
--- a/host/upstream/secure_test.go
+++ b/host/upstream/secure_test.go
@@ -160,9 +160,9 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Exec("SELECT tamarack_state()"))
 	require.True(t, conn.Usable(), "an idle connection is usable")
-	conn.StartStatement()
-	require.NoError(t, conn.Cancel(t.Context()))
-	conn.EndStatement()
+	statement := conn.StartStatement()
+	require.NoError(t, statement.Cancel(t.Context()))
+	statement.End()
 	require.NoError(t, conn.Close())
 	require.False(t, conn.Usable())
 }
