--- a/host/upstream/pool_test.go
+++ b/host/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,9 +200,9 @@
 			[]string{"1 BEGIN", "2 SELECT 1"},
 		},
 		{"cancel request", func(t *testing.T, conn *upstream.Conn) {
-			conn.StartStatement()
-			require.NoError(t, conn.Cancel(t.Context()))
-			conn.EndStatement()
+			statement := conn.StartStatement()
+			require.NoError(t, statement.Cancel(t.Context()))
+			statement.End()
 		}, []string{"2 SELECT 1"}},
 	}
 	for _, tt := range tests {
@@ -247,6 +248,7 @@
 		{"primary", func(v *member.View) { v.Groups["orders"].Primary = "o2" }, true},
 		{"term", func(v *member.View) { v.Groups["orders"].Term = 2 }, true},
 		{"announcement", func(v *member.View) { v.Announced = nil }, true},
+		{"address", func(v *member.View) { v.Groups["orders"].Members[0].Address = "127.0.0.1:1" }, true},
 		{"lease", func(v *member.View) { *v = member.View{} }, true},
 		{"other group", func(v *member.View) { v.Groups["dues"] = &fleetpb.Group{Term: 7} }, false},
 	}
@@ -273,6 +275,37 @@
 	}
 }
 
+// Guards against a statement that runs on the machine that had an upstream's name before: an upstream that is replaced announces
+// itself at another address, while the earlier machine may still answer with old data.
+func TestConnectionsToAnEarlierAddressAreNotUsed(t *testing.T) {
+	for _, idle := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idle %t", idle), func(t *testing.T) {
+			earlier, current := newServer(t), newServer(t)
+			var adopted atomic.Pointer[member.View]
+			adopted.Store(view(earlier.address, 1, nil))
+			p := upstream.NewPool(upstream.Options{Clock: clock.New(), View: adopted.Load, SyncNow: func() {}})
+			t.Cleanup(p.Close)
+			conn := acquire(t, p, adopted.Load())
+			if idle {
+				p.Release(target, conn)
+			}
+			adopted.Store(view(current.address, 1, nil))
+			p.Adopt(adopted.Load())
+			if !idle {
+				// A transaction that is open when the address changes ends on its connection.
+				require.NoError(t, conn.Exec("COMMIT"))
+				p.Release(target, conn)
+			}
+			got := <-startAcquire(t.Context(), p)
+			require.NoError(t, got.err)
+			require.NoError(t, got.conn.Exec("SELECT 1"))
+			p.Release(target, got.conn)
+			require.NotContains(t, earlier.statements(), "1 SELECT 1")
+			require.Equal(t, []string{"1 SELECT 1"}, current.statements())
+		})
+	}
+}
+
 // Guards against a connection that leaks when its caller cancels while it waits, or at the moment of the assignment.
 func TestCancelledAcquireReturnsConnection(t *testing.T) {
 	s := newServer(t)
@@ -348,3 +381,20 @@
 		require.ErrorAs(t, (<-result).err, &refused)
 	}
 }
+
+// Guards against a cancel request that ends another caller's statement: it may be handled after the statement that it is for has
+// ended and the connection runs the next one.
+func TestLateCancelSparesTheNextStatement(t *testing.T) {
+	s := newServer(t)
+	p := newPool(t, s.address)
+	conn := acquire(t, p, view(s.address, 1, nil))
+	first := conn.StartStatement()
+	first.End()
+	next := conn.StartStatement()
+	require.NoError(t, first.Cancel(t.Context()))
+	require.False(t, conn.Stale(), "a cancel request was sent")
+	require.NoError(t, next.Cancel(t.Context()))
+	require.True(t, conn.Stale(), "no cancel request was sent")
+	next.End()
+	p.Release(target, conn)
+}
