--- a/models/lease.pml
+++ b/models/lease.pml
@@ -8,12 +8,12 @@
  * or may reach the other session. The gateway stops and starts again at any time, which closes its connections; leases expire at any
  * time. The hosts start again at any time as well, which ends their sessions' transactions.
  *
- * Bounds: three transactions, two requests under way, two connections, one restart. Random ids are modelled as numbers that are never
+ * Bounds: three transactions, two requests under way, two connections, one restart of the gateway and one of the hosts. Random ids are modelled as numbers that are never
  * given twice. Not modelled: a statement that is still running when the next request arrives, and what upstreams do.
  *
  * Each variant below drops a rule, and the search must find a counterexample for it:
  *
-// broken: COUNTED_LEASES        a process counts its leases from its start, and no transaction is checked
+// broken: COUNTED_LEASES        a process counts its leases from its start, and a lease serves every transaction (either rule alone suffices here)
 // broken: UNCHECKED             a lease serves every transaction
 // broken: COUNTED_TRANSACTIONS  a host counts the ids of its transactions from its start
 // broken: EMPTY_LEASE           a host takes an answer without a lease for a success
@@ -23,6 +23,7 @@
 #define CONNECTIONS 2
 #define REQUESTS 2
 #define MAX_TRANSACTIONS 3
+/* Restarts of the gateway, and of the hosts. */
 #define MAX_RESTARTS 1
 
 /* Kinds of requests. */
@@ -61,7 +62,8 @@
 byte lastTransaction;
 byte lastName;
 byte lastLease;
-byte restarts;
+byte gatewayStarts;
+byte hostStarts;
 
 /* Temporary variables within a step. */
 hidden byte i;
@@ -181,7 +183,8 @@
 		:: place < CONNECTIONS ->
 			assert(connection[place].transaction == request[r].transaction);
 			if
-			:: session[s].transaction == request[r].transaction -> session[s].waits = false
+			:: session[s].transaction == request[r].transaction -> answer()
+			:: s = 1 - s; answer()
 			:: true
 			fi
 		:: place == CONNECTIONS && session[s].transaction == request[r].transaction -> giveUp()
@@ -249,8 +252,8 @@
 		close(r)
 	}
 	/* The gateway starts again. */
-	:: restarts < MAX_RESTARTS -> atomic {
-		restarts++;
+	:: gatewayStarts < MAX_RESTARTS -> atomic {
+		gatewayStarts++;
 		close(0);
 		close(1);
 #ifdef COUNTED_LEASES
@@ -260,8 +263,8 @@
 #endif
 	}
 	/* The hosts start again. */
-	:: restarts < MAX_RESTARTS -> atomic {
-		restarts++;
+	:: hostStarts < MAX_RESTARTS -> atomic {
+		hostStarts++;
 		s = 0;
 		do
 		:: s == SESSIONS -> break
--- a/node/gateway/leases_test.go
+++ b/node/gateway/leases_test.go
@@ -27,6 +27,13 @@
 	return executor, held, id
 }
 
+// Guards against a lease that has the id of one of an earlier process at the same address.
+func TestLeasesOfTwoProcessesHaveDifferentIDs(t *testing.T) {
+	_, _, earlier := openLease(t, newLeases(), "one")
+	_, _, later := openLease(t, newLeases(), "two")
+	require.NotEqual(t, earlier, later)
+}
+
 // Guards against two statements at a time on one connection, and a connection that is closed or forgotten under a running statement.
 func TestRunningStatement(t *testing.T) {
 	l := newLeases()
--- a/standin/platform/run.go
+++ b/standin/platform/run.go
@@ -30,13 +30,17 @@
 	return g.lastTransaction
 }
 
-// recordRun records a statement that the session is about to run.
-func (s *session) recordRun(id, text string) {
+// newRun returns a statement that the session is about to run.
+func (s *session) newRun(id, text string) Run {
 	r := Run{ID: id, Text: text, Team: s.team, Values: fmt.Sprint(s.values)}
 	if s.state != "I" {
 		r.Transaction = s.transaction
 	}
-	g := s.upstream.group
+	return r
+}
+
+// recordRun records a statement that ran.
+func (g *Group) recordRun(r Run) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.runs = append(g.runs, r)
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -359,15 +359,16 @@
 		word, _, _ = strings.Cut(definition, " ")
 		rest = arguments
 	}
-	s.recordRun(id, text)
 	if s.state == "T" && s.readWrite && !s.upstream.group.isPrimary(s.upstream) && (word != "COMMIT" || len(s.writes) > 0) {
 		return s.fail("READONLY")
 	}
+	run := s.newRun(id, text)
 	switch word {
 	case "FETCH":
+		s.upstream.group.recordRun(run)
 		return s.read(rest)
 	case "STORE":
-		return s.write(id, rest)
+		return s.write(run, rest)
 	case "COMMIT":
 		if s.state != "T" {
 			s.upstream.group.recordViolation("commit %s outside of a transaction", id)
@@ -375,8 +376,9 @@
 		}
 		s.endTransaction()
 		if len(s.writes) > 0 {
-			return s.commit(id, s.writes)
+			return s.commit(run, s.writes)
 		}
+		s.upstream.group.recordRun(run)
 		return s.sendSigned(id, false)
 	}
 	s.upstream.group.recordViolation("statement %q", word+" "+rest)
@@ -398,24 +400,27 @@
 	return s.sendSigned("read", false)
 }
 
-func (s *session) write(id, rest string) bool {
+func (s *session) write(run Run, rest string) bool {
 	item, data, _ := strings.Cut(rest, " ")
 	if s.state == "T" {
+		s.upstream.group.recordRun(run)
 		s.writes[item] = data
-		return s.sendSigned(id, false)
+		return s.sendSigned(run.ID, false)
 	}
-	return s.commit(id, map[string]string{item: data})
+	return s.commit(run, map[string]string{item: data})
 }
 
 // commit commits writes and answers, unless the outcome is not known. It returns false if the connection must be closed.
-func (s *session) commit(id string, items map[string]string) bool {
-	switch s.upstream.group.commit(s.upstream, id, items) {
-	case refused:
+func (s *session) commit(run Run, items map[string]string) bool {
+	result := s.upstream.group.commit(s.upstream, run.ID, items)
+	if result == refused {
 		return s.fail("READONLY")
-	case unanswered:
+	}
+	s.upstream.group.recordRun(run)
+	if result == unanswered {
 		return false
 	}
-	return s.sendSigned(id, true)
+	return s.sendSigned(run.ID, true)
 }
 
 // sendSigned answers a statement that ran; the signature contains the upstream's id. It returns false if the answer to a write
