--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -140,7 +140,7 @@
 // Run sends a request and returns the upstream's answer, or a BrokenError if the outcome is unknown.
 func (c *Conn) Run(id string, since ident.Position, request statement.Request, timeout time.Duration) (statement.Result, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
-	// It stays so after a panic as well: the rest of an answer may still arrive.
+	// The connection is not used again unless the whole answer has been read, also after a panic: the rest may still arrive.
 	c.broken = true
 	result, err := c.session.Run(id, since, request)
 	if err != nil {
