Report the usage of teams once for each window

Change: hosts count operations as their connections send them, cut windows by the fleet's time, and report on Watch requests; the leader closes windows in the control log and sends them under the entry's index.

--- a/node/core.go
+++ b/node/core.go
@@ -113,10 +113,12 @@
 	if err := p.background.context.Err(); err != nil {
 		return trace.Wrap(err)
 	}
+	platform := api.NewClient(s.Platform, s.Host)
 	running, err := core.New(core.Options{
 		Host: s.Host, Peer: p.ownAddress, Zone: s.Zone, Region: s.Region, Losses: s.Losses, CatchUp: s.CatchUp,
 		InitialHosts: initialHosts, Bootstrap: bootstrap, Folder: p.folder, Peers: p.peers,
-		Seed: uint64(time.Now().UnixNano()), Protocol: newUpstream, Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
+		Seed: uint64(time.Now().UnixNano()), Protocol: newUpstream, Promoter: platform, Usage: usageOptions(s, platform), Parse: parse,
+		Seeds: p.file.seeds,
 	})
 	if err != nil {
 		return trace.Wrap(err)
@@ -132,6 +134,14 @@
 	return trace.Wrap(err)
 }
 
+// usageOptions returns the options of the reports of usage, or nil if the settings do not ask for them.
+func usageOptions(s *machine.Settings, platform core.UsagePlatform) *core.UsageOptions {
+	if s.Usage == nil {
+		return nil
+	}
+	return &core.UsageOptions{Platform: platform, Window: s.Usage.Window, Late: s.Usage.Late, Lease: s.Usage.Lease}
+}
+
 // isFolderUnusable reports whether an error means that the data folder stays unusable, however often the core is restarted.
 func isFolderUnusable(err error) bool {
 	var corrupt *store.CorruptError
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -55,6 +55,8 @@
 	Peers        *peer.Network
 	Seed         uint64
 	Promoter     Promoter
+	// Usage is set if the usage of teams is reported.
+	Usage *UsageOptions
 	// Protocol is the protocol spoken with upstreams.
 	Protocol upstream.Protocol
 	Parse    func(source []byte) (*catalog.Catalog, error)
@@ -71,6 +73,8 @@
 	lender    *lending.Lender
 	client    *http.Client
 	groups    *groups
+	// usage is nil if the usage of teams is not reported.
+	usage *usage
 
 	mu sync.Mutex
 	// hosts are the entry hosts that send Watch requests to this leader.
@@ -119,6 +123,9 @@
 		return nil, trace.Wrap(err)
 	}
 	c.groups = newGroups(c)
+	if options.Usage != nil {
+		c.usage = newUsage(c, *options.Usage)
+	}
 	return c, nil
 }
 
@@ -174,6 +181,9 @@
 	removed := make(chan error, 1)
 	parts.Go(func() { c.followDirectory(ctx) })
 	parts.Go(func() { c.keepMembership(ctx, removed) })
+	if c.usage != nil {
+		parts.Go(func() { c.usage.run(ctx) })
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	leadershipTicker := time.NewTicker(leadershipCheckInterval)
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -64,6 +64,9 @@
 		return response, nil
 	}
 	c.groups.report(now, request.GetPeer(), request.GetReports())
+	if c.usage != nil && request.GetHost() != "" {
+		c.usage.record(now, leadership.Term, request, response)
+	}
 	if current := c.state.configuration(); current != nil && current.GetVersion() > request.GetVersion() {
 		response.Configuration = current
 	}
--- a/node/core/hosts.go
+++ b/node/core/hosts.go
@@ -5,6 +5,7 @@
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/metering"
 )
 
 // entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
@@ -74,16 +75,32 @@
 
 // list returns the hosts that are not leaving, each as its latest start described it.
 func (e entryHosts) list(now ident.Time) []*fleetpb.EntryHost {
+	latest := e.latest(now)
+	hosts := make([]*fleetpb.EntryHost, 0, len(latest))
+	for name, id := range latest {
+		hosts = append(hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(e[id].zone), Peer: e[id].peer})
+	}
+	return hosts
+}
+
+// live returns the latest start of each host that is not leaving.
+func (e entryHosts) live(now ident.Time) []metering.Source {
+	latest := e.latest(now)
+	sources := make([]metering.Source, 0, len(latest))
+	for _, id := range latest {
+		sources = append(sources, metering.Source{Host: id.host, Incarnation: id.incarnation})
+	}
+	return sources
+}
+
+// latest returns the latest start of each host that is not leaving.
+func (e entryHosts) latest(now ident.Time) map[ident.Host]hostStart {
 	e.expire(now)
-	latest := map[ident.Host]*entryHost{}
+	latest := map[ident.Host]hostStart{}
 	for id, start := range e {
-		if other := latest[id.host]; !start.leaving && (other == nil || start.firstRequest > other.firstRequest) {
-			latest[id.host] = start
+		if other, found := latest[id.host]; !start.leaving && (!found || start.firstRequest > e[other].firstRequest) {
+			latest[id.host] = id
 		}
 	}
-	hosts := make([]*fleetpb.EntryHost, 0, len(latest))
-	for name, start := range latest {
-		hosts = append(hosts, &fleetpb.EntryHost{Host: string(name), Zone: string(start.zone), Peer: start.peer})
-	}
-	return hosts
+	return latest
 }
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -54,6 +54,8 @@
 			return other.GetSuccession().GetService() == kind.Succession.GetService()
 		})
 		s.saved.Successions = append(s.saved.Successions, &fleetpb.SavedSuccession{Succession: kind.Succession, Token: index})
+	case *fleetpb.Change_Usage:
+		return s.applyUsage(index, kind.Usage)
 	}
 	return &fleetpb.Outcome{Done: true, Version: index}
 }
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -17,6 +17,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/metering"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/routing"
@@ -63,6 +64,8 @@
 	// Overrun is what teams may run beyond rate and burst over the whole fleet. Reserves receives this host's share of it.
 	Overrun  Overrun
 	Reserves func(map[ident.Team]limit.Reserve)
+	// Usage counts the statements that the host sends to upstreams; nil if usage is not reported.
+	Usage *Usage
 	// Parse parses the text of a configuration.
 	Parse func(source []byte) (*catalog.Catalog, error)
 }
@@ -217,13 +220,24 @@
 		targets = []string{leader}
 	}
 	request := c.request()
+	var usage *metering.Report
+	if c.options.Usage != nil {
+		usage = c.options.Usage.addTo(request, c.options.Table.Catalog())
+	}
 	timeout := watchTimeout
 	if request.GetDigest() == 0 || request.GetVersion() == 0 {
 		timeout = wholeTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.watchHost(ctx, targets[0], request)
+	return c.watchHost(ctx, targets[0], request, usage)
+}
+
+// Flush reports what the host has counted since its last report. It is called after the last statement of a shutdown.
+func (c *Client) Flush(ctx context.Context) {
+	if c.options.Usage != nil {
+		c.watch(ctx)
+	}
 }
 
 // search asks core hosts at once which of them leads. The responses are small, so that hundreds of hosts that search at the same
@@ -293,14 +307,18 @@
 	return request
 }
 
-// watchHost sends a request to one core host and reports whether that host is the leader and its response was usable.
-func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest) bool {
+// watchHost sends a request, which contains a usage report unless that is nil, to one core host. It reports whether that host is the
+// leader and its response was usable.
+func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest, usage *metering.Report) bool {
 	sentAt := steady.Now()
 	response, err := c.call(ctx, address, request)
 	if err != nil {
 		c.handleFailure(address, err)
 		return false
 	}
+	if c.options.Usage != nil {
+		c.options.Usage.receive(sentAt, steady.Now(), usage, response)
+	}
 	return c.handleResponse(sentAt, address, request.GetDigest(), response)
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -18,6 +19,7 @@
 	"tamarackshunt.dev/node/entry"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/routing"
+	"tamarackshunt.dev/node/upstream"
 	"tamarackshunt.dev/platform/api"
 )
 
@@ -38,7 +40,9 @@
 	listener   net.Listener
 	background background
 	// leave notifies the core that the host is shutting down.
-	leave   func()
+	leave func()
+	// flush reports the last counts of usage to the core.
+	flush   func(context.Context)
 	failure chan struct{}
 	cause   error
 }
@@ -50,15 +54,21 @@
 	}
 	limitMemory(s.MemoryMB)
 	peers := peer.New(peer.Options{Trusted: true})
+	var usage *coreclient.Usage
+	var meter upstream.Meter
+	if s.Usage != nil {
+		usage = coreclient.NewUsage(s.Usage.Window)
+		meter = usage
+	}
 	table := routing.New(routing.Options{
 		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstream,
-		Gateways: gateway.NewClient(peers.Client(0), peers.URL),
+		Gateways: gateway.NewClient(peers.Client(0), peers.URL), Meter: meter,
 	})
 	ownAddress := address(s.IP, s.FirstPort+portOffsetEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
 	var tokens *quota.Quota
 	core := coreclient.New(coreclient.Options{
-		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Peer: ownAddress, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
+		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Peer: ownAddress, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse, Usage: usage,
 		Overrun:  coreclient.Overrun{Window: s.QuotaWindow, Fraction: s.QuotaOverrun, Slack: s.QuotaSlack},
 		Reserves: func(reserves map[ident.Team]limit.Reserve) { tokens.SetReserves(reserves) },
 	})
@@ -80,7 +90,7 @@
 	if err := serve(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	p.leave = core.Leave
+	p.leave, p.flush = core.Leave, core.Flush
 	go gateways.Run(p.background.context)
 	go core.Run(p.background.context)
 	go tokens.Run(p.background.context)
@@ -101,6 +111,7 @@
 func (p *entryPart) shutdown(start time.Time) {
 	p.leave()
 	p.server.Shutdown(start, p.listener)
+	p.flush(p.background.context)
 	p.background.cancel()
 }
 
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -37,6 +37,8 @@
 	Regions map[ident.Zone]ident.Region
 	// Protocol is the protocol of the upstreams.
 	Protocol upstream.Protocol
+	// Meter counts the statements that this host sends to upstreams; nil if usage is not reported.
+	Meter upstream.Meter
 	// Gateways is the client for the gateways on other hosts.
 	Gateways *gateway.Client
 }
@@ -233,7 +235,9 @@
 			}
 		}
 	}
-	return upstream.NewPool(target, t.options.Protocol, limit)
+	pool := upstream.NewPool(target, t.options.Protocol, limit)
+	pool.SetMeter(t.options.Meter)
+	return pool
 }
 
 func (t *Table) group(service ident.Service) *group {
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -154,6 +154,8 @@
 	began := steady.Now()
 	defer func() { d.pool.limiter.release(d.priority, steady.Now().Sub(began)) }()
 	outcome.Ran = true
+	ended := d.pool.began(d.team, inside)
 	outcome.Result, err = c.Run(use.ID, since, request, use.Timeout)
+	ended(outcome.Result, err)
 	return outcome, err
 }
