--- a/node/core/usage.go
+++ b/node/core/usage.go
@@ -65,8 +65,9 @@
 	reporterTerm uint64
 	// missing maps the windows that this leadership has closed to the hosts that had not reported them.
 	missing map[metering.Window][]ident.Host
-	// failing is the answer that was logged last for the present report.
-	failing metering.Answer
+	// failures is the number of consecutive calls that were not accepted, and lastFailure the answer to the last one.
+	failures    int
+	lastFailure metering.Answer
 }
 
 func newUsage(core *Core, options UsageOptions) *usage {
@@ -113,22 +114,25 @@
 // run closes windows and reports them while this host leads, until ctx ends.
 func (u *usage) run(ctx context.Context) {
 	for steady.Wait(ctx, usageInterval) == nil {
-		leadership := u.core.replica.Leadership()
-		if !leadership.Confirmed {
-			continue
+		if leadership := u.core.replica.Leadership(); leadership.Confirmed {
+			u.lead(leadership)
+			u.close(ctx, leadership.Term)
+			u.report(ctx, steady.Now())
 		}
-		if u.reporter == nil || u.reporterTerm != leadership.Term {
-			u.reporterTerm, u.reporter = leadership.Term, metering.NewReporter(leadership.Since, u.options.Lease)
-			u.missing, u.failing = map[metering.Window][]ident.Host{}, metering.AnswerNone
-		}
-		u.close(ctx, leadership)
-		u.report(ctx)
+	}
+}
+
+// lead starts the reporter of a leadership unless it has started.
+func (u *usage) lead(leadership replica.Leadership) {
+	if u.reporter == nil || u.reporterTerm != leadership.Term {
+		u.reporterTerm, u.reporter = leadership.Term, metering.NewReporter(leadership.Since, u.options.Lease)
+		u.missing, u.failures = map[metering.Window][]ident.Host{}, 0
 	}
 }
 
 // close closes the next window if it can be closed.
-func (u *usage) close(ctx context.Context, leadership replica.Leadership) {
-	closing := u.closing(leadership.Term)
+func (u *usage) close(ctx context.Context, term uint64) {
+	closing := u.closing(term)
 	if closing == nil {
 		return
 	}
@@ -150,7 +154,7 @@
 	u.missing[closing.Window] = closing.Missing
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ledgerOf(leadership.Term).Closed(closing.Window)
+	u.ledgerOf(term).Closed(closing.Window)
 }
 
 func (u *usage) closing(term uint64) *metering.Closing {
@@ -182,8 +186,8 @@
 }
 
 // report takes the next step of the oldest report that has no outcome.
-func (u *usage) report(ctx context.Context) {
-	switch action := u.reporter.Next(steady.Now(), u.core.state.pendingUsages()).(type) {
+func (u *usage) report(ctx context.Context, now ident.Time) {
+	switch action := u.reporter.Next(now, u.core.state.pendingUsages()).(type) {
 	case metering.Reserve:
 		token, err := u.reserve(ctx, &fleetpb.Usage{Window: uint64(action.Window)})
 		if err != nil {
@@ -238,13 +242,13 @@
 		klog.ErrorS(nil, "Usage report refused", fields...)
 	case metering.AnswerNone, metering.AnswerBusy, metering.AnswerOutdated:
 		usageReportFailures.Inc()
-		if u.failing != answer || answer == metering.AnswerNone {
+		if u.failures == 0 || u.lastFailure != answer {
 			klog.InfoS("Usage report not accepted yet", fields...)
 		}
-		u.failing = answer
+		u.failures, u.lastFailure = u.failures+1, answer
 		return
 	}
-	u.failing = metering.AnswerNone
+	u.failures = 0
 	delete(u.missing, action.Window)
 }
 
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -64,7 +64,7 @@
 	// Overrun is what teams may run beyond rate and burst over the whole fleet. Reserves receives this host's share of it.
 	Overrun  Overrun
 	Reserves func(map[ident.Team]limit.Reserve)
-	// Usage counts the statements that the host sends to upstreams; nil if usage is not reported.
+	// Usage counts the operations that the host sends to upstreams; nil if usage is not reported.
 	Usage *Usage
 	// Parse parses the text of a configuration.
 	Parse func(source []byte) (*catalog.Catalog, error)
@@ -219,11 +219,7 @@
 		}
 		targets = []string{leader}
 	}
-	request := c.request()
-	var usage *metering.Report
-	if c.options.Usage != nil {
-		usage = c.options.Usage.addTo(request, c.options.Table.Catalog())
-	}
+	request, usage := c.nextRequest()
 	timeout := watchTimeout
 	if request.GetDigest() == 0 || request.GetVersion() == 0 {
 		timeout = wholeTimeout
@@ -289,6 +285,15 @@
 	return response, nil
 }
 
+// nextRequest returns the next request and the usage report that it contains, or nil.
+func (c *Client) nextRequest() (*fleetpb.WatchRequest, *metering.Report) {
+	request := c.request()
+	if c.options.Usage == nil {
+		return request, nil
+	}
+	return request, c.options.Usage.addTo(request, c.options.Table.Catalog())
+}
+
 func (c *Client) request() *fleetpb.WatchRequest {
 	table := c.options.Table
 	request := &fleetpb.WatchRequest{
--- a/node/coreclient/usage.go
+++ b/node/coreclient/usage.go
@@ -1,7 +1,6 @@
 package coreclient
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -19,12 +18,12 @@
 const usageInterval = time.Second
 
 var (
-	usageCounted = metrics.NewCounter("tamarack_usage_statements_total")
+	usageCounted = metrics.NewCounter("tamarack_usage_operations_total")
 	usageLate    = metrics.NewCounter("tamarack_usage_host_late_total")
 	usageDropped = metrics.NewCounter("tamarack_usage_host_dropped_total")
 )
 
-// Usage counts the statements that this host sends to upstreams and reports them with the Client's requests. It implements
+// Usage counts the operations that this host sends to upstreams and reports them with the Client's requests. It implements
 // upstream.Meter and is safe for concurrent use.
 type Usage struct {
 	mu    sync.Mutex
@@ -34,6 +33,9 @@
 	reportedAt ident.Time
 	// late and dropped are the counts of the meter that are logged.
 	late, dropped uint64
+	// indices are those of the teams in the configuration indexed.
+	indices map[ident.Team]uint32
+	indexed *catalog.Catalog
 }
 
 // NewUsage returns a Usage for windows of a length.
@@ -77,10 +79,22 @@
 		return nil
 	}
 	u.reportedAt = now
-	request.Usage = encodeReport(report, teams)
+	u.index(teams)
+	request.Usage = encodeReport(report, uint64(teams.Version), u.indices)
 	return report
 }
 
+// index sets the indices to those of a configuration's teams.
+func (u *Usage) index(teams *catalog.Catalog) {
+	if u.indexed == teams {
+		return
+	}
+	u.indexed, u.indices = teams, make(map[ident.Team]uint32, len(teams.Teams))
+	for i := range teams.Teams {
+		u.indices[teams.Teams[i].Name] = uint32(i)
+	}
+}
+
 // receive records the response to a request that contained a report, or none if that is nil.
 func (u *Usage) receive(sentAt, receivedAt ident.Time, report *metering.Report, response *fleetpb.WatchResponse) {
 	u.mu.Lock()
@@ -108,20 +122,18 @@
 	klog.InfoS("Usage counted too late for its report", "late", late, "dropped", dropped)
 }
 
-// encodeReport returns a report as a message, with the teams as indices into those of a configuration.
-func encodeReport(report *metering.Report, teams *catalog.Catalog) *fleetpb.UsageReport {
-	message := &fleetpb.UsageReport{
-		Leadership: uint64(report.Leadership), Version: uint64(teams.Version), Complete: uint64(report.Complete),
-	}
+// encodeReport returns a report as a message, with the teams as indices into those of a configuration version.
+func encodeReport(report *metering.Report, version uint64, indices map[ident.Team]uint32) *fleetpb.UsageReport {
+	message := &fleetpb.UsageReport{Leadership: uint64(report.Leadership), Version: version, Complete: uint64(report.Complete)}
 	for window, counts := range report.Windows {
 		encoded := &fleetpb.WindowUsage{Window: uint64(window)}
 		for team, count := range counts {
-			index := slices.IndexFunc(teams.Teams, func(t catalog.Team) bool { return t.Name == team })
-			if index < 0 {
+			index, found := indices[team]
+			if !found {
 				encoded.Others = append(encoded.Others, &fleetpb.TeamUsage{Team: string(team), Count: count})
 				continue
 			}
-			encoded.Teams = append(encoded.Teams, uint32(index))
+			encoded.Teams = append(encoded.Teams, index)
 			encoded.Counts = append(encoded.Counts, count)
 		}
 		message.Windows = append(message.Windows, encoded)
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -37,7 +37,7 @@
 	Regions map[ident.Zone]ident.Region
 	// Protocol is the protocol of the upstreams.
 	Protocol upstream.Protocol
-	// Meter counts the statements that this host sends to upstreams; nil if usage is not reported.
+	// Meter counts the operations that this host sends to upstreams; nil if usage is not reported.
 	Meter upstream.Meter
 	// Gateways is the client for the gateways on other hosts.
 	Gateways *gateway.Client
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -42,7 +42,7 @@
 	protocol Protocol
 	limiter  *limiter
 	mu       sync.Mutex
-	// meter counts the statements, nil if usage is not reported.
+	// meter counts the operations, nil if usage is not reported.
 	meter Meter
 	// limit is the maximum number of connections; total counts those that are open or being opened.
 	limit   int
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Cloud accepts orders to promote an upstream and sends the announcements of upstreams.
+// Cloud accepts orders to promote an upstream and reports of usage, and sends the announcements of upstreams.
 type Cloud struct {
 	// Address is the address at which orders are accepted.
 	Address       string
@@ -24,6 +24,8 @@
 	answersToDrop int
 	// beforeOrder, if it is set, is called with the upstream of each order before the order is executed.
 	beforeOrder func(id string)
+	// Usage receives the reports of usage.
+	Usage UsageLog
 }
 
 // NewCloud returns a Cloud that accepts orders until ctx ends.
@@ -35,6 +37,7 @@
 	c := &Cloud{Address: listener.Addr().String(), groups: map[string]*Group{}, fencingTokens: map[string]uint64{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /failover", c.failover)
+	mux.Handle("POST /usage", &c.Usage)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
