Guard the change of the leader in the middle of a window

Cause: removing the check of a receipt's leadership, or of the term of collected counts, failed no test; the first window of a new fleet could begin after counts that arrived late. Change: two tests, and the first window is the earliest one reported.

--- a/fleet/metering/ledger.go
+++ b/fleet/metering/ledger.go
@@ -20,7 +20,7 @@
 	// maxWait is the time after the end of a window at which it is closed without the hosts that are not complete.
 	maxWait time.Duration
 	sources map[Source]*sourceUsage
-	// first is the window in which this leadership first knew the time.
+	// first is the earliest window known at the first start of the fleet.
 	first Window
 	// counted is the latest window that this leadership has closed.
 	counted Window
@@ -83,13 +83,10 @@
 // last is 0, and the first window is the one in which the leader learned the time. live are the hosts in contact with the leader.
 func (l *Ledger) Close(now Instant, last Window, live []Source) *Closing {
 	current := WindowAt(now, l.length)
-	if l.first == 0 {
-		l.first = l.earliest(current)
-	}
 	closing := &Closing{Window: last + 1}
 	switch {
 	case last == 0:
-		closing.Window = l.first
+		closing.Window = l.firstWindow(current)
 	case closing.Window+MaxOpenWindows < current:
 		closing.Skipped = uint64(current - MaxOpenWindows - closing.Window)
 		closing.Window = current - MaxOpenWindows
@@ -112,18 +109,20 @@
 	l.forget()
 }
 
-// earliest returns the earliest window that a host has reported, or the current one. Windows that no host can hold any more come from a
-// host whose clock was wrong before it knew the fleet's time.
-func (l *Ledger) earliest(current Window) Window {
-	earliest := current
+// firstWindow returns the first window of the fleet: the earliest that a host has reported, or the one in which the leader learned the
+// time. Windows that no host can hold any more come from a host whose clock was wrong before it knew the fleet's time.
+func (l *Ledger) firstWindow(current Window) Window {
+	if l.first == 0 {
+		l.first = current
+	}
 	for _, usage := range l.sources {
 		for w := range usage.windows {
 			if w+MaxOpenWindows >= current {
-				earliest = min(earliest, w)
+				l.first = min(l.first, w)
 			}
 		}
 	}
-	return earliest
+	return l.first
 }
 
 // missing returns the hosts that are not complete in a window: live ones, and those that counted something in it.
--- a/fleet/metering/metering_test.go
+++ b/fleet/metering/metering_test.go
@@ -149,6 +149,21 @@
 	require.Equal(t, metering.Counts{"a": 5, "b": 1}, next.Close(after(7), first-1, live).Counts)
 }
 
+// Guards against a new leader that waits for a host without operations, since the host takes a report to an earlier one for its own.
+func TestIdleHostIsCompleteForNewLeader(t *testing.T) {
+	m := metering.NewMeter(length)
+	m.Confirm(m.Report(after(1)), metering.Receipt{Leadership: 1})
+	ledger := metering.NewLedger(length, maxWait)
+	host := source("h", 1)
+	for range 2 {
+		report := m.Report(after(6))
+		ledger.Record(2, host, report)
+		m.Confirm(report, metering.Receipt{Leadership: 2})
+	}
+	require.NotNil(t, ledger.Close(after(6), first-1, []metering.Source{host}))
+	require.Nil(t, m.Report(after(6)))
+}
+
 // Guards against repeated, late and reordered reports that count twice or take counts away.
 func TestReportsCountOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/core/usage_test.go
+++ b/node/core/usage_test.go
@@ -197,6 +197,19 @@
 	require.Empty(t, s.core.state.pendingUsages())
 }
 
+// Guards against a leader that closes a window with what it collected in an earlier term: other leaders have got the later reports.
+func TestUsageOfEarlierTerm(t *testing.T) {
+	s := newUsageUnderTest(t)
+	u := s.core.usage
+	counts := &fleetpb.WindowUsage{Window: s.window, Teams: []uint32{0}, Counts: []uint64{7}}
+	s.watch(6, &fleetpb.UsageReport{Leadership: u.reporterTerm, Version: 1, Complete: s.window, Windows: []*fleetpb.WindowUsage{counts}})
+	u.lead(replica.Leadership{Term: u.reporterTerm + 2, Since: steady.Now()})
+	u.close(t.Context(), u.reporterTerm)
+	require.Zero(t, s.core.state.lastUsage())
+	s.closeWindow(9)
+	require.Equal(t, metering.Counts{"one": 9}, s.core.state.usageCounts(1000))
+}
+
 // Guards against a report whose teams are named by the indices of another configuration, and against a host that is told that it was
 // understood.
 func TestUsageOfUnknownConfiguration(t *testing.T) {
