Report everything to a new leader at once

Change: a search for the leader makes the next report whole, and the receipt of a new leadership is answered at once.

--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -124,15 +124,23 @@
 	return complete
 }
 
+// LeaderLost records that the next leader may have nothing of what earlier ones have confirmed.
+func (m *Meter) LeaderLost() {
+	m.leadership, m.complete = 0, 0
+	for _, open := range m.windows {
+		clear(open.confirmed)
+	}
+}
+
+// Leadership returns the leadership of the last receipt, or 0.
+func (m *Meter) Leadership() Leadership { return m.leadership }
+
 // Confirm records the receipt of a report. The receipt of another leadership means that the leader lacks what earlier ones had, so
 // everything that is open is reported again.
 func (m *Meter) Confirm(report *Report, receipt Receipt) {
 	if receipt.Leadership != m.leadership {
+		m.LeaderLost()
 		m.leadership = receipt.Leadership
-		m.complete = 0
-		for _, open := range m.windows {
-			clear(open.confirmed)
-		}
 	}
 	if report.Leadership == receipt.Leadership {
 		m.complete = max(m.complete, report.Complete)
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -218,6 +218,9 @@
 			return false
 		}
 		targets = []string{leader}
+		if c.options.Usage != nil {
+			c.options.Usage.leaderLost()
+		}
 	}
 	request, usage := c.nextRequest()
 	timeout := watchTimeout
--- a/node/coreclient/usage.go
+++ b/node/coreclient/usage.go
@@ -95,6 +95,15 @@
 	}
 }
 
+// leaderLost makes the next request contain everything that is not closed: the next leader has nothing yet, and waits for each host
+// before it closes a window.
+func (u *Usage) leaderLost() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.meter.LeaderLost()
+	u.reportedAt = 0
+}
+
 // receive records the response to a request that contained a report, or none if that is nil.
 func (u *Usage) receive(sentAt, receivedAt ident.Time, report *metering.Report, response *fleetpb.WatchResponse) {
 	u.mu.Lock()
@@ -103,9 +112,12 @@
 		u.clock.Set(sentAt, receivedAt, metering.InstantOf(response.GetTimeMs()))
 	}
 	if receipt := response.GetUsage(); receipt != nil && report != nil {
-		u.meter.Confirm(report, metering.Receipt{
-			Leadership: metering.Leadership(receipt.GetLeadership()), Closed: metering.Window(receipt.GetClosed()),
-		})
+		leadership := metering.Leadership(receipt.GetLeadership())
+		if leadership != u.meter.Leadership() {
+			// A leader waits for a report that builds on its own receipt.
+			u.reportedAt = 0
+		}
+		u.meter.Confirm(report, metering.Receipt{Leadership: leadership, Closed: metering.Window(receipt.GetClosed())})
 	}
 	u.logLosses()
 }
--- a/node/coreclient/usage_test.go
+++ b/node/coreclient/usage_test.go
@@ -51,7 +51,10 @@
 	}}
 	require.True(t, proto.Equal(want, request.GetUsage()), request.GetUsage())
 
-	u.receive(1, 2, report, &fleetpb.WatchResponse{Usage: &fleetpb.UsageReceipt{Leadership: 7}})
+	receipt := &fleetpb.WatchResponse{Usage: &fleetpb.UsageReceipt{Leadership: 7}}
+	u.receive(1, 2, report, receipt)
+	u.receive(1, 2, u.addTo(request, teams), receipt)
+	require.True(t, proto.Equal(&fleetpb.UsageReport{Leadership: 7, Version: 3, Complete: 999}, request.GetUsage()), "the leader has the counts")
 	count(u, "one", 2)
 	require.Nil(t, u.addTo(&fleetpb.WatchRequest{}, teams), "reports are sent at an interval")
 	request = &fleetpb.WatchRequest{Leaving: true}
@@ -60,6 +63,20 @@
 	require.True(t, proto.Equal(want, request.GetUsage()), request.GetUsage())
 }
 
+// Guards against a new leader that waits for hosts which have nothing new to report and do not know that it has nothing.
+func TestUsageAfterLeaderLost(t *testing.T) {
+	u, teams := usageUnderTest(t)
+	request := &fleetpb.WatchRequest{}
+	for range 2 {
+		u.receive(1, 2, u.addTo(request, teams), &fleetpb.WatchResponse{Usage: &fleetpb.UsageReceipt{Leadership: 7}})
+	}
+	require.Nil(t, u.addTo(&fleetpb.WatchRequest{Leaving: true}, teams))
+	u.leaderLost()
+	u.receive(1, 2, u.addTo(request, teams), &fleetpb.WatchResponse{Usage: &fleetpb.UsageReceipt{Leadership: 8}})
+	require.NotNil(t, u.addTo(request, teams))
+	require.True(t, proto.Equal(&fleetpb.UsageReport{Leadership: 8, Version: 3, Complete: 999}, request.GetUsage()), request.GetUsage())
+}
+
 // Guards against a host that never asks for the fleet's time, and one that has no configuration to name its teams by.
 func TestUsageAsksForTime(t *testing.T) {
 	u := NewUsage(testWindow)
