--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -17,6 +17,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/metering"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/routing"
@@ -63,6 +64,8 @@
 	// Overrun is what teams may run beyond rate and burst over the whole fleet. Reserves receives this host's share of it.
 	Overrun  Overrun
 	Reserves func(map[ident.Team]limit.Reserve)
+	// Usage counts the operations that the host sends to upstreams; nil if usage is not reported.
+	Usage *Usage
 	// Parse parses the text of a configuration.
 	Parse func(source []byte) (*catalog.Catalog, error)
 }
@@ -215,15 +218,25 @@
 			return false
 		}
 		targets = []string{leader}
+		if c.options.Usage != nil {
+			c.options.Usage.leaderLost()
+		}
 	}
-	request := c.request()
+	request, usage := c.nextRequest()
 	timeout := watchTimeout
 	if request.GetDigest() == 0 || request.GetVersion() == 0 {
 		timeout = wholeTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.watchHost(ctx, targets[0], request)
+	return c.watchHost(ctx, targets[0], request, usage)
+}
+
+// Flush reports what the host has counted since its last report. It is called after the last statement of a shutdown.
+func (c *Client) Flush(ctx context.Context) {
+	if c.options.Usage != nil {
+		c.watch(ctx)
+	}
 }
 
 // search asks core hosts at once which of them leads. The responses are small, so that hundreds of hosts that search at the same
@@ -275,6 +288,15 @@
 	return response, nil
 }
 
+// nextRequest returns the next request and the usage report that it contains, or nil.
+func (c *Client) nextRequest() (*fleetpb.WatchRequest, *metering.Report) {
+	request := c.request()
+	if c.options.Usage == nil {
+		return request, nil
+	}
+	return request, c.options.Usage.addTo(request, c.options.Table.Catalog())
+}
+
 func (c *Client) request() *fleetpb.WatchRequest {
 	table := c.options.Table
 	request := &fleetpb.WatchRequest{
@@ -293,14 +315,18 @@
 	return request
 }
 
-// watchHost sends a request to one core host and reports whether that host is the leader and its response was usable.
-func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest) bool {
+// watchHost sends a request, which contains a usage report unless that is nil, to one core host. It reports whether that host is the
+// leader and its response was usable.
+func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest, usage *metering.Report) bool {
 	sentAt := steady.Now()
 	response, err := c.call(ctx, address, request)
 	if err != nil {
 		c.handleFailure(address, err)
 		return false
 	}
+	if c.options.Usage != nil {
+		c.options.Usage.receive(sentAt, steady.Now(), usage, response)
+	}
 	return c.handleResponse(sentAt, address, request.GetDigest(), response)
 }
 
