Keep the directory and an advance of tokens for the next leader

After a loss of all power the directory was rebuilt from announcements and the buckets of teams started empty. The leader now saves the directory in the log, a new leader that was started lately restores it until each upstream confirms its entry, and it lends a part of the overrun at once. Core hosts hold a search for the leader until one leads.

--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -25,11 +25,15 @@
 type Directory struct {
 	mu      sync.Mutex
 	records map[ident.Upstream]*record
+	// confirmation counts what became of restored upstreams.
+	confirmation Confirmation
 }
 
 type record struct {
 	announcement *fleetpb.Announcement
 	updatedAt    ident.Time
+	// unconfirmed is set while an upstream that was restored has not announced itself.
+	unconfirmed bool
 }
 
 // New returns an empty directory.
@@ -59,11 +63,13 @@
 		if other == id || r.announcement.GetAddress() != a.GetAddress() || r.announcement.GetGone() {
 			continue
 		}
+		d.settle(r, false)
 		r.announcement = proto.CloneOf(r.announcement)
 		r.announcement.Gone, r.announcement.Leaving = true, true
 		r.updatedAt = now
 	}
-	d.records[id] = &record{proto.CloneOf(a), now}
+	d.settle(known, true)
+	d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now}
 	return true
 }
 
@@ -97,7 +103,8 @@
 	if known == nil || a.GetBorn() > known.announcement.GetBorn() {
 		// The end has overtaken the first announcement of its start, or this host was down when that arrived. Nothing is kept from an
 		// earlier start, whose address may belong to another upstream by now.
-		d.records[ident.Upstream(a.GetUpstream())] = &record{proto.CloneOf(a), now}
+		d.settle(known, true)
+		d.records[ident.Upstream(a.GetUpstream())] = &record{announcement: proto.CloneOf(a), updatedAt: now}
 		return known != nil && !known.announcement.GetGone()
 	}
 	if known.announcement.GetGone() || (a.GetBorn() != 0 && a.GetBorn() < known.announcement.GetBorn()) {
@@ -106,7 +113,8 @@
 	ended := proto.CloneOf(known.announcement)
 	ended.Gone, ended.Leaving = true, true
 	ended.Seq = max(ended.GetSeq(), a.GetSeq())
-	d.records[ident.Upstream(a.GetUpstream())] = &record{ended, now}
+	d.settle(known, true)
+	d.records[ident.Upstream(a.GetUpstream())] = &record{announcement: ended, updatedAt: now}
 	return true
 }
 
@@ -129,18 +137,14 @@
 func (d *Directory) List(now ident.Time) []*fleetpb.Announcement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.expire(now)
 	list := make([]*fleetpb.Announcement, 0, len(d.records))
-	for id, r := range d.records {
-		age := now.Sub(r.updatedAt)
-		if age > endedRetention || (age > announcementTimeout && !r.announcement.GetGone()) {
-			delete(d.records, id)
-			continue
-		}
+	for _, r := range d.records {
 		if r.announcement.GetGone() {
 			continue
 		}
 		a := proto.CloneOf(r.announcement)
-		a.AgeMs = uint32(max(0, age/time.Millisecond))
+		a.AgeMs = uint32(max(0, now.Sub(r.updatedAt)/time.Millisecond))
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(x, y *fleetpb.Announcement) int {
@@ -148,3 +152,24 @@
 	})
 	return list
 }
+
+// expire removes the upstreams that have not announced themselves for too long, and forgets the end of those that ended long ago.
+func (d *Directory) expire(now ident.Time) {
+	for id, r := range d.records {
+		if now.Sub(r.updatedAt) > r.retention() {
+			d.settle(r, false)
+			delete(d.records, id)
+		}
+	}
+}
+
+// retention returns the time for which a record is kept after its last announcement.
+func (r *record) retention() time.Duration {
+	switch {
+	case r.announcement.GetGone():
+		return endedRetention
+	case r.unconfirmed:
+		return confirmTimeout
+	}
+	return announcementTimeout
+}
--- a/fleet/limit/bucket.go
+++ b/fleet/limit/bucket.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// add adds tokens, up to the burst less the tokens on loan.
+func (b *bucket) add(now ident.Time, amount func(Rule) int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.nanotokens += amount(b.rule) * second
+	b.clamp()
+}
+
 func (b *bucket) refill(until ident.Time) {
 	elapsed := int64(until.Sub(b.updated))
 	if elapsed <= 0 {
--- a/fleet/limit/owner.go
+++ b/fleet/limit/owner.go
@@ -31,7 +31,8 @@
 
 // OwnerOptions configure an owner.
 type OwnerOptions struct {
-	// Since is a time such that no earlier owner lends tokens from then on. The owner lends nothing until one Lifetime later.
+	// Since is a time such that no earlier owner lends tokens from then on. The owner lends nothing until one Lifetime later,
+	// except an advance.
 	Since ident.Time
 }
 
@@ -40,6 +41,8 @@
 	lendsFrom ident.Time
 	mu        sync.RWMutex
 	teams     map[ident.Team]*bucket
+	// advanced is set once the owner has an advance, which it lends before lendsFrom.
+	advanced bool
 }
 
 // NewOwner returns an owner without teams.
@@ -47,8 +50,29 @@
 	return &Owner{lendsFrom: opts.Since.Add(Lifetime), teams: map[ident.Team]*bucket{}}
 }
 
-// SetRules replaces the teams and their rules. The bucket of a new team starts empty, since another owner may have
-// lent its tokens before.
+// LendsFrom returns the time from which the owner lends tokens of its buckets.
+func (o *Owner) LendsFrom() ident.Time {
+	return o.lendsFrom
+}
+
+// Advance adds tokens beyond the teams' rules to their buckets, which the owner lends at once. Spending in spans that start before
+// now or before LendsFrom then exceeds burst + rate x span by at most the advance: nothing that earlier owners lent can be spent after
+// LendsFrom, the bucket refills from then on, and loans plus the bucket's content never exceed the burst. Later spans don't exceed it. The
+// caller makes sure that no other owner has an advance in the same window.
+func (o *Owner) Advance(now ident.Time, amount func(Rule) int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.advanced {
+		return
+	}
+	o.advanced = true
+	for _, b := range o.teams {
+		b.add(now, amount)
+	}
+}
+
+// SetRules replaces the teams and their rules. The bucket of a new team starts empty at LendsFrom, since another owner may have
+// lent its tokens before. It has refilled since then, as nobody has lent tokens of this team.
 func (o *Owner) SetRules(now ident.Time, rules map[ident.Team]Rule) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -64,7 +88,7 @@
 			b.setRule(now, rule)
 			continue
 		}
-		o.teams[team] = newBucket(max(now, o.lendsFrom), rule)
+		o.teams[team] = newBucket(o.lendsFrom, rule)
 	}
 }
 
@@ -86,7 +110,7 @@
 			b.returnTokens(now, id, t.GetLoan(), int64(t.GetAmount()))
 		}
 	}
-	if now < o.lendsFrom {
+	if !o.lends(now) {
 		response.LifetimeMs = 0
 		return response
 	}
@@ -105,6 +129,13 @@
 	return response
 }
 
+// lends reports whether the owner lends tokens yet.
+func (o *Owner) lends(now ident.Time) bool {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.advanced || now >= o.lendsFrom
+}
+
 func (o *Owner) bucket(name string) *bucket {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -38,6 +38,8 @@
 	Primary bool
 	// Leaving is set when the upstream must get no new work.
 	Leaving bool
+	// Restored is set when the entry was saved before a restart of the core and the upstream has not announced itself since.
+	Restored bool
 	// LastAnnounced is the time at which its last announcement arrived.
 	LastAnnounced ident.Time
 }
@@ -47,6 +49,8 @@
 	startedAt ident.Time
 	members   []Member
 	primary   ident.Upstream
+	// assumed is set while the primary is known from a restored entry only.
+	assumed bool
 	// primarySince is the time at which the current primary was set.
 	primarySince ident.Time
 	lastAnswer   ident.Time
@@ -79,11 +83,15 @@
 	claims := slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
 		return !m.Primary || now.Sub(m.LastAnnounced) > announcementMaxAge
 	})
+	if announced := slices.DeleteFunc(slices.Clone(claims), restored); len(announced) > 0 {
+		claims = announced
+	}
 	if d.contains(claims, d.primary) {
 		d.noPrimarySince = 0
+		d.assumed = d.assumed && slices.ContainsFunc(claims, restored)
 		return
 	}
-	if d.primary != "" && now.Sub(d.primarySince) < settleDelay {
+	if d.primary != "" && !d.assumed && now.Sub(d.primarySince) < settleDelay {
 		// The announcements may not show the latest order yet.
 		return
 	}
@@ -91,6 +99,7 @@
 		// The latest announcement is the most reliable one, because a change of the role is announced at once.
 		latest := slices.MaxFunc(claims, func(x, y Member) int { return int(x.LastAnnounced - y.LastAnnounced) })
 		d.setPrimary(now, latest.Upstream)
+		d.assumed = latest.Restored
 		d.noPrimarySince = 0
 		return
 	}
@@ -99,12 +108,15 @@
 	}
 }
 
+// restored reports whether a member has not announced itself since the core was restarted.
+func restored(m Member) bool { return m.Restored }
+
 func (d *Decider) contains(members []Member, id ident.Upstream) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Upstream == id })
 }
 
 func (d *Decider) setPrimary(now ident.Time, id ident.Upstream) {
-	d.primary, d.primarySince, d.lastAnswer, d.failedProbes = id, now, now, 0
+	d.primary, d.assumed, d.primarySince, d.lastAnswer, d.failedProbes = id, false, now, now, 0
 }
 
 func (d *Decider) member(id ident.Upstream) *Member {
--- a/host/lending/lending.go
+++ b/host/lending/lending.go
@@ -39,6 +39,28 @@
 	l.owner.SetRules(now, l.rules)
 }
 
+// LendsFrom returns the time from which this host lends the tokens of its buckets, or false while it does not lead.
+func (l *Lender) LendsFrom() (ident.Time, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.owner == nil {
+		return 0, false
+	}
+	return l.owner.LendsFrom(), true
+}
+
+// Advance lets the owner of the leadership that began at since lend tokens beyond the teams' rules at once. It reports whether that
+// leadership still lasts.
+func (l *Lender) Advance(now, since ident.Time, amount func(limit.Rule) int64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.owner == nil || l.since != since {
+		return false
+	}
+	l.owner.Advance(now, amount)
+	return true
+}
+
 // SetState sets the teams' rates and bursts from the configuration text in force.
 func (l *Lender) SetState(now ident.Time, text *fleetpb.Text, _ []*fleetpb.Group) {
 	rules := make(map[ident.Team]limit.Rule, len(text.GetTeams()))
--- a/node/core.go
+++ b/node/core.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/store"
 	"tamarackshunt.dev/host/peer"
@@ -117,6 +118,7 @@
 		Host: s.Host, Peer: p.ownAddress, Zone: s.Zone, Region: s.Region, Losses: s.Losses, CatchUp: s.CatchUp,
 		InitialHosts: initialHosts, Bootstrap: bootstrap, Folder: p.folder, Peers: p.peers,
 		Seed: uint64(time.Now().UnixNano()), Protocol: newUpstream, Promoter: api.NewClient(s.Platform, s.Host), Parse: parse, Seeds: p.file.seeds,
+		Overrun: limit.Overrun{Window: s.QuotaWindow, Fraction: s.QuotaOverrun, Slack: s.QuotaSlack},
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/node/core/announce.go
+++ b/node/core/announce.go
@@ -23,6 +23,7 @@
 	c.recordAnnouncement(a)
 	if c.leads() {
 		c.forwardAnnouncement(ctx, a)
+		c.saveEnd(ctx, a)
 		return nil
 	}
 	cause := errNotLeader
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -13,6 +13,7 @@
 	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/quorum"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/host/lending"
@@ -60,6 +61,8 @@
 	Parse    func(source []byte) (*catalog.Catalog, error)
 	// Seeds returns the peer addresses of the core hosts in the current settings.
 	Seeds func() []string
+	// Overrun is what teams may run beyond rate and burst over the whole fleet.
+	Overrun limit.Overrun
 }
 
 // Core is a running core host. Its methods are safe for concurrent use.
@@ -84,7 +87,17 @@
 	// of this host's next leadership.
 	inheritable directory.Copy
 	// takenOver is the start of the leadership for which this host has taken over the directory.
-	takenOver atomic.Int64
+	takenOver       atomic.Int64
+	takenOverSignal signal
+
+	// startedAt is when this host was started. restoredHosts is set once it has restored hosts; only Run uses it.
+	startedAt     ident.Time
+	restoredHosts bool
+	// saving is full while a difference of the directory is saved, and savedAt is when the last one was.
+	saving  chan struct{}
+	savedAt atomic.Int64
+	// advancedAt is when this leader got its advance of tokens, or the latest time at which it may get it.
+	advancedAt atomic.Int64
 
 	// limitsCatalog is the configuration whose limits are set on the lender. Only Run uses it.
 	limitsCatalog *catalog.Catalog
@@ -99,6 +112,8 @@
 		lender:    lending.New(),
 		client:    options.Peers.Client(0),
 		hosts:     entryHosts{},
+		startedAt: steady.Now(),
+		saving:    make(chan struct{}, 1),
 	}
 	var err error
 	c.replica, err = replica.New(replica.Options{
@@ -174,6 +189,7 @@
 	removed := make(chan error, 1)
 	parts.Go(func() { c.followDirectory(ctx) })
 	parts.Go(func() { c.keepMembership(ctx, removed) })
+	parts.Go(func() { c.keepRecovery(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	leadershipTicker := time.NewTicker(leadershipCheckInterval)
@@ -201,7 +217,8 @@
 		case <-ticker.C:
 			leadership = c.replica.Leadership()
 		}
-		if leadership.Confirmed && leadership.Since != handledSince {
+		begins := leadership.Confirmed && leadership.Since != handledSince
+		if begins {
 			handledSince = leadership.Since
 			c.inheritDirectory(steady.Now())
 		}
@@ -209,6 +226,9 @@
 		if leadership.Leads {
 			c.setLimits()
 		}
+		if begins {
+			parts.Go(func() { c.takeAdvance(ctx, leadership) })
+		}
 		c.groups.tick(ctx, leadership.Confirmed)
 		if leadership.Confirmed {
 			c.takeOver(leadership)
--- a/node/core/directory.go
+++ b/node/core/directory.go
@@ -14,6 +14,10 @@
 // their requests, of which there are many in it.
 const directoryInterval = 50 * time.Millisecond
 
+// unconfirmedWarmup is the warm-up, in milliseconds, for which an upstream is listed that has not announced itself since the core was
+// restarted. It is about the interval of announcements.
+const unconfirmedWarmup = 1000
+
 // warmupLeft returns the rest of an upstream's warm-up in milliseconds. It is rounded up to whole seconds, so that it rarely
 // changes the directory.
 func warmupLeft(a *fleetpb.Announcement) uint32 {
@@ -28,13 +32,23 @@
 func (c *Core) entryDirectory(now ident.Time) *fleetpb.Directory {
 	d := &fleetpb.Directory{Evacuated: c.state.evacuated(), Primaries: c.groups.primaries()}
 	parsed := c.state.parsed()
+	unconfirmed := c.directory.Unconfirmed()
 	for _, a := range c.directory.List(now) {
-		if parsed == nil || parsed.Service(ident.Service(a.GetService())) == nil {
+		if parsed == nil {
+			continue
+		}
+		service := parsed.Service(ident.Service(a.GetService()))
+		if service == nil {
 			continue
 		}
+		warmup := warmupLeft(a)
+		if unconfirmed[ident.Upstream(a.GetUpstream())] && service.WarmupRate > 0 {
+			// It may have been restarted with the core.
+			warmup = unconfirmedWarmup
+		}
 		d.Upstreams = append(d.Upstreams, &fleetpb.Announcement{
 			Upstream: a.GetUpstream(), Service: a.GetService(), Address: a.GetAddress(), Zone: a.GetZone(),
-			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(), WarmupMs: warmupLeft(a),
+			Born: a.GetBorn(), Leaving: a.GetLeaving(), Capacity: a.GetCapacity(), WarmupMs: warmup,
 		})
 	}
 	c.mu.Lock()
--- a/node/core/follow.go
+++ b/node/core/follow.go
@@ -69,9 +69,13 @@
 		}
 	}
 	c.historyMu.Unlock()
+	saved := c.restoreDirectory(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hosts.inherit(now, inherited.GetHosts())
+	c.hosts.inherit(now, inherited.GetHosts(), entryHostTimeout)
+	if inherited == nil {
+		c.hosts.inherit(now, saved.GetHosts(), restoredHostTimeout)
+	}
 	klog.InfoS("Directory inherited", "hosts", len(inherited.GetHosts()), "upstreams", len(inherited.GetUpstreams()))
 }
 
@@ -83,7 +87,8 @@
 	c.historyMu.Lock()
 	inherited := c.inheritable.Directory() != nil
 	c.historyMu.Unlock()
-	if inherited || steady.Now().Sub(leadership.Since) >= gatherTime {
+	if inherited || c.restoredHosts || steady.Now().Sub(leadership.Since) >= gatherTime {
 		c.takenOver.Store(int64(leadership.Since))
+		c.takenOverSignal.broadcast()
 	}
 }
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -101,12 +101,14 @@
 	evacuated := g.core.state.evacuated()
 	members := map[ident.Service][]takeover.Member{}
 	targets := map[ident.Upstream]upstream.Target{}
+	unconfirmed := g.core.directory.Unconfirmed()
 	for _, a := range g.core.directory.List(now) {
 		service := ident.Service(a.GetService())
 		members[service] = append(members[service], takeover.Member{
 			Upstream:      ident.Upstream(a.GetUpstream()),
 			Primary:       a.GetPrimary(),
 			Leaving:       a.GetLeaving() || slices.Contains(evacuated, a.GetZone()),
+			Restored:      unconfirmed[ident.Upstream(a.GetUpstream())],
 			LastAnnounced: now.Add(-time.Duration(a.GetAgeMs()) * time.Millisecond),
 		})
 		targets[ident.Upstream(a.GetUpstream())] = upstream.Target{
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -10,11 +11,16 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/replica"
 )
 
 // maxBody bounds the body of a call in bytes; the largest one contains a configuration.
 const maxBody = 32 << 20
 
+// searchHold is how long a core host that does not lead holds a search for the leader. With a round trip between regions it stays
+// below the timeout of a search.
+const searchHold = 150 * time.Millisecond
+
 // Handler serves the calls of other hosts.
 func (c *Core) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -47,19 +53,20 @@
 type service struct{ core *Core }
 
 // Watch returns the configuration and the directory to an entry host if they differ from what it has.
-func (s service) Watch(_ context.Context, request *fleetpb.WatchRequest) (*fleetpb.WatchResponse, error) {
+func (s service) Watch(ctx context.Context, request *fleetpb.WatchRequest) (*fleetpb.WatchResponse, error) {
 	c := s.core
+	if request.GetSearch() {
+		// A new leader that collects hosts must know this one before it takes over.
+		c.recordHost(c.replica.Leadership(), request)
+		c.holdSearch(ctx)
+	}
 	now := steady.Now()
 	leadership := c.replica.Leadership()
 	// A new leader answers once it has taken over the directory: a list that is only beginning to fill would move the gateways of
 	// all upstreams.
-	leads := leadership.Confirmed && c.takenOver.Load() == int64(leadership.Since)
+	leads := c.hasTakenOver(leadership)
 	response := &fleetpb.WatchResponse{Leader: leadership.Leader, Leads: leads, Members: c.members()}
-	if leadership.Confirmed && request.GetHost() != "" {
-		c.mu.Lock()
-		c.hosts.record(now, request)
-		c.mu.Unlock()
-	}
+	c.recordHost(leadership, request)
 	if !leads || request.GetSearch() {
 		return response, nil
 	}
@@ -75,13 +82,43 @@
 	return response, nil
 }
 
+// recordHost records the entry host that has sent a request to the leader.
+func (c *Core) recordHost(leadership replica.Leadership, request *fleetpb.WatchRequest) {
+	if !leadership.Confirmed || request.GetHost() == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts.record(steady.Now(), request)
+}
+
+// hasTakenOver reports whether this host is the leader and knows its directory.
+func (c *Core) hasTakenOver(leadership replica.Leadership) bool {
+	return leadership.Confirmed && c.takenOver.Load() == int64(leadership.Since)
+}
+
+// holdSearch waits for searchHold at most until this host leads, so that a host that searches for the leader finds it at once.
+func (c *Core) holdSearch(ctx context.Context) {
+	takenOver := c.takenOverSignal.wait()
+	if c.hasTakenOver(c.replica.Leadership()) {
+		return
+	}
+	timer := time.NewTimer(searchHold)
+	defer timer.Stop()
+	select {
+	case <-takenOver:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Order executes an order if this host is the leader.
 func (s service) Order(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
 	return s.core.execute(ctx, request)
 }
 
 // PassOn records announcements that another core host has received.
-func (s service) PassOn(_ context.Context, batch *fleetpb.AnnounceBatch) (*fleetpb.AnnounceResult, error) {
+func (s service) PassOn(ctx context.Context, batch *fleetpb.AnnounceBatch) (*fleetpb.AnnounceResult, error) {
 	result := &fleetpb.AnnounceResult{Leads: s.core.leads()}
 	for _, a := range batch.GetAnnouncements() {
 		newer := s.core.directory.Newer(a)
@@ -91,6 +128,7 @@
 			result.Newer = append(result.Newer, newer)
 		}
 	}
+	s.core.saveEnd(ctx, batch.GetAnnouncements()...)
 	return result, nil
 }
 
--- a/node/core/hosts.go
+++ b/node/core/hosts.go
@@ -10,6 +10,10 @@
 // entryHostTimeout is the time after its last request for which an entry host is listed in the directory.
 const entryHostTimeout = 3 * time.Second
 
+// restoredHostTimeout is that time for hosts that are known from before a restart of the core. It is several intervals of their
+// searches: those that don't return with the core must not stay gateways for long.
+const restoredHostTimeout = 1500 * time.Millisecond
+
 // hostStart identifies one start of an entry host.
 type hostStart struct {
 	host        ident.Host
@@ -46,9 +50,9 @@
 	start.leaving = start.leaving || request.GetLeaving()
 }
 
-// inherit adds the hosts of an earlier leader's directory that are not known. They count as running until they had time to find this
-// leader.
-func (e entryHosts) inherit(now ident.Time, hosts []*fleetpb.EntryHost) {
+// inherit adds the hosts of an earlier leader's directory that are not known. They count as running for the timeout, so that they have
+// time to find this leader.
+func (e entryHosts) inherit(now ident.Time, hosts []*fleetpb.EntryHost, timeout time.Duration) {
 	e.expire(now)
 	known := map[ident.Host]bool{}
 	for id := range e {
@@ -57,7 +61,7 @@
 	for _, h := range hosts {
 		if name := ident.Host(h.GetHost()); !known[name] {
 			e[hostStart{name, inheritedIncarnation}] = &entryHost{
-				zone: ident.Zone(h.GetZone()), peer: h.GetPeer(), firstRequest: now, lastRequest: now,
+				zone: ident.Zone(h.GetZone()), peer: h.GetPeer(), firstRequest: now, lastRequest: now.Add(timeout - entryHostTimeout),
 			}
 		}
 	}
--- /dev/null
+++ b/node/core/recovery.go
@@ -0,0 +1,197 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/replica"
+)
+
+const (
+	// restoreTime is the time after a core host's start for which it restores saved upstreams when it becomes the leader. Later it has
+	// heard the announcements of all that run.
+	restoreTime = 10 * time.Second
+	// saveCheckInterval is the interval at which the leader compares the directory with the saved one.
+	saveCheckInterval = time.Second
+	// saveInterval is the least time between entries for differences that are due, and lazySaveInterval for lazy ones. Each entry costs
+	// a sync on the disk of each core host.
+	saveInterval     = 3 * time.Second
+	lazySaveInterval = time.Minute
+	// endSaveTimeout bounds how long the acknowledgement of an end waits for its entry. Upstreams wait a second.
+	endSaveTimeout = 300 * time.Millisecond
+)
+
+// advanceOut is the outcome of a change that takes an advance while another one is out.
+const advanceOut = "an advance is out"
+
+var (
+	upstreamsRestored  = metrics.NewCounter("tamarack_core_upstreams_restored_total")
+	upstreamsConfirmed = metrics.NewCounter("tamarack_core_upstreams_confirmed_total")
+	upstreamsDropped   = metrics.NewCounter("tamarack_core_upstreams_dropped_total")
+	directorySaves     = metrics.NewCounter("tamarack_core_directory_saves_total")
+	endsNotSaved       = metrics.NewCounter("tamarack_core_ends_not_saved_total")
+	advancesTaken      = metrics.NewCounter("tamarack_core_advances_total")
+)
+
+// restoreDirectory adds the saved upstreams to the directory of a new leader that was started lately, and returns the saved state. It
+// returns nil if nothing was restored.
+func (c *Core) restoreDirectory(now ident.Time) *fleetpb.SavedRecovery {
+	saved := c.state.recovery()
+	if len(saved.GetUpstreams()) == 0 || now.Sub(c.startedAt) >= restoreTime {
+		return nil
+	}
+	before := c.directory.Confirmation(now).Restored
+	c.directory.Restore(now, saved.GetUpstreams())
+	restored := c.directory.Confirmation(now).Restored - before
+	upstreamsRestored.Add(restored)
+	c.restoredHosts = len(saved.GetHosts()) > 0
+	klog.InfoS("Directory restored", "upstreams", restored, "saved", len(saved.GetUpstreams()), "hosts", len(saved.GetHosts()))
+	return saved
+}
+
+// keepRecovery keeps what the next leader starts with up to date in the log, until ctx ends.
+func (c *Core) keepRecovery(ctx context.Context) {
+	var counted directory.Confirmation
+	for steady.Wait(ctx, saveCheckInterval) == nil {
+		counted = c.countConfirmed(counted)
+		leadership := c.replica.Leadership()
+		if !leadership.Confirmed {
+			continue
+		}
+		if err := c.saveDirectory(ctx, c.leastUrgency(leadership)); err != nil {
+			klog.V(1).InfoS("Directory not saved", "problem", problem(err))
+		}
+		c.endAdvance(ctx)
+	}
+}
+
+// countConfirmed counts what has become of restored upstreams since the last call, and logs when all are settled.
+func (c *Core) countConfirmed(before directory.Confirmation) directory.Confirmation {
+	now := c.directory.Confirmation(steady.Now())
+	upstreamsConfirmed.Add(now.Confirmed - before.Confirmed)
+	upstreamsDropped.Add(now.Dropped - before.Dropped)
+	if now != before && now.Open() == 0 {
+		klog.InfoS("Restored upstreams settled", "confirmed", now.Confirmed, "dropped", now.Dropped)
+	}
+	return now
+}
+
+// leastUrgency returns the urgency from which on a difference is saved now.
+func (c *Core) leastUrgency(leadership replica.Leadership) directory.Urgency {
+	switch elapsed := steady.Now().Sub(max(ident.Time(c.savedAt.Load()), leadership.Since)); {
+	case elapsed >= lazySaveInterval:
+		return directory.Lazy
+	case elapsed >= saveInterval:
+		return directory.Due
+	}
+	return directory.Urgent
+}
+
+// saveDirectory saves the differences between the directory and the saved one if they are at least as urgent as least.
+func (c *Core) saveDirectory(ctx context.Context, least directory.Urgency) error {
+	select {
+	case c.saving <- struct{}{}:
+		defer func() { <-c.saving }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	now := steady.Now()
+	c.mu.Lock()
+	hosts := c.hosts.list(now)
+	c.mu.Unlock()
+	listed := &fleetpb.Directory{Hosts: hosts}
+	directory.Sort(listed)
+	change, urgency := directory.DiffSaved(c.state.recovery(), c.directory.Snapshot(now), listed.GetHosts())
+	if urgency < least {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := c.proposeRecovery(ctx, change); err != nil {
+		return err
+	}
+	directorySaves.Inc()
+	c.savedAt.Store(int64(now))
+	return nil
+}
+
+// saveEnd saves the end of an upstream, or that it leaves, before the leader acknowledges it. An acknowledgement is not held back by
+// a core that can't save it in time.
+func (c *Core) saveEnd(ctx context.Context, announcements ...*fleetpb.Announcement) {
+	if !slices.ContainsFunc(announcements, (*fleetpb.Announcement).GetLeaving) || !c.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endSaveTimeout)
+	defer cancel()
+	if err := c.saveDirectory(ctx, directory.Urgent); err != nil {
+		endsNotSaved.Inc()
+		klog.V(1).InfoS("End of an upstream not saved", "problem", problem(err))
+	}
+}
+
+func (c *Core) proposeRecovery(ctx context.Context, change *fleetpb.Recovery) (*fleetpb.Outcome, error) {
+	return c.propose(ctx, &fleetpb.Change{Kind: &fleetpb.Change_Recovery{Recovery: change}})
+}
+
+// takeAdvance lets a new leader lend tokens beyond the teams' rules at once, unless an earlier leader has done so within a window.
+func (c *Core) takeAdvance(ctx context.Context, leadership replica.Leadership) {
+	now := steady.Now()
+	parsed := c.state.parsed()
+	if c.options.Overrun.Window <= 0 || parsed == nil || len(parsed.Rules()) == 0 {
+		return
+	}
+	outcome, err := c.takeAdvanceInLog(ctx, now)
+	if err == nil && outcome.GetDone() {
+		c.mu.Lock()
+		hosts := len(c.hosts.list(now))
+		c.mu.Unlock()
+		now = steady.Now()
+		c.advancedAt.Store(int64(now))
+		if c.lender.Advance(now, leadership.Since, func(rule limit.Rule) int64 { return c.options.Overrun.Advance(rule, hosts) }) {
+			advancesTaken.Inc()
+		}
+	}
+	lendsFrom, _ := c.lender.LendsFrom()
+	klog.InfoS("Lending of tokens begins", "advance", err == nil && outcome.GetDone(), "bucketsRefillIn", lendsFrom.Sub(now),
+		"problem", outcomeProblem(outcome, err))
+}
+
+// takeAdvanceInLog proposes that this leader takes the advance. Until the outcome is known, endAdvance leaves the advance alone.
+func (c *Core) takeAdvanceInLog(ctx context.Context, now ident.Time) (*fleetpb.Outcome, error) {
+	c.advancedAt.Store(int64(now.Add(proposeTimeout)))
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return c.proposeRecovery(ctx, &fleetpb.Recovery{Advance: fleetpb.Advance_ADVANCE_TAKEN})
+}
+
+// endAdvance records that the advance is over once no window contains spending from before it, whichever leader has taken it: an
+// earlier one lent nothing from it that can be spent after this leader's buckets refill.
+func (c *Core) endAdvance(ctx context.Context) {
+	lendsFrom, leads := c.lender.LendsFrom()
+	over := max(lendsFrom, ident.Time(c.advancedAt.Load())).Add(c.options.Overrun.Window)
+	if !leads || !c.state.recovery().GetAdvanced() || steady.Now() <= over {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := c.proposeRecovery(ctx, &fleetpb.Recovery{Advance: fleetpb.Advance_ADVANCE_OVER}); err != nil {
+		klog.V(1).InfoS("Advance not ended", "problem", problem(err))
+	}
+}
+
+// outcomeProblem returns why a change was not made, or an empty text.
+func outcomeProblem(outcome *fleetpb.Outcome, err error) string {
+	if err != nil {
+		return problem(err)
+	}
+	return outcome.GetProblem()
+}
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 )
@@ -54,6 +55,11 @@
 			return other.GetSuccession().GetService() == kind.Succession.GetService()
 		})
 		s.saved.Successions = append(s.saved.Successions, &fleetpb.SavedSuccession{Succession: kind.Succession, Token: index})
+	case *fleetpb.Change_Recovery:
+		if kind.Recovery.GetAdvance() == fleetpb.Advance_ADVANCE_TAKEN && s.saved.GetRecovery().GetAdvanced() {
+			return &fleetpb.Outcome{Problem: advanceOut}
+		}
+		s.saved.Recovery = directory.ApplySaved(s.saved.GetRecovery(), kind.Recovery)
 	}
 	return &fleetpb.Outcome{Done: true, Version: index}
 }
@@ -122,3 +128,10 @@
 	}
 	return ""
 }
+
+// recovery returns what a new leader starts with after a restart of the core. Apply replaces the message and never changes it.
+func (s *state) recovery() *fleetpb.SavedRecovery {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.saved.GetRecovery()
+}
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -28,6 +28,8 @@
 	watchInterval = 400 * time.Millisecond
 	// minWatchInterval is the least interval between requests while no leader answers or the directory seems out of date.
 	minWatchInterval = 100 * time.Millisecond
+	// maxSearchPause bounds the pause between two searches that core hosts have held.
+	maxSearchPause = 50 * time.Millisecond
 	// watchTimeout bounds a request to the leader. It is enough to transfer a configuration of hundreds of routes, and a lost
 	// leader is detected within the time of an election.
 	watchTimeout = 500 * time.Millisecond
@@ -35,11 +37,8 @@
 	// them to all hosts at once.
 	wholeTimeout = 2 * time.Second
 	// searchTimeout bounds the requests to all core hosts while the leader is unknown. One of them may be unresponsive, and
-	// the next requests must not wait for it. A round trip between regions takes 24 ms.
+	// the next requests must not wait for it. It is the time for which core hosts hold a search and a round trip between regions, 24 ms.
 	searchTimeout = 200 * time.Millisecond
-	// unknownHosts is added to the number of hosts that share the reserves of teams, for hosts that are not in the directory
-	// yet. A reserve is the number of a team's tokens that a host may spend while no owner of tokens answers.
-	unknownHosts = 2
 	// connectedTimeout is the time after the last contact with the leader for which the host counts as connected.
 	connectedTimeout = 3 * time.Second
 )
@@ -61,20 +60,12 @@
 	Peers *peer.Network
 	Table *routing.Table
 	// Overrun is what teams may run beyond rate and burst over the whole fleet. Reserves receives this host's share of it.
-	Overrun  Overrun
+	Overrun  limit.Overrun
 	Reserves func(map[ident.Team]limit.Reserve)
 	// Parse parses the text of a configuration.
 	Parse func(source []byte) (*catalog.Catalog, error)
 }
 
-// Overrun is what a team may run beyond its rate and burst in any Window over the whole fleet: the Fraction of what rate and
-// burst allow in the window, plus Slack operations.
-type Overrun struct {
-	Window   time.Duration
-	Fraction float64
-	Slack    int64
-}
-
 // Client is an entry host's client of the core leader.
 type Client struct {
 	options     Options
@@ -168,16 +159,25 @@
 		case <-c.wake:
 		case <-timer.C:
 		}
-		wait := watchInterval
+		start := steady.Now()
 		found := c.watch(ctx)
-		if !found {
-			wait = minWatchInterval
-		}
 		c.logSearch(found)
-		timer.Reset(wait + time.Duration(rand.Int64N(int64(minWatchInterval))))
+		timer.Reset(nextWatch(found, steady.Now().Sub(start)))
 	}
 }
 
+// nextWatch returns the time until the next request, after one that took the given time and did or didn't find the leader. Core hosts
+// hold a search, so that the next one follows the end of it soon; a search that ended early found no core host that runs.
+func nextWatch(found bool, took time.Duration) time.Duration {
+	switch {
+	case found:
+		return watchInterval + time.Duration(rand.Int64N(int64(minWatchInterval)))
+	case took >= minWatchInterval:
+		return time.Duration(rand.Int64N(int64(maxSearchPause)))
+	}
+	return minWatchInterval + time.Duration(rand.Int64N(int64(minWatchInterval)))
+}
+
 // logSearch logs once that no leader was found for a while, with the core hosts that were asked.
 func (c *Client) logSearch(found bool) {
 	now := steady.Now()
@@ -229,22 +229,27 @@
 // search asks core hosts at once which of them leads. The responses are small, so that hundreds of hosts that search at the same
 // time don't fill the leader's link.
 func (c *Client) search(ctx context.Context, targets []string) (leader string) {
+	// The other calls go on once one host has answered as the leader, since breaking them off would close their connections.
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	defer cancel()
 	request := &fleetpb.WatchRequest{
 		Host: string(c.options.Host), Incarnation: uint64(c.options.Incarnation), Zone: string(c.options.Zone), Peer: c.options.Peer,
 		Leaving: c.isLeaving(), Search: true,
 	}
 	leaders := make(chan string, len(targets))
+	var calls sync.WaitGroup
 	for _, address := range targets {
-		go func() {
+		calls.Go(func() {
 			response, err := c.call(ctx, address, request)
 			if err != nil || !response.GetLeads() {
 				address = ""
 			}
 			leaders <- address
-		}()
+		})
 	}
+	go func() {
+		calls.Wait()
+		cancel()
+	}()
 	for range targets {
 		if leader = <-leaders; leader != "" {
 			return leader
@@ -380,13 +385,10 @@
 
 // setReserves sets this host's share of what teams may run beyond their limits. It is spent while no owner of tokens answers.
 func (c *Client) setReserves() {
-	overrun := c.options.Overrun
 	hosts := c.options.Table.HostCount()
 	reserves := map[ident.Team]limit.Reserve{}
 	for team, rule := range c.options.Table.Catalog().Rules() {
-		allowed := float64(rule.Rate)*overrun.Window.Seconds() + float64(rule.Burst)
-		tokens := (allowed*overrun.Fraction + float64(overrun.Slack)) / float64(hosts+unknownHosts)
-		reserves[team] = limit.Reserve{Tokens: int64(tokens), Window: overrun.Window}
+		reserves[team] = c.options.Overrun.Reserve(rule, hosts)
 	}
 	c.options.Reserves(reserves)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -59,7 +59,7 @@
 	var tokens *quota.Quota
 	core := coreclient.New(coreclient.Options{
 		Host: s.Host, Incarnation: incarnation, Zone: s.Zone, Peer: ownAddress, Seeds: file.seeds, Peers: peers, Table: table, Parse: parse,
-		Overrun:  coreclient.Overrun{Window: s.QuotaWindow, Fraction: s.QuotaOverrun, Slack: s.QuotaSlack},
+		Overrun:  limit.Overrun{Window: s.QuotaWindow, Fraction: s.QuotaOverrun, Slack: s.QuotaSlack},
 		Reserves: func(reserves map[ident.Team]limit.Reserve) { tokens.SetReserves(reserves) },
 	})
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Prefetch: borrowPrefetch})
