--- /dev/null
+++ b/fleet/limit/overrun_test.go
@@ -0,0 +1,106 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+)
+
+// mostInWindow returns the most tokens by which spending in any span up to the window exceeds burst + rate x span.
+func mostInWindow(spends []ident.Time, rule limit.Rule, window ident.Time) float64 {
+	worst := 0.0
+	for i, from := range spends {
+		for j := i; j < len(spends) && spends[j]-from <= window; j++ {
+			allowed := float64(rule.Burst) + float64(rule.Rate)*time.Duration(spends[j]-from).Seconds()
+			worst = max(worst, float64(j-i+1)-allowed)
+		}
+	}
+	return worst
+}
+
+// Guards against a team that exceeds rate and burst by more than the advance in one window: because two owners have an advance in
+// it, because an advance is lent on top of a full bucket, or because hosts that were only cut off still hold an earlier owner's tokens.
+func TestAdvanceStaysWithinTheOverrun(t *testing.T) {
+	const window = 5000 * ms
+	rapid.Check(t, func(r *rapid.T) {
+		rule := limit.Rule{Rate: rapid.Uint32Range(1, 60).Draw(r, "rate"), Burst: rapid.Uint32Range(1, 40).Draw(r, "burst")}
+		tokens := rapid.Int64Range(1, 40).Draw(r, "advance")
+		sim := newSimulation(3, map[ident.Team]limit.Rule{"stalls": rule})
+		// out is whether an advance is out, as the log has it, and takenAt when this owner took it.
+		out, takenAt := false, ident.Time(0)
+		for range rapid.IntRange(20, 150).Draw(r, "steps") {
+			sim.now += rapid.SampledFrom([]ident.Time{5 * ms, 20 * ms, 100 * ms, 250 * ms, 900 * ms}).Draw(r, "elapsed")
+			switch rapid.IntRange(0, 12).Draw(r, "event") {
+			case 0:
+				sim.restart(rapid.IntRange(0, 2).Draw(r, "host"))
+			case 1, 2:
+				sim.newOwner()
+				takenAt = 0
+			case 3, 4:
+				if !out {
+					out, takenAt = true, sim.now
+					sim.owner.Advance(sim.now, func(limit.Rule) int64 { return tokens })
+				}
+			}
+			if out && sim.now > max(sim.owner.LendsFrom(), takenAt)+window {
+				out = false
+			}
+			for host := range sim.borrowers {
+				for range rapid.SampledFrom([]int{0, 0, 1, 5, 60}).Draw(r, "requests") {
+					sim.take(host, "stalls")
+				}
+				sim.expire(host)
+				sim.sendRequest(host, 5*ms, 5*ms)
+			}
+			sim.deliver(5 * ms)
+		}
+		if e := mostInWindow(sim.spends["stalls"], rule, window); e > float64(tokens)+1e-6 {
+			r.Fatalf("a window exceeds rate %d and burst %d by %f tokens with an advance of %d", rule.Rate, rule.Burst, e, tokens)
+		}
+	})
+}
+
+// Guards against a new owner that lends nothing until the loans of an earlier one are over, although the overrun allows some, and
+// against one whose buckets are empty although no owner has lent for long.
+func TestNewOwnerLends(t *testing.T) {
+	rules := map[ident.Team]limit.Rule{"stalls": {Rate: 10, Burst: 30}}
+	balance := func(electedAt ident.Time, advance int64) int64 {
+		owner := limit.NewOwner(limit.OwnerOptions{Since: 1000 * ms})
+		owner.SetRules(electedAt, rules)
+		if advance > 0 {
+			owner.Advance(electedAt, func(limit.Rule) int64 { return advance })
+		}
+		return owner.Balance(electedAt, "stalls").Bucket
+	}
+	require.EqualValues(t, 0, balance(1100*ms, 0))
+	require.EqualValues(t, 12, balance(1100*ms, 12))
+	require.EqualValues(t, 30, balance(1100*ms, 40), "the burst bounds the bucket")
+	require.EqualValues(t, 20, balance(3500*ms, 0), "the bucket has refilled since the last loans ended")
+	require.EqualValues(t, 30, balance(60_000*ms, 12))
+}
+
+// Guards against an overrun that is given out twice: by hosts that know half, all or more of the hosts, and by the owner's advance.
+func TestOverrunIsDivided(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		overrun := limit.Overrun{
+			Window: 5 * time.Second, Fraction: rapid.Float64Range(0, 0.5).Draw(r, "fraction"), Slack: rapid.Int64Range(0, 50).Draw(r, "slack"),
+		}
+		rule := limit.Rule{Rate: rapid.Uint32Range(1, 400).Draw(r, "rate"), Burst: rapid.Uint32Range(1, 400).Draw(r, "burst")}
+		hosts := rapid.IntRange(1, 300).Draw(r, "hosts")
+		tokens := (float64(rule.Rate)*5+float64(rule.Burst))*overrun.Fraction + float64(overrun.Slack)
+		given := float64(overrun.Advance(rule, hosts)) + float64(overrun.Reserve(rule, hosts).Tokens)*float64(hosts)
+		require.LessOrEqual(r, given, tokens+1e-6)
+		// A host that knows only half of the others has a reserve only beside the small advance.
+		if overrun.Reserve(rule, hosts/2).Tokens > 0 {
+			require.LessOrEqual(r, float64(overrun.Advance(rule, hosts)), tokens*3/8)
+		}
+	})
+	require.Zero(t, limit.Overrun{}.Advance(limit.Rule{Rate: 10, Burst: 10}, 3), "without settings there is none")
+	large := limit.Overrun{Window: 5 * time.Second, Fraction: 0.1, Slack: 20}
+	require.EqualValues(t, 20, large.Advance(limit.Rule{Rate: 10, Burst: 20}, 65), "hosts of a large fleet have no reserve")
+}
--- a/fleet/takeover/takeover_test.go
+++ b/fleet/takeover/takeover_test.go
@@ -250,3 +250,60 @@
 	}
 	require.Fail(t, "no replica is promoted while the dead primary is listed")
 }
+
+// Guards against a service without a primary until the upstreams announce themselves after a restart of the core, and against a primary
+// that is taken from an entry saved before although another upstream announces itself as the primary, or the log has a later order.
+func TestRestoredPrimary(t *testing.T) {
+	const now = ident.Time(time.Hour)
+	saved := takeover.Member{Upstream: "a", Primary: true, Restored: true, LastAnnounced: now}
+	replica := takeover.Member{Upstream: "a", LastAnnounced: now.Add(time.Second)}
+	other := takeover.Member{Upstream: "b", Primary: true, LastAnnounced: now.Add(time.Second)}
+	for name, c := range map[string]struct {
+		successor ident.Upstream
+		// first are the members when the leader begins, and next those a second later.
+		first, next []takeover.Member
+		atOnce      ident.Upstream
+		later       ident.Upstream
+	}{
+		"confirmed": {
+			first: []takeover.Member{saved}, next: []takeover.Member{{Upstream: "a", Primary: true, LastAnnounced: now.Add(time.Second)}},
+			atOnce: "a", later: "a",
+		},
+		"not yet confirmed":        {first: []takeover.Member{saved}, next: []takeover.Member{saved}, atOnce: "a", later: "a"},
+		"another claims the role":  {first: []takeover.Member{saved}, next: []takeover.Member{saved, other}, atOnce: "a", later: "b"},
+		"it is a replica now":      {first: []takeover.Member{saved}, next: []takeover.Member{replica, other}, atOnce: "a", later: "b"},
+		"the log has an order":     {successor: "c", first: []takeover.Member{saved}, next: []takeover.Member{saved}, atOnce: "c", later: "c"},
+		"another has claimed it":   {first: []takeover.Member{saved, other}, next: []takeover.Member{saved, other}, atOnce: "b", later: "b"},
+		"it is dropped, and alone": {first: []takeover.Member{saved}, next: nil, atOnce: "a", later: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := takeover.New(now, c.successor)
+			d.SetMembers(now, c.first)
+			require.Equal(t, c.atOnce, d.Primary())
+			d.SetMembers(now.Add(time.Second), c.next)
+			require.Equal(t, c.later, d.Primary())
+		})
+	}
+}
+
+// Guards against a dead primary that is replaced later because a restored entry still names it.
+func TestRestoredPrimaryThatIsDead(t *testing.T) {
+	now := ident.Time(time.Hour)
+	d := takeover.New(now, "")
+	start := now
+	var decision *takeover.Decision
+	for ; decision == nil && now < start.Add(10*time.Second); now = now.Add(100 * time.Millisecond) {
+		members := []takeover.Member{{Upstream: "b", LastAnnounced: now}, {Upstream: "c", LastAnnounced: now}}
+		if now.Sub(start) < 3*time.Second {
+			members = append(members, takeover.Member{Upstream: "a", Primary: true, Restored: true, LastAnnounced: start})
+		}
+		d.SetMembers(now, members)
+		if d.ProbeDue(now) {
+			d.Failed("a", now)
+		}
+		decision = d.Decide(now)
+	}
+	require.NotNil(t, decision)
+	require.Equal(t, []ident.Upstream{"b", "c"}, decision.Candidates)
+	require.Equal(t, 2500*time.Millisecond, now.Sub(start)-100*time.Millisecond, "as soon as a new leader may decide")
+}
--- /dev/null
+++ b/node/core/recovery_test.go
@@ -0,0 +1,254 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/peer"
+)
+
+// testTeam is the rule of the only team.
+var testTeam = limit.Rule{Rate: 10, Burst: 20}
+
+// testFleet is a core of three hosts whose data folders outlive their processes.
+type testFleet struct {
+	t       *testing.T
+	peers   *peer.Network
+	address []string
+	folders []string
+	cores   []*Core
+	// stop ends the running cores.
+	stop func()
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	f := &testFleet{t: t, peers: peer.New(peer.Options{Trusted: true})}
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
+	for i := range 3 {
+		f.address = append(f.address, fmt.Sprintf("%s.%d:21190", network, i+1))
+		f.folders = append(f.folders, t.TempDir())
+	}
+	f.start()
+	t.Cleanup(func() { f.stop() })
+	return f
+}
+
+// start starts all three hosts.
+func (f *testFleet) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var hosts []*fleetpb.ControlHost
+	for i, address := range f.address {
+		hosts = append(hosts, &fleetpb.ControlHost{Host: fmt.Sprint("m", i), Peer: address})
+	}
+	f.cores = nil
+	var running sync.WaitGroup
+	var servers []*http.Server
+	for i, address := range f.address {
+		c, err := New(Options{
+			Host: ident.Host(hosts[i].GetHost()), Peer: address, InitialHosts: hosts, Bootstrap: true, Folder: f.folders[i], Peers: f.peers, Losses: 1,
+			Seed: uint64(i), Protocol: protocol, Promoter: promoterFunc(func(ident.Upstream) error { return nil }),
+			Seeds:   func() []string { return f.address },
+			Overrun: limit.Overrun{Window: 5 * time.Second, Fraction: 0.1, Slack: 20},
+			Parse: func(source []byte) (*catalog.Catalog, error) {
+				return catalog.New(catalog.Description{
+					Version: ident.Version(len(source)), Services: []catalog.Service{{Name: "svc", Connections: 18}},
+					Teams: []catalog.Team{{Name: "team", Rule: testTeam}},
+				})
+			},
+		})
+		require.NoError(f.t, err)
+		f.cores = append(f.cores, c)
+		listener, err := net.Listen("tcp4", address)
+		require.NoError(f.t, err)
+		server := &http.Server{Handler: peer.TrustedHandler(c.Handler()), ReadHeaderTimeout: time.Second, ErrorLog: peer.ErrorLog()}
+		servers = append(servers, server)
+		running.Go(func() { _ = server.Serve(listener) })
+		running.Go(func() { _ = c.Run(ctx) })
+	}
+	f.stop = func() {
+		cancel()
+		for i, server := range servers {
+			_ = server.Close()
+			closed, end := context.WithTimeout(context.Background(), time.Second)
+			_ = f.cores[i].Close(closed)
+			end()
+		}
+		running.Wait()
+		f.stop = func() {}
+	}
+}
+
+// leader searches for the leader as entry hosts do.
+func (f *testFleet) leader() fleetpb.Core {
+	for end := time.Now().Add(eventually); time.Now().Before(end); {
+		found := make(chan fleetpb.Core, len(f.address))
+		var calls sync.WaitGroup
+		for _, address := range f.address {
+			calls.Go(func() {
+				client := fleetpb.NewCoreProtobufClient(f.peers.URL(address), f.peers.Client(time.Second))
+				if response, err := client.Watch(f.t.Context(), &fleetpb.WatchRequest{Search: true}); err == nil && response.GetLeads() {
+					found <- client
+				}
+			})
+		}
+		calls.Wait()
+		select {
+		case client := <-found:
+			return client
+		default:
+		}
+	}
+	require.FailNow(f.t, "no leader")
+	return nil
+}
+
+func (f *testFleet) announce(a *fleetpb.Announcement) {
+	require.Eventually(f.t, func() bool { return f.cores[0].Announce(f.t.Context(), a) == nil }, eventually, 10*time.Millisecond)
+}
+
+func (f *testFleet) watch(host string) *fleetpb.WatchResponse {
+	response, err := f.leader().Watch(f.t.Context(), &fleetpb.WatchRequest{Host: host, Incarnation: 1, Zone: "z", Peer: host + ":1"})
+	require.NoError(f.t, err)
+	return response
+}
+
+// saved returns the upstreams that a majority has saved, each with whether it has ended, and the number of hosts.
+func (f *testFleet) saved() (upstreams map[string]bool, hosts int) {
+	upstreams = map[string]bool{}
+	for _, c := range f.cores {
+		if c.leads() {
+			for _, a := range c.state.recovery().GetUpstreams() {
+				upstreams[a.GetUpstream()] = a.GetGone()
+			}
+			hosts = len(c.state.recovery().GetHosts())
+		}
+	}
+	return upstreams, hosts
+}
+
+// borrowed asks all hosts for tokens and returns how many were lent.
+func (f *testFleet) borrowed(seq uint64) uint32 {
+	sum := uint32(0)
+	for _, c := range f.cores {
+		response, err := owner{core: c}.Borrow(f.t.Context(), &fleetpb.BorrowRequest{
+			Host: "e1", Incarnation: 1, Seq: seq, Wanted: []*fleetpb.Tokens{{Team: "team", Amount: 100, Waiting: 100}},
+		})
+		require.NoError(f.t, err)
+		for _, lent := range response.GetLent() {
+			sum += lent.GetAmount()
+		}
+	}
+	return sum
+}
+
+func upstreamNames(d *fleetpb.Directory) []string {
+	var names []string
+	for _, a := range d.GetUpstreams() {
+		name := a.GetUpstream()
+		if a.GetLeaving() {
+			name += "!"
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+func testUpstream(id string, seq uint64) *fleetpb.Announcement {
+	return &fleetpb.Announcement{Upstream: id, Service: "svc", Address: id + ":1", Zone: "z", Born: 1, Seq: seq}
+}
+
+// Guards against a first directory after a restart of the whole core that lacks upstreams, primaries or hosts, although the disks were
+// kept, and against one that lists an upstream whose end was acknowledged, as ready one that was leaving, or one that does not return.
+// Also guards against teams that get no token until their buckets have refilled, and against two advances of tokens in one window.
+func TestRestartOfTheCore(t *testing.T) {
+	f := newTestFleet(t)
+	f.leader()
+	require.Eventually(t, func() bool { return f.cores[0].Configure(t.Context(), 4, []byte("four")) == nil }, eventually, 10*time.Millisecond)
+	primary := testUpstream("a", 1)
+	primary.Primary = true
+	for _, a := range []*fleetpb.Announcement{primary, testUpstream("b", 1), testUpstream("c", 1), testUpstream("d", 1), testUpstream("e", 1)} {
+		f.announce(a)
+	}
+	require.Eventually(t, func() bool {
+		f.watch("e1")
+		f.watch("e2")
+		upstreams, hosts := f.saved()
+		return len(upstreams) == 5 && hosts == 2
+	}, eventually, 100*time.Millisecond)
+	leaves := testUpstream("c", 2)
+	leaves.Leaving = true
+	f.announce(leaves)
+	f.announce(&fleetpb.Announcement{Upstream: "b", Born: 1, Gone: true, Leaving: true})
+	upstreams, _ := f.saved()
+	require.True(t, upstreams["b"], "an acknowledged end is saved")
+
+	f.stop()
+	f.start()
+	restarted := steady.Now()
+	first := f.watch("e1")
+	require.Equal(t, []string{"a", "c!", "d", "e"}, upstreamNames(first.GetDirectory()))
+	require.Equal(t, "a", first.GetDirectory().GetPrimaries()[0].GetUpstream())
+	require.Len(t, first.GetDirectory().GetHosts(), 2)
+	require.EqualValues(t, 4, first.GetConfiguration().GetVersion())
+	seq := uint64(0)
+	lent := uint32(0)
+	require.Eventually(t, func() bool { seq++; lent = f.borrowed(seq); return lent > 0 }, eventually, time.Millisecond)
+	t.Logf("first directory and %d tokens %s after the restart", lent, steady.Now().Sub(restarted))
+
+	f.announce(testUpstream("b", 9))
+	f.announce(primary)
+	moved := testUpstream("f", 1)
+	moved.Address, moved.Born = "e:1", 2
+	f.announce(moved)
+	next := testUpstream("a", 2)
+	next.Primary = true
+	f.announce(next)
+	require.Eventually(t, func() bool {
+		names := upstreamNames(f.watch("e1").GetDirectory())
+		return fmt.Sprint(names) == "[a f]"
+	}, eventually, 50*time.Millisecond, "c and d did not return, e has lost its address and b has ended")
+
+	f.stop()
+	f.start()
+	restarted = steady.Now()
+	f.leader()
+	lent = 0
+	for range 20 {
+		seq++
+		lent += f.borrowed(seq)
+	}
+	elapsed := steady.Now().Sub(restarted)
+	require.LessOrEqual(t, float64(lent), 1+float64(testTeam.Rate)*elapsed.Seconds(), "the first advance is still out")
+}
+
+// Guards against an advance that a leader takes while another one is out, or that stays out for ever.
+func TestAdvanceIsTakenOnce(t *testing.T) {
+	s := newState(parseStub)
+	advance := func(index uint64, advance fleetpb.Advance) bool {
+		change := &fleetpb.Change{Kind: &fleetpb.Change_Recovery{Recovery: &fleetpb.Recovery{Advance: advance}}}
+		return s.Apply(index, change).(*fleetpb.Outcome).GetDone()
+	}
+	require.True(t, advance(1, fleetpb.Advance_ADVANCE_TAKEN))
+	require.False(t, advance(2, fleetpb.Advance_ADVANCE_TAKEN))
+	require.True(t, advance(3, fleetpb.Advance_ADVANCE_UNCHANGED))
+	require.False(t, advance(4, fleetpb.Advance_ADVANCE_TAKEN))
+	snapshot, err := s.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, s.Restore(snapshot))
+	require.False(t, advance(5, fleetpb.Advance_ADVANCE_TAKEN), "also after a restart")
+	require.True(t, advance(6, fleetpb.Advance_ADVANCE_OVER))
+	require.True(t, advance(7, fleetpb.Advance_ADVANCE_TAKEN))
+}
