Divide the advance of tokens, and measure the return of a fleet

A leader that was elected 0.3 s before the loss of all power had taken the whole advance. One that follows a running fleet takes a quarter now, one that was started lately the rest.

The fleet of the tests gets the bounds of the overrun, as deployments have them.

--- a/fleet/directory/hint.go
+++ b/fleet/directory/hint.go
@@ -112,6 +112,8 @@
 // Urgency says how soon a difference between the saved directory and the present one is worth an entry in the log.
 type Urgency int
 
+//go:generate enumer -type=Urgency -transform=lower
+
 // Urgencies, in ascending order.
 const (
 	// Same means that there is no difference.
@@ -187,12 +189,9 @@
 		Hosts:     applyList(from.GetHosts(), change.GetHosts(), change.GetRemovedHosts(), hostKey),
 		Advanced:  from.GetAdvanced(),
 	}
-	switch change.GetAdvance() {
-	case fleetpb.Advance_ADVANCE_TAKEN:
-		to.Advanced = true
-	case fleetpb.Advance_ADVANCE_OVER:
-		to.Advanced = false
-	case fleetpb.Advance_ADVANCE_UNCHANGED:
+	if change.GetAdvanceBack() {
+		to.Advanced = 0
 	}
+	to.Advanced += change.GetAdvance()
 	return to
 }
--- a/fleet/limit/overrun.go
+++ b/fleet/limit/overrun.go
@@ -35,7 +35,24 @@
 	return Reserve{Tokens: int64(o.tokens(rule) * reserveShare / float64(hosts+unknownHosts)), Window: o.Window}
 }
 
-// Advance returns the tokens that a new owner may lend beyond the rule, once in a window. The number of hosts that share the reserves
+// WholeAdvance is the whole of the advance in percent. An owner that follows one whose loans are still out takes continuedAdvance of it
+// at most, so that some is left for one that follows the loss of all owners and hosts soon after.
+const (
+	WholeAdvance     = 100
+	continuedAdvance = 25
+)
+
+// AdvanceShare returns the percent of the advance that a new owner takes while some of it is out. A restarted owner is one whose process
+// was started lately, as after a loss of power.
+func AdvanceShare(out uint32, restarted bool) uint32 {
+	left := WholeAdvance - min(out, WholeAdvance)
+	if restarted {
+		return left
+	}
+	return min(left, continuedAdvance)
+}
+
+// Advance returns the tokens that new owners may lend beyond the rule, in one window. The number of hosts that share the reserves
 // may differ from host to host; those that know only half of them must not have a reserve if the advance is to be larger.
 func (o Overrun) Advance(rule Rule, hosts int) int64 {
 	if o.Window <= 0 {
--- a/node/core/recovery.go
+++ b/node/core/recovery.go
@@ -30,8 +30,8 @@
 	endSaveTimeout = 300 * time.Millisecond
 )
 
-// advanceOut is the outcome of a change that takes an advance while another one is out.
-const advanceOut = "an advance is out"
+// advanceOut is the outcome of a change that takes more of the advance than is left.
+const advanceOut = "the advance is out"
 
 var (
 	upstreamsRestored  = metrics.NewCounter("tamarack_core_upstreams_restored_total")
@@ -120,6 +120,8 @@
 		return err
 	}
 	directorySaves.Inc()
+	klog.InfoS("Directory saved", "upstreams", len(change.GetUpstreams()), "removed", change.GetRemovedUpstreams(),
+		"hosts", len(change.GetHosts()), "removedHosts", len(change.GetRemovedHosts()))
 	c.savedAt.Store(int64(now))
 	return nil
 }
@@ -142,48 +144,57 @@
 	return c.propose(ctx, &fleetpb.Change{Kind: &fleetpb.Change_Recovery{Recovery: change}})
 }
 
-// takeAdvance lets a new leader lend tokens beyond the teams' rules at once, unless an earlier leader has done so within a window.
+// takeAdvance lets a new leader lend tokens beyond the teams' rules at once, as far as earlier leaders have not done so within a window.
 func (c *Core) takeAdvance(ctx context.Context, leadership replica.Leadership) {
 	now := steady.Now()
 	parsed := c.state.parsed()
 	if c.options.Overrun.Window <= 0 || parsed == nil || len(parsed.Rules()) == 0 {
 		return
 	}
-	outcome, err := c.takeAdvanceInLog(ctx, now)
-	if err == nil && outcome.GetDone() {
+	restarted := now.Sub(c.startedAt) < restoreTime
+	share := limit.AdvanceShare(c.state.recovery().GetAdvanced(), restarted)
+	var outcome *fleetpb.Outcome
+	var err error
+	if share > 0 {
+		outcome, err = c.takeAdvanceInLog(ctx, now, share)
+	}
+	taken := err == nil && outcome.GetDone()
+	if taken {
 		c.mu.Lock()
 		hosts := len(c.hosts.list(now))
 		c.mu.Unlock()
 		now = steady.Now()
 		c.advancedAt.Store(int64(now))
-		if c.lender.Advance(now, leadership.Since, func(rule limit.Rule) int64 { return c.options.Overrun.Advance(rule, hosts) }) {
+		if c.lender.Advance(now, leadership.Since, func(rule limit.Rule) int64 {
+			return c.options.Overrun.Advance(rule, hosts) * int64(share) / limit.WholeAdvance
+		}) {
 			advancesTaken.Inc()
 		}
 	}
 	lendsFrom, _ := c.lender.LendsFrom()
-	klog.InfoS("Lending of tokens begins", "advance", err == nil && outcome.GetDone(), "bucketsRefillIn", lendsFrom.Sub(now),
+	klog.InfoS("Lending of tokens begins", "advancePercent", share, "taken", taken, "restarted", restarted, "bucketsRefillIn", lendsFrom.Sub(now),
 		"problem", outcomeProblem(outcome, err))
 }
 
-// takeAdvanceInLog proposes that this leader takes the advance. Until the outcome is known, endAdvance leaves the advance alone.
-func (c *Core) takeAdvanceInLog(ctx context.Context, now ident.Time) (*fleetpb.Outcome, error) {
+// takeAdvanceInLog proposes that this leader takes a share of the advance. Until the outcome is known, endAdvance leaves the advance alone.
+func (c *Core) takeAdvanceInLog(ctx context.Context, now ident.Time, share uint32) (*fleetpb.Outcome, error) {
 	c.advancedAt.Store(int64(now.Add(proposeTimeout)))
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	return c.proposeRecovery(ctx, &fleetpb.Recovery{Advance: fleetpb.Advance_ADVANCE_TAKEN})
+	return c.proposeRecovery(ctx, &fleetpb.Recovery{Advance: share})
 }
 
-// endAdvance records that the advance is over once no window contains spending from before it, whichever leader has taken it: an
-// earlier one lent nothing from it that can be spent after this leader's buckets refill.
+// endAdvance records that the advance is back once no window contains spending from before it, whichever leaders have taken it: earlier
+// ones lent nothing from it that can be spent after this leader's buckets refill.
 func (c *Core) endAdvance(ctx context.Context) {
 	lendsFrom, leads := c.lender.LendsFrom()
 	over := max(lendsFrom, ident.Time(c.advancedAt.Load())).Add(c.options.Overrun.Window)
-	if !leads || !c.state.recovery().GetAdvanced() || steady.Now() <= over {
+	if !leads || c.state.recovery().GetAdvanced() == 0 || steady.Now() <= over {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := c.proposeRecovery(ctx, &fleetpb.Recovery{Advance: fleetpb.Advance_ADVANCE_OVER}); err != nil {
+	if _, err := c.proposeRecovery(ctx, &fleetpb.Recovery{AdvanceBack: true}); err != nil {
 		klog.V(1).InfoS("Advance not ended", "problem", problem(err))
 	}
 }
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -10,6 +10,7 @@
 	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 )
 
 // state is the replicated state machine of the core. Apply is deterministic: it depends only on the state and the change.
@@ -56,7 +57,7 @@
 		})
 		s.saved.Successions = append(s.saved.Successions, &fleetpb.SavedSuccession{Succession: kind.Succession, Token: index})
 	case *fleetpb.Change_Recovery:
-		if kind.Recovery.GetAdvance() == fleetpb.Advance_ADVANCE_TAKEN && s.saved.GetRecovery().GetAdvanced() {
+		if kind.Recovery.GetAdvance() > limit.WholeAdvance-min(s.saved.GetRecovery().GetAdvanced(), limit.WholeAdvance) {
 			return &fleetpb.Outcome{Problem: advanceOut}
 		}
 		s.saved.Recovery = directory.ApplySaved(s.saved.GetRecovery(), kind.Recovery)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -157,6 +157,9 @@
 memory_mb = 284
 [bounds]
 grace_s = %d
+quota_window_s = 5.0
+quota_overrun = 0.1
+quota_slack = 20
 [cloud]
 addr = %q
 `, host, role, ip, host%3, host%3, portPeers, portPeers+9, strings.Join(addresses, ","), bootstrap, data, listen, f.grace, f.cloud.Address)
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -271,6 +272,63 @@
 	})
 }
 
+// Guards against a fleet that doesn't return after all processes ended at once, or whose core forgets the directory although its disks
+// were kept. It prints how long the first and the hundredth request took; nothing is asserted about these times.
+func TestPowerLoss(t *testing.T) {
+	f := newFleet(t)
+	require.Empty(t, f.do(0, "primary", "key-one", "STORE kept 1").Error)
+	f.eventually("the directory is saved", func() bool { return f.logged("Directory saved") })
+	for _, p := range append(slices.Clone(f.cores), f.entries...) {
+		_ = p.command.Process.Kill()
+	}
+	for i := range 3 {
+		<-f.cores[i].done
+		<-f.entries[i].done
+	}
+	began := time.Now()
+	for i := range 3 {
+		f.cores[i] = f.start("core", f.settings("core", i, false, 0, 1, 2))
+		f.entries[i] = f.start("entry", f.settings("entry", i, false, 0, 1, 2))
+	}
+	const callers, wanted = 6, 100
+	served := make(chan time.Duration, callers*wanted)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	for i := range callers {
+		wait.Go(func() {
+			for n := 0; ctx.Err() == nil && n < wanted; {
+				client, err := f.dial(i%3, "primary", "key-one", fmt.Sprint("caller", i))
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				if a, err := client.Do("FETCH kept"); err == nil && a.Error == "" {
+					served <- time.Since(began)
+					n++
+				}
+				client.Close()
+			}
+		})
+	}
+	var times []time.Duration
+	f.eventually("requests are served", func() bool {
+		for len(served) > 0 {
+			times = append(times, <-served)
+		}
+		return len(times) >= wanted
+	})
+	cancel()
+	wait.Wait()
+	slices.Sort(times)
+	t.Logf("first request served after %s, the hundredth after %s", times[0], times[wanted-1])
+	require.True(t, f.logged("Directory restored"))
+}
+
+// logged reports whether a core host has logged a message since it was started.
+func (f *fleet) logged(message string) bool {
+	return slices.ContainsFunc(f.cores, func(p *process) bool { return strings.Contains(p.log.String(), message) })
+}
+
 // Guards against a shutdown that interrupts a request, an open transaction or a session too early, or during which the host
 // still reports itself as ready.
 func TestShutdown(t *testing.T) {
