--- a/node/core/recovery.go
+++ b/node/core/recovery.go
@@ -114,6 +114,10 @@
 	if urgency < least {
 		return nil
 	}
+	if least > directory.Lazy {
+		// Hosts that restart would be removed and added again.
+		change.RemovedHosts = nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	if _, err := c.proposeRecovery(ctx, change); err != nil {
