Restore saved upstreams whenever a new leader lacks them

A leader of a core that found its majority late, more than 10 s after its own start, restored nothing.

--- a/node/core/recovery.go
+++ b/node/core/recovery.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	// restoreTime is the time after a core host's start for which it restores saved upstreams when it becomes the leader. Later it has
-	// heard the announcements of all that run.
-	restoreTime = 10 * time.Second
+	// restartTime is the time after its start for which a new leader counts as restarted with the whole core.
+	restartTime = 10 * time.Second
 	// saveCheckInterval is the interval at which the leader compares the directory with the saved one.
 	saveCheckInterval = time.Second
 	// saveInterval is the least time between entries for differences that are due, and lazySaveInterval for lazy ones. Each entry costs
@@ -42,11 +41,11 @@
 	advancesTaken      = metrics.NewCounter("tamarack_core_advances_total")
 )
 
-// restoreDirectory adds the saved upstreams to the directory of a new leader that was started lately, and returns the saved state. It
-// returns nil if nothing was restored.
+// restoreDirectory adds the saved upstreams that a new leader has not heard of to its directory, and returns the saved state. A host that
+// has run for long has heard of all that run, so this is for one that was restarted or cut off.
 func (c *Core) restoreDirectory(now ident.Time) *fleetpb.SavedRecovery {
 	saved := c.state.recovery()
-	if len(saved.GetUpstreams()) == 0 || now.Sub(c.startedAt) >= restoreTime {
+	if saved == nil {
 		return nil
 	}
 	before := c.directory.Confirmation(now).Restored
@@ -155,7 +154,7 @@
 	if c.options.Overrun.Window <= 0 || parsed == nil || len(parsed.Rules()) == 0 {
 		return
 	}
-	restarted := now.Sub(c.startedAt) < restoreTime
+	restarted := now.Sub(c.startedAt) < restartTime
 	share := limit.AdvanceShare(c.state.recovery().GetAdvanced(), restarted)
 	var outcome *fleetpb.Outcome
 	var err error
