--- a/node/core/state.go
+++ b/node/core/state.go
@@ -7,8 +7,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/directory"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/limit"
 )
 
 // state is the replicated state machine of the core. Apply is deterministic: it depends only on the state and the change.
@@ -56,6 +58,11 @@
 		s.saved.Successions = append(s.saved.Successions, &fleetpb.SavedSuccession{Succession: kind.Succession, Token: index})
 	case *fleetpb.Change_Usage:
 		return s.applyUsage(index, kind.Usage)
+	case *fleetpb.Change_Recovery:
+		if kind.Recovery.GetAdvance() > limit.WholeAdvance-min(s.saved.GetRecovery().GetAdvanced(), limit.WholeAdvance) {
+			return &fleetpb.Outcome{Problem: advanceOut}
+		}
+		s.saved.Recovery = directory.ApplySaved(s.saved.GetRecovery(), kind.Recovery)
 	}
 	return &fleetpb.Outcome{Done: true, Version: index}
 }
@@ -124,3 +131,10 @@
 	}
 	return ""
 }
+
+// recovery returns what a new leader starts with after a restart of the core. Apply replaces the message and never changes it.
+func (s *state) recovery() *fleetpb.SavedRecovery {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.saved.GetRecovery()
+}
