Keep one account of an upstream's connections for the fleet

Change: the hosts of a rendezvous order hold the gateway's account and parts of a reserve, by what is known of those before them; the pool's decisions move to fleet/connections.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,6 +27,8 @@
 	// may have broken just before.
 	endTimeout    = 2 * time.Second
 	endRetryDelay = 500 * time.Millisecond
+	// checkTimeout bounds the check of a gateway's port.
+	checkTimeout = 200 * time.Millisecond
 )
 
 var callFailures = metrics.NewCounter("tamarack_gateway_call_failures_total")
@@ -53,14 +57,28 @@
 	lease string
 	// transaction identifies this executor to the gateway that keeps a connection for it; it is empty before the first such request.
 	transaction string
-	// onFailure is called after a call that the gateway did not answer.
-	onFailure func()
+	// onFailure is called after a call that the gateway did not answer; closed is set if its port was closed.
+	onFailure func(closed bool)
+}
+
+// PortClosed reports whether no process listens at a gateway's address. It returns an error if that can't be known.
+func (c *Client) PortClosed(ctx context.Context, address string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	switch {
+	case err == nil:
+		return false, connection.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true, nil
+	}
+	return false, err
 }
 
 // Executor returns an executor for an upstream that uses the gateway at an address. It calls onFailure if the gateway does not
-// answer.
+// answer; closed is set if its port was closed, so that its process has ended.
 func (c *Client) Executor(
-	address string, target upstream.Target, team ident.Team, priority int, onFailure func(),
+	address string, target upstream.Target, team ident.Team, priority int, onFailure func(closed bool),
 ) upstream.Executor {
 	return &remoteExecutor{
 		client: c, address: address, gateway: fleetpb.NewGatewayProtobufClient(c.url(address), c.http),
@@ -147,7 +165,7 @@
 // statement.
 func (r *remoteExecutor) callFailed(use *upstream.Use, err error) (upstream.Outcome, error) {
 	callFailures.Inc()
-	r.onFailure()
+	r.onFailure(errors.Is(err, syscall.ECONNREFUSED))
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	if neverSent(err) {
 		// The gateway does not hold the lease, or can't be reached to end it.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 	failures = new(int)
 	executor = func(id ident.Upstream) upstream.Executor {
 		target.Upstream = id
-		return client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { *failures++ })
+		return client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) { *failures++ })
 	}
 	return g, executor, server.Close, failures
 }
@@ -130,7 +130,7 @@
 	}))
 	defer server.Close()
 	client := newClient()
-	executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+	executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func(bool) {})
 	outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "STORE a 1", Timeout: timeout})
 	var broken *upstream.BrokenError
 	require.ErrorAs(t, err, &broken)
--- a/node/gateway/lease_test.go
+++ b/node/gateway/lease_test.go
@@ -57,7 +57,7 @@
 	t.Cleanup(server.Close)
 	client := newClient()
 	open := func(team ident.Team, id, text string) upstream.Executor {
-		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, team, 1, func() {})
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, team, 1, func(bool) {})
 		_, err := executor.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: id, Text: text, Timeout: timeout, Keep: true})
 		require.NoError(t, err)
 		return executor
@@ -144,7 +144,7 @@
 	server := httptest.NewServer(fleetpb.NewGatewayServer(withoutLease{}))
 	t.Cleanup(server.Close)
 	client := newClient()
-	executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+	executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func(bool) {})
 	outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
 	var broken *upstream.BrokenError
 	require.ErrorAs(t, err, &broken)
@@ -185,7 +185,7 @@
 	for range 2 {
 		client := newClient()
 		for range 2 {
-			executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func() {})
+			executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), upstream.Target{Upstream: "i-1"}, "team", 1, func(bool) {})
 			for range 2 {
 				_, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
 				require.NoError(t, err)
@@ -281,7 +281,7 @@
 		}))
 		t.Cleanup(server.Close)
 		client := newClient()
-		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() {})
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) {})
 		use := upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true}
 		if !first {
 			_, err := executor.Execute(contextWithTimeout(t), use)
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"errors"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
 )
 
-// gatewayAvoidTime is how long a gateway is not used after it did not answer.
-const gatewayAvoidTime = 1500 * time.Millisecond
-
 // self returns this host's entry in the directory, or nil.
 func (t *Table) self() *fleetpb.EntryHost {
 	for _, host := range t.hosts {
@@ -26,46 +21,48 @@
 	return nil
 }
 
-// gatewayOf selects the host that holds the connections to an upstream, by rendezvous hashing over the hosts in the upstream's
+// gatewayOf selects the host that holds the connections to an upstream: the first one in the order of the hosts in the upstream's
 // availability zone. It returns nil if there are none.
 func gatewayOf(hosts []*fleetpb.EntryHost, target upstream.Target) *fleetpb.EntryHost {
-	var best *fleetpb.EntryHost
-	var bestWeight uint64
-	for _, host := range hosts {
-		if ident.Zone(host.GetZone()) != target.Zone {
-			continue
-		}
-		if weight := xxhash.Sum64String(host.GetHost() + "/" + string(target.Upstream)); best == nil || weight > bestWeight {
-			best, bestWeight = host, weight
-		}
-	}
-	return best
+	return gatewayIn(orderOf(hosts, target), target)
 }
 
-// Executor returns an executor for an upstream. It uses this host's own connections if the host is the gateway, if there is no
-// gateway or if the gateway did not answer lately; otherwise it goes through the gateway.
+// Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
+// through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
-	now := steady.Now()
-	t.mu.RLock()
-	chosen := gatewayOf(t.hosts, pool.Target())
-	if chosen != nil && now < t.avoided[chosen.GetHost()] {
-		chosen = nil
-	}
-	t.mu.RUnlock()
 	executor := &trackedExecutor{pool: pool}
-	if chosen == nil || chosen.GetHost() == string(t.options.Host) {
+	holder, direct := t.chooseHolder(steady.Now(), pool)
+	switch {
+	case direct:
 		executor.Executor = pool.Executor(team, priority)
-		return executor
+	case holder == nil:
+		executor.Executor = unavailableExecutor{pool.Target()}
+	default:
+		executor.Executor = t.options.Gateways.Executor(holder.GetPeer(), pool.Target(), team, priority, func(closed bool) {
+			executor.gatewayFailed = true
+			t.recordFailure(holder, closed)
+		})
 	}
-	executor.Executor = t.options.Gateways.Executor(chosen.GetPeer(), pool.Target(), team, priority, func() {
-		executor.gatewayFailed = true
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.avoided[chosen.GetHost()] = steady.Now().Add(gatewayAvoidTime)
-	})
 	return executor
 }
 
+// errNoHolder refuses a statement while no host that may hold connections to the upstream answers.
+var errNoHolder = &statement.Failure{Code: statement.CodeConnections, Text: "no host that holds connections to the upstream answers"}
+
+// unavailableExecutor refuses all statements.
+type unavailableExecutor struct{ target upstream.Target }
+
+// Execute implements upstream.Executor.
+func (u unavailableExecutor) Execute(context.Context, upstream.Use) (upstream.Outcome, error) {
+	return upstream.Outcome{}, errNoHolder
+}
+
+// Close implements upstream.Executor.
+func (u unavailableExecutor) Close() {}
+
+// Target implements upstream.Executor.
+func (u unavailableExecutor) Target() upstream.Target { return u.target }
+
 // trackedExecutor records the outcome of statements in the upstream's pool: those in flight, answers, failures and positions.
 type trackedExecutor struct {
 	upstream.Executor
--- /dev/null
+++ b/node/routing/holders.go
@@ -0,0 +1,255 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/connections"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/upstream"
+)
+
+const (
+	// nonGatewayConnections is the number of connections to an upstream that a host other than its gateway may open while there are
+	// enough for all hosts.
+	nonGatewayConnections = 1
+	// askedTime is how long after a request for an upstream's connections a host still checks the hosts before it.
+	askedTime = 2 * time.Second
+)
+
+// account is what the table knows of the connections to one upstream.
+type account struct {
+	// order lists the hosts in the order in which they hold the connections.
+	order []*fleetpb.EntryHost
+	// accepted is the number of connections that the upstream accepts from all hosts; 0 if it is unknown.
+	accepted int
+	scarce   bool
+	role     connections.Role
+	// asked is the time of the last request for this host's connections, or 0.
+	asked ident.Time
+}
+
+// orderOf returns the hosts in the order in which they hold the connections to an upstream.
+func orderOf(hosts []*fleetpb.EntryHost, target upstream.Target) []*fleetpb.EntryHost {
+	listed := make([]connections.Host, len(hosts))
+	for i, host := range hosts {
+		listed[i] = connections.Host{ID: ident.Host(host.GetHost()), Zone: ident.Zone(host.GetZone())}
+	}
+	order := make([]*fleetpb.EntryHost, len(hosts))
+	for i, at := range connections.Order(listed, target.Upstream, target.Zone) {
+		order[i] = hosts[at]
+	}
+	return order
+}
+
+// updateAccount updates what is known of an upstream's connections from the directory and the configuration. The caller must hold mu.
+func (t *Table) updateAccount(now ident.Time, m *member) {
+	target, catalog := m.pool.Target(), t.Catalog()
+	m.account.order, m.account.scarce, m.account.accepted = orderOf(t.hosts, target), false, 0
+	if service := catalog.Service(target.Service); service != nil {
+		m.account.accepted = service.Connections
+		m.account.scarce = len(t.hosts) > 0 && connections.Scarce(service.Connections, len(catalog.Teams), len(t.hosts))
+		m.pool.SetTeams(len(catalog.Teams))
+	}
+	t.applyLimit(now, m)
+}
+
+// applyLimit sets the number of connections to an upstream that this host may open. The caller must hold mu.
+func (t *Table) applyLimit(now ident.Time, m *member) {
+	a := &m.account
+	role := t.role(now, m.pool.Target(), a)
+	size := nonGatewayConnections
+	switch {
+	case a.scarce:
+		size = role.Size(a.accepted, true)
+	case a.accepted > 0 && role == connections.RoleGateway:
+		size = max(nonGatewayConnections, role.Size(a.accepted, false))
+	}
+	m.pool.SetLimit(size, a.scarce)
+	if role != a.role {
+		klog.InfoS("Connection account changed", "upstream", m.pool.Target().Upstream, "role", role, "account", size)
+		a.role = role
+	}
+}
+
+// role returns this host's part in holding an upstream's connections. The caller must hold mu.
+func (t *Table) role(now ident.Time, target upstream.Target, a *account) connections.Role {
+	self := t.position(a.order)
+	switch {
+	case a.scarce && self < 0:
+		return connections.RoleNone
+	case a.scarce:
+		before := make([]connections.Standing, self)
+		for i, host := range a.order[:self] {
+			if t.peers[host.GetHost()].Gone(now) {
+				before[i] = connections.StandingGone
+			}
+		}
+		return connections.RoleAfter(before)
+	}
+	// Without a host in the upstream's availability zone, a host that is not listed itself is on its own.
+	gateway := gatewayIn(a.order, target)
+	if (gateway == nil && self < 0) || (gateway != nil && gateway.GetHost() == string(t.options.Host)) {
+		return connections.RoleGateway
+	}
+	return connections.RoleNone
+}
+
+// position returns this host's index in an order, or -1.
+func (t *Table) position(order []*fleetpb.EntryHost) int {
+	return slices.IndexFunc(order, func(host *fleetpb.EntryHost) bool { return host.GetHost() == string(t.options.Host) })
+}
+
+// chooseHolder returns the host whose connections to an upstream are to be used. direct is set if it is this host; the holder is nil
+// if it is, or if there is none.
+func (t *Table) chooseHolder(now ident.Time, pool *upstream.Pool) (holder *fleetpb.EntryHost, direct bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m := t.memberOf(pool)
+	if m == nil {
+		return nil, true
+	}
+	a := &m.account
+	if !a.scarce {
+		gateway := gatewayIn(a.order, pool.Target())
+		direct = gateway == nil || gateway.GetHost() == string(t.options.Host) ||
+			t.peers[gateway.GetHost()].Standing(now) != connections.StandingUsable
+		return gateway, direct
+	}
+	standings := make([]connections.Standing, len(a.order))
+	for i, host := range a.order {
+		standings[i] = t.peers[host.GetHost()].Standing(now)
+		if standings[i] == connections.StandingUsable {
+			standings = standings[:i+1]
+			break
+		}
+	}
+	i := connections.Choose(standings)
+	if i < 0 {
+		return nil, false
+	}
+	return a.order[i], a.order[i].GetHost() == string(t.options.Host)
+}
+
+// memberOf returns the listed upstream of a pool, or nil. The caller must hold mu.
+func (t *Table) memberOf(pool *upstream.Pool) *member {
+	if g := t.groups[pool.Target().Service]; g != nil {
+		for _, m := range g.members {
+			if m.pool == pool {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+// gatewayIn returns the first host of an order if it is in the upstream's availability zone, or nil.
+func gatewayIn(order []*fleetpb.EntryHost, target upstream.Target) *fleetpb.EntryHost {
+	if len(order) == 0 || ident.Zone(order[0].GetZone()) != target.Zone {
+		return nil
+	}
+	return order[0]
+}
+
+// recordFailure records a call that a host did not answer.
+func (t *Table) recordFailure(host *fleetpb.EntryHost, closed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peer(host.GetHost()).Failed(steady.Now(), closed)
+}
+
+// peer returns what is known of a host. The caller must hold mu for writing.
+func (t *Table) peer(host string) *connections.Peer {
+	p := t.peers[host]
+	if p == nil {
+		p = &connections.Peer{}
+		t.peers[host] = p
+	}
+	return p
+}
+
+// recordAsked records a request of another host for this host's connections to an upstream. If other hosts come before this one, it
+// checks whether they are gone.
+func (t *Table) recordAsked(m *member) {
+	now := steady.Now()
+	t.mu.Lock()
+	m.account.asked = now
+	due := t.dueChecks(now, &m.account)
+	t.mu.Unlock()
+	t.check(due)
+}
+
+// dueChecks returns the hosts before this one whose port is to be checked. The caller must hold mu for writing.
+func (t *Table) dueChecks(now ident.Time, a *account) []*fleetpb.EntryHost {
+	if !a.scarce || a.asked == 0 || now.Sub(a.asked) > askedTime {
+		return nil
+	}
+	var due []*fleetpb.EntryHost
+	for _, host := range a.order[:max(0, t.position(a.order))] {
+		if t.peer(host.GetHost()).CheckDue(now) {
+			due = append(due, host)
+		}
+	}
+	return due
+}
+
+// check finds out in the background whether the ports of hosts are closed.
+func (t *Table) check(hosts []*fleetpb.EntryHost) {
+	for _, host := range hosts {
+		go func() {
+			closed, err := t.options.Gateways.PortClosed(context.Background(), host.GetPeer())
+			if err != nil {
+				return
+			}
+			now := steady.Now()
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if closed {
+				t.peer(host.GetHost()).Failed(now, true)
+			} else {
+				t.peer(host.GetHost()).Checked(now)
+			}
+			t.updateLimits(now)
+		}()
+	}
+}
+
+// updateLimits applies what has become known of other hosts to the limits of all pools. The caller must hold mu for writing.
+func (t *Table) updateLimits(now ident.Time) {
+	for _, g := range t.groups {
+		for _, m := range g.members {
+			if m.account.scarce {
+				t.applyLimit(now, m)
+			}
+		}
+	}
+}
+
+// maintain checks the hosts before this one, updates limits and closes idle connections.
+func (t *Table) maintain(now ident.Time) {
+	t.mu.Lock()
+	t.updateLimits(now)
+	var due []*fleetpb.EntryHost
+	roles, accounts := map[connections.Role]int{}, 0
+	for _, g := range t.groups {
+		for _, m := range g.members {
+			due = append(due, t.dueChecks(now, &m.account)...)
+			roles[m.account.role]++
+			accounts += m.pool.Limit()
+			m.pool.Trim(now)
+		}
+	}
+	t.mu.Unlock()
+	t.check(due)
+	for _, role := range []connections.Role{connections.RoleGateway, connections.RoleSuccessor, connections.RoleLastResort} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("tamarack_connections_role{role=%q}", role), nil).Set(float64(roles[role]))
+	}
+	metrics.GetOrCreateGauge("tamarack_connections_account", nil).Set(float64(accounts))
+}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/freshness"
 	"tamarackshunt.dev/fleet/ident"
@@ -17,15 +19,10 @@
 )
 
 const (
-	// reservedConnections is the number of connections of each upstream that its gateway leaves to the core, which queries its
-	// position, and to hosts that can't reach the gateway.
-	reservedConnections = 4
-	// nonGatewayConnections is the number of connections to an upstream that a host other than its gateway may open.
-	nonGatewayConnections = 1
 	// reportMaxAge is the age of an answer from which on it says nothing about whether the primary runs. It is longer than the
 	// time without answers after which a primary counts as dead.
 	reportMaxAge = 3 * time.Second
-	// trimInterval is the interval between checks for idle connections to close.
+	// trimInterval is the interval between updates of limits, which also close idle connections.
 	trimInterval = 100 * time.Millisecond
 )
 
@@ -53,8 +50,8 @@
 	// directory is the last one that was set, or nil.
 	directory *fleetpb.Directory
 	hosts     []*fleetpb.EntryHost
-	// avoided maps the hosts whose gateway did not answer to the time until which they are not used.
-	avoided map[string]ident.Time
+	// peers has what is known of other hosts that hold connections, by their ids.
+	peers map[string]*connections.Peer
 }
 
 // group holds the upstreams of one service.
@@ -72,11 +69,12 @@
 	pool      *upstream.Pool
 	leaving   bool
 	evacuated bool
+	account   account
 }
 
 // New returns a table without a configuration and without upstreams.
 func New(options Options) *Table {
-	return &Table{options: options, groups: map[ident.Service]*group{}, avoided: map[string]ident.Time{}, refresh: make(chan struct{}, 1)}
+	return &Table{options: options, groups: map[ident.Service]*group{}, peers: map[string]*connections.Peer{}, refresh: make(chan struct{}, 1)}
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
@@ -148,6 +146,9 @@
 		primaries[p.GetService()] = p.GetUpstream()
 	}
 	t.hosts = d.GetHosts()
+	maps.DeleteFunc(t.peers, func(id string, _ *connections.Peer) bool {
+		return !slices.ContainsFunc(t.hosts, func(host *fleetpb.EntryHost) bool { return host.GetHost() == id })
+	})
 	members := map[ident.Service][]*member{}
 	for _, a := range d.GetUpstreams() {
 		service := ident.Service(a.GetService())
@@ -159,16 +160,14 @@
 			Region:   t.options.Regions[ident.Zone(a.GetZone())],
 			Born:     a.GetBorn(),
 		}
-		pool := t.pool(target, t.limit(target))
+		pool, known := t.pool(target)
 		pool.SetCapacity(int(a.GetCapacity()))
 		if rate := t.warmupRate(target); a.GetWarmupMs() > 0 && rate >= 0 {
 			pool.SetWarmup(steady.Now().Add(time.Duration(a.GetWarmupMs())*time.Millisecond), rate)
 		}
-		members[service] = append(members[service], &member{
-			pool:      pool,
-			leaving:   a.GetLeaving(),
-			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
-		})
+		m := &member{pool: pool, leaving: a.GetLeaving(), evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()), account: known}
+		t.updateAccount(steady.Now(), m)
+		members[service] = append(members[service], m)
 	}
 	for service := range members {
 		if t.groups[service] == nil {
@@ -186,16 +185,6 @@
 	}
 }
 
-// limit returns how many connections to an upstream this host may open. The gateway holds nearly all of them, on behalf of
-// all hosts.
-func (t *Table) limit(target upstream.Target) int {
-	service := t.Catalog().Service(target.Service)
-	if service == nil || gatewayOf(t.hosts, target) != t.self() {
-		return nonGatewayConnections
-	}
-	return max(nonGatewayConnections, service.Connections-reservedConnections)
-}
-
 // warmupRate returns how many statements a second this host may send to an upstream that warms up: the full rate of the
 // service on the gateway, 0 on other hosts. It is negative if the service sets no limit.
 func (t *Table) warmupRate(target upstream.Target) float64 {
@@ -209,31 +198,41 @@
 	return service.WarmupRate
 }
 
-// Pool returns the connection pool of an upstream, or nil if the upstream is unknown. It implements gateway.Pools.
+// Pool returns the connection pool of an upstream for a request of another host, or nil if the upstream is unknown. It implements
+// gateway.Pools.
 func (t *Table) Pool(service ident.Service, id ident.Upstream) *upstream.Pool {
+	m := t.member(service, id)
+	if m == nil {
+		return nil
+	}
+	t.recordAsked(m)
+	return m.pool
+}
+
+func (t *Table) member(service ident.Service, id ident.Upstream) *member {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	if g := t.groups[service]; g != nil {
 		for _, m := range g.members {
 			if m.pool.Target().Upstream == id {
-				return m.pool
+				return m
 			}
 		}
 	}
 	return nil
 }
 
-// pool returns the existing pool of a target, or a new one if any of the target's fields has changed. The caller must hold mu.
-func (t *Table) pool(target upstream.Target, limit int) *upstream.Pool {
+// pool returns the existing pool of a target and what is known of its connections, or a new pool if any of the target's fields has
+// changed. The caller must hold mu.
+func (t *Table) pool(target upstream.Target) (*upstream.Pool, account) {
 	if g := t.groups[target.Service]; g != nil {
 		for _, m := range g.members {
 			if m.pool.Target() == target {
-				m.pool.SetLimit(limit)
-				return m.pool
+				return m.pool, m.account
 			}
 		}
 	}
-	return upstream.NewPool(target, t.options.Protocol, limit)
+	return upstream.NewPool(target, t.options.Protocol, 0), account{}
 }
 
 func (t *Table) group(service ident.Service) *group {
@@ -281,7 +280,7 @@
 	return reports
 }
 
-// Run closes idle connections periodically until ctx ends. It then closes all pools.
+// Run keeps limits and idle connections up to date until ctx ends. It then closes all pools.
 func (t *Table) Run(ctx context.Context) {
 	ticker := time.NewTicker(trimInterval)
 	defer ticker.Stop()
@@ -292,14 +291,7 @@
 			t.closePools()
 			return
 		}
-		now := steady.Now()
-		t.mu.RLock()
-		for _, g := range t.groups {
-			for _, m := range g.members {
-				m.pool.Trim(now)
-			}
-		}
-		t.mu.RUnlock()
+		t.maintain(steady.Now())
 	}
 }
 
--- a/node/routing/table_test.go
+++ b/node/routing/table_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
@@ -109,7 +110,7 @@
 // the directory.
 func TestConfigurationChangesLimits(t *testing.T) {
 	table := newTestTable(t, func(*fleetpb.Directory) {})
-	require.Equal(t, 18-reservedConnections, table.Pool("svc", "a").Limit())
+	require.Equal(t, 18-connections.Reserve(18, false), table.Pool("svc", "a").Limit())
 	next, err := catalog.New(catalog.Description{
 		Version: 2, Services: []catalog.Service{{Name: "svc", Connections: 9}},
 		Routes: []catalog.Route{{Name: "r", Database: "db", Timeout: time.Second, Service: "svc"}},
@@ -118,7 +119,7 @@
 	pool := table.Pool("svc", "a")
 	require.True(t, table.SetCatalog(next))
 	require.Same(t, pool, table.Pool("svc", "a"))
-	require.Equal(t, 9-reservedConnections, pool.Limit())
+	require.Equal(t, 9-connections.Reserve(9, false), pool.Limit())
 }
 
 // Guards against reports that every host sends for every primary, so that control traffic grows with hosts times services, and
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 )
@@ -86,6 +87,7 @@
 	Target  Target
 	Team    ident.Team
 	pool    *Pool
+	id      connections.ConnID
 	net     net.Conn
 	session Session
 	// values and prepared mirror the session state on the upstream; prepared maps definitions to the names of the statements.
@@ -142,11 +144,17 @@
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
 	// The connection is not used again unless the whole answer has been read, also after a panic: the rest may still arrive.
 	c.broken = true
+	if c.state != statement.StateIdle {
+		c.pool.setResting(c, false)
+	}
 	result, err := c.session.Run(id, since, request)
 	if err != nil {
 		return result, &BrokenError{err}
 	}
 	c.broken, c.state = false, result.State
+	if c.state != statement.StateIdle {
+		c.pool.setResting(c, true)
+	}
 	return result, nil
 }
 
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -1,15 +1,16 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
@@ -18,10 +19,8 @@
 const (
 	// maxIdleTime is the time after which an idle connection is closed.
 	maxIdleTime = 10 * time.Second
-	// minRetryPause and maxRetryPause bound the time between attempts to connect to an upstream that is at its connection limit.
-	// An upstream drops the opening packets of hosts that retry without a pause.
-	minRetryPause = 40 * time.Millisecond
-	maxRetryPause = 160 * time.Millisecond
+	// refusalLogInterval bounds the log lines about connections that the upstream refuses.
+	refusalLogInterval = 5 * time.Second
 	// lagValidity is how long an upstream that lacked a position is assumed to lack it still. The lag of a healthy replica is
 	// shorter; a read on one that lags longer costs a round trip without a result.
 	lagValidity = 250 * time.Millisecond
@@ -30,10 +29,12 @@
 )
 
 var (
-	connectionsOpened  = metrics.NewCounter("tamarack_upstream_connections_opened_total")
-	openFailures       = metrics.NewCounter("tamarack_upstream_open_failures_total")
-	connectionsRefused = metrics.NewCounter("tamarack_upstream_connections_refused_total")
-	connectionsEvicted = metrics.NewCounter("tamarack_upstream_connections_evicted_total")
+	connectionsOpened     = metrics.NewCounter("tamarack_upstream_connections_opened_total")
+	openFailures          = metrics.NewCounter("tamarack_upstream_open_failures_total")
+	connectionsRefused    = metrics.NewCounter("tamarack_upstream_connections_refused_total")
+	connectionsEvicted    = metrics.NewCounter("tamarack_upstream_connections_evicted_total")
+	connectionsHandedOver = metrics.NewCounter("tamarack_upstream_connections_handed_over_total")
+	statementsHeldBack    = metrics.NewCounter("tamarack_upstream_statements_held_back_total")
 )
 
 // Pool holds one host's connections to one upstream. It is safe for concurrent use.
@@ -42,12 +43,16 @@
 	protocol Protocol
 	limiter  *limiter
 	mu       sync.Mutex
-	// limit is the maximum number of connections; total counts those that are open or being opened.
-	limit   int
-	total   int
-	idle    []*idleConn
-	waiting []*waiter
+	// account divides the connections; conns are those that are open, and waiting the statements that wait for one.
+	account *connections.Allocator
+	conns   map[connections.ConnID]*Conn
+	waiting map[connections.WaiterID]chan grant
 	closed  bool
+	// wake is the timer for the account's next decision, which is due at wakeAt.
+	wake   *time.Timer
+	wakeAt ident.Time
+	// refusalLogged is the time of the last log line about a refused connection.
+	refusalLogged ident.Time
 	// inFlight counts the statements that executors of this host wait for or run.
 	inFlight int
 	// avoidUntil is the time until which the upstream is the last choice, after a failure; lastAnswer is the time of its last
@@ -61,18 +66,12 @@
 	positionAt ident.Time
 }
 
-// idleConn is an idle connection; since is when it became idle.
-type idleConn struct {
-	conn  *Conn
-	since ident.Time
-}
-
-// waiter waits for a connection, or for a reservation: the right to open one, which counts in the pool's total.
-type waiter struct {
-	team     ident.Team
-	priority int
-	// grant receives a connection of the team, or nil for a reservation. It is closed without a value when the pool is closed.
-	grant chan *Conn
+// grant ends the wait of a statement with a connection, with the right to open one, or with an error.
+type grant struct {
+	conn *Conn
+	// reserved is the id of the connection to open; 0 if there is none.
+	reserved connections.ConnID
+	err      error
 }
 
 // errPoolClosed is the cause when the upstream has left the directory.
@@ -80,7 +79,12 @@
 
 // NewPool returns a pool without connections.
 func NewPool(target Target, protocol Protocol, limit int) *Pool {
-	return &Pool{target: target, protocol: protocol, limiter: newLimiter(), limit: max(1, limit)}
+	p := &Pool{
+		target: target, protocol: protocol, limiter: newLimiter(), account: connections.NewAllocator(),
+		conns: map[connections.ConnID]*Conn{}, waiting: map[connections.WaiterID]chan grant{},
+	}
+	p.account.Account.Resize(steady.Now(), max(0, limit), false)
+	return p
 }
 
 // Target returns the upstream that the pool connects to.
@@ -91,6 +95,9 @@
 // SetCapacity sets how many statements the upstream runs at a time; 0 if unknown.
 func (p *Pool) SetCapacity(capacity int) {
 	p.limiter.setCapacity(capacity)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.SetSlots(capacity)
 }
 
 // SetWarmup limits the statements per second until a time, while the upstream warms up. A rate of 0 refuses all statements.
@@ -112,25 +119,42 @@
 	return p.positionAt != 0 && at.Sub(p.positionAt) < lagValidity && p.position.Less(position)
 }
 
-// SetLimit changes the maximum number of connections.
-func (p *Pool) SetLimit(limit int) {
+// SetLimit changes the maximum number of connections; 0 leaves room for status requests only. If slowly is set, a larger limit is reached
+// by degrees, since other hosts may still hold connections. Idle connections above a smaller limit are closed at once.
+func (p *Pool) SetLimit(limit int, slowly bool) {
+	now := steady.Now()
+	p.mu.Lock()
+	p.account.Account.Resize(now, max(0, limit), slowly)
+	p.carryOut(p.account.Tick(now, maxIdleTime))
+	p.mu.Unlock()
+}
+
+// SetTeams sets the number of teams that may need a connection.
+func (p *Pool) SetTeams(teams int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = max(1, limit)
+	p.account.SetTeams(teams)
 }
 
 // Limit returns the maximum number of connections.
 func (p *Pool) Limit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limit
+	return p.account.Account.Limit(steady.Now())
+}
+
+// Connections returns the number of connections that are open or being opened.
+func (p *Pool) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account.Total()
 }
 
 // Waiting returns the number of statements that wait for a connection.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.waiting)
+	return p.account.Waiting()
 }
 
 // Closed reports whether Close was called.
@@ -197,201 +221,246 @@
 	p.avoidUntil = now.Add(failurePenalty)
 }
 
+// errNoAccount refuses a statement on a host that holds no connections to the upstream.
+var errNoAccount = &statement.Failure{Code: statement.CodeConnections, Text: "this host holds no connections to the upstream"}
+
+// errHeldBack refuses a statement while only the connections that are left to the most urgent route are free.
+var errHeldBack = &statement.Failure{Code: statement.CodeConnections, Text: "the upstream's connections are held by transactions"}
+
 // Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError or a
 // statement.Failure; no statement has run in any of these cases.
 func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
-	pause := minRetryPause
-	for {
-		conn, err := p.acquire(ctx, team, priority)
-		if err != nil || conn != nil {
-			return conn, err
-		}
-		conn, err = p.open(ctx, team)
-		if err == nil {
-			return conn, nil
+	began := steady.Now()
+	id, granted, err := p.request(began, team, priority)
+	var refused error
+	for err == nil {
+		select {
+		case g := <-granted:
+			switch {
+			case g.err != nil:
+				return nil, g.err
+			case g.conn != nil && g.conn.alive():
+				return g.conn, nil
+			case g.conn != nil:
+				if id, err = p.replaceLost(g.conn, began, granted); err != nil {
+					return nil, err
+				}
+				continue
+			}
+			var conn *Conn
+			conn, refused = p.open(ctx, g.reserved, team)
+			if refused == nil {
+				return conn, nil
+			}
+			if id, err = p.openFailed(ctx, g.reserved, refused, began, granted); err != nil {
+				return nil, err
+			}
+		case <-ctx.Done():
+			p.cancel(id, granted)
+			return nil, cmp.Or(refused, ctx.Err())
 		}
-		var refused *statement.Failure
-		if !errors.As(err, &refused) || refused.Code != statement.CodeConnections {
-			return nil, err
-		}
-		connectionsRefused.Inc()
-		if steady.Wait(ctx, pause/2+rand.N(pause/2)) != nil {
-			return nil, err
-		}
-		pause = min(2*pause, maxRetryPause)
 	}
+	return nil, err
+}
+
+// request asks the account for a connection. The channel receives the outcome.
+func (p *Pool) request(now ident.Time, team ident.Team, priority int) (connections.WaiterID, chan grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return 0, nil, p.closedError()
+	case p.account.Account.Limit(now) == 0 && priority >= 0:
+		return 0, nil, errNoAccount
+	}
+	granted := make(chan grant, 1)
+	id, actions := p.account.Request(now, team, priority)
+	p.waiting[id] = granted
+	p.carryOut(actions)
+	return id, granted, nil
 }
 
-// open opens a connection under the reservation that acquire has made, and releases the reservation if that fails.
-func (p *Pool) open(ctx context.Context, team ident.Team) (*Conn, error) {
+// open opens the connection of a reserved id.
+func (p *Pool) open(ctx context.Context, id connections.ConnID, team ident.Team) (*Conn, error) {
 	conn, err := open(ctx, p.protocol, p.target, team)
-	if err == nil {
-		conn.pool = p
-		connectionsOpened.Inc()
-		p.RecordAnswer(steady.Now())
-		return conn, nil
+	if err != nil {
+		return nil, err
 	}
+	connectionsOpened.Inc()
+	now := steady.Now()
+	p.RecordAnswer(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.pool, conn.id = p, id
+	p.conns[id] = conn
+	p.carryOut(p.account.Opened(now, id))
+	return conn, nil
+}
+
+// openFailed gives a reserved id back. It returns the error, unless the upstream refused the connection as over its cap: the statement
+// then waits again, under the new id.
+func (p *Pool) openFailed(
+	ctx context.Context, id connections.ConnID, failed error, began ident.Time, granted chan grant,
+) (connections.WaiterID, error) {
 	openFailures.Inc()
+	now := steady.Now()
 	var unreachable *UnreachableError
-	if errors.As(err, &unreachable) && ctx.Err() == nil {
-		p.RecordFailure(steady.Now())
+	if errors.As(failed, &unreachable) && ctx.Err() == nil {
+		p.RecordFailure(now)
 	}
-	p.releaseReservation()
-	return nil, err
-}
-
-// acquire returns a free connection, or nil with a reservation to open one. The reservation is counted in total.
-func (p *Pool) acquire(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
+	var refused *statement.Failure
+	atCap := errors.As(failed, &refused) && refused.Code == statement.CodeConnections
 	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return nil, p.closedError()
-	}
-	if conn := p.takeIdle(team); conn != nil {
-		p.mu.Unlock()
-		return conn, nil
+	defer p.mu.Unlock()
+	waiter, actions := p.account.OpenFailed(now, id, began, atCap && !p.closed)
+	if waiter != 0 {
+		p.waiting[waiter] = granted
 	}
-	if p.total < p.limit {
-		p.total++
-		p.mu.Unlock()
-		return nil, nil
+	p.carryOut(actions)
+	if !atCap {
+		return 0, failed
 	}
-	if len(p.idle) > 0 {
-		// Close the least recently used connection, which belongs to another team, and open one in its place.
-		old := p.idle[0].conn
-		p.idle = slices.Delete(p.idle, 0, 1)
-		p.mu.Unlock()
-		connectionsEvicted.Inc()
-		old.close()
-		return nil, nil
+	connectionsRefused.Inc()
+	if p.refusalLogged == 0 || now.Sub(p.refusalLogged) >= refusalLogInterval {
+		p.refusalLogged = now
+		klog.InfoS("Connections refused at the upstream's limit", "upstream", p.target.Upstream, "open", len(p.conns),
+			"account", p.account.Account.Limit(now))
 	}
-	w := &waiter{team: team, priority: priority, grant: make(chan *Conn, 1)}
-	at, _ := slices.BinarySearchFunc(p.waiting, priority+1, func(w *waiter, priority int) int { return w.priority - priority })
-	p.waiting = slices.Insert(p.waiting, at, w)
-	p.mu.Unlock()
-	select {
-	case conn, open := <-w.grant:
-		if !open {
-			return nil, p.closedError()
-		}
-		return conn, nil
-	case <-ctx.Done():
+	if p.closed {
+		return 0, p.closedError()
 	}
+	return waiter, nil
+}
+
+// replaceLost gives up a connection that was found closed when it was handed over, and waits again.
+func (p *Pool) replaceLost(conn *Conn, began ident.Time, granted chan grant) (connections.WaiterID, error) {
+	conn.close()
+	now := steady.Now()
 	p.mu.Lock()
-	if i := slices.Index(p.waiting, w); i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-		p.mu.Unlock()
-		return nil, ctx.Err()
+	defer p.mu.Unlock()
+	delete(p.conns, conn.id)
+	if p.closed {
+		p.carryOut(p.account.Release(now, conn.id, false))
+		return 0, p.closedError()
 	}
+	id, actions := p.account.Lost(now, conn.id, began)
+	p.waiting[id] = granted
+	p.carryOut(actions)
+	return id, nil
+}
+
+// cancel ends a wait. What was granted at the same time is passed on.
+func (p *Pool) cancel(id connections.WaiterID, granted chan grant) {
+	p.mu.Lock()
+	waiting := p.account.Cancel(id)
+	delete(p.waiting, id)
 	p.mu.Unlock()
-	// The grant was made at the same time as ctx ended: pass it on.
-	switch conn, open := <-w.grant; {
-	case !open:
-	case conn != nil:
-		p.put(conn)
+	if waiting {
+		return
+	}
+	select {
+	case g := <-granted:
+		switch {
+		case g.conn != nil:
+			p.put(g.conn)
+		case g.reserved != 0:
+			p.mu.Lock()
+			_, actions := p.account.OpenFailed(steady.Now(), g.reserved, 0, false)
+			p.carryOut(actions)
+			p.mu.Unlock()
+		}
 	default:
-		p.releaseReservation()
 	}
-	return nil, ctx.Err()
 }
 
 func (p *Pool) closedError() error {
 	return &UnreachableError{p.target.Upstream, errPoolClosed}
 }
 
-// takeIdle returns a live idle connection of the team, the most recently used one first, or nil. The caller must hold mu.
-func (p *Pool) takeIdle(team ident.Team) *Conn {
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].conn.Team != team {
-			continue
-		}
-		conn := p.idle[i].conn
-		p.idle = slices.Delete(p.idle, i, i+1)
-		if conn.alive() {
-			return conn
-		}
-		conn.close()
-		p.total--
-	}
-	return nil
-}
-
-// put takes a connection back. It passes the connection to a waiter of the same team that has the first waiter's priority, or
-// closes it and passes its reservation to the first waiter. Without waiters it keeps the connection as idle. A connection that
-// is broken, exceeds the limit or belongs to a closed pool is closed.
+// put takes a connection back. One that is broken or belongs to a closed pool is closed.
 func (p *Pool) put(conn *Conn) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.lastTeam = conn.Team
-	if conn.broken || p.closed || p.total > p.limit {
-		p.mu.Unlock()
+	reusable := !conn.broken && !p.closed
+	if !reusable {
 		conn.close()
-		p.releaseReservation()
-		return
+		delete(p.conns, conn.id)
 	}
-	for i, w := range p.waiting {
-		if w.team == conn.Team && w.priority == p.waiting[0].priority {
-			p.waiting = slices.Delete(p.waiting, i, i+1)
-			p.mu.Unlock()
-			w.grant <- conn
-			return
+	p.carryOut(p.account.Release(steady.Now(), conn.id, reusable))
+}
+
+// setResting records whether the transaction that holds a connection runs no statement.
+func (p *Pool) setResting(conn *Conn, resting bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.SetResting(conn.id, resting)
+}
+
+// carryOut carries out the account's decisions and sets the timer for the next one. The caller must hold mu. Connections are closed
+// before others are opened in their place.
+func (p *Pool) carryOut(actions []connections.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case *connections.Close:
+			connectionsEvicted.Inc()
+			p.conns[action.Conn].close()
+			delete(p.conns, action.Conn)
+		case *connections.HandOver:
+			connectionsHandedOver.Inc()
+			p.answer(action.Waiter, grant{conn: p.conns[action.Conn]})
+		case *connections.Open:
+			p.answer(action.Waiter, grant{reserved: action.Conn})
+		case *connections.Refuse:
+			statementsHeldBack.Inc()
+			p.answer(action.Waiter, grant{err: errHeldBack})
 		}
 	}
-	if len(p.waiting) > 0 {
-		p.mu.Unlock()
-		connectionsEvicted.Inc()
-		conn.close()
-		p.releaseReservation()
-		return
-	}
-	p.idle = append(p.idle, &idleConn{conn, steady.Now()})
-	p.mu.Unlock()
+	p.setTimer()
 }
 
-// releaseReservation passes the reservation of a closed connection to the first waiter, or drops it.
-func (p *Pool) releaseReservation() {
-	p.mu.Lock()
-	if len(p.waiting) > 0 && p.total <= p.limit && !p.closed {
-		w := p.waiting[0]
-		p.waiting = slices.Delete(p.waiting, 0, 1)
-		p.mu.Unlock()
-		w.grant <- nil
+// answer ends the wait of a statement. The caller must hold mu.
+func (p *Pool) answer(id connections.WaiterID, g grant) {
+	p.waiting[id] <- g
+	delete(p.waiting, id)
+}
+
+// setTimer arranges for the account's next decision. The caller must hold mu.
+func (p *Pool) setTimer() {
+	at := p.account.Wake()
+	if at == 0 || at == p.wakeAt {
 		return
 	}
-	p.total--
-	p.mu.Unlock()
+	if p.wake != nil {
+		p.wake.Stop()
+	}
+	p.wakeAt = at
+	p.wake = time.AfterFunc(max(0, at.Sub(steady.Now())), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.wakeAt = 0
+		p.carryOut(p.account.Tick(steady.Now(), maxIdleTime))
+	})
 }
 
 // Trim closes idle connections that have not been used for maxIdleTime or that exceed the limit.
 func (p *Pool) Trim(now ident.Time) {
 	p.mu.Lock()
-	var old []*Conn
-	p.idle = slices.DeleteFunc(p.idle, func(i *idleConn) bool {
-		if now.Sub(i.since) < maxIdleTime && p.total-len(old) <= p.limit {
-			return false
-		}
-		old = append(old, i.conn)
-		return true
-	})
-	p.total -= len(old)
-	p.mu.Unlock()
-	for _, conn := range old {
-		conn.close()
-	}
+	defer p.mu.Unlock()
+	p.carryOut(p.account.Tick(now, maxIdleTime))
 }
 
 // Close closes idle connections now, and the others when they are released. Statements that wait for a connection get an
 // UnreachableError at once, so that they can run elsewhere.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
-	idle, waiting := p.idle, p.waiting
-	p.idle, p.waiting = nil, nil
-	p.total -= len(idle)
-	p.mu.Unlock()
-	for _, w := range waiting {
-		close(w.grant)
+	p.carryOut(p.account.Clear())
+	for id := range p.waiting {
+		p.answer(id, grant{err: p.closedError()})
 	}
-	for _, i := range idle {
-		i.conn.close()
+	if p.wake != nil {
+		p.wake.Stop()
 	}
 }
