--- a/fleet/connections/peer.go
+++ b/fleet/connections/peer.go
@@ -7,12 +7,8 @@
 )
 
 const (
-	// silentTime is how long a host is not asked after it did not answer.
-	silentTime = 1500 * time.Millisecond
-	// goneTime is how long a host whose port was closed is not asked. Asking it again costs little.
-	goneTime = 300 * time.Millisecond
-	// goneValidity is how long a closed port proves that the host holds no connections.
-	goneValidity = time.Second
+	// avoidTime is how long a host is not asked after it did not answer, and how long a closed port proves that it holds no connections.
+	avoidTime = 1500 * time.Millisecond
 	// returnTime is the time for which the port of a restarted host has been open when the host may hold connections again. Until
 	// then it has no directory.
 	returnTime = time.Second
@@ -32,12 +28,10 @@
 
 // Failed records a call that the host did not answer; closed is set if its port was closed.
 func (p *Peer) Failed(now ident.Time, closed bool) {
-	if !closed {
-		p.avoidUntil = now.Add(silentTime)
-		return
+	p.avoidUntil = now.Add(avoidTime)
+	if closed {
+		p.closedAt, p.returned = now, 0
 	}
-	p.avoidUntil = now.Add(goneTime)
-	p.closedAt, p.returned = now, 0
 }
 
 // Checked records that the host's port is open.
@@ -73,6 +67,6 @@
 
 // Gone reports whether the host is known to hold no connections.
 func (p *Peer) Gone(now ident.Time) bool {
-	return p != nil && p.closedAt != 0 && now.Sub(p.closedAt) < goneValidity &&
+	return p != nil && p.closedAt != 0 && now.Sub(p.closedAt) < avoidTime &&
 		(p.returned == 0 || now.Sub(p.returned) < returnTime)
 }
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -31,9 +31,16 @@
 // through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
 	executor := &trackedExecutor{pool: pool}
-	holder, direct := t.chooseHolder(steady.Now(), pool)
+	m := t.memberOf(pool)
+	if m == nil {
+		// The upstream has just left the directory, and its pool is closed.
+		executor.Executor = pool.Executor(team, priority)
+		return executor
+	}
+	holder, direct := t.chooseHolder(steady.Now(), m)
 	switch {
 	case direct:
+		t.recordAsked(m)
 		executor.Executor = pool.Executor(team, priority)
 	case holder == nil:
 		executor.Executor = unavailableExecutor{pool.Target()}
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -107,18 +107,14 @@
 	return slices.IndexFunc(order, func(host *fleetpb.EntryHost) bool { return host.GetHost() == string(t.options.Host) })
 }
 
-// chooseHolder returns the host whose connections to an upstream are to be used. direct is set if it is this host; the holder is nil
-// if it is, or if there is none.
-func (t *Table) chooseHolder(now ident.Time, pool *upstream.Pool) (holder *fleetpb.EntryHost, direct bool) {
+// chooseHolder returns the host whose connections to an upstream are to be used, or nil if there is none. direct is set if this host is
+// to use its own, whatever the holder.
+func (t *Table) chooseHolder(now ident.Time, m *member) (holder *fleetpb.EntryHost, direct bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	m := t.memberOf(pool)
-	if m == nil {
-		return nil, true
-	}
 	a := &m.account
 	if !a.scarce {
-		gateway := gatewayIn(a.order, pool.Target())
+		gateway := gatewayIn(a.order, m.pool.Target())
 		direct = gateway == nil || gateway.GetHost() == string(t.options.Host) ||
 			t.peers[gateway.GetHost()].Standing(now) != connections.StandingUsable
 		return gateway, direct
@@ -138,8 +134,10 @@
 	return a.order[i], a.order[i].GetHost() == string(t.options.Host)
 }
 
-// memberOf returns the listed upstream of a pool, or nil. The caller must hold mu.
+// memberOf returns the listed upstream of a pool, or nil.
 func (t *Table) memberOf(pool *upstream.Pool) *member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	if g := t.groups[pool.Target().Service]; g != nil {
 		for _, m := range g.members {
 			if m.pool == pool {
@@ -175,8 +173,8 @@
 	return p
 }
 
-// recordAsked records a request of another host for this host's connections to an upstream. If other hosts come before this one, it
-// checks whether they are gone.
+// recordAsked records a request for this host's connections to an upstream. If other hosts come before this one, it checks whether
+// they are gone.
 func (t *Table) recordAsked(m *member) {
 	now := steady.Now()
 	t.mu.Lock()
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -59,12 +59,12 @@
 func TestChooseHolder(t *testing.T) {
 	table, m, order := crowdedTable(t, 4)
 	for i, closed := range []bool{true, false, false, false} {
-		holder, direct := table.chooseHolder(steady.Now(), m.pool)
+		holder, direct := table.chooseHolder(steady.Now(), m)
 		require.False(t, direct)
 		require.Equal(t, order[i], holder)
 		table.recordFailure(holder, closed)
 	}
-	holder, direct := table.chooseHolder(steady.Now(), m.pool)
+	holder, direct := table.chooseHolder(steady.Now(), m)
 	require.False(t, direct)
 	require.Nil(t, holder, "beyond gateway, successor and last resort nobody opens connections, but one that is gone doesn't count")
 }
