--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -53,15 +53,14 @@
 	return executor
 }
 
-// errNoHolder refuses a statement while no host that may hold connections to the upstream answers.
-var errNoHolder = &statement.Failure{Code: statement.CodeConnections, Text: "no host that holds connections to the upstream answers"}
-
-// unavailableExecutor refuses all statements.
+// unavailableExecutor refuses all statements, while no host that may hold connections to the upstream answers.
 type unavailableExecutor struct{ target upstream.Target }
 
 // Execute implements upstream.Executor.
 func (u unavailableExecutor) Execute(context.Context, upstream.Use) (upstream.Outcome, error) {
-	return upstream.Outcome{}, errNoHolder
+	return upstream.Outcome{}, &statement.Failure{
+		Code: statement.CodeConnections, Text: "no host that holds connections to the upstream answers",
+	}
 }
 
 // Close implements upstream.Executor.
--- /dev/null
+++ b/node/upstream/grant.go
@@ -0,0 +1,257 @@
+package upstream
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/connections"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// refusalLogInterval bounds the log lines about connections that the upstream refuses.
+const refusalLogInterval = 5 * time.Second
+
+var (
+	connectionsOpened     = metrics.NewCounter("tamarack_upstream_connections_opened_total")
+	openFailures          = metrics.NewCounter("tamarack_upstream_open_failures_total")
+	connectionsRefused    = metrics.NewCounter("tamarack_upstream_connections_refused_total")
+	connectionsEvicted    = metrics.NewCounter("tamarack_upstream_connections_evicted_total")
+	connectionsHandedOver = metrics.NewCounter("tamarack_upstream_connections_handed_over_total")
+	statementsHeldBack    = metrics.NewCounter("tamarack_upstream_statements_held_back_total")
+)
+
+// grant ends the wait of a statement with a connection, with the right to open one, or with an error.
+type grant struct {
+	conn *Conn
+	// reserved is the id of the connection to open; 0 if there is none.
+	reserved connections.ConnID
+	err      error
+}
+
+// noConnection returns the failure of a statement that gets no connection on this host.
+func noConnection(text string) error {
+	return &statement.Failure{Code: statement.CodeConnections, Text: text}
+}
+
+// Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError or a
+// statement.Failure; no statement has run in any of these cases.
+func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
+	began := steady.Now()
+	id, granted, err := p.request(began, team, priority)
+	var refused error
+	for err == nil {
+		select {
+		case g := <-granted:
+			switch {
+			case g.err != nil:
+				return nil, g.err
+			case g.conn != nil && g.conn.alive():
+				return g.conn, nil
+			case g.conn != nil:
+				if id, err = p.replaceLost(g.conn, began, granted); err != nil {
+					return nil, err
+				}
+				continue
+			}
+			var conn *Conn
+			conn, refused = p.open(ctx, g.reserved, team)
+			if refused == nil {
+				return conn, nil
+			}
+			if id, err = p.openFailed(ctx, g.reserved, refused, began, granted); err != nil {
+				return nil, err
+			}
+		case <-ctx.Done():
+			p.cancel(id, granted)
+			return nil, cmp.Or(refused, ctx.Err())
+		}
+	}
+	return nil, err
+}
+
+// request asks the account for a connection. The channel receives the outcome.
+func (p *Pool) request(now ident.Time, team ident.Team, priority int) (connections.WaiterID, chan grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return 0, nil, p.closedError()
+	case p.account.Account.Limit(now) == 0 && priority >= 0:
+		return 0, nil, noConnection("this host holds no connections to the upstream")
+	}
+	granted := make(chan grant, 1)
+	id, actions := p.account.Request(now, team, priority)
+	p.waiting[id] = granted
+	p.carryOut(actions)
+	return id, granted, nil
+}
+
+// open opens the connection of a reserved id.
+func (p *Pool) open(ctx context.Context, id connections.ConnID, team ident.Team) (*Conn, error) {
+	conn, err := open(ctx, p.protocol, p.target, team)
+	if err != nil {
+		return nil, err
+	}
+	connectionsOpened.Inc()
+	now := steady.Now()
+	p.RecordAnswer(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.pool, conn.id = p, id
+	p.conns[id] = conn
+	p.carryOut(p.account.Opened(now, id))
+	return conn, nil
+}
+
+// openFailed gives a reserved id back. It returns the error, unless the upstream refused the connection as over its cap: the statement
+// then waits again, under the new id.
+func (p *Pool) openFailed(
+	ctx context.Context, id connections.ConnID, failed error, began ident.Time, granted chan grant,
+) (connections.WaiterID, error) {
+	openFailures.Inc()
+	now := steady.Now()
+	var unreachable *UnreachableError
+	if errors.As(failed, &unreachable) && ctx.Err() == nil {
+		p.RecordFailure(now)
+	}
+	var refused *statement.Failure
+	atCap := errors.As(failed, &refused) && refused.Code == statement.CodeConnections
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	waiter, actions := p.account.OpenFailed(now, id, began, atCap && !p.closed)
+	if waiter != 0 {
+		p.waiting[waiter] = granted
+	}
+	p.carryOut(actions)
+	if !atCap {
+		return 0, failed
+	}
+	connectionsRefused.Inc()
+	if p.refusalLogged == 0 || now.Sub(p.refusalLogged) >= refusalLogInterval {
+		p.refusalLogged = now
+		klog.InfoS("Connections refused at the upstream's limit", "upstream", p.target.Upstream, "open", len(p.conns),
+			"account", p.account.Account.Limit(now))
+	}
+	if p.closed {
+		return 0, p.closedError()
+	}
+	return waiter, nil
+}
+
+// replaceLost gives up a connection that was found closed when it was handed over, and waits again.
+func (p *Pool) replaceLost(conn *Conn, began ident.Time, granted chan grant) (connections.WaiterID, error) {
+	conn.close()
+	now := steady.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn.id)
+	if p.closed {
+		p.carryOut(p.account.Release(now, conn.id, false))
+		return 0, p.closedError()
+	}
+	id, actions := p.account.Lost(now, conn.id, began)
+	p.waiting[id] = granted
+	p.carryOut(actions)
+	return id, nil
+}
+
+// cancel ends a wait. What was granted at the same time is passed on.
+func (p *Pool) cancel(id connections.WaiterID, granted chan grant) {
+	p.mu.Lock()
+	waiting := p.account.Cancel(id)
+	delete(p.waiting, id)
+	p.mu.Unlock()
+	if waiting {
+		return
+	}
+	select {
+	case g := <-granted:
+		switch {
+		case g.conn != nil:
+			p.put(g.conn)
+		case g.reserved != 0:
+			p.mu.Lock()
+			_, actions := p.account.OpenFailed(steady.Now(), g.reserved, 0, false)
+			p.carryOut(actions)
+			p.mu.Unlock()
+		}
+	default:
+	}
+}
+
+func (p *Pool) closedError() error {
+	return &UnreachableError{p.target.Upstream, errPoolClosed}
+}
+
+// put takes a connection back. One that is broken or belongs to a closed pool is closed.
+func (p *Pool) put(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastTeam = conn.Team
+	reusable := !conn.broken && !p.closed
+	if !reusable {
+		conn.close()
+		delete(p.conns, conn.id)
+	}
+	p.carryOut(p.account.Release(steady.Now(), conn.id, reusable))
+}
+
+// setResting records whether the transaction that holds a connection runs no statement.
+func (p *Pool) setResting(conn *Conn, resting bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.SetResting(conn.id, resting)
+}
+
+// carryOut carries out the account's decisions and sets the timer for the next one. The caller must hold mu. Connections are closed
+// before others are opened in their place.
+func (p *Pool) carryOut(actions []connections.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case *connections.Close:
+			connectionsEvicted.Inc()
+			p.conns[action.Conn].close()
+			delete(p.conns, action.Conn)
+		case *connections.HandOver:
+			connectionsHandedOver.Inc()
+			p.answer(action.Waiter, grant{conn: p.conns[action.Conn]})
+		case *connections.Open:
+			p.answer(action.Waiter, grant{reserved: action.Conn})
+		case *connections.Refuse:
+			statementsHeldBack.Inc()
+			p.answer(action.Waiter, grant{err: noConnection("the upstream's other connections are left to more urgent requests")})
+		}
+	}
+	p.setTimer()
+}
+
+// answer ends the wait of a statement. The caller must hold mu.
+func (p *Pool) answer(id connections.WaiterID, g grant) {
+	p.waiting[id] <- g
+	delete(p.waiting, id)
+}
+
+// setTimer arranges for the account's next decision. The caller must hold mu.
+func (p *Pool) setTimer() {
+	at := p.account.Wake()
+	if at == 0 || at == p.wakeAt {
+		return
+	}
+	if p.wake != nil {
+		p.wake.Stop()
+	}
+	p.wakeAt = at
+	p.wake = time.AfterFunc(max(0, at.Sub(steady.Now())), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.wakeAt = 0
+		p.carryOut(p.account.Tick(steady.Now(), maxIdleTime))
+	})
+}
