Give no host more gateways than an even division needs

Change: where connections are scarce, a host is the gateway of as many upstreams of its zone as an even division needs.

--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -48,6 +48,41 @@
 	return order
 }
 
+// Upstream is an upstream whose connections are held by one of the hosts.
+type Upstream struct {
+	ID   ident.Upstream
+	Zone ident.Zone
+}
+
+// Orders returns the order of the hosts for each of several upstreams. It is that of Order, except that a host is the first one for no
+// more upstreams of its zone than an even division needs: a small host's link does not bear the statements of several busy upstreams.
+func Orders(hosts []Host, upstreams []Upstream) map[ident.Upstream][]int {
+	inZone, perZone := map[ident.Zone]int{}, map[ident.Zone]int{}
+	for _, host := range hosts {
+		inZone[host.Zone]++
+	}
+	for _, upstream := range upstreams {
+		perZone[upstream.Zone]++
+	}
+	orders, held := map[ident.Upstream][]int{}, make([]int, len(hosts))
+	sorted := slices.SortedFunc(slices.Values(upstreams), func(x, y Upstream) int { return cmp.Compare(x.ID, y.ID) })
+	for _, upstream := range sorted {
+		order := Order(hosts, upstream.ID, upstream.Zone)
+		orders[upstream.ID] = order
+		near := inZone[upstream.Zone]
+		if near == 0 {
+			continue
+		}
+		most := (perZone[upstream.Zone] + near - 1) / near
+		first := slices.IndexFunc(order[:near], func(i int) bool { return held[i] < most })
+		chosen := order[first]
+		held[chosen]++
+		copy(order[1:], order[:first])
+		order[0] = chosen
+	}
+	return orders
+}
+
 // Reserve returns how many of an upstream's connections its gateway leaves to others.
 func Reserve(accepted int, scarce bool) int {
 	if !scarce {
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -21,12 +21,6 @@
 	return nil
 }
 
-// gatewayOf selects the host that holds the connections to an upstream: the first one in the order of the hosts in the upstream's
-// availability zone. It returns nil if there are none.
-func gatewayOf(hosts []*fleetpb.EntryHost, target upstream.Target) *fleetpb.EntryHost {
-	return gatewayIn(orderOf(hosts, target), target)
-}
-
 // Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
 // through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
--- a/node/routing/gateway_test.go
+++ b/node/routing/gateway_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/node/upstream"
@@ -13,7 +14,7 @@
 
 // Guards against hosts that select different gateways from the same directory, a gateway in another availability zone, and
 // a change of gateway when an unrelated host is added or removed.
-func TestGatewayOf(t *testing.T) {
+func TestGateway(t *testing.T) {
 	var hosts []*fleetpb.EntryHost
 	for i := range 12 {
 		hosts = append(hosts, &fleetpb.EntryHost{Host: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%3)})
@@ -21,18 +22,38 @@
 	assigned := map[string]int{}
 	for i := range 300 {
 		target := upstream.Target{Upstream: ident.Upstream(fmt.Sprintf("i-%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%3))}
-		chosen := gatewayOf(hosts, target)
+		chosen := gatewayIn(orderOf(hosts, target), target)
 		require.Equal(t, string(target.Zone), chosen.GetZone())
 		assigned[chosen.GetHost()]++
 		for removed := range hosts {
 			others := append(append([]*fleetpb.EntryHost(nil), hosts[removed+1:]...), hosts[:removed]...)
 			if hosts[removed] != chosen {
-				require.Equal(t, chosen, gatewayOf(others, target), "the gateway depends neither on the order nor on other hosts")
+				require.Equal(t, chosen, gatewayIn(orderOf(others, target), target), "the gateway depends neither on the order nor on other hosts")
 			}
 		}
 	}
 	for host, n := range assigned {
 		require.Less(t, n, 75, "%s is the gateway of far more upstreams than its share of 25", host)
 	}
-	require.Nil(t, gatewayOf(hosts, upstream.Target{Zone: "elsewhere"}))
+	require.Nil(t, gatewayIn(orderOf(hosts, upstream.Target{Zone: "elsewhere"}), upstream.Target{Zone: "elsewhere"}))
+}
+
+// Guards against one small host that is the gateway of several busy upstreams while others of its zone are that of none.
+func TestOrdersAreEven(t *testing.T) {
+	var hosts []connections.Host
+	var upstreams []connections.Upstream
+	for i := range 20 {
+		hosts = append(hosts, connections.Host{ID: ident.Host(fmt.Sprintf("h%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%2))})
+	}
+	for i := range 30 {
+		upstreams = append(upstreams, connections.Upstream{ID: ident.Upstream(fmt.Sprintf("i-%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%3))})
+	}
+	gateways := map[int]int{}
+	for id, order := range connections.Orders(hosts, upstreams) {
+		require.Len(t, order, len(hosts), id)
+		gateways[order[0]]++
+	}
+	for i := range hosts {
+		require.GreaterOrEqual(t, gateways[i], 1, "ten hosts for the ten upstreams of each zone")
+	}
 }
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -38,27 +38,56 @@
 
 // orderOf returns the hosts in the order in which they hold the connections to an upstream.
 func orderOf(hosts []*fleetpb.EntryHost, target upstream.Target) []*fleetpb.EntryHost {
-	listed := make([]connections.Host, len(hosts))
+	return listed(hosts, connections.Order(connectionHosts(hosts), target.Upstream, target.Zone))
+}
+
+// connectionHosts returns hosts as package connections has them.
+func connectionHosts(hosts []*fleetpb.EntryHost) []connections.Host {
+	list := make([]connections.Host, len(hosts))
 	for i, host := range hosts {
-		listed[i] = connections.Host{ID: ident.Host(host.GetHost()), Zone: ident.Zone(host.GetZone())}
+		list[i] = connections.Host{ID: ident.Host(host.GetHost()), Zone: ident.Zone(host.GetZone())}
 	}
-	order := make([]*fleetpb.EntryHost, len(hosts))
-	for i, at := range connections.Order(listed, target.Upstream, target.Zone) {
-		order[i] = hosts[at]
+	return list
+}
+
+// listed returns the hosts at indexes.
+func listed(hosts []*fleetpb.EntryHost, indexes []int) []*fleetpb.EntryHost {
+	list := make([]*fleetpb.EntryHost, len(indexes))
+	for i, at := range indexes {
+		list[i] = hosts[at]
 	}
-	return order
+	return list
 }
 
-// updateAccount updates what is known of an upstream's connections from the directory and the configuration. The caller must hold mu.
-func (t *Table) updateAccount(now ident.Time, m *member) {
-	target, catalog := m.pool.Target(), t.Catalog()
-	m.account.order, m.account.scarce, m.account.accepted = orderOf(t.hosts, target), false, 0
-	if service := catalog.Service(target.Service); service != nil {
-		m.account.accepted = service.Connections
-		m.account.scarce = len(t.hosts) > 0 && connections.Scarce(service.Connections, len(catalog.Teams), len(t.hosts))
-		m.pool.SetTeams(len(catalog.Teams))
+// updateAccounts updates what is known of the upstreams' connections from the directory and the configuration. The caller must hold mu.
+func (t *Table) updateAccounts(now ident.Time) {
+	catalog := t.Catalog()
+	var scarce []connections.Upstream
+	for _, g := range t.groups {
+		for _, m := range g.members {
+			m.account.accepted, m.account.scarce = 0, false
+			target := m.pool.Target()
+			if service := catalog.Service(target.Service); service != nil {
+				m.account.accepted = service.Connections
+				m.account.scarce = len(t.hosts) > 0 && connections.Scarce(service.Connections, len(catalog.Teams), len(t.hosts))
+				m.pool.SetTeams(len(catalog.Teams))
+			}
+			if m.account.scarce {
+				scarce = append(scarce, connections.Upstream{ID: target.Upstream, Zone: target.Zone})
+			}
+		}
+	}
+	orders := connections.Orders(connectionHosts(t.hosts), scarce)
+	for _, g := range t.groups {
+		for _, m := range g.members {
+			if m.account.scarce {
+				m.account.order = listed(t.hosts, orders[m.pool.Target().Upstream])
+			} else {
+				m.account.order = orderOf(t.hosts, m.pool.Target())
+			}
+			t.applyLimit(now, m)
+		}
 	}
-	t.applyLimit(now, m)
 }
 
 // applyLimit sets the number of connections to an upstream that this host may open. The caller must hold mu.
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -162,12 +162,12 @@
 		}
 		pool, known := t.pool(target)
 		pool.SetCapacity(int(a.GetCapacity()))
-		if rate := t.warmupRate(target); a.GetWarmupMs() > 0 && rate >= 0 {
-			pool.SetWarmup(steady.Now().Add(time.Duration(a.GetWarmupMs())*time.Millisecond), rate)
-		}
-		m := &member{pool: pool, leaving: a.GetLeaving(), evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()), account: known}
-		t.updateAccount(steady.Now(), m)
-		members[service] = append(members[service], m)
+		members[service] = append(members[service], &member{
+			pool:      pool,
+			leaving:   a.GetLeaving(),
+			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
+			account:   known,
+		})
 	}
 	for service := range members {
 		if t.groups[service] == nil {
@@ -183,16 +183,24 @@
 		g.members = members[service]
 		g.primary = ident.Upstream(primaries[string(service)])
 	}
+	t.updateAccounts(steady.Now())
+	for _, a := range d.GetUpstreams() {
+		m := t.find(ident.Service(a.GetService()), ident.Upstream(a.GetUpstream()))
+		if rate := t.warmupRate(m); a.GetWarmupMs() > 0 && rate >= 0 {
+			m.pool.SetWarmup(steady.Now().Add(time.Duration(a.GetWarmupMs())*time.Millisecond), rate)
+		}
+	}
 }
 
 // warmupRate returns how many statements a second this host may send to an upstream that warms up: the full rate of the
 // service on the gateway, 0 on other hosts. It is negative if the service sets no limit.
-func (t *Table) warmupRate(target upstream.Target) float64 {
+func (t *Table) warmupRate(m *member) float64 {
+	target := m.pool.Target()
 	service := t.Catalog().Service(target.Service)
 	if service == nil || service.WarmupRate <= 0 {
 		return -1
 	}
-	if gatewayOf(t.hosts, target) != t.self() {
+	if gatewayIn(m.account.order, target) != t.self() {
 		return 0
 	}
 	return service.WarmupRate
@@ -212,6 +220,11 @@
 func (t *Table) member(service ident.Service, id ident.Upstream) *member {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	return t.find(service, id)
+}
+
+// find returns a listed upstream, or nil. The caller must hold mu.
+func (t *Table) find(service ident.Service, id ident.Upstream) *member {
 	if g := t.groups[service]; g != nil {
 		for _, m := range g.members {
 			if m.pool.Target().Upstream == id {
