Don't let a lost packet hold up other handshakes

With one handshake at a time a lost opening packet would stop all others for up to 700 ms. One that takes more than 100 ms no longer counts.

--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -15,6 +15,8 @@
 	joinTime = 30 * time.Millisecond
 	// maxJoining is the number of statements that wait for each running connection of their team.
 	maxJoining = 2
+	// handshakeTime is how long a handshake counts as one that takes a slot. One that takes longer waits for a lost packet.
+	handshakeTime = 100 * time.Millisecond
 	// urgentDivisor is the part of the account that less urgent statements leave to the most urgent route.
 	urgentDivisor = 4
 	// holdBackTime is how long a less urgent statement waits while that part is all that is left.
@@ -284,6 +286,9 @@
 	urgent, held int
 	// running counts the connections of each team that run a statement or are being opened.
 	running map[ident.Team]int
+	// handshakes counts those that take a slot, and handshakeEnd is when the first of them no longer does.
+	handshakes   int
+	handshakeEnd ident.Time
 }
 
 func (a *Allocator) newRound(now ident.Time) *round {
@@ -299,6 +304,12 @@
 		if c.state == connRunning || c.state == connOpening {
 			r.running[c.team]++
 		}
+		if until := c.since.Add(handshakeTime); c.state == connOpening && now < until {
+			if r.handshakes == 0 || until < r.handshakeEnd {
+				r.handshakeEnd = until
+			}
+			r.handshakes++
+		}
 	}
 	return r
 }
@@ -352,7 +363,8 @@
 		a.wakeAt(after)
 		return nil
 	}
-	if r.crowded && a.opening >= a.maxOpening() {
+	if r.crowded && r.handshakes >= a.maxHandshakes() {
+		a.wakeAt(r.handshakeEnd)
 		return nil
 	}
 	if r.crowded && r.joins(w, ahead) {
@@ -393,8 +405,8 @@
 	return append(actions, &Open{w.id, a.lastConn})
 }
 
-// maxOpening returns how many handshakes may run at a time, so that half of the upstream's slots are left to statements.
-func (a *Allocator) maxOpening() int {
+// maxHandshakes returns how many handshakes may run at a time, so that half of the upstream's slots are left to statements.
+func (a *Allocator) maxHandshakes() int {
 	return max(1, a.slots/2)
 }
 
