Wake the pool when its account grows after a refusal

A pool outside of a table has no periodic update, so a statement that waited for the account to grow waited until its deadline; the new test of refusals found it. Get has one wait and one switch.

--- a/fleet/connections/account.go
+++ b/fleet/connections/account.go
@@ -60,6 +60,17 @@
 	return a.size
 }
 
+// GrowsAt returns the time at which the account next grows by itself, or 0.
+func (a *Account) GrowsAt(now ident.Time) ident.Time {
+	switch {
+	case a.Limit(now) >= a.size:
+		return 0
+	case a.shrunk != 0:
+		return a.shrunk.Add((now.Sub(a.shrunk)/growInterval + 1) * growInterval)
+	}
+	return a.settled
+}
+
 // Opened records that a connection was opened.
 func (a *Account) Opened(now ident.Time) {
 	a.pause, a.openAfter = 0, 0
--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -394,6 +394,9 @@
 	var actions []Action
 	if len(a.conns) >= limit {
 		if len(a.idle) == 0 || len(a.conns) > limit {
+			if grows := a.Account.GrowsAt(r.now); grows != 0 {
+				a.wakeAt(grows)
+			}
 			return nil
 		}
 		actions = append(actions, a.closeIdle(a.victim(r.now)))
--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -47,31 +47,27 @@
 	id, granted, err := p.request(began, team, priority)
 	var refused error
 	for err == nil {
+		var g grant
 		select {
-		case g := <-granted:
-			switch {
-			case g.err != nil:
-				return nil, g.err
-			case g.conn != nil && g.conn.alive():
-				return g.conn, nil
-			case g.conn != nil:
-				if id, err = p.replaceLost(g.conn, began, granted); err != nil {
-					return nil, err
-				}
-				continue
-			}
-			var conn *Conn
-			conn, refused = p.open(ctx, g.reserved, team)
-			if refused == nil {
-				return conn, nil
-			}
-			if id, err = p.openFailed(ctx, g.reserved, refused, began, granted); err != nil {
-				return nil, err
-			}
+		case g = <-granted:
 		case <-ctx.Done():
 			p.cancel(id, granted)
 			return nil, cmp.Or(refused, ctx.Err())
 		}
+		switch {
+		case g.err != nil:
+			return nil, g.err
+		case g.conn != nil && g.conn.alive():
+			return g.conn, nil
+		case g.conn != nil:
+			id, err = p.replaceLost(g.conn, began, granted)
+		default:
+			var conn *Conn
+			if conn, refused = p.open(ctx, g.reserved, team); refused == nil {
+				return conn, nil
+			}
+			id, err = p.openFailed(ctx, g.reserved, refused, began, granted)
+		}
 	}
 	return nil, err
 }
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -189,3 +189,55 @@
 	require.ErrorAs(t, err, &unreachable)
 	held.Release()
 }
+
+// Guards against a former gateway that keeps idle connections, which the new one needs, and against statements that wait there.
+func TestSmallerLimitClosesIdleConnections(t *testing.T) {
+	_, _, target := startUpstream(t, 3)
+	p := upstream.NewPool(target, protocol, 3)
+	held := make([]*upstream.Conn, 3)
+	for i := range held {
+		var err error
+		held[i], err = p.Get(contextWithTimeout(t), "one", 1)
+		require.NoError(t, err)
+	}
+	held[0].Release()
+	held[1].Release()
+	p.SetLimit(0, true)
+	require.Equal(t, 1, p.Connections(), "the connection in use is kept")
+	held[2].Release()
+	require.Zero(t, p.Connections())
+	_, err := p.Get(contextWithTimeout(t), "one", 1)
+	var refused *statement.Failure
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, statement.CodeConnections, refused.Code)
+	_, err = p.Status(contextWithTimeout(t), statement.AskStatus{})
+	require.NoError(t, err, "the core's requests are served on every host")
+}
+
+// Guards against a pool that insists on connections which the upstream refuses because another host holds them.
+func TestRefusalLowersLimit(t *testing.T) {
+	_, _, target := startUpstream(t, 3)
+	other := upstream.NewPool(target, protocol, 1)
+	foreign, err := other.Get(contextWithTimeout(t), "other", 1)
+	require.NoError(t, err)
+	p := upstream.NewPool(target, protocol, 3)
+	first, err := p.Get(contextWithTimeout(t), "one", 1)
+	require.NoError(t, err)
+	second, err := p.Get(contextWithTimeout(t), "two", 1)
+	require.NoError(t, err)
+	granted := make(chan error, 1)
+	go func() {
+		conn, err := p.Get(contextWithTimeout(t), "three", 1)
+		if err == nil {
+			conn.Release()
+		}
+		granted <- err
+	}()
+	require.Eventually(t, func() bool { return p.Limit() < 3 }, timeout, time.Millisecond)
+	require.Equal(t, 1, p.Waiting(), "the statement keeps its place")
+	foreign.Release()
+	other.Close()
+	require.NoError(t, <-granted)
+	first.Release()
+	second.Release()
+}
