Order statements by urgency before they hold a connection

Statements took a connection and opened their transaction before they waited; statements of transactions passed the bound; hosts asked all upstreams again every 25 ms.

--- a/fleet/statement/result.go
+++ b/fleet/statement/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"tamarackshunt.dev/fleet/ident"
 )
@@ -68,6 +69,8 @@
 	Code Code
 	// Text is the description for people.
 	Text string
+	// Retry is the time after which it makes sense to come back; 0 if nothing is known.
+	Retry time.Duration
 }
 
 // Error returns the code and the text.
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -3,23 +3,19 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/routing"
 	"tamarackshunt.dev/node/upstream"
 )
 
-const (
-	// retryPause is the time before another attempt on upstreams that were busy, lagged or were not the primary.
-	retryPause = 25 * time.Millisecond
-	// readTimeout bounds one attempt of a read that can be repeated on another upstream, and readWait its wait for a connection
-	// and in the upstream's queue.
-	readTimeout = 400 * time.Millisecond
-	readWait    = 250 * time.Millisecond
-)
+// readTimeout bounds one attempt of a read that can be repeated on another upstream, without its wait for its turn.
+const readTimeout = 400 * time.Millisecond
 
 // work is a statement to run on an upstream.
 type work struct {
@@ -32,8 +28,21 @@
 }
 
 // newUse returns the upstream.Use of a statement. The zero work has no statement and only opens a transaction.
-func (s *session) newUse(w *work, timeout time.Duration) upstream.Use {
-	return upstream.Use{Values: s.values, Prepared: w.definition, ID: w.id, Text: w.text, Timeout: timeout}
+func (s *session) newUse(o *operation, w *work, timeout time.Duration) upstream.Use {
+	use := upstream.Use{Values: s.values, Prepared: w.definition, ID: w.id, Text: w.text, Timeout: timeout}
+	use.Within, use.Late = o.within()
+	return use
+}
+
+// within returns the time in which a first statement of the operation should end to meet the objective of its route. After the
+// objective, the operation is late and has the rest of the timeout.
+func (o *operation) within() (left time.Duration, late bool) {
+	end := o.began.Add(min(o.route.Objective, o.route.Timeout))
+	left = end.Sub(steady.Now())
+	if left < time.Millisecond {
+		return 0, true
+	}
+	return left, false
 }
 
 // requestContext returns a context that ends after the route's timeout.
@@ -41,11 +50,6 @@
 	return context.WithTimeout(context.Background(), route.Timeout)
 }
 
-// waitToRetry waits before the next round of attempts. It returns false if ctx ends first.
-func waitToRetry(ctx context.Context) bool {
-	return steady.Wait(ctx, retryPause) == nil
-}
-
 // timeLeft returns the time until the deadline of ctx, but at most limit.
 func timeLeft(ctx context.Context, limit time.Duration) time.Duration {
 	if end, found := ctx.Deadline(); found {
@@ -54,11 +58,6 @@
 	return limit
 }
 
-// busyFailure returns the failure of a statement that did not run in time; last is the error of the last attempt.
-func busyFailure(o *operation, last error) *statement.Failure {
-	return &statement.Failure{Code: statement.CodeBusy, Text: last.Error() + retryText(o.route)}
-}
-
 // execute runs a use on an executor and records the attempt.
 func (s *session) execute(ctx context.Context, executor upstream.Executor, use upstream.Use) (upstream.Outcome, error) {
 	outcome, err := executor.Execute(ctx, use)
@@ -78,53 +77,92 @@
 func (s *session) singleRead(o *operation, w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.requestContext(o.route)
 	defer cancel()
+	tries := s.newAttempts(o)
 	if o.route.Kind == catalog.KindPrimary {
-		return s.readPrimary(ctx, o, w)
+		return s.readPrimary(ctx, o, w, tries)
+	}
+	use := s.newUse(o, &w, readTimeout)
+	outcome, err := s.onReplica(ctx, o, use, tries, nil)
+	if isLagging(err) {
+		// A promotion may have rolled back a position of the session. The primary holds every write that still counts.
+		return s.readPrimary(ctx, o, w, tries)
+	}
+	if err == nil {
+		return outcome.Result, nil
 	}
+	if failure := executionFailure(err); failure != nil {
+		return outcome.Result, failure
+	}
+	return outcome.Result, busyFailure(o, err)
+}
+
+// errNoCandidate reports a read that no known upstream may run.
+var errNoCandidate = errors.New("no upstream that may run the read is known to hold what it needs")
+
+// onReplica runs a use on an upstream whose data is fresh enough for the route, until one has run it. It returns a failure with
+// CodeLagging if that is left to the primary. A read outside a transaction has the outcome of its statement as the error and is repeated
+// if its outcome is unknown; inside a transaction, taken gets the executor that has run the use.
+func (s *session) onReplica(
+	ctx context.Context, o *operation, use upstream.Use, tries *attempts, taken func(upstream.Executor),
+) (upstream.Outcome, error) {
+	var outcome upstream.Outcome
+	var skip *upstream.Pool
+	var before error
 	for {
-		result, err := s.readRound(ctx, o, w)
+		tries.begin()
+		pool, others, since, err := s.chooseReplica(ctx, o, skip)
 		if err == nil {
-			return result, nil
+			use.Within, use.Late = o.within()
+			attempt := use
+			attempt.Timeout = timeLeft(ctx, use.Timeout)
+			attempt.Since = since
+			executor := s.server.options.Table.Executor(pool, o.teamName(), o.priority())
+			outcome, err = s.execute(ctx, executor, attempt)
+			switch {
+			case taken == nil:
+				outcome.Result, err = resultOf(outcome, err)
+				if executionFailure(err) != nil {
+					return outcome, err
+				}
+			case err == nil:
+				taken(executor)
+			case outcome.Ran:
+				return outcome, err
+			}
+			if err == nil {
+				return outcome, nil
+			}
 		}
-		if failure := executionFailure(err); failure != nil {
-			return result, failure
+		if isLagging(err) && (skip != nil || !others) {
+			return outcome, err
 		}
-		if isLagging(err) {
-			// A promotion may have rolled back a position of the session. The primary holds every write that still counts.
-			return s.readPrimary(ctx, o, w)
+		err = sooner(before, err)
+		move, again := tries.next(ctx, err, others && skip == nil)
+		if !again {
+			return outcome, err
 		}
-		if !waitToRetry(ctx) {
-			return result, busyFailure(o, err)
+		skip, before = nil, nil
+		if move {
+			skip, before = pool, err
 		}
 	}
 }
 
-// errNoCandidate reports a read that no known upstream may run.
-var errNoCandidate = errors.New("no upstream that may run the read is known to hold what it needs")
-
-// readRound tries a read on each upstream that may run it, until one has run it.
-func (s *session) readRound(ctx context.Context, o *operation, w work) (statement.Result, error) {
-	since, err := s.since(ctx, o)
+// chooseReplica returns the pool of the first upstream that may run a read, unless it is to be skipped, and the position that the read
+// needs. Others is set if there are further ones.
+func (s *session) chooseReplica(
+	ctx context.Context, o *operation, skip *upstream.Pool,
+) (pool *upstream.Pool, others bool, since ident.Position, err error) {
+	since, err = s.since(ctx, o)
 	if err != nil {
-		return statement.Result{}, err
+		return nil, false, since, err
 	}
-	err = errNoCandidate
-	var result statement.Result
-	othersUsable := false
 	candidates := s.server.options.Table.Candidates(o.route, o.team, since)
-	for i, candidate := range candidates {
-		wait := readWait
-		if i == len(candidates)-1 && !othersUsable {
-			// No other upstream can run the read, so leaving the queue would only mean joining it again at its end.
-			wait = max(wait, o.route.Objective/2)
-		}
-		result, err = s.readOn(ctx, candidate.Pool, o, w, since, wait)
-		if err == nil || executionFailure(err) != nil || ctx.Err() != nil {
-			break
-		}
-		othersUsable = othersUsable || !isLagging(err)
+	candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Pool == skip })
+	if len(candidates) == 0 {
+		return nil, false, since, errNoCandidate
 	}
-	return result, err
+	return candidates[0].Pool, len(candidates) > 1, since, nil
 }
 
 // executionFailure returns the failure of a statement that ran and would fail the same way on another upstream, or nil.
@@ -155,21 +193,11 @@
 	return since, nil
 }
 
-// readOn tries a read on one upstream. After a failure the read may be tried on another one.
-func (s *session) readOn(
-	ctx context.Context, pool *upstream.Pool, o *operation, w work, since ident.Position, wait time.Duration,
-) (statement.Result, error) {
-	use := s.newUse(&w, timeLeft(ctx, readTimeout))
-	use.Since = since
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	return resultOf(s.execute(ctx, s.server.options.Table.Executor(pool, o.teamName(), o.priority()), use))
-}
-
 // readPrimary runs a read inside a transaction on the primary. Only an upstream that is still the primary opens a transaction,
 // and the read fails if it is demoted before the read. The read therefore sees every write acknowledged before it.
-func (s *session) readPrimary(ctx context.Context, o *operation, w work) (statement.Result, *statement.Failure) {
+func (s *session) readPrimary(ctx context.Context, o *operation, w work, tries *attempts) (statement.Result, *statement.Failure) {
 	for {
+		tries.begin()
 		result, err := s.readInTransaction(ctx, o, w)
 		if err == nil {
 			return result, nil
@@ -178,7 +206,7 @@
 			return result, failure
 		}
 		s.server.options.Table.RequestRefresh()
-		if !waitToRetry(ctx) {
+		if _, again := tries.next(ctx, err, false); !again {
 			return result, busyFailure(o, err)
 		}
 	}
@@ -186,7 +214,7 @@
 
 // readInTransaction tries a read once on the primary, inside a transaction.
 func (s *session) readInTransaction(ctx context.Context, o *operation, w work) (statement.Result, error) {
-	use := s.newUse(&w, timeLeft(ctx, readTimeout))
+	use := s.newUse(o, &w, timeLeft(ctx, readTimeout))
 	executor, err := s.primary(o)
 	if err != nil {
 		return statement.Result{}, err
@@ -222,7 +250,9 @@
 func (s *session) singleWrite(o *operation, w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.requestContext(o.route)
 	defer cancel()
+	tries := s.newAttempts(o)
 	for {
+		tries.begin()
 		result, ran, err := s.tryWrite(ctx, o, w)
 		var failure *statement.Failure
 		switch {
@@ -236,7 +266,7 @@
 			return result, &statement.Failure{Code: statement.CodeInDoubt, Text: err.Error()}
 		}
 		s.server.options.Table.RequestRefresh()
-		if !waitToRetry(ctx) {
+		if _, again := tries.next(ctx, err, false); !again {
 			return result, busyFailure(o, err)
 		}
 	}
@@ -249,7 +279,7 @@
 		return statement.Result{}, false, err
 	}
 	asOf := steady.Now()
-	outcome, err := s.execute(ctx, executor, s.newUse(&w, o.route.Timeout))
+	outcome, err := s.execute(ctx, executor, s.newUse(o, &w, o.route.Timeout))
 	if err != nil {
 		return outcome.Result, outcome.Ran, err
 	}
@@ -265,7 +295,7 @@
 func (s *session) runInTransaction(w work) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.requestContext(s.tx.route)
 	defer cancel()
-	use := s.newUse(&w, s.tx.route.Timeout)
+	use := s.newUse(&s.tx.operation, &w, s.tx.route.Timeout)
 	use.Keep = true
 	return s.runStep(ctx, use, w.writes)
 }
@@ -274,16 +304,18 @@
 func (s *session) commit(query *statement.Query) (statement.Result, *statement.Failure) {
 	ctx, cancel := s.requestContext(s.tx.route)
 	defer cancel()
-	use := s.newUse(&work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
+	use := s.newUse(&s.tx.operation, &work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
 	return s.runStep(ctx, use, false)
 }
 
 // runStep runs one statement or the commit of a transaction. After a failure the transaction is rolled back.
 func (s *session) runStep(ctx context.Context, use upstream.Use, writes bool) (statement.Result, *statement.Failure) {
 	tx := s.tx
+	tries := s.newAttempts(&tx.operation)
 	for {
+		tries.begin()
 		asOf := steady.Now()
-		outcome, err := s.tryStep(ctx, use, writes)
+		outcome, err := s.tryStep(ctx, use, writes, tries)
 		if err != nil {
 			s.tx.executor = nil
 			return outcome.Result, s.transactionFailure(err, use, outcome.Ran)
@@ -295,8 +327,10 @@
 			}
 			return outcome.Result, nil
 		}
-		if failure.Code == statement.CodeBusy && use.Keep && outcome.Result.State == statement.StateTransaction && waitToRetry(ctx) {
-			continue
+		if failure.Code == statement.CodeBusy && use.Keep && outcome.Result.State == statement.StateTransaction {
+			if _, again := tries.next(ctx, failure, false); again {
+				continue
+			}
 		}
 		return outcome.Result, s.transactionFailure(failure, use, true)
 	}
@@ -309,11 +343,11 @@
 }
 
 // tryStep runs a statement on the transaction's executor. The first statement selects the executor and opens the transaction.
-func (s *session) tryStep(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
+func (s *session) tryStep(ctx context.Context, use upstream.Use, writes bool, tries *attempts) (upstream.Outcome, error) {
 	if s.tx.executor != nil {
 		return s.execute(ctx, s.tx.executor, use)
 	}
-	return s.runFirst(ctx, use, writes)
+	return s.runFirst(ctx, use, writes, tries)
 }
 
 // transactionFailure returns the failure of a statement inside a transaction. The upstream rolls the transaction back and keeps
@@ -339,27 +373,27 @@
 
 // runFirst selects the upstream of a transaction and runs the first statement there. As long as the statement can't have run,
 // it is tried again, also on other upstreams.
-func (s *session) runFirst(ctx context.Context, use upstream.Use, writes bool) (upstream.Outcome, error) {
+func (s *session) runFirst(ctx context.Context, use upstream.Use, writes bool, tries *attempts) (upstream.Outcome, error) {
 	tx := s.tx
 	tx.onPrimary = !tx.readOnly || writes || tx.route.Kind == catalog.KindPrimary
-	for {
-		var outcome upstream.Outcome
-		var err error
-		if tx.onPrimary {
-			outcome, err = s.runFirstOnPrimary(ctx, use)
-			if err != nil {
-				s.server.options.Table.RequestRefresh()
-			}
-		} else {
-			outcome, err = s.runFirstOnReplica(ctx, use)
-		}
+	if !tx.onPrimary {
+		outcome, err := s.runFirstOnReplica(ctx, use, tries)
 		if err == nil || outcome.Ran {
 			return outcome, err
 		}
-		if isLagging(err) {
-			tx.onPrimary = true
+		if !isLagging(err) {
+			return outcome, busyFailure(&tx.operation, err)
 		}
-		if !waitToRetry(ctx) {
+		tx.onPrimary = true
+	}
+	for {
+		tries.begin()
+		outcome, err := s.runFirstOnPrimary(ctx, use)
+		if err == nil || outcome.Ran {
+			return outcome, err
+		}
+		s.server.options.Table.RequestRefresh()
+		if _, again := tries.next(ctx, err, false); !again {
 			return outcome, busyFailure(&tx.operation, err)
 		}
 	}
@@ -371,6 +405,7 @@
 	if err != nil {
 		return upstream.Outcome{}, err
 	}
+	use.Within, use.Late = s.tx.within()
 	outcome, err := s.openOnPrimary(ctx, executor, &s.tx.operation, use)
 	if err == nil {
 		s.tx.executor = executor
@@ -379,25 +414,7 @@
 }
 
 // runFirstOnReplica opens a read-only transaction on an upstream whose data is fresh enough and runs the first statement there.
-func (s *session) runFirstOnReplica(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
-	tx, table := s.tx, s.server.options.Table
-	since, err := s.since(ctx, &tx.operation)
-	if err != nil {
-		return upstream.Outcome{}, err
-	}
-	use.Opening, use.Since = upstream.OpenRead, since
-	err = errNoPrimary
-	for _, candidate := range table.Candidates(tx.route, tx.team, since) {
-		executor := table.Executor(candidate.Pool, tx.teamName(), tx.priority())
-		var outcome upstream.Outcome
-		outcome, err = s.execute(ctx, executor, use)
-		if err == nil {
-			tx.executor = executor
-			return outcome, nil
-		}
-		if outcome.Ran {
-			return outcome, err
-		}
-	}
-	return upstream.Outcome{}, err
+func (s *session) runFirstOnReplica(ctx context.Context, use upstream.Use, tries *attempts) (upstream.Outcome, error) {
+	use.Opening = upstream.OpenRead
+	return s.onReplica(ctx, &s.tx.operation, use, tries, func(executor upstream.Executor) { s.tx.executor = executor })
 }
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -75,6 +75,7 @@
 	sessions map[*session]struct{}
 	// draining is set at the start of a shutdown, and closing once sessions are closed as soon as they are idle.
 	draining, closing atomic.Bool
+	retries           retryBudget
 }
 
 // New returns a server without sessions.
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -254,16 +254,11 @@
 		if errors.As(err, &exceeded) {
 			reason = exceeded.Error()
 		}
-		return nil, &statement.Failure{Code: statement.CodeBusy, Text: reason + retryText(o.route)}
+		return nil, &statement.Failure{Code: statement.CodeBusy, Text: reason, Retry: o.route.Objective / 2}
 	}
 	return o, nil
 }
 
-// retryText returns the hint when to retry, which is appended to the text of a failure.
-func retryText(route *catalog.Route) string {
-	return fmt.Sprintf("; retry after %d ms", (route.Objective / 2).Milliseconds())
-}
-
 var (
 	operationsAnswered    = metrics.NewCounter("tamarack_entry_answered_total")
 	idleTransactionsEnded = metrics.NewCounter("tamarack_entry_rested_transactions_total")
@@ -297,6 +292,7 @@
 // answerFailure answers a request of a transaction, which may be nil, with a failure, in the session's state. It returns false if the
 // caller can't be answered.
 func (s *session) answerFailure(query *statement.Query, failure *statement.Failure, tx *transaction) bool {
+	failure = withRetryText(failure)
 	countFailure(failure)
 	s.logFailure(query, failure, tx)
 	return s.caller.Fail(failure, s.state) == nil
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -97,9 +97,7 @@
 		Opened: positionFromProto(response.GetOpened()),
 		Ran:    response.GetRan(),
 	}
-	if f := response.GetFailure(); f != nil {
-		outcome.Result.Failure = &statement.Failure{Code: statement.Code(f.GetCode()), Text: string(f.GetText())}
-	}
+	outcome.Result.Failure = failureFromProto(response)
 	switch {
 	case len(response.GetBroken()) > 0:
 		return outcome, &upstream.BrokenError{Cause: errors.New(string(response.GetBroken()))}
@@ -129,6 +127,8 @@
 		Id:          []byte(use.ID),
 		Text:        []byte(use.Text),
 		Keep:        use.Keep,
+		WithinMs:    uint32(max(0, use.Within/time.Millisecond)),
+		Late:        use.Late,
 	}
 	if r.lease == "" {
 		request.Service, request.Upstream = string(r.target.Service), string(r.target.Upstream)
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -19,6 +19,8 @@
 		Text:    string(request.GetText()),
 		Timeout: time.Duration(request.GetTimeoutMs()) * time.Millisecond,
 		Keep:    request.GetKeep(),
+		Within:  time.Duration(request.GetWithinMs()) * time.Millisecond,
+		Late:    request.GetLate(),
 	}
 	if p := request.GetPrepared(); p != nil {
 		use.Prepared = &statement.Prepared{Writes: p.GetWrites(), Shape: string(p.GetShape())}
@@ -62,6 +64,9 @@
 		Position:  positionToProto(outcome.Result.Position),
 		Opened:    positionToProto(outcome.Opened),
 	}
+	if f := failureOf(outcome, err); f != nil {
+		response.RetryMs = uint32(max(0, (f.Retry+time.Millisecond-1)/time.Millisecond))
+	}
 	var failure *statement.Failure
 	var broken *upstream.BrokenError
 	switch {
@@ -81,6 +86,24 @@
 	return response
 }
 
+// failureOf returns the failure of an outcome, or nil.
+func failureOf(outcome upstream.Outcome, err error) *statement.Failure {
+	var failure *statement.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return outcome.Result.Failure
+}
+
+func failureFromProto(response *fleetpb.UseResponse) *statement.Failure {
+	f := response.GetFailure()
+	if f == nil {
+		return nil
+	}
+	retry := time.Duration(response.GetRetryMs()) * time.Millisecond
+	return &statement.Failure{Code: statement.Code(f.GetCode()), Text: string(f.GetText()), Retry: retry}
+}
+
 func rows(texts []string) [][]byte {
 	list := make([][]byte, 0, len(texts))
 	for _, text := range texts {
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -62,6 +62,8 @@
 	freshness *freshness.Tracker
 	members   []*member
 	primary   ident.Upstream
+	// changed is closed at the next change of members or primary; nil while nobody waits for one. Guarded by the table's mu.
+	changed chan struct{}
 	// probing is closed when the running query for the primary's position ends; nil when none runs. Guarded by mu.
 	mu      sync.Mutex
 	probing chan struct{}
@@ -181,8 +183,7 @@
 				old.pool.Close()
 			}
 		}
-		g.members = members[service]
-		g.primary = ident.Upstream(primaries[string(service)])
+		g.update(members[service], ident.Upstream(primaries[string(service)]))
 	}
 }
 
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"tamarackshunt.dev/fleet/admission"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
@@ -35,6 +37,10 @@
 	ID      string
 	Text    string
 	Timeout time.Duration
+	// Within is the time in which the statement should end if it is the first one on its connection; 0 means the end of the context
+	// of Execute. Late is set if the objective of the statement's route has passed.
+	Within time.Duration
+	Late   bool
 	// Keep reserves the connection for later statements of the same executor.
 	Keep bool
 }
@@ -79,16 +85,19 @@
 // Target implements Executor.
 func (d *directExecutor) Target() Target { return d.pool.target }
 
-// Execute implements Executor.
+// Execute implements Executor. A statement waits for its turn before it takes a connection. It gives its slot back after the
+// connection, so that the next statement finds it.
 func (d *directExecutor) Execute(ctx context.Context, use Use) (Outcome, error) {
-	if d.conn == nil {
-		conn, err := d.pool.Get(ctx, d.team, d.priority)
-		if err != nil {
-			return Outcome{}, err
-		}
-		d.conn = conn
+	id, err := d.admit(ctx, &use)
+	if err != nil {
+		d.Close()
+		return Outcome{}, err
 	}
-	outcome, err := d.use(ctx, &use)
+	var outcome Outcome
+	if use.ID != "" {
+		defer func() { d.leave(id, outcome, err) }()
+	}
+	outcome, err = d.use(&use)
 	if err != nil {
 		if d.conn.broken {
 			d.pool.RecordFailure(steady.Now())
@@ -110,6 +119,69 @@
 	return outcome, nil
 }
 
+// leave gives the statement's slot back. Only an answer of the upstream that isn't a refusal says how long a statement takes.
+func (d *directExecutor) leave(id admission.ID, outcome Outcome, err error) {
+	failure := outcome.Result.Failure
+	if err != nil || !outcome.Ran || (failure != nil && failure.Code.NoEffect()) {
+		d.pool.limiter.cancel(id)
+		return
+	}
+	d.pool.limiter.finish(id)
+}
+
+// admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
+func (d *directExecutor) admit(ctx context.Context, use *Use) (admission.ID, error) {
+	l := d.pool.limiter
+	request := d.request(ctx, use)
+	if use.ID == "" {
+		return 0, d.connect(ctx, request.Deadline)
+	}
+	id, err := l.arrive(ctx, request)
+	if err != nil || request.Holding {
+		return id, err
+	}
+	if err := d.connect(ctx, request.Deadline); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) && !isUnreachable(err) {
+			return 0, l.abandon(id)
+		}
+		l.cancel(id)
+		return 0, err
+	}
+	return id, l.start(ctx, id, request)
+}
+
+// request returns the limiter's request for a use. A statement in a transaction may wait as long as its context.
+func (d *directExecutor) request(ctx context.Context, use *Use) admission.Request {
+	now := steady.Now()
+	wait := defaultStatementWait
+	if end, found := ctx.Deadline(); found {
+		wait = time.Until(end)
+	}
+	request := admission.Request{Team: d.team, Priority: d.priority, Late: use.Late, Holding: d.conn != nil}
+	if !request.Holding && use.Within > 0 {
+		wait = min(wait, use.Within)
+	}
+	request.Deadline = now.Add(wait)
+	return request
+}
+
+// connect takes a connection unless the executor has kept one.
+func (d *directExecutor) connect(ctx context.Context, deadline ident.Time) error {
+	if d.conn != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(steady.Now()))
+	defer cancel()
+	conn, err := d.pool.Get(ctx, d.team, d.priority)
+	d.conn = conn
+	return err
+}
+
+func isUnreachable(err error) bool {
+	var unreachable *UnreachableError
+	return errors.As(err, &unreachable)
+}
+
 // Close implements Executor.
 func (d *directExecutor) Close() {
 	if d.conn != nil {
@@ -119,11 +191,10 @@
 	}
 }
 
-// use puts the connection into the session's state, opens the transaction and runs the statement once the limiter admits it.
-func (d *directExecutor) use(ctx context.Context, use *Use) (Outcome, error) {
+// use puts the connection into the session's state, opens the transaction and runs the statement.
+func (d *directExecutor) use(use *Use) (Outcome, error) {
 	var outcome Outcome
 	c := d.conn
-	inside := c.state == statement.StateTransaction
 	name, err := c.Prepare(use.Values, use.Prepared)
 	if err != nil {
 		return outcome, err
@@ -148,11 +219,6 @@
 	if use.Prepared != nil {
 		request = statement.Execute{Name: name, Arguments: use.Text}
 	}
-	if err := d.pool.limiter.acquire(ctx, d.team, d.priority, inside); err != nil {
-		return outcome, err
-	}
-	began := steady.Now()
-	defer func() { d.pool.limiter.release(d.priority, steady.Now().Sub(began)) }()
 	outcome.Ran = true
 	outcome.Result, err = c.Run(use.ID, since, request, use.Timeout)
 	return outcome, err
--- a/node/upstream/limiter.go
+++ b/node/upstream/limiter.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
+	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"tamarackshunt.dev/fleet/admission"
 	"tamarackshunt.dev/fleet/ident"
-	"tamarackshunt.dev/fleet/queue"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 )
@@ -21,179 +21,154 @@
 	spareStatements = 2
 	// defaultCapacity is used if an upstream does not announce how many statements it runs at a time.
 	defaultCapacity = 2
-	// warmupBurst is the part of one second's statements, at the warm-up rate, that may be sent at once; at least one statement
-	// may.
-	warmupBurst = 0.2
-	// maxWaitingPerTeam bounds the statements of a team that wait for one upstream on one host.
-	maxWaitingPerTeam = 256
+	// defaultStatementWait bounds the wait of a statement whose context has no deadline.
+	defaultStatementWait = time.Second
 )
 
-var statementsRefused = metrics.NewCounter("tamarack_upstream_statements_refused_total")
-
-// limiter bounds the statements that run on an upstream at a time. Further statements wait in queues, by priority and fair by
-// team, where they can still be cancelled before they run.
+// limiter bounds the statements that run on an upstream at a time. Further statements wait until package admission grants them their
+// turn or refuses them.
 type limiter struct {
-	mu      sync.Mutex
-	limit   int
-	running int
-	queues  []*priorityQueue
-	// Until warmupUntil the upstream gets at most warmupRate statements per second. The allowance is the number of statements
-	// that may still be sent, as of allowanceAt.
-	warmupUntil ident.Time
-	warmupRate  float64
-	allowance   float64
-	allowanceAt ident.Time
-}
-
-// priorityQueue holds the waiting statements of one priority.
-type priorityQueue struct {
-	priority int
-	queue    *queue.Queue
-	waiting  map[queue.ID]chan error
+	upstream  ident.Upstream
+	mu        sync.Mutex
+	scheduler *admission.Scheduler
+	// undecided holds the channels of the statements that wait for a decision.
+	undecided map[admission.ID]chan error
+	// woken is set while a timer will call wake.
+	woken bool
 }
 
-func newLimiter() *limiter {
-	return &limiter{limit: defaultCapacity + spareStatements}
+func newLimiter(upstream ident.Upstream) *limiter {
+	return &limiter{
+		upstream:  upstream,
+		scheduler: admission.New(admission.Options{Limit: defaultCapacity + spareStatements}),
+		undecided: map[admission.ID]chan error{},
+	}
 }
 
 func (l *limiter) setCapacity(capacity int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if capacity <= 0 {
 		capacity = defaultCapacity
 	}
-	l.limit = capacity + spareStatements
-	l.grant(steady.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announce(l.scheduler.SetLimit(steady.Now(), capacity+spareStatements))
 }
 
-// acquire waits until the statement may run or ctx ends; its error is a statement.Failure. Statements inside a transaction do
-// not wait, since others wait for the connection that the transaction holds.
-func (l *limiter) acquire(ctx context.Context, team ident.Team, priority int, inside bool) error {
+// setWarmup limits the statements per second until a time; a rate of 0 refuses all.
+func (l *limiter) setWarmup(until ident.Time, rate float64) {
 	l.mu.Lock()
-	if !l.allowWarmup(steady.Now()) {
-		l.mu.Unlock()
-		return refuse(errWarmingUp)
-	}
-	if inside || (l.running < l.limit && l.empty()) {
-		l.running++
-		l.mu.Unlock()
-		return nil
-	}
-	at := steady.Now()
-	deadline := at.Add(defaultStatementWait)
-	if end, found := ctx.Deadline(); found {
-		deadline = at.Add(time.Until(end))
-	}
-	pq := l.queueFor(priority)
-	id, dropped, err := pq.queue.Push(at, team, deadline)
-	pq.failDropped(dropped)
-	if err != nil {
-		l.mu.Unlock()
-		return refuse(err)
-	}
-	granted := make(chan error, 1)
-	pq.waiting[id] = granted
+	defer l.mu.Unlock()
+	l.scheduler.SetWarmup(steady.Now(), until, rate)
+}
+
+// arrive waits until a statement may run, or may take a connection if it holds none yet. Its error is a statement.Failure, or an
+// UnreachableError if the upstream has stalled. After a success, the statement ends with finish, cancel or abandon.
+func (l *limiter) arrive(ctx context.Context, request admission.Request) (admission.ID, error) {
+	decided := make(chan error, 1)
+	l.mu.Lock()
+	id, decisions := l.scheduler.Arrive(steady.Now(), request)
+	l.undecided[id] = decided
+	l.announce(decisions)
 	l.mu.Unlock()
+	return id, l.await(ctx, id, request, decided)
+}
+
+// start waits until a statement that was granted its turn, and has taken a connection since, may run.
+func (l *limiter) start(ctx context.Context, id admission.ID, request admission.Request) error {
+	decided := make(chan error, 1)
+	l.mu.Lock()
+	l.undecided[id] = decided
+	l.announce(l.scheduler.Start(steady.Now(), id))
+	l.mu.Unlock()
+	return l.await(ctx, id, request, decided)
+}
+
+// await waits for the decision about a statement. The scheduler refuses the statement at its deadline or when ctx ends.
+func (l *limiter) await(ctx context.Context, id admission.ID, request admission.Request, decided <-chan error) error {
 	select {
-	case err := <-granted:
+	case err := <-decided:
 		return err
+	default:
+	}
+	waiting := waitingGauge(request.Priority)
+	waiting.Inc()
+	defer waiting.Dec()
+	timer := time.NewTimer(request.Deadline.Sub(steady.Now()))
+	defer timer.Stop()
+	select {
+	case err := <-decided:
+		return err
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
-	if pq.queue.Cancel(id) {
-		delete(pq.waiting, id)
-		l.mu.Unlock()
-		return refuse(ctx.Err())
-	}
+	l.announce(l.scheduler.Expire(steady.Now(), id))
 	l.mu.Unlock()
-	// The decision was made at the same time as ctx ended.
-	return <-granted
+	// Unless the statement was refused just now, it was decided about at the same time as its time ended.
+	return <-decided
 }
 
-// errWarmingUp is the cause of a refusal while the warm-up rate of an upstream is used up.
-var errWarmingUp = errors.New("the upstream is cold")
-
-// setWarmup limits the statements per second until a time; a rate of 0 refuses all.
-func (l *limiter) setWarmup(until ident.Time, rate float64) {
+// finish ends a statement that the upstream has run, and lets the next ones run.
+func (l *limiter) finish(id admission.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.warmupUntil == 0 || steady.Now() >= l.warmupUntil {
-		l.allowance, l.allowanceAt = 0, steady.Now()
-	}
-	l.warmupUntil, l.warmupRate = until, rate
-}
-
-// allowWarmup reports whether the warm-up limit admits a statement, and counts it if so. The caller must hold mu.
-func (l *limiter) allowWarmup(at ident.Time) bool {
-	if at >= l.warmupUntil {
-		return true
-	}
-	l.allowance = min(l.allowance+l.warmupRate*at.Sub(l.allowanceAt).Seconds(), max(1, l.warmupRate*warmupBurst))
-	l.allowanceAt = at
-	if l.allowance < 1 {
-		return false
-	}
-	l.allowance--
-	return true
+	l.announce(l.scheduler.Finish(steady.Now(), id))
 }
 
-// defaultStatementWait bounds the wait of a statement whose context has no deadline.
-const defaultStatementWait = time.Second
-
-// refuse counts a refused statement and returns the failure for the caller.
-func refuse(err error) error {
-	statementsRefused.Inc()
-	return &statement.Failure{Code: statement.CodeBusy, Text: "no room on the upstream in time: " + err.Error()}
+// cancel ends a statement that did not run or got no answer.
+func (l *limiter) cancel(id admission.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announce(l.scheduler.Cancel(steady.Now(), id))
 }
 
-// release ends a statement, records its duration and lets the next one run.
-func (l *limiter) release(priority int, took time.Duration) {
+// abandon ends a statement that got its turn but no connection in time, and returns its failure.
+func (l *limiter) abandon(id admission.ID) error {
+	decided := make(chan error, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running--
-	at := steady.Now()
-	l.queueFor(priority).queue.RecordServiceTime(at, took)
-	l.grant(at)
+	l.undecided[id] = decided
+	l.announce(l.scheduler.Abandon(steady.Now(), id))
+	return <-decided
 }
 
-// grant lets waiting statements run up to the limit, the lowest priority number first. The caller must hold mu.
-func (l *limiter) grant(at ident.Time) {
-	for _, pq := range l.queues {
-		for l.running < l.limit {
-			work, found, dropped := pq.queue.Next(at)
-			pq.failDropped(dropped)
-			if !found {
-				break
-			}
-			l.running++
-			pq.waiting[work.ID] <- nil
-			delete(pq.waiting, work.ID)
+// announce tells statements what was decided about them. The caller must hold mu.
+func (l *limiter) announce(decisions []admission.Decision) {
+	for _, d := range decisions {
+		decided := l.undecided[d.ID]
+		delete(l.undecided, d.ID)
+		if d.Refused == nil {
+			decided <- nil
+			continue
 		}
+		decided <- refuse(l.upstream, d.Refused)
+	}
+	if due, found := l.scheduler.Due(steady.Now()); found && !l.woken {
+		l.woken = true
+		time.AfterFunc(due, l.wake)
 	}
 }
 
-// empty reports whether no statement waits. The caller must hold mu.
-func (l *limiter) empty() bool {
-	return !slices.ContainsFunc(l.queues, func(pq *priorityQueue) bool { return pq.queue.Len() > 0 })
+// wake grants what there is room for after time has passed.
+func (l *limiter) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.woken = false
+	l.announce(l.scheduler.Decide(steady.Now()))
 }
 
-// queueFor returns the queue of a priority and creates it if needed. The caller must hold mu.
-func (l *limiter) queueFor(priority int) *priorityQueue {
-	at, found := slices.BinarySearchFunc(l.queues, priority, func(pq *priorityQueue, priority int) int { return pq.priority - priority })
-	if !found {
-		l.queues = slices.Insert(l.queues, at, &priorityQueue{
-			priority: priority, queue: queue.New(queue.Options{PerTeam: maxWaitingPerTeam}), waiting: map[queue.ID]chan error{},
-		})
+// refuse counts a refused statement and returns the failure for the caller.
+func refuse(upstream ident.Upstream, refused *admission.Refused) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_upstream_statements_refused_total{reason=%q}", refused.Reason)).Inc()
+	if refused.Reason == admission.ReasonStalled {
+		return &UnreachableError{upstream, refused}
+	}
+	return &statement.Failure{
+		Code: statement.CodeBusy, Text: "no room on the upstream in time: " + refused.Error(), Retry: refused.Retry,
 	}
-	return l.queues[at]
 }
 
-// failDropped fails the statements that the queue has dropped.
-func (q *priorityQueue) failDropped(dropped []*queue.Dropped) {
-	for _, d := range dropped {
-		if granted, found := q.waiting[d.Work.ID]; found {
-			granted <- refuse(d)
-			delete(q.waiting, d.Work.ID)
-		}
-	}
+// waitingGauge returns the number of waiting statements of a priority, over all upstreams.
+func waitingGauge(priority int) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("tamarack_upstream_waiting{priority=%q}", strconv.Itoa(priority)))
 }
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -7,69 +7,133 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/admission"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 )
 
-// Guards against an upstream that gets more than the warm-up rate, and against a limit that stays after the warm-up.
+// testRequest returns a request of a team whose deadline no test reaches.
+func testRequest(priority int, holding bool) admission.Request {
+	return admission.Request{Team: "t", Priority: priority, Deadline: steady.Now().Add(time.Hour), Holding: holding}
+}
+
+// run admits a statement up to its slot.
+func (l *limiter) run(ctx context.Context, request admission.Request) (admission.ID, error) {
+	id, err := l.arrive(ctx, request)
+	if err == nil && !request.Holding {
+		err = l.start(ctx, id, request)
+	}
+	return id, err
+}
+
+func (l *limiter) waitingStatements() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.scheduler.Waiting()
+}
+
+// Guards against statements that wait for the warm-up rate and are never granted, a host without a share of that rate that lets its
+// callers wait, and a limit that stays after the warm-up. How many statements the rate admits is tested in package admission.
 func TestWarmup(t *testing.T) {
-	l := newLimiter()
+	l := newLimiter("i-1")
 	l.setCapacity(1000)
-	began := steady.Now()
-	l.setWarmup(began.Add(time.Hour), 50)
-	const tries = 2000
-	ran := 0
-	for range tries {
-		if l.acquire(t.Context(), "t", 1, false) == nil {
-			ran++
-		}
+	l.setWarmup(steady.Now().Add(time.Hour), 1000)
+	for _, holding := range []bool{false, true, false, true} {
+		_, err := l.run(t.Context(), testRequest(1, holding))
+		require.NoError(t, err)
 	}
-	require.LessOrEqual(t, float64(ran), 50*(steady.Now().Sub(began).Seconds()+warmupBurst)+1)
-	l.setWarmup(began, 50)
-	require.NoError(t, l.acquire(t.Context(), "t", 1, false))
+	l.setWarmup(steady.Now(), 1000)
+	_, err := l.run(t.Context(), testRequest(1, false))
+	require.NoError(t, err)
 	l.setWarmup(steady.Now().Add(time.Hour), 0)
-	require.Error(t, l.acquire(t.Context(), "t", 1, true), "the warm-up limit also applies inside a transaction")
+	for _, holding := range []bool{false, true} {
+		_, err = l.run(t.Context(), testRequest(1, holding))
+		require.Error(t, err, "the warm-up limit also applies inside a transaction")
+	}
 }
 
-// Guards against more statements at a time than the limit, statements that run after their context has ended, and statements
-// of higher priority that wait behind others.
+// Guards against more statements at a time than the limit, also of transactions, statements that run after their context has ended,
+// and statements of higher priority that wait behind others.
 func TestLimiter(t *testing.T) {
-	l := newLimiter()
+	l := newLimiter("i-1")
 	l.setCapacity(1)
 	const limit = 1 + spareStatements
+	var running []admission.ID
 	for range limit {
-		require.NoError(t, l.acquire(t.Context(), "t", 1, false))
+		id, err := l.run(t.Context(), testRequest(1, false))
+		require.NoError(t, err)
+		running = append(running, id)
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	err := l.acquire(ended, "t", 1, false)
-	var refused *statement.Failure
-	require.ErrorAs(t, err, &refused)
-	require.Equal(t, statement.CodeBusy, refused.Code)
-	require.NoError(t, l.acquire(t.Context(), "t", 1, true), "a statement inside a transaction does not wait")
-	l.release(1, time.Millisecond)
+	for _, holding := range []bool{false, true} {
+		_, err := l.run(ended, testRequest(1, holding))
+		var refused *statement.Failure
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, statement.CodeBusy, refused.Code)
+		require.Positive(t, refused.Retry)
+	}
 
-	order := make(chan int, 2)
-	waiting := func(priority, queued int) {
+	type grant struct {
+		priority int
+		holding  bool
+	}
+	order := make(chan grant, 3)
+	waiting := func(g grant, queued int) {
 		go func() {
-			if l.acquire(context.Background(), "t", priority, false) == nil {
-				order <- priority
+			if _, err := l.run(context.Background(), testRequest(g.priority, g.holding)); err == nil {
+				order <- g
 			}
 		}()
-		require.Eventually(t, func() bool {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			n := 0
-			for _, pq := range l.queues {
-				n += pq.queue.Len()
-			}
-			return n == queued
-		}, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return l.waitingStatements() == queued }, 10*time.Second, time.Millisecond)
+	}
+	waiting(grant{2, false}, 1)
+	waiting(grant{0, false}, 2)
+	waiting(grant{2, true}, 3)
+	for i, want := range []grant{{2, true}, {0, false}, {2, false}} {
+		l.finish(running[i])
+		require.Equal(t, want, <-order)
+	}
+	require.Zero(t, l.waitingStatements())
+}
+
+// Guards against a deadlock: the only connection belongs to a transaction, and statements of other teams wait for it with reservations
+// of all slots. The next statement of the transaction would then never run.
+func TestTransactionRunsBesideWaitsForConnections(t *testing.T) {
+	l := newLimiter("i-1")
+	l.setCapacity(1)
+	inside, err := l.run(t.Context(), testRequest(1, false))
+	require.NoError(t, err)
+	l.finish(inside)
+	for range 1 + spareStatements {
+		_, err := l.arrive(t.Context(), testRequest(1, false))
+		require.NoError(t, err, "the statement has a reservation and waits for a connection")
+	}
+	_, err = l.arrive(t.Context(), admission.Request{Team: "t", Priority: 1, Deadline: steady.Now().Add(time.Millisecond)})
+	require.Error(t, err, "no reservation is left")
+	id, err := l.arrive(t.Context(), testRequest(0, false))
+	require.NoError(t, err, "a more urgent statement doesn't wait behind them")
+	l.cancel(id)
+	_, err = l.run(t.Context(), testRequest(1, true))
+	require.NoError(t, err)
+}
+
+// Guards against a statement without a connection that keeps its reservation, and against a wait for a connection that counts as an
+// upstream that can't be reached.
+func TestNoConnectionInTime(t *testing.T) {
+	p := NewPool(Target{Service: "svc", Upstream: "i-1"}, nil, 1)
+	p.total = 1 // the only connection is taken
+	for range 10 {
+		_, err := p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: time.Millisecond})
+		var refused *statement.Failure
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, statement.CodeBusy, refused.Code)
+		require.Positive(t, refused.Retry)
+	}
+	require.Zero(t, p.Waiting())
+	require.False(t, p.Load(steady.Now()).Avoid)
+	for range defaultCapacity + spareStatements {
+		_, err := p.limiter.arrive(t.Context(), testRequest(1, false))
+		require.NoError(t, err)
 	}
-	waiting(2, 1)
-	waiting(0, 2)
-	l.release(1, time.Millisecond)
-	require.Equal(t, 0, <-order)
-	l.release(1, time.Millisecond)
-	require.Equal(t, 2, <-order)
 }
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -80,7 +80,7 @@
 
 // NewPool returns a pool without connections.
 func NewPool(target Target, protocol Protocol, limit int) *Pool {
-	return &Pool{target: target, protocol: protocol, limiter: newLimiter(), limit: max(1, limit)}
+	return &Pool{target: target, protocol: protocol, limiter: newLimiter(target.Upstream), limit: max(1, limit)}
 }
 
 // Target returns the upstream that the pool connects to.
