--- a/fleet/admission/replay_test.go
+++ b/fleet/admission/replay_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,382 +16,333 @@
 	"tamarackshunt.dev/fleet/queue"
 )
 
-const ms = ident.Time(time.Millisecond)
-
-// capacity is the number of statements that the replayed upstream runs at a time; spare more are sent to it.
 const (
-	capacity = 4
-	spare    = 2
+	ms = ident.Time(time.Millisecond)
+	// capacity is the number of statements that the replayed upstream runs at a time; spare more are sent to it.
+	capacity, spare = 4, 2
+	// timeout is the time of all routes, pause that between the statements of a transaction, and patience how long callers come back.
+	timeout, pause, patience = 800 * ms, 20 * ms, 4000 * ms
+	transactions, statements = 0.4, 4
 )
 
-// kind is a kind of operations of the replay.
 type kind struct {
 	priority  int
-	objective time.Duration
-	// work is the mean time of a statement, and transactions the part of operations with three more statements.
-	work         time.Duration
-	transactions float64
-	// share is the part of the arrivals.
-	share float64
+	objective ident.Time
+	work      int // mean milliseconds of a statement
+	share     float64
 }
 
-var kinds = []kind{
-	{priority: 0, objective: 400 * time.Millisecond, work: 5 * time.Millisecond, transactions: 0.4, share: 0.15},
-	{priority: 1, objective: 600 * time.Millisecond, work: 22 * time.Millisecond, transactions: 0.4, share: 0.15},
-	{priority: 2, objective: 1500 * time.Millisecond, work: 14 * time.Millisecond, transactions: 0.4, share: 0.70},
-}
+var kinds = []*kind{{0, 400 * ms, 5, 0.15}, {1, 600 * ms, 22, 0.15}, {2, 1500 * ms, 14, 0.70}}
 
-// operation is one operation of the replay; it has a number of statements to run one after the other.
 type operation struct {
-	kind     *kind
-	team     ident.Team
-	arrived  ident.Time
-	deadline ident.Time
-	left     int
-	id       admission.ID
+	*kind
+	team           ident.Team
+	first          ident.Time // when the caller asked first
+	began          ident.Time // when it asked last
+	deadline, next ident.Time
+	left           int
+	id             admission.ID
 }
 
-// rule is how statements are admitted: the scheduler, or the rule that it replaced.
-type rule interface {
-	// arrive adds the first statement of an operation, and follow a later one.
-	arrive(now ident.Time, o *operation)
-	follow(now ident.Time, o *operation)
-	finish(now ident.Time, o *operation, took time.Duration)
-	// outcomes returns the operations whose statements were granted and refused since the last call.
-	outcomes() (granted []*operation, refused []refusal)
+// replay steps through the milliseconds of one upstream with a limited number of connections. Without a scheduler it follows the rule
+// before it: a connection first, then a queue for each priority that transactions pass, and half of the objective as the time to return.
+type replay struct {
+	scheduler   *admission.Scheduler
+	queues      []*queue.Queue
+	rand        *rand.Rand
+	now         ident.Time
+	connections int
+	operations  map[admission.ID]*operation
+	queued      map[*queue.Queue]map[queue.ID]*operation
+	future      map[ident.Time][]*operation // callers that ask or come back, by millisecond
+	connecting  []*operation // in the order of their turns
+	sent        []*operation // at the upstream, the first ones run until next
+	busy        int
+	pausing     []*operation
+	asked       [3]int
+	inTime      [3]int
+	late        [3]int
+	refused     [3]int
+	teams       map[ident.Team]int
+	urgent      []ident.Time // times of the answers of priority 0
+}
+
+func newReplay(scheduled bool, connections int) *replay {
+	r := &replay{
+		rand: rand.New(rand.NewPCG(1, 2)), connections: connections, operations: map[admission.ID]*operation{},
+		queued: map[*queue.Queue]map[queue.ID]*operation{}, teams: map[ident.Team]int{},
+		future: map[ident.Time][]*operation{},
+	}
+	for range kinds {
+		q := queue.New(queue.Options{PerTeam: admission.DefaultPerTeam})
+		r.queues, r.queued[q] = append(r.queues, q), map[queue.ID]*operation{}
+	}
+	if scheduled {
+		r.scheduler = admission.New(admission.Options{Limit: capacity + spare})
+	}
+	return r
 }
 
-type refusal struct {
-	operation *operation
-	reason    string
-	retry     time.Duration
+// ask adds a caller.
+func (r *replay) ask(at ident.Time, k *kind, team ident.Team) {
+	o := &operation{kind: k, team: team, first: at, next: at, left: 1}
+	if r.rand.Float64() < transactions {
+		o.left = statements
+	}
+	r.asked[k.priority]++
+	r.schedule(o)
 }
 
-// scheduled admits by the scheduler.
-type scheduled struct {
-	s       *admission.Scheduler
-	byID    map[admission.ID]*operation
-	started map[admission.ID]bool
-	granted []*operation
-	refused []refusal
+func (r *replay) schedule(o *operation) {
+	r.future[o.next/ms] = append(r.future[o.next/ms], o)
 }
 
-func newScheduled() *scheduled {
-	return &scheduled{s: admission.New(admission.Options{Limit: capacity + spare}), byID: map[admission.ID]*operation{}, started: map[admission.ID]bool{}}
+// load adds callers at a multiple of the capacity. Teams share them by weight.
+func (r *replay) load(overload float64, until ident.Time, weights []int) {
+	mean := 0.0
+	for _, k := range kinds {
+		mean += k.share * float64(k.work) * (1 + transactions*(statements-1))
+	}
+	var names []ident.Team
+	for team, weight := range weights {
+		names = append(names, slices.Repeat([]ident.Team{ident.Team(fmt.Sprint("team", team))}, weight)...)
+	}
+	for at := 0.0; ident.Time(at)*ms < until; at += r.rand.ExpFloat64() * mean / capacity / overload {
+		pick, k := r.rand.Float64(), kinds[2]
+		if pick < kinds[0].share {
+			k = kinds[0]
+		} else if pick < kinds[0].share+kinds[1].share {
+			k = kinds[1]
+		}
+		r.ask(ident.Time(at)*ms, k, names[r.rand.IntN(len(names))])
+	}
 }
 
-func (r *scheduled) arrive(now ident.Time, o *operation) { r.add(now, o, false) }
-func (r *scheduled) follow(now ident.Time, o *operation) { r.add(now, o, true) }
-
-func (r *scheduled) add(now ident.Time, o *operation, holding bool) {
-	id, decisions := r.s.Arrive(now, admission.Request{Team: o.team, Priority: o.kind.priority, Deadline: o.deadline, Holding: holding})
-	o.id = id
-	r.byID[id], r.started[id] = o, holding
-	r.apply(now, decisions)
+func take(list *[]*operation, which func(o *operation) bool) []*operation {
+	var taken []*operation
+	*list = slices.DeleteFunc(*list, func(o *operation) bool {
+		if which(o) {
+			taken = append(taken, o)
+			return true
+		}
+		return false
+	})
+	return taken
 }
 
-func (r *scheduled) apply(now ident.Time, decisions []admission.Decision) {
-	for _, d := range decisions {
-		o := r.byID[d.ID]
-		switch {
-		case d.Refused != nil:
-			delete(r.byID, d.ID)
-			r.refused = append(r.refused, refusal{o, d.Refused.Reason.String(), d.Refused.Retry})
-		case !r.started[d.ID]:
-			r.started[d.ID] = true
-			r.apply(now, r.s.Start(now, d.ID))
-		default:
-			r.granted = append(r.granted, o)
+func (r *replay) run(until ident.Time) {
+	due := func(o *operation) bool { return o.next <= r.now }
+	for ; r.now < until; r.now += ms {
+		for _, o := range r.future[r.now/ms] {
+			o.began, o.deadline = r.now, max(o.first+min(o.objective, timeout), r.now+ms)
+			if o.deadline == r.now+ms {
+				o.deadline = r.now + timeout
+			}
+			r.arrive(o)
+		}
+		for _, o := range take(&r.connecting, func(o *operation) bool { return r.now >= o.deadline }) {
+			if r.scheduler != nil {
+				r.apply(r.scheduler.Abandon(r.now, o.id))
+			} else {
+				r.refuse(o, o.objective/2)
+			}
+		}
+		for _, o := range take(&r.pausing, due) {
+			r.follow(o)
 		}
+		for _, o := range take(&r.sent, func(o *operation) bool { return o.next != 0 && due(o) }) {
+			r.end(o)
+		}
+		r.startSent()
 	}
 }
 
-func (r *scheduled) finish(now ident.Time, o *operation, _ time.Duration) {
-	delete(r.byID, o.id)
-	r.apply(now, r.s.Finish(now, o.id))
-}
-
-func (r *scheduled) outcomes() ([]*operation, []refusal) {
-	granted, refused := r.granted, r.refused
-	r.granted, r.refused = nil, nil
-	return granted, refused
+func (r *replay) startSent() {
+	for _, o := range r.sent {
+		if o.next == 0 && r.busy < capacity {
+			r.busy++
+			o.next = r.now + ident.Time(1+r.rand.IntN(2*o.work-1))*ms
+		}
+	}
 }
 
-// unbounded admits by the rule before the scheduler: statements of transactions pass the bound, the deadline of a wait is the caller's
-// timeout, and refused callers come back after half of their objective.
-type unbounded struct {
-	running int
-	queues  map[int]*queue.Queue
-	waiting map[int]map[queue.ID]*operation
-	granted []*operation
-	refused []refusal
+func (r *replay) arrive(o *operation) {
+	if r.scheduler == nil {
+		o.deadline = r.now + timeout
+		r.connect(o)
+		return
+	}
+	r.admit(o, admission.Request{Team: o.team, Priority: o.priority, Deadline: o.deadline, Late: r.now >= o.first+o.objective})
 }
 
-const unboundedTimeout = 800 * time.Millisecond
-
-func newUnbounded() *unbounded {
-	r := &unbounded{queues: map[int]*queue.Queue{}, waiting: map[int]map[queue.ID]*operation{}}
-	for _, k := range kinds {
-		r.queues[k.priority], r.waiting[k.priority] = queue.New(queue.Options{PerTeam: 256}), map[queue.ID]*operation{}
-	}
-	return r
+func (r *replay) admit(o *operation, request admission.Request) {
+	id, decisions := r.scheduler.Arrive(r.now, request)
+	o.id, r.operations[id] = id, o
+	o.began = r.now
+	r.apply(decisions)
 }
 
-func (r *unbounded) arrive(now ident.Time, o *operation) {
-	id, dropped, err := r.queues[o.kind.priority].Push(now, o.team, now.Add(unboundedTimeout))
-	r.drop(o.kind.priority, dropped)
-	if err != nil {
-		r.refused = append(r.refused, refusal{o, "queue", o.kind.objective / 2})
-		return
+func (r *replay) apply(decisions []admission.Decision) {
+	for _, d := range decisions {
+		o := r.operations[d.ID]
+		switch {
+		case d.Refused != nil:
+			r.refuse(o, ident.Time(d.Refused.Retry))
+		case o.next == -1: // holds a connection
+			r.send(o)
+		default:
+			r.connect(o)
+		}
 	}
-	r.waiting[o.kind.priority][id] = o
-	r.grant(now)
 }
 
-func (r *unbounded) follow(_ ident.Time, o *operation) {
-	r.running++
-	r.granted = append(r.granted, o)
+// connect gives operations a connection in the order of priority.
+func (r *replay) connect(o *operation) {
+	at, _ := slices.BinarySearchFunc(r.connecting, o.priority+1, func(o *operation, priority int) int { return o.priority - priority })
+	r.connecting = slices.Insert(r.connecting, at, o)
+	r.giveConnections()
 }
 
-func (r *unbounded) finish(now ident.Time, o *operation, took time.Duration) {
-	r.running--
-	r.queues[o.kind.priority].RecordServiceTime(now, took)
-	r.grant(now)
+func (r *replay) giveConnections() {
+	for r.connections > 0 && len(r.connecting) > 0 {
+		o := r.connecting[0]
+		r.connecting = slices.Delete(r.connecting, 0, 1)
+		r.connections--
+		o.next = -1
+		if r.scheduler != nil {
+			r.apply(r.scheduler.Start(r.now, o.id))
+			continue
+		}
+		q := r.queues[o.priority]
+		id, dropped, err := q.Push(r.now, o.team, o.deadline)
+		r.drop(q, dropped)
+		if err != nil {
+			r.refuse(o, o.objective/2)
+			continue
+		}
+		r.queued[q][id] = o
+		r.grantQueued()
+	}
 }
 
-func (r *unbounded) grant(now ident.Time) {
-	for _, k := range kinds {
-		for r.running < capacity+spare {
-			work, found, dropped := r.queues[k.priority].Next(now)
-			r.drop(k.priority, dropped)
+func (r *replay) grantQueued() {
+	for _, q := range r.queues {
+		for len(r.sent) < capacity+spare {
+			work, found, dropped := q.Next(r.now)
+			r.drop(q, dropped)
 			if !found {
 				break
 			}
-			r.running++
-			r.granted = append(r.granted, r.waiting[k.priority][work.ID])
+			r.send(r.queued[q][work.ID])
 		}
 	}
 }
 
-func (r *unbounded) drop(priority int, dropped []*queue.Dropped) {
+func (r *replay) drop(q *queue.Queue, dropped []*queue.Dropped) {
 	for _, d := range dropped {
-		o := r.waiting[priority][d.Work.ID]
-		r.refused = append(r.refused, refusal{o, "queue", o.kind.objective / 2})
-	}
-}
-
-func (r *unbounded) outcomes() ([]*operation, []refusal) {
-	granted, refused := r.granted, r.refused
-	r.granted, r.refused = nil, nil
-	return granted, refused
-}
-
-// event is something that happens at a time of the replay.
-type event struct {
-	at  ident.Time
-	seq int
-	do  func(now ident.Time)
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
-// tally counts the operations of one kind or team.
-type tally struct{ asked, inTime, late, lost, refused int }
-
-// replay replays arrivals of three kinds on one upstream that runs four statements at a time.
-type replay struct {
-	rule   rule
-	rand   *rand.Rand
-	events events
-	seq    int
-	busy   int
-	queued []func(now ident.Time)
-	// firstReturns is set to count a refused operation as ended; otherwise its caller comes back twice.
-	byKind  map[int]*tally
-	byTeam  map[ident.Team]*tally
-	returns []ident.Time
-	reasons map[string]int
-	// longestRefusal is the longest wait of an operation that was refused.
-	longestRefusal time.Duration
-}
-
-func newReplay(r rule) *replay {
-	return &replay{
-		rule: r, rand: rand.New(rand.NewPCG(1, 2)), byKind: map[int]*tally{0: {}, 1: {}, 2: {}}, byTeam: map[ident.Team]*tally{},
-		reasons: map[string]int{},
+		o := r.queued[q][d.Work.ID]
+		r.refuse(o, o.objective/2)
 	}
 }
 
-func (r *replay) schedule(at ident.Time, do func(now ident.Time)) {
-	r.seq++
-	heap.Push(&r.events, event{at, r.seq, do})
+func (r *replay) send(o *operation) {
+	o.next = 0
+	r.sent = append(r.sent, o)
 }
 
-// runUpstream runs a statement: capacity of them at a time, the others in order.
-func (r *replay) runUpstream(now ident.Time, work time.Duration, done func(now ident.Time)) {
-	start := func(now ident.Time) {
-		r.schedule(now.Add(work), func(now ident.Time) {
-			r.busy--
-			if len(r.queued) > 0 {
-				next := r.queued[0]
-				r.queued = r.queued[1:]
-				r.busy++
-				next(now)
-			}
-			done(now)
-		})
-	}
-	if r.busy < capacity {
-		r.busy++
-		start(now)
+// follow sends a later statement of a transaction.
+func (r *replay) follow(o *operation) {
+	o.next = -1
+	if r.scheduler == nil {
+		r.send(o)
 		return
 	}
-	r.queued = append(r.queued, start)
-}
-
-// ask sends an operation. A refused caller comes back up to two times.
-func (r *replay) ask(now ident.Time, k *kind, team ident.Team, first ident.Time, tries int) {
-	o := &operation{kind: k, team: team, arrived: first, deadline: first.Add(k.objective), left: 1}
-	if o.deadline < now {
-		o.deadline = now.Add(unboundedTimeout)
-	}
-	if r.rand.Float64() < k.transactions {
-		o.left = 4
-	}
-	asked := now
-	r.rule.arrive(now, o)
-	r.settle(now)
-	_ = asked
-	_ = tries
-}
-
-func (r *replay) settle(now ident.Time) {
-	granted, refused := r.rule.outcomes()
-	for _, o := range granted {
-		work := time.Duration(float64(o.kind.work) * (0.5 + r.rand.Float64()))
-		sent := now
-		r.runUpstream(now, work, func(now ident.Time) {
-			o.left--
-			r.rule.finish(now, o, now.Sub(sent))
-			if o.left > 0 {
-				r.rule.follow(now, o)
-			} else {
-				r.answered(now, o)
-			}
-			r.settle(now)
-		})
-	}
-	for _, f := range refused {
-		r.reasons[f.reason]++
-		t := r.byKind[f.operation.kind.priority]
-		t.refused++
-		r.returns = append(r.returns, now.Add(f.retry))
-		r.longestRefusal = max(r.longestRefusal, now.Sub(f.operation.arrived))
-		again := now.Add(f.retry)
-		if again.Sub(f.operation.arrived) > 4*time.Second {
-			t.lost++
-			continue
+	r.admit(o, admission.Request{Team: o.team, Priority: o.priority, Deadline: r.now + timeout, Holding: true})
+}
+
+// end ends a statement, and after the last one its operation.
+func (r *replay) end(o *operation) {
+	r.busy--
+	o.left--
+	if o.left > 0 {
+		o.next = r.now + pause
+		r.pausing = append(r.pausing, o)
+	} else {
+		r.connections++
+		r.teams[o.team]++
+		if o.priority == 0 {
+			r.urgent = append(r.urgent, r.now-o.first)
 		}
-		r.schedule(again, func(now ident.Time) { r.ask(now, f.operation.kind, f.operation.team, f.operation.arrived, 1) })
-	}
-}
-
-func (r *replay) answered(now ident.Time, o *operation) {
-	for _, t := range []*tally{r.byKind[o.kind.priority], r.team(o.team)} {
-		if now.Sub(o.arrived) <= o.kind.objective {
-			t.inTime++
+		if r.now <= o.first+o.objective+pause*statements {
+			r.inTime[o.priority]++
 		} else {
-			t.late++
+			r.late[o.priority]++
 		}
 	}
-}
-
-func (r *replay) team(name ident.Team) *tally {
-	if r.byTeam[name] == nil {
-		r.byTeam[name] = &tally{}
+	if r.scheduler != nil {
+		r.apply(r.scheduler.Finish(r.now, o.id))
+	} else {
+		r.queues[o.priority].RecordServiceTime(r.now, time.Duration(r.now-o.began))
+		r.grantQueued()
 	}
-	return r.byTeam[name]
+	r.giveConnections()
 }
 
-func (r *replay) run(until ident.Time) {
-	for len(r.events) > 0 && r.events[0].at <= until {
-		e := heap.Pop(&r.events).(event)
-		e.do(e.at)
+// refuse tells a caller to come back, who does within its patience.
+func (r *replay) refuse(o *operation, after ident.Time) {
+	if o.next == -1 {
+		r.connections++
 	}
-}
-
-// load is the mean demand, in statements' time, of one operation.
-func load() time.Duration {
-	var mean float64
-	for _, k := range kinds {
-		mean += k.share * float64(k.work) * (1 + 3*k.transactions)
+	r.refused[o.priority]++
+	again := *o
+	again.next = r.now + max(after, 2*ms)
+	if again.next < o.first+patience && o.left == 1 || o.left == statements {
+		r.schedule(&again)
 	}
-	return time.Duration(mean)
 }
 
-// arrivals schedules operations of all kinds at a multiple of what the upstream can run, and a burst of the least urgent kind.
-func (r *replay) arrivals(overload float64, from, until ident.Time, teams int) {
-	gap := time.Duration(float64(load()) / capacity / overload)
-	for at := from; at < until; at = at.Add(time.Duration(r.rand.ExpFloat64() * float64(gap))) {
-		pick := r.rand.Float64()
-		k := &kinds[2]
-		switch {
-		case pick < kinds[0].share:
-			k = &kinds[0]
-		case pick < kinds[0].share+kinds[1].share:
-			k = &kinds[1]
+// Guards against a team that gets less than its fair share of a priority: one asks little, one the most, all in an overload.
+func TestFairShare(t *testing.T) {
+	r := newReplay(true, 30)
+	asks := map[ident.Team]int{"small": 40, "middle": 5, "large": 2}
+	for team, gap := range asks {
+		for at := 0; at < 10_000; at += gap {
+			o := &operation{kind: kinds[2], team: team, first: ident.Time(at) * ms, next: ident.Time(at) * ms, left: 1}
+			r.schedule(o)
 		}
-		team := ident.Team(fmt.Sprint("team", r.rand.IntN(teams)))
-		r.byKind[k.priority].asked++
-		r.schedule(at, func(now ident.Time) { r.ask(now, k, team, now, 0) })
 	}
+	r.run(10_000 * ms)
+	served := r.teams["small"] + r.teams["middle"] + r.teams["large"]
+	require.GreaterOrEqual(t, r.teams["small"], 250*95/100, "it asks for less than its share")
+	share := (served - r.teams["small"]) / 2
+	require.GreaterOrEqual(t, r.teams["middle"], share*95/100)
+	require.GreaterOrEqual(t, r.teams["large"], share*95/100)
 }
 
-// Guards against an overload in which the most urgent callers are served worse than others. The replay has three priorities, 40%
-// transactions and a burst of the least urgent kind; callers who are refused come back when they are told to.
-func TestOverloadByPriority(t *testing.T) {
+// Guards against an overload in which urgent callers are served worse than others: three priorities, 40% transactions, fewer connections
+// than callers, and a burst of the least urgent kind; callers come back when they are told to.
+func TestOverload(t *testing.T) {
 	var out bytes.Buffer
-	for _, overload := range []float64{0.7, 1.3, 1.6, 2} {
-		fmt.Fprintf(&out, "arrivals at %.1f times the capacity for 10 s, a burst of 200 of priority 2 at 4 s\n", overload)
-		for _, c := range []struct {
-			name string
-			rule rule
-		}{{"before", newUnbounded()}, {"scheduler", newScheduled()}} {
-			r := newReplay(c.rule)
-			r.arrivals(overload, 0, 10_000*ms, 12)
+	for _, overload := range []float64{0.6, 1.3, 2} {
+		fmt.Fprintf(&out, "%.1f times the capacity for 10 s, 200 of priority 2 at 4 s\n", overload)
+		for _, scheduled := range []bool{false, true} {
+			r := newReplay(scheduled, 30)
+			r.load(overload, 10_000*ms, []int{1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1})
 			for range 200 {
-				r.byKind[2].asked++
-				r.schedule(4000*ms, func(now ident.Time) { r.ask(now, &kinds[2], "burst", now, 0) })
+				r.ask(4000*ms, kinds[2], "burst")
 			}
 			r.run(20_000 * ms)
 			previous := 1.0
-			for priority := range len(kinds) {
-				k := r.byKind[priority]
-				share := float64(k.inTime) / float64(k.asked)
-				fmt.Fprintf(&out, "  %-9s priority %d: %.2f in time, %.2f late, %.2f refusals each\n", c.name, priority, share,
-					float64(k.late)/float64(k.asked), float64(k.refused)/float64(k.asked))
-				if c.name == "scheduler" {
-					require.LessOrEqual(t, share, previous+0.005, "priority %d at %v", priority, overload)
-					previous = share
-				}
+			for priority := range kinds {
+				asked := float64(r.asked[priority])
+				share := float64(r.inTime[priority]) / asked
+				fmt.Fprintf(&out, "  scheduled %-5t priority %d: %.2f in time, %.2f late, refused %.2f times\n",
+					scheduled, priority, share, float64(r.late[priority])/asked, float64(r.refused[priority])/asked)
+				require.True(t, !scheduled || share <= previous+0.005, "priority %d is served better than a more urgent one", priority)
+				previous = share
 			}
+			slices.Sort(r.urgent)
+			fmt.Fprintf(&out, "    99 of 100 answers of priority 0 within %d ms\n", r.urgent[len(r.urgent)*99/100]/ms)
 		}
 	}
 	goldie.New(t).Assert(t, "overload", out.Bytes())
