--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -72,8 +72,8 @@
 }
 
 // aheadOf returns how many statements go before a new one.
-func (s *Scheduler) aheadOf(l *level, it *item) int {
-	return s.aheadOfLevel(l) + l.ahead(it)
+func (s *Scheduler) aheadOf(now ident.Time, l *level, it *item) int {
+	return s.aheadOfLevel(l) + l.ahead(now, it)
 }
 
 // aheadOfLevel returns how many waiting statements go before all new ones of a priority.
--- a/fleet/admission/replay_test.go
+++ b/fleet/admission/replay_test.go
@@ -154,6 +154,9 @@
 			r.end(o)
 		}
 		r.startSent()
+		if r.scheduler != nil {
+			r.apply(r.scheduler.Decide(r.now))
+		}
 	}
 }
 
@@ -296,7 +299,7 @@
 	r.refused[o.priority]++
 	again := *o
 	again.next = r.now + max(after, 2*ms)
-	if again.next < o.first+patience && o.left == 1 || o.left == statements {
+	if again.next < o.first+patience && (o.left == 1 || o.left == statements) {
 		r.schedule(&again)
 	}
 }
@@ -319,6 +322,16 @@
 	require.GreaterOrEqual(t, r.teams["large"], share*95/100)
 }
 
+// Guards against a deadlock, and connections that are lost, when the transactions hold all connections of a small pool.
+func TestFewConnections(t *testing.T) {
+	r := newReplay(true, 2)
+	r.load(1.3, 5000*ms, []int{1, 1, 1, 1})
+	r.run(15_000 * ms)
+	require.Zero(t, r.scheduler.Waiting())
+	require.Equal(t, 2, r.connections)
+	require.Greater(t, r.inTime[0], r.asked[0]/2)
+}
+
 // Guards against an overload in which urgent callers are served worse than others: three priorities, 40% transactions, fewer connections
 // than callers, and a burst of the least urgent kind; callers come back when they are told to.
 func TestOverload(t *testing.T) {
--- a/fleet/admission/team.go
+++ b/fleet/admission/team.go
@@ -19,7 +19,8 @@
 type level struct {
 	priority int
 	waiting  int
-	reserved int
+	// reserved holds the statements with a reservation in the order of their grants.
+	reserved []*item
 	teams    map[ident.Team]*team
 	// order holds the teams in the order of their first statements, so that decisions don't depend on the order of a map.
 	order []*team
@@ -106,23 +107,44 @@
 	return longest
 }
 
-// ahead returns how many waiting statements of the level go before a new one, if the teams take turns.
-func (l *level) ahead(it *item) int {
-	own := 0
+// ahead returns how many waiting statements of the level go before a new one: those of its team with earlier deadlines, and of each
+// other team as many as let it catch up.
+func (l *level) ahead(now ident.Time, it *item) int {
+	own, granted := 0, 0.0
 	if t := l.teams[it.Team]; t != nil {
+		t.decay(now)
+		granted = t.granted
 		for own < len(t.items) && compareItems(t.items[own], it) < 0 {
 			own++
 		}
 	}
 	ahead := own
 	for _, t := range l.order {
-		if t.name != it.Team {
-			ahead += min(len(t.items), own+1)
+		if t.name == it.Team || len(t.items) == 0 {
+			continue
 		}
+		t.decay(now)
+		ahead += min(len(t.items), own+1+int(max(0, granted-t.granted)))
 	}
 	return ahead
 }
 
+// connecting returns how many reservations were granted after a time.
+func (l *level) connecting(after ident.Time) int {
+	count := 0
+	for _, it := range slices.Backward(l.reserved) {
+		if it.grantedAt <= after {
+			break
+		}
+		count++
+	}
+	return count
+}
+
+func (l *level) unreserve(it *item) {
+	l.reserved = slices.DeleteFunc(l.reserved, func(x *item) bool { return x == it })
+}
+
 // before reports whether the first statement of t goes before that of o. Both must be decayed to the same time.
 func (t *team) before(o *team) bool {
 	return cmp.Or(cmp.Compare(t.granted, o.granted), compareItems(t.items[0], o.items[0])) < 0
--- a/node/entry/retry.go
+++ b/node/entry/retry.go
@@ -117,11 +117,20 @@
 	after := o.route.Objective / 2
 	var failure *statement.Failure
 	if errors.As(last, &failure) && failure.Retry > 0 {
-		after = min(failure.Retry, o.route.Timeout)
+		after = within(failure.Retry, o.route.Timeout)
 	}
 	return &statement.Failure{Code: statement.CodeBusy, Text: last.Error(), Retry: after}
 }
 
+// within returns a time to come back that is at most a limit. Longer times are spread over the limit's second half, so that their callers
+// don't come back at the same moment.
+func within(after, limit time.Duration) time.Duration {
+	if half := limit / 2; after > limit && half > 0 {
+		return half + after%half
+	}
+	return after
+}
+
 // sooner returns the failure of two upstreams that refused a statement, with the earlier time to come back.
 func sooner(first, second error) error {
 	var x, y *statement.Failure
--- a/node/entry/waiting_test.go
+++ b/node/entry/waiting_test.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// Guards against a read that leaves the queue of the only upstream that can run it and joins it again behind later reads. It
-// would do so if its wait on that upstream were limited to readWait.
+// Guards against a read that leaves the queue of the only upstream that can run it and joins it again behind later reads, as one
+// whose wait on that upstream ends before its deadline would do.
 func TestReadKeepsQueuePosition(t *testing.T) {
 	record := &recorder{}
 	h := newHostWith(t, 0, record.open)
@@ -108,7 +108,7 @@
 	writer.awaitIdle()
 
 	first.send("QUERY first FETCH a")
-	// A read that waited only for readWait (250 ms) would leave the queue 50 ms after the second read has joined it.
+	// A read that waited only 250 ms would leave the queue 50 ms after the second read has joined it.
 	time.Sleep(200 * time.Millisecond)
 	second.send("QUERY second FETCH a")
 	time.Sleep(150 * time.Millisecond)
