--- a/fleet/admission/replay_test.go
+++ b/fleet/admission/replay_test.go
@@ -55,8 +55,8 @@
 	operations  map[admission.ID]*operation
 	queued      map[*queue.Queue]map[queue.ID]*operation
 	future      map[ident.Time][]*operation // callers that ask or come back, by millisecond
-	connecting  []*operation // in the order of their turns
-	sent        []*operation // at the upstream, the first ones run until next
+	connecting  []*operation                // in the order of their turns
+	sent        []*operation                // at the upstream, the first ones run until next
 	busy        int
 	pausing     []*operation
 	asked       [3]int
--- a/fleet/admission/scheduler_test.go
+++ b/fleet/admission/scheduler_test.go
@@ -42,8 +42,12 @@
 	var out bytes.Buffer
 	s := admission.New(admission.Options{Limit: 3})
 	for i, r := range []admission.Request{
-		{Team: "a", Priority: 2, Deadline: 2 * ms}, {Team: "b", Deadline: 900 * ms}, {Team: "a", Priority: 1, Deadline: 3 * ms, Late: true},
-		{Team: "c", Priority: 2, Deadline: 100 * ms}, {Team: "a", Deadline: 500 * ms}, {Team: "a", Holding: true, Deadline: 500 * ms},
+		{Team: "a", Priority: 2, Deadline: 2 * ms},
+		{Team: "b", Deadline: 900 * ms},
+		{Team: "a", Priority: 1, Deadline: 3 * ms, Late: true},
+		{Team: "c", Priority: 2, Deadline: 100 * ms},
+		{Team: "a", Deadline: 500 * ms},
+		{Team: "a", Holding: true, Deadline: 500 * ms},
 	} {
 		at := ident.Time(i) * 20 * ms
 		r.Deadline += at
