--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -16,13 +16,6 @@
 // minDue is the shortest time until Decide is called without another event.
 const minDue = 5 * time.Millisecond
 
-const (
-	// connectTime is the time in which a free connection is taken, or opened. A reservation that takes longer waits for one that is held.
-	connectTime = 40 * time.Millisecond
-	// reservedPerSlot bounds the reservations of a priority that wait for connections.
-	reservedPerSlot = 4
-)
-
 // forgetInterval is the interval between sweeps of idle teams.
 const forgetInterval = 10 * time.Second
 
@@ -165,7 +158,7 @@
 // Start gives a statement with a reservation a slot, now or by a later decision, once it has its connection.
 func (s *Scheduler) Start(now ident.Time, id ID) []Decision {
 	it := s.items[id]
-	s.level(it.Priority).unreserve(it)
+	s.level(it.Priority).reserved--
 	s.join(now, it)
 	return s.decide(now)
 }
@@ -331,37 +324,25 @@
 	return decisions
 }
 
-// hasRoom reports whether a slot is left for a reservation of a priority. Reservations of less urgent statements don't count, nor do
-// those that have waited for a connection for long: other teams may have a free one. Their number is bounded.
+// hasRoom reports whether a slot is left for a reservation of a priority. Reservations of less urgent statements don't count: these may
+// wait for a connection for long.
 func (s *Scheduler) hasRoom(now ident.Time, l *level) bool {
 	taken := s.running + len(s.lane)
 	for _, other := range s.levels {
 		if other.priority <= l.priority {
-			taken += other.connecting(now.Add(-connectTime))
+			taken += other.reserved
 		}
 	}
-	return taken < s.limit && len(l.reserved) < reservedPerSlot*s.limit && s.warmup.covers(now, taken-s.running+1)
+	return taken < s.limit && s.warmup.covers(now, taken-s.running+1)
 }
 
-// Due returns the time after which Decide may grant something without another event, if there is one: a reservation then no longer counts,
-// or the warm-up rate admits the next statement.
+// Due returns the time after which Decide may grant something without another event, if there is one: the warm-up rate then admits the
+// next statement.
 func (s *Scheduler) Due(now ident.Time) (time.Duration, bool) {
-	if s.Waiting() == 0 || s.running >= s.limit {
-		return 0, false
-	}
-	var due time.Duration
-	for _, l := range s.levels {
-		if count := l.connecting(now.Add(-connectTime)); count > 0 {
-			due = l.reserved[len(l.reserved)-count].grantedAt.Add(connectTime).Sub(now)
-			break
-		}
-	}
-	if now < s.warmup.end {
-		due = max(due, s.warmup.wait(now))
-	} else if due == 0 {
+	if now >= s.warmup.end || s.Waiting() == 0 || s.running >= s.limit {
 		return 0, false
 	}
-	return max(due, minDue), true
+	return max(s.warmup.wait(now), minDue), true
 }
 
 // Decide grants what there is room for.
@@ -371,7 +352,7 @@
 
 func (s *Scheduler) reserve(now ident.Time, it *item, l *level) {
 	it.state, it.grantedAt = stateReserved, now
-	l.reserved = append(l.reserved, it)
+	l.reserved++
 	l.recordGrant(now, it.Team)
 	s.decisions = append(s.decisions, Decision{ID: it.id})
 }
@@ -398,7 +379,7 @@
 			s.waiting--
 		}
 	case stateReserved:
-		l.unreserve(it)
+		l.reserved--
 	case stateLane:
 		s.lane = slices.DeleteFunc(s.lane, func(x *item) bool { return x == it })
 	case stateRunning:
