--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -221,7 +221,6 @@
 	}
 	l.insert(it)
 	s.waiting++
-	s.displaceHopeless(now, l)
 }
 
 // displaceable returns the statement that gives way to a new one of a team, or nil: the last one of the team with the most waiting
@@ -240,20 +239,18 @@
 	return nil
 }
 
-// displaceHopeless refuses less urgent statements that can't end by their deadlines behind a new one.
-func (s *Scheduler) displaceHopeless(now ident.Time, l *level) {
-	for _, other := range slices.Backward(s.levels) {
-		if other.priority <= l.priority {
-			return
-		}
-		for other.waiting > 0 {
-			longest := other.longest()
+// refuseHopeless refuses waiting statements that can't end by their deadlines any more, because more urgent ones came or the upstream
+// has become slower. The last one of the team with the most goes first.
+func (s *Scheduler) refuseHopeless(now ident.Time) {
+	for _, l := range slices.Backward(s.levels) {
+		for l.waiting > 0 {
+			longest := l.longest()
 			last := longest.items[len(longest.items)-1]
-			ahead := s.aheadOfLevel(other) + other.waiting - 1
-			if !s.misses(now, other.priority, ahead, last.Deadline) {
+			ahead := s.aheadOfLevel(l) + l.waiting - 1
+			if !s.misses(now, l.priority, ahead, last.Deadline) {
 				break
 			}
-			s.refuse(now, last, ReasonDisplaced, ahead)
+			s.refuse(now, last, ReasonHopeless, ahead)
 		}
 	}
 }
@@ -318,6 +315,7 @@
 	if s.waiting > 0 {
 		s.expire(now)
 		s.refuseStalled(now)
+		s.refuseHopeless(now)
 	}
 	for _, l := range s.levels {
 		for l.waiting > 0 && s.hasRoom(now, l) {
