--- a/fleet/admission/replay_test.go
+++ b/fleet/admission/replay_test.go
@@ -283,7 +283,7 @@
 		}
 	}
 	if r.scheduler != nil {
-		r.apply(r.scheduler.Finish(r.now, o.id, o.left == 0))
+		r.apply(r.scheduler.Finish(r.now, o.id))
 	} else {
 		r.queues[o.priority].RecordServiceTime(r.now, time.Duration(r.now-o.began))
 		r.grantQueued()
--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -13,9 +13,6 @@
 	DefaultPerTeam = 256
 )
 
-// noTeam is the name of no team; that of public routes is empty.
-const noTeam ident.Team = "\x00"
-
 // minDue is the shortest time until Decide is called without another event.
 const minDue = 5 * time.Millisecond
 
@@ -98,14 +95,12 @@
 	// progressAt is when a statement last ended, or when the first one of those that run got its slot.
 	progressAt ident.Time
 	forgotAt   ident.Time
-	// freed is the team that has just freed a connection, or noTeam.
-	freed     ident.Team
 	decisions  []Decision
 }
 
 // New returns a scheduler without statements.
 func New(options Options) *Scheduler {
-	s := &Scheduler{limit: options.Limit, total: options.Total, perTeam: options.PerTeam, items: map[ID]*item{}, freed: noTeam}
+	s := &Scheduler{limit: options.Limit, total: options.Total, perTeam: options.PerTeam, items: map[ID]*item{}}
 	if s.total == 0 {
 		s.total = DefaultTotal
 	}
@@ -168,14 +163,10 @@
 	return s.decide(now)
 }
 
-// Finish ends a statement that had a slot. Freed is set if its connection is free now.
-func (s *Scheduler) Finish(now ident.Time, id ID, freed bool) []Decision {
-	it := s.items[id]
-	s.recordHold(now, now.Sub(it.grantedAt))
+// Finish ends a statement that had a slot.
+func (s *Scheduler) Finish(now ident.Time, id ID) []Decision {
+	s.recordHold(now, now.Sub(s.items[id].grantedAt))
 	s.progressAt = now
-	if freed {
-		s.freed = it.Team
-	}
 	return s.Cancel(now, id)
 }
 
@@ -319,14 +310,12 @@
 	}
 	for _, l := range s.levels {
 		for l.waiting > 0 && s.hasRoom(now, l) {
-			it := l.next(now, s.freed)
-			s.freed = noTeam
+			it := l.next(now)
 			l.remove(it)
 			s.waiting--
 			s.reserve(now, it, l)
 		}
 	}
-	s.freed = noTeam
 	s.forget(now)
 	decisions := s.decisions
 	s.decisions = nil
--- a/fleet/admission/scheduler_test.go
+++ b/fleet/admission/scheduler_test.go
@@ -24,7 +24,7 @@
 	var running []admission.ID
 	for at := 990 * ms; at <= 1000*ms; at += 10 * ms {
 		for _, id := range running {
-			s.Finish(at, id, false)
+			s.Finish(at, id)
 		}
 		running = nil
 		for range options.Limit {
@@ -56,7 +56,7 @@
 		if !r.Holding {
 			fmt.Fprintf(&out, ", started %v", s.Start(at+ms, id))
 		}
-		fmt.Fprintf(&out, ", ended %v, %d wait\n", s.Finish(at+15*ms, id, false), s.Waiting())
+		fmt.Fprintf(&out, ", ended %v, %d wait\n", s.Finish(at+15*ms, id), s.Waiting())
 	}
 	goldie.New(t).Assert(t, "calm", out.Bytes())
 }
@@ -109,7 +109,7 @@
 	require.Equal(t, []string{"displaced false"}, push("large", 0))
 	require.Equal(t, []string{"full true"}, push("small", 2))
 	require.Equal(t, 10, s.Waiting())
-	require.Len(t, s.Finish(1010*ms, running[0], false), 1)
+	require.Len(t, s.Finish(1010*ms, running[0]), 1)
 }
 
 // Guards against less urgent statements that wait on although more urgent ones have taken the time that they had.
@@ -145,9 +145,9 @@
 	require.Empty(t, decisions, "transactions count in the bound")
 	urgent, decisions := s.Arrive(0, request(0, 1000*ms))
 	require.Empty(t, decisions)
-	require.Equal(t, []admission.Decision{{ID: third}}, s.Finish(5*ms, first, false))
-	require.Equal(t, []admission.Decision{{ID: urgent}}, s.Finish(5*ms, second, false))
-	require.Empty(t, s.Finish(5*ms, third, false), "the statement of priority 1 stays behind both reservations of its priority")
+	require.Equal(t, []admission.Decision{{ID: third}}, s.Finish(5*ms, first))
+	require.Equal(t, []admission.Decision{{ID: urgent}}, s.Finish(5*ms, second))
+	require.Empty(t, s.Finish(5*ms, third), "the statement of priority 1 stays behind both reservations of its priority")
 	require.Empty(t, s.Expire(6*ms, urgent), "it has been granted")
 	require.Equal(t, waiting, s.Expire(6*ms, waiting)[0].ID)
 }
@@ -185,7 +185,7 @@
 				apply(now, s.Start(now, d.ID))
 			default:
 				inSecond[now/(1000*ms)]++
-				apply(now, s.Finish(now, d.ID, false))
+				apply(now, s.Finish(now, d.ID))
 			}
 		}
 	}
--- a/fleet/admission/team.go
+++ b/fleet/admission/team.go
@@ -12,10 +12,6 @@
 // shareHalfLife is the time in which past grants lose half of their weight in the order of teams.
 const shareHalfLife = 500 * time.Millisecond
 
-// maxLead is how many grants a team that has just freed a connection may be ahead of the team that got the least. The connection of
-// another team has to be opened first, in place of one that is closed.
-const maxLead = 3
-
 // forgottenGrants is the weight of past grants below which an idle team is forgotten.
 const forgottenGrants = 0.01
 
@@ -65,9 +61,8 @@
 	l.waiting--
 }
 
-// next returns the statement whose turn it is: the first one of the team that got the least lately, or of the team that has just freed a
-// connection, unless that team is too far ahead of the others.
-func (l *level) next(now ident.Time, freed ident.Team) *item {
+// next returns the statement whose turn it is: the first one of the team that got the least lately.
+func (l *level) next(now ident.Time) *item {
 	var best *team
 	for _, t := range l.order {
 		t.decay(now)
@@ -78,9 +73,6 @@
 	if best == nil {
 		return nil
 	}
-	if t := l.teams[freed]; t != nil && len(t.items) > 0 && t.granted < best.granted+maxLead {
-		best = t
-	}
 	return best.items[0]
 }
 
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -126,7 +126,7 @@
 		d.pool.limiter.cancel(id)
 		return
 	}
-	d.pool.limiter.finish(id, d.conn == nil)
+	d.pool.limiter.finish(id)
 }
 
 // admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
--- a/node/upstream/limiter.go
+++ b/node/upstream/limiter.go
@@ -108,11 +108,11 @@
 	return <-decided
 }
 
-// finish ends a statement that the upstream has run, and lets the next ones run. Freed is set if its connection is free now.
-func (l *limiter) finish(id admission.ID, freed bool) {
+// finish ends a statement that the upstream has run, and lets the next ones run.
+func (l *limiter) finish(id admission.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.announce(l.scheduler.Finish(steady.Now(), id, freed))
+	l.announce(l.scheduler.Finish(steady.Now(), id))
 }
 
 // cancel ends a statement that did not run or got no answer.
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -91,7 +91,7 @@
 	waiting(grant{0, false}, 2)
 	waiting(grant{2, true}, 3)
 	for i, want := range []grant{{2, true}, {0, false}, {2, false}} {
-		l.finish(running[i], false)
+		l.finish(running[i])
 		require.Equal(t, want, <-order)
 	}
 	require.Zero(t, l.waitingStatements())
@@ -104,7 +104,7 @@
 	l.setCapacity(1)
 	inside, err := l.run(t.Context(), testRequest(1, false))
 	require.NoError(t, err)
-	l.finish(inside, false)
+	l.finish(inside)
 	for range 1 + spareStatements {
 		_, err := l.arrive(t.Context(), testRequest(1, false))
 		require.NoError(t, err, "the statement has a reservation and waits for a connection")
