Grant before refusing, and leave lagging reads to the primary without a budget

A statement that could run at once was refused if its estimated wait missed its deadline; a lagging read waited when the host's budget of retries was spent.

--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -95,9 +95,11 @@
 // returnTime returns when a refused caller should come back. A statement that arrives then can expect to meet its deadline, if it has
 // as much time as the refused one had. Each caller gets a place of its own behind those that were told to wait before it, the more
 // urgent ones included, so that they return as a stream.
-func (s *Scheduler) returnTime(now ident.Time, l *level, ahead int, patience time.Duration) time.Duration {
-	wait := s.waitBehind(now, l.priority, ahead) + s.hold(now) - patience
-	first := now.Add(min(max(wait, minReturn), maxReturn/2))
+func (s *Scheduler) returnTime(now ident.Time, l *level, it *item, ahead int) time.Duration {
+	wait := s.waitBehind(now, l.priority, ahead) + s.hold(now) - it.Deadline.Sub(it.since)
+	// One that has waited in vain shows that there is less room than the estimate says.
+	wait = max(wait, now.Sub(it.since)/2, minReturn)
+	first := now.Add(min(wait, maxReturn/2))
 	at := first
 	for _, other := range s.levels {
 		if other.priority <= l.priority {
--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -248,6 +248,9 @@
 
 // expire refuses the waiting statements that could not end by their deadlines if they were next.
 func (s *Scheduler) expire(now ident.Time) {
+	if s.waiting == 0 {
+		return
+	}
 	latest := now.Add(s.hold(now))
 	for _, l := range s.levels {
 		for _, t := range l.order {
@@ -303,11 +306,7 @@
 		}
 		s.decisions = append(s.decisions, Decision{ID: it.id})
 	}
-	if s.waiting > 0 {
-		s.expire(now)
-		s.refuseStalled(now)
-		s.refuseHopeless(now)
-	}
+	s.expire(now)
 	for _, l := range s.levels {
 		for l.waiting > 0 && s.hasRoom(now, l) {
 			it := l.next(now)
@@ -316,6 +315,10 @@
 			s.reserve(now, it, l)
 		}
 	}
+	if s.waiting > 0 {
+		s.refuseStalled(now)
+		s.refuseHopeless(now)
+	}
 	s.forget(now)
 	decisions := s.decisions
 	s.decisions = nil
@@ -361,7 +364,7 @@
 	s.drop(it)
 	refused := &Refused{Reason: reason, Waited: now.Sub(it.since), Ahead: ahead}
 	if reason != ReasonWarmup && reason != ReasonStalled {
-		refused.Retry = s.returnTime(now, l, ahead, it.Deadline.Sub(it.since))
+		refused.Retry = s.returnTime(now, l, it, ahead)
 	}
 	s.decisions = append(s.decisions, Decision{ID: it.id, Refused: refused})
 }
--- a/fleet/retry/cause_enumer.go
+++ b/fleet/retry/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "fullbusyunreachablestate"
+const _CauseName = "fulllaggingbusyunreachablestate"
 
-var _CauseIndex = [...]uint8{0, 4, 8, 19, 24}
+var _CauseIndex = [...]uint8{0, 4, 11, 15, 26, 31}
 
-const _CauseLowerName = "fullbusyunreachablestate"
+const _CauseLowerName = "fulllaggingbusyunreachablestate"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -25,32 +25,36 @@
 func _CauseNoOp() {
 	var x [1]struct{}
 	_ = x[CauseFull-(0)]
-	_ = x[CauseBusy-(1)]
-	_ = x[CauseUnreachable-(2)]
-	_ = x[CauseState-(3)]
+	_ = x[CauseLagging-(1)]
+	_ = x[CauseBusy-(2)]
+	_ = x[CauseUnreachable-(3)]
+	_ = x[CauseState-(4)]
 }
 
-var _CauseValues = []Cause{CauseFull, CauseBusy, CauseUnreachable, CauseState}
+var _CauseValues = []Cause{CauseFull, CauseLagging, CauseBusy, CauseUnreachable, CauseState}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:4]:   CauseFull,
-	_CauseName[4:8]:   CauseBusy,
-	_CauseName[8:19]:  CauseUnreachable,
-	_CauseName[19:24]: CauseState,
+	_CauseName[4:11]:  CauseLagging,
+	_CauseName[11:15]: CauseBusy,
+	_CauseName[15:26]: CauseUnreachable,
+	_CauseName[26:31]: CauseState,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
 	_CauseLowerName[0:4]:   CauseFull,
-	_CauseLowerName[4:8]:   CauseBusy,
-	_CauseLowerName[8:19]:  CauseUnreachable,
-	_CauseLowerName[19:24]: CauseState,
+	_CauseLowerName[4:11]:  CauseLagging,
+	_CauseLowerName[11:15]: CauseBusy,
+	_CauseLowerName[15:26]: CauseUnreachable,
+	_CauseLowerName[26:31]: CauseState,
 }
 
 var _CauseNames = []string{
 	_CauseName[0:4],
-	_CauseName[4:8],
-	_CauseName[8:19],
-	_CauseName[19:24],
+	_CauseName[4:11],
+	_CauseName[11:15],
+	_CauseName[15:26],
+	_CauseName[26:31],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/fleet/retry/plan.go
+++ b/fleet/retry/plan.go
@@ -17,6 +17,8 @@
 const (
 	// CauseFull means that the upstream's queue can't serve the statement in time.
 	CauseFull Cause = iota
+	// CauseLagging means that the replica lacked a position, which the primary has.
+	CauseLagging
 	// CauseBusy means that the upstream itself was at capacity.
 	CauseBusy
 	// CauseUnreachable means that no answer came from the upstream or its gateway.
@@ -32,7 +34,7 @@
 
 // Steps.
 const (
-	// StepRefuse answers the caller.
+	// StepRefuse tries no other upstream of this kind: it answers the caller, or leaves a lagging read to the primary.
 	StepRefuse Step = iota
 	// StepMove tries another upstream at once.
 	StepMove
@@ -57,14 +59,14 @@
 	Jitter float64
 }
 
-// Next returns what follows an attempt, and the pause for a StepWait. A full queue has said that waiting is of no use; all other causes
-// pass with time.
+// Next returns what follows an attempt, and the pause for a StepWait. A full queue has said that waiting is of no use, and a lagging
+// read need not wait; all other causes pass with time.
 func (p *Plan) Next(s Situation) (Step, time.Duration) {
 	if s.Others && s.Funded && !p.moved {
 		p.moved = true
 		return StepMove, 0
 	}
-	if s.Cause == CauseFull {
+	if s.Cause == CauseFull || s.Cause == CauseLagging {
 		return StepRefuse, 0
 	}
 	p.moved = false
--- a/node/entry/retry.go
+++ b/node/entry/retry.go
@@ -74,7 +74,9 @@
 	if ctx.Err() != nil {
 		return false, false
 	}
-	funded := (cause == retry.CauseFull && !others) || a.session.server.retries.spend()
+	// Only a move is decided by the budget if the plan won't wait.
+	waits := cause != retry.CauseFull && cause != retry.CauseLagging
+	funded := (others || waits) && a.session.server.retries.spend()
 	step, pause := a.plan.Next(retry.Situation{Cause: cause, Others: others, Funded: funded, Jitter: rand.Float64()})
 	if step == retry.StepRefuse {
 		return false, false
@@ -108,6 +110,8 @@
 		return retry.CauseFull
 	case failure.Code == statement.CodeBusy || failure.Code == statement.CodeConnections:
 		return retry.CauseBusy
+	case failure.Code == statement.CodeLagging:
+		return retry.CauseLagging
 	}
 	return retry.CauseState
 }
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -133,9 +133,6 @@
 				return outcome, nil
 			}
 		}
-		if isLagging(err) && (skip != nil || !others) {
-			return outcome, err
-		}
 		err = sooner(before, err)
 		move, again := tries.next(ctx, err, others && skip == nil)
 		if !again {
