--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -57,7 +57,7 @@
 // NewPool returns a pool without connections.
 func NewPool(target Target, protocol Protocol, limit int) *Pool {
 	p := &Pool{
-		target: target, protocol: protocol, limiter: newLimiter(), account: connections.NewAllocator(),
+		target: target, protocol: protocol, limiter: newLimiter(target.Upstream), account: connections.NewAllocator(),
 		conns: map[connections.ConnID]*Conn{}, waiting: map[connections.WaiterID]chan grant{},
 	}
 	p.account.Account.Resize(steady.Now(), max(0, limit), false)
