Order the upstreams of a read by their gateways' reports

Cause: a host ordered the upstreams by its own statements in flight. With many hosts in front of a few slots that count is nearly always 0, so all hosts near an upstream sent to it while others idled, also when it had turned slow.

Change: a gateway says on each answer how many statements wait and run, how many slots there are and how long a statement takes one. A host carries that forward by what it and, by its rate, the others have sent, lets it fade with its age, and leaves the nearest upstream with a probability that grows with the time gained. With few hosts for each slot, or without a report, the order is the former one.

--- /dev/null
+++ b/fleet/balance/tracker.go
@@ -0,0 +1,60 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"tamarackshunt.dev/fleet/ident"
+)
+
+// rateWindow is the time over which a host averages the rate of its own statements to an upstream. A host of a large fleet sends
+// an upstream a few statements a second, so a shorter window would mostly contain none.
+const rateWindow = 2 * time.Second
+
+// Tracker holds what one host knows of the load of one upstream. The zero value knows nothing.
+type Tracker struct {
+	load Load
+	// at is the time of the last report, or 0 if there is none.
+	at ident.Time
+	// sent counts the host's own statements since the last report.
+	sent int
+	// rate is the rate of the host's own statements per second, as of rateAt.
+	rate   float64
+	rateAt ident.Time
+}
+
+// RecordLoad records a report of the gateway.
+func (t *Tracker) RecordLoad(now ident.Time, load Load) {
+	t.load, t.at, t.sent = load, now, 0
+}
+
+// RecordSent counts a statement that the host sends to the upstream.
+func (t *Tracker) RecordSent(now ident.Time) {
+	t.sent++
+	t.rate = t.rateNow(now) + 1/rateWindow.Seconds()
+	t.rateAt = now
+}
+
+// Report returns what the host knows of the upstream's load.
+func (t *Tracker) Report(now ident.Time) Report {
+	if t.at == 0 {
+		return Report{}
+	}
+	return Report{Load: t.load, Known: true, Age: max(0, now.Sub(t.at)), Sent: t.sent, Rate: t.rateNow(now)}
+}
+
+func (t *Tracker) rateNow(now ident.Time) float64 {
+	return t.rate * math.Exp(-now.Sub(t.rateAt).Seconds()/rateWindow.Seconds())
+}
+
+// Report is an upstream's load as one host knows it.
+type Report struct {
+	Load Load
+	// Known is unset if no report has arrived yet.
+	Known bool
+	// Age is the time since the report arrived.
+	Age time.Duration
+	// Sent counts the host's statements since the report; Rate is how many it sends per second.
+	Sent int
+	Rate float64
+}
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -96,6 +96,7 @@
 		},
 		Opened: positionFromProto(response.GetOpened()),
 		Ran:    response.GetRan(),
+		Load:   loadFromProto(response.GetLoad()),
 	}
 	if f := response.GetFailure(); f != nil {
 		outcome.Result.Failure = &statement.Failure{Code: statement.Code(f.GetCode()), Text: string(f.GetText())}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/node/gateway"
@@ -100,6 +101,31 @@
 	require.Equal(t, before+1, *failures)
 }
 
+// Guards against answers and refusals of a gateway that don't say how busy the upstream is, and a failed statement that counts in the
+// service time.
+func TestLoad(t *testing.T) {
+	_, executor, _, _ := startGateway(t)
+	use := upstream.Use{ID: "1", Text: "FETCH a", Since: ident.Position{Term: 9}, Timeout: timeout}
+	outcome, err := executor("i-1").Execute(contextWithTimeout(t), use)
+	require.NoError(t, err)
+	require.NotNil(t, outcome.Result.Failure, "the upstream lacks the position")
+	require.Equal(t, balance.Load{Slots: 2}, outcome.Load)
+
+	use = upstream.Use{ID: "2", Text: "STORE a 1", Opening: upstream.OpenPrimary, Keep: true, Timeout: timeout}
+	tx := executor("i-1")
+	outcome, err = tx.Execute(contextWithTimeout(t), use)
+	require.NoError(t, err)
+	require.Positive(t, outcome.Load.Service)
+	want := outcome.Load
+
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	outcome, err = executor("i-1").Execute(ctx, upstream.Use{ID: "3", Text: "FETCH a", Timeout: timeout})
+	require.Error(t, err, "the transaction holds the only connection")
+	require.Equal(t, want, outcome.Load)
+	tx.Close()
+}
+
 // Guards against a write that is reported as unknown, and a gateway that is avoided by all callers of a host, because a caller's text
 // or an upstream's row is not UTF-8 and no call can carry it.
 func TestTextThatIsNotUTF8(t *testing.T) {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -61,6 +63,7 @@
 		State:     uint32(outcome.Result.State),
 		Position:  positionToProto(outcome.Result.Position),
 		Opened:    positionToProto(outcome.Opened),
+		Load:      loadToProto(outcome.Load),
 	}
 	var failure *statement.Failure
 	var broken *upstream.BrokenError
@@ -81,6 +84,30 @@
 	return response
 }
 
+// maxService is the longest service time that a message carries.
+const maxService = math.MaxUint32 * time.Microsecond
+
+func loadToProto(load balance.Load) *fleetpb.UpstreamLoad {
+	if load == (balance.Load{}) {
+		return nil
+	}
+	return &fleetpb.UpstreamLoad{
+		Waiting:   uint32(load.Waiting),
+		Running:   uint32(load.Running),
+		Slots:     uint32(load.Slots),
+		ServiceUs: uint32(min(load.Service, maxService) / time.Microsecond),
+	}
+}
+
+func loadFromProto(load *fleetpb.UpstreamLoad) balance.Load {
+	return balance.Load{
+		Waiting: int(load.GetWaiting()),
+		Running: int(load.GetRunning()),
+		Slots:   int(load.GetSlots()),
+		Service: time.Duration(load.GetServiceUs()) * time.Microsecond,
+	}
+}
+
 func rows(texts []string) [][]byte {
 	list := make([][]byte, 0, len(texts))
 	for _, text := range texts {
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -76,9 +76,13 @@
 // Execute implements upstream.Executor.
 func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
 	c.pool.BeginStatement()
+	c.pool.RecordSent(steady.Now())
 	defer c.pool.EndStatement()
 	c.gatewayFailed = false
 	outcome, err := c.Executor.Execute(ctx, use)
+	if outcome.Gateway != "" {
+		c.pool.RecordLoad(steady.Now(), outcome.Load)
+	}
 	if position := outcome.Result.Position; position != (ident.Position{}) {
 		c.pool.RecordPosition(steady.Now(), position)
 	}
--- a/node/routing/table_test.go
+++ b/node/routing/table_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
@@ -74,6 +76,29 @@
 	require.Equal(t, "bca", candidates(table, "", none), "an upstream that failed is the last choice, but remains a candidate")
 }
 
+// Guards against reads that all go to the near upstream, although its gateway reports a long queue and many hosts choose alike, and
+// against a choice that is not counted.
+func TestCandidatesByReports(t *testing.T) {
+	table := newTestTable(t, func(d *fleetpb.Directory) {
+		for i := range 40 {
+			d.Hosts = append(d.Hosts, &fleetpb.EntryHost{Host: fmt.Sprintf("other%d", i), Zone: "z0"})
+		}
+	})
+	since := ident.Position{}
+	before := choices[balance.ReasonMoved].Get()
+	for _, id := range []ident.Upstream{"a", "b", "c"} {
+		load := balance.Load{Slots: 2, Service: 10 * time.Millisecond}
+		if id == "a" {
+			load.Waiting, load.Running = 200, 2
+		}
+		table.Pool("svc", id).RecordLoad(steady.Now(), load)
+	}
+	require.NotEqual(t, 'a', rune(candidates(table, "", since)[0]))
+	require.Equal(t, before+1, choices[balance.ReasonMoved].Get())
+	table.Pool("svc", "b").RecordFailure(steady.Now())
+	require.Equal(t, 'b', rune(candidates(table, "", since)[2]), "an upstream that failed is the last choice, however idle")
+}
+
 // Guards against an older configuration that replaces a newer one, and against a new directory that discards the pools of
 // unchanged upstreams.
 func TestChanges(t *testing.T) {
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
@@ -49,6 +50,8 @@
 	// Gateway is the peer address of the gateway that the statement was sent to, and Lease names the connection that it kept for the
 	// statement's transaction. Both are empty for this host's own connections.
 	Gateway, Lease string
+	// Load is the load of the upstream as the host that ran the statement measures it, or zero if it is not known.
+	Load balance.Load
 }
 
 // Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError or a
@@ -80,7 +83,8 @@
 func (d *directExecutor) Target() Target { return d.pool.target }
 
 // Execute implements Executor.
-func (d *directExecutor) Execute(ctx context.Context, use Use) (Outcome, error) {
+func (d *directExecutor) Execute(ctx context.Context, use Use) (outcome Outcome, err error) {
+	defer func() { outcome.Load = d.pool.MeasuredLoad(steady.Now()) }()
 	if d.conn == nil {
 		conn, err := d.pool.Get(ctx, d.team, d.priority)
 		if err != nil {
@@ -88,7 +92,7 @@
 		}
 		d.conn = conn
 	}
-	outcome, err := d.use(ctx, &use)
+	outcome, err = d.use(ctx, &use)
 	if err != nil {
 		if d.conn.broken {
 			d.pool.RecordFailure(steady.Now())
@@ -153,6 +157,7 @@
 	}
 	began := steady.Now()
 	defer func() { d.pool.limiter.release(d.priority, steady.Now().Sub(began)) }()
+	defer func() { d.pool.recordService(began, &outcome.Result, err) }()
 	outcome.Ran = true
 	outcome.Result, err = c.Run(use.ID, since, request, use.Timeout)
 	return outcome, err
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -41,6 +41,7 @@
 	target   Target
 	protocol Protocol
 	limiter  *limiter
+	meter    meter
 	mu       sync.Mutex
 	// limit is the maximum number of connections; total counts those that are open or being opened.
 	limit   int
