Replay the choice of upstreams with the same load for both rules

The replay drew load and choices from one generator, so both rules met different loads. They now meet the same one, and statements that only the primary runs are measured too.

--- a/fleet/balance/order.go
+++ b/fleet/balance/order.go
@@ -144,7 +144,7 @@
 // Bounds of the choice of an upstream that is not the nearest.
 const (
 	// moveMargin is the gain in time up to which a statement stays near: the bytes that cross zones and regions are paid.
-	moveMargin = 10 * time.Millisecond
+	moveMargin = 20 * time.Millisecond
 	// moveScale is the gain beyond the margin at which all but 1/e of the statements leave.
 	moveScale = 30 * time.Millisecond
 )
--- a/fleet/balance/replay_test.go
+++ b/fleet/balance/replay_test.go
@@ -83,9 +83,15 @@
 	return last
 }
 
+// job is a statement on an upstream; work is the time that it takes relative to the mean.
+type job struct {
+	work float64
+	done func()
+}
+
 // server is an upstream with its gateway.
 type server struct {
-	waiting []func()
+	waiting []job
 	running int
 	service balance.ServiceTime
 	// occupied is the integral of the statements that wait or run in the current window, as of since.
@@ -98,17 +104,19 @@
 	scenario scenario
 	// deciders is the number of hosts that the rule is told.
 	deciders int
+	// random drives the load, and draws the choices, so that all rules meet the same load.
 	random   *rand.Rand
+	draws    *rand.Rand
 	now      time.Duration
 	events   events
 	servers  [groups * regions]server
 	trackers [hosts][groups * regions]balance.Tracker
 	inFlight [hosts][groups * regions]int
 
-	spreads   []float64
-	latencies []time.Duration
-	reads     int
-	far       int
+	spreads []float64
+	// latencies are those of reads, pinnedLatencies those of statements for the primary.
+	latencies, pinnedLatencies []time.Duration
+	reads, far                 int
 	// chosen counts, for each window, the reads of the first group and those that were sent to its second upstream.
 	chosen [runTime / window][2]int
 }
@@ -134,12 +142,12 @@
 	load := r.scenario.load(host%regions, r.now)
 	perSecond := load * groups * regions * slots / service.Seconds() / hosts
 	r.after(time.Duration(r.random.ExpFloat64()/perSecond*float64(time.Second)), func() { r.arrive(host) })
-	group := r.random.IntN(groups)
-	if r.random.Float64() < r.scenario.pinned {
-		r.send(host, []int{group*regions + group%regions}, 0, func() {})
+	group, pinned, work := r.random.IntN(groups), r.random.Float64() < r.scenario.pinned, r.random.ExpFloat64()
+	began := r.now
+	if pinned {
+		r.send(host, []int{group*regions + group%regions}, 0, work, func() { r.pinnedLatencies = append(r.pinnedLatencies, r.now-began) })
 		return
 	}
-	began := r.now
 	order := r.choose(host, group)
 	r.reads++
 	if d, _ := distance(host, order[0]); d == balance.DistanceFar {
@@ -151,7 +159,7 @@
 			r.chosen[r.now/window][1]++
 		}
 	}
-	r.send(host, order, 0, func() { r.latencies = append(r.latencies, r.now-began) })
+	r.send(host, order, 0, work, func() { r.latencies = append(r.latencies, r.now-began) })
 }
 
 // choose returns the upstreams of a group in the order of the rule.
@@ -164,7 +172,7 @@
 		options[i].InFlight = r.inFlight[host][u]
 		options[i].Report = r.trackers[host][u].Report(r.time())
 	}
-	order := balance.Choose(options, r.deciders, r.random.Float64).Indexes
+	order := balance.Choose(options, r.deciders, r.draws.Float64).Indexes
 	for i := range order {
 		order[i] += group * regions
 	}
@@ -174,7 +182,7 @@
 func (r *replay) time() ident.Time { return ident.Time(0).Add(time.Hour + r.now) }
 
 // send sends a statement to the upstreams of an order until one takes it.
-func (r *replay) send(host int, order []int, attempt int, done func()) {
+func (r *replay) send(host int, order []int, attempt int, work float64, done func()) {
 	u := order[attempt%len(order)]
 	s := &r.servers[u]
 	_, delay := distance(host, u)
@@ -190,11 +198,11 @@
 	}
 	r.after(delay, func() {
 		if len(s.waiting) >= maxQueue {
-			answer(func() { r.after(retryTime, func() { r.send(host, order, attempt+1, done) }) })
+			answer(func() { r.after(retryTime, func() { r.send(host, order, attempt+1, work, done) }) })
 			return
 		}
 		r.count(s)
-		s.waiting = append(s.waiting, func() { answer(done) })
+		s.waiting = append(s.waiting, job{work, func() { answer(done) }})
 		r.start(u)
 	})
 }
@@ -203,16 +211,16 @@
 func (r *replay) start(u int) {
 	s := &r.servers[u]
 	for s.running < slots && len(s.waiting) > 0 {
-		done := s.waiting[0]
+		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		s.running++
-		took := time.Duration(r.random.ExpFloat64() * r.scenario.slowFactor(u, r.now) * float64(service))
+		took := time.Duration(next.work * r.scenario.slowFactor(u, r.now) * float64(service))
 		r.after(took, func() {
 			s.service.Record(took, s.running, slots)
 			r.count(s)
 			s.running--
 			r.start(u)
-			done()
+			next.done()
 		})
 	}
 }
@@ -238,7 +246,7 @@
 
 // run replays a scenario.
 func run(s scenario, deciders int, seed uint64) *replay {
-	r := &replay{scenario: s, deciders: deciders, random: rand.New(rand.NewPCG(seed, 0))}
+	r := &replay{scenario: s, deciders: deciders, random: rand.New(rand.NewPCG(seed, 0)), draws: rand.New(rand.NewPCG(seed, 1))}
 	for host := range hosts {
 		r.after(time.Duration(r.random.Int64N(int64(50*time.Millisecond))), func() { r.arrive(host) })
 	}
@@ -260,6 +268,18 @@
 	return sum
 }
 
+// quantiles returns the mean, the median and the 99th percentile of latencies in milliseconds.
+func quantiles(latencies []time.Duration) string {
+	slices.Sort(latencies)
+	var sum time.Duration
+	for _, l := range latencies {
+		sum += l
+	}
+	n := len(latencies)
+	ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
+	return fmt.Sprintf("%5.1f %5.1f %6.1f", ms(sum)/float64(n), ms(latencies[n/2]), ms(latencies[n*99/100]))
+}
+
 // Guards against upstreams that are overrun in turns while others idle, since many hosts act on the same old reports, and against
 // calm load that is moved to distant upstreams.
 func TestReplay(t *testing.T) {
@@ -272,14 +292,8 @@
 				deciders int
 			}{{"own load", 0}, {"reports", hosts}} {
 				r := run(s, rule.deciders, seed)
-				slices.Sort(r.latencies)
-				n := len(r.latencies)
-				var milliseconds []float64
-				for _, l := range r.latencies {
-					milliseconds = append(milliseconds, l.Seconds()*1000)
-				}
-				fmt.Fprintf(&out, "  seed %d, by %-8s  busiest/mean %.2f  mean %5.1f  p50 %5.1f  p99 %6.1f ms  other region %4.1f%%\n", seed, rule.name,
-					mean(r.spreads), mean(milliseconds), r.latencies[n/2].Seconds()*1000, r.latencies[n*99/100].Seconds()*1000, float64(r.far)/float64(r.reads)*100)
+				fmt.Fprintf(&out, "  seed %d, by %-8s  busiest/mean %.2f  reads %s  pinned %s  other region %4.1f%%\n", seed, rule.name,
+					mean(r.spreads), quantiles(r.latencies), quantiles(r.pinnedLatencies), float64(r.far)/float64(r.reads)*100)
 				if s.slowFactor(1, (slowFrom+slowTo)/2) > 2 {
 					fmt.Fprintf(&out, "    share of its group's reads by the second:")
 					for _, c := range r.chosen {
