--- /dev/null
+++ b/node/upstream/load_test.go
@@ -0,0 +1,39 @@
+package upstream
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/balance"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// Guards against a reported load without the statements that wait, without those of a transaction, or with spare statements as slots;
+// against failures that make an upstream look fast; and against one that looks idle because its warm-up limits what it gets.
+func TestMeasuredLoad(t *testing.T) {
+	pool := NewPool(Target{}, nil, 1)
+	pool.SetCapacity(2)
+	load := func() balance.Load { return pool.MeasuredLoad(steady.Now()) }
+	for range 2 + spareStatements {
+		require.NoError(t, pool.limiter.acquire(t.Context(), "team", 1, false))
+	}
+	require.NoError(t, pool.limiter.acquire(t.Context(), "team", 1, true))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- pool.limiter.acquire(ctx, "team", 1, false) }()
+	require.Eventually(t, func() bool { return load().Waiting == 1 }, time.Minute, time.Millisecond)
+	require.Equal(t, balance.Load{Waiting: 1, Running: 5, Slots: 2}, load())
+	cancel()
+	require.Error(t, <-ended)
+
+	pool.recordService(steady.Now(), &statement.Result{Failure: &statement.Failure{Code: statement.CodeBusy}}, nil)
+	require.Zero(t, load().Service)
+	pool.recordService(steady.Now().Add(-5*time.Second), &statement.Result{}, nil)
+	require.GreaterOrEqual(t, load().Service, 2*time.Second, "two slots take 2 s each for five statements that end after 5 s")
+	pool.SetWarmup(steady.Now().Add(time.Hour), 0.5)
+	require.Equal(t, 4*time.Second, load().Service, "a statement each 2 s on two slots")
+}
