Split the order of upstreams into its rules

order.go held the choice, the order by own load and the draw. Each has its file now, and expected times are bounded so that no report makes them overflow.

--- a/fleet/balance/estimate.go
+++ b/fleet/balance/estimate.go
@@ -12,6 +12,8 @@
 	serviceHalfLife = 2 * time.Second
 	// defaultService is the service time of an upstream when none was reported for any.
 	defaultService = 10 * time.Millisecond
+	// maxTime bounds expected times; no statement is waited for that long.
+	maxTime = time.Hour
 	// primaryReserve is the number of slots that reads leave to the other statements of a primary that is busier than its replicas.
 	primaryReserve = 1
 )
@@ -90,6 +92,7 @@
 	return math.Max(0, r.Load.work()+float64(r.Sent)+others-served)
 }
 
+// seconds returns a duration of s seconds, within maxTime.
 func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+	return time.Duration(math.Min(s, maxTime.Seconds()) * float64(time.Second))
 }
--- a/fleet/balance/order.go
+++ b/fleet/balance/order.go
@@ -1,11 +1,6 @@
 package balance
 
-import (
-	"cmp"
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 //go:generate enumer -type=Distance -trimprefix=Distance -transform=snake
 //go:generate enumer -type=Reason -trimprefix=Reason -transform=snake
@@ -79,25 +74,20 @@
 		return Order{Indexes: byOwnLoad(options), Reason: ReasonOwnLoad}
 	}
 	times := expectedTimes(options, hosts)
-	var left, avoided []int
-	for i := range options {
-		if options[i].Avoid {
+	var usable, avoided []int
+	for i, o := range options {
+		if o.Avoid {
 			avoided = append(avoided, i)
 		} else {
-			left = append(left, i)
+			usable = append(usable, i)
 		}
 	}
+	near := nearest(options, usable)
 	order := Order{Indexes: make([]int, 0, len(options)), Reason: ReasonNear}
-	for _, left := range [][]int{left, avoided} {
-		for len(left) > 0 {
-			weights := weights(options, times, left)
-			at := pick(weights, draw())
-			if len(order.Indexes) == 0 && options[left[at]].Distance > nearest(options, left) {
-				order.Reason = ReasonMoved
-			}
-			order.Indexes = append(order.Indexes, left[at])
-			left = slices.Delete(left, at, at+1)
-		}
+	order.Indexes = appendDrawn(order.Indexes, options, times, usable, draw)
+	order.Indexes = appendDrawn(order.Indexes, options, times, avoided, draw)
+	if options[order.Indexes[0]].Distance > near {
+		order.Reason = ReasonMoved
 	}
 	return order
 }
@@ -117,101 +107,3 @@
 	// Options without a report count like the mean of the others.
 	return hosts*known >= hostsPerSlot*slots*len(options)
 }
-
-// Costs of the order by a host's own load, as equivalent waiting time.
-const (
-	costPerStatement = 10 * time.Millisecond
-	costAvoided      = time.Second
-)
-
-// byOwnLoad orders options by distance, the host's own statements and recent failures.
-func byOwnLoad(options []Option) []int {
-	cost := func(o Option) time.Duration {
-		cost := time.Duration(o.InFlight)*costPerStatement + o.Distance.cost()
-		if o.Avoid {
-			cost += costAvoided
-		}
-		return cost
-	}
-	indexes := make([]int, len(options))
-	for i := range indexes {
-		indexes[i] = i
-	}
-	slices.SortStableFunc(indexes, func(i, j int) int { return cmp.Compare(cost(options[i]), cost(options[j])) })
-	return indexes
-}
-
-// Bounds of the choice of an upstream that is not the nearest.
-const (
-	// moveMargin is the gain in time up to which a statement stays near: the bytes that cross zones and regions are paid.
-	moveMargin = 20 * time.Millisecond
-	// moveScale is the gain beyond the margin at which all but 1/e of the statements leave.
-	moveScale = 30 * time.Millisecond
-)
-
-// weights returns the probabilities with which each of the options left is chosen, up to a common factor. The nearest options share
-// what stays near by their expected times; those that are farther away share the rest by how much earlier they are expected to answer.
-func weights(options []Option, times []time.Duration, left []int) []float64 {
-	near := nearest(options, left)
-	nearTime, bestTime := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
-	for _, i := range left {
-		bestTime = min(bestTime, times[i])
-		if options[i].Distance == near {
-			nearTime = min(nearTime, times[i])
-		}
-	}
-	stay := 1.0
-	if gain := nearTime - bestTime - moveMargin; gain > 0 {
-		stay = math.Exp(-gain.Seconds() / moveScale.Seconds())
-	}
-	list := make([]float64, len(left))
-	var nearSum, farSum float64
-	for at, i := range left {
-		if options[i].Distance == near {
-			list[at] = math.Exp(-(times[i] - nearTime).Seconds() / moveScale.Seconds())
-			nearSum += list[at]
-		} else {
-			list[at] = max(0, (nearTime - times[i] - moveMargin).Seconds())
-			farSum += list[at]
-		}
-	}
-	for at, i := range left {
-		switch {
-		case options[i].Distance == near:
-			list[at] *= stay / nearSum
-		case farSum > 0:
-			list[at] *= (1 - stay) / farSum
-		}
-	}
-	return list
-}
-
-// nearest returns the least distance of the options left.
-func nearest(options []Option, left []int) Distance {
-	near := DistanceFar
-	for _, i := range left {
-		near = min(near, options[i].Distance)
-	}
-	return near
-}
-
-// pick returns the index that a random number in [0, 1) selects with the given weights.
-func pick(weights []float64, drawn float64) int {
-	var sum float64
-	for _, w := range weights {
-		sum += w
-	}
-	drawn *= sum
-	last := 0
-	for i, w := range weights {
-		if w <= 0 {
-			continue
-		}
-		if drawn < w {
-			return i
-		}
-		drawn -= w
-		last = i
-	}
-	return last
-}
--- a/fleet/balance/order_test.go
+++ b/fleet/balance/order_test.go
@@ -20,8 +20,8 @@
 }
 
 // Guards against calm load that leaves the near upstream, a share that leaves a busy or slow upstream or comes back to it all at once,
-// an old report that counts like a new one, a primary without room for its writes, an order that prefers an upstream that failed, and
-// another order than the former one where hosts are few or nothing is reported.
+// an old report that counts like a new one, a primary without room for its writes, an order that prefers an upstream that failed,
+// times that overflow, and another order than the former one where hosts are few or nothing is reported.
 func TestChoose(t *testing.T) {
 	const ms = time.Millisecond
 	near := func(r balance.Report) balance.Option { return balance.Option{Report: r} }
@@ -63,6 +63,7 @@
 		{"near was slow 2 s ago", hosts, []balance.Option{idle, near(report(4, 90*ms, 2*time.Second)), idle}},
 		{"near was slow 6 s ago", hosts, []balance.Option{idle, near(report(4, 90*ms, 6*time.Second)), idle}},
 		{"all are full", hosts, []balance.Option{far(report(36, 15*ms, 0)), near(report(36, 15*ms, 0)), far(report(36, 15*ms, 0))}},
+		{"near reports absurd numbers", hosts, []balance.Option{idle, near(report(1<<32, time.Hour, 0)), idle}},
 		{"two are near", hosts, []balance.Option{near(report(4, 15*ms, 0)), near(report(10, 15*ms, 0)), idle}},
 		{"near has failed", hosts, []balance.Option{idle, avoided, idle}},
 		{"only near is not reported", hosts, []balance.Option{idle, near(unknown), idle}},
