Notice a gateway that answers nobody by the host's own statements

Cause: a gateway that stands still reports nothing, so its last report faded to the mean and the hosts near it kept sending until their calls failed; the former order left after three statements of its own in flight.

--- a/fleet/balance/estimate.go
+++ b/fleet/balance/estimate.go
@@ -76,12 +76,20 @@
 		}
 		work += trust(r.Age, workHalfLife) * (workNow(r, slots, service, hosts) - mean.work)
 	}
-	work = math.Max(work, float64(o.InFlight))
 	if o.Primary && work > mean.work {
 		slots = math.Max(1, slots-primaryReserve)
 	}
-	wait := math.Max(0, work+1-slots) / slots * service.Seconds()
-	return seconds(wait) + service + o.Distance.cost()
+	wait := seconds(math.Max(0, work+1-slots) / slots * service.Seconds())
+	return max(wait, ownWait(o)) + service + o.Distance.cost()
+}
+
+// ownWait returns the wait that the host's own statements show. It notices an upstream or a gateway that answers nobody, and from
+// which therefore no report comes.
+func ownWait(o Option) time.Duration {
+	if o.InFlight == 0 {
+		return 0
+	}
+	return max(time.Duration(o.InFlight)*costPerStatement, min(o.Report.Silence, maxTime))
 }
 
 // workNow carries the reported work forward: statements that this host and, by its rate, the others have sent since the report were
--- a/fleet/balance/order_test.go
+++ b/fleet/balance/order_test.go
@@ -20,8 +20,8 @@
 }
 
 // Guards against calm load that leaves the near upstream, a share that leaves a busy or slow upstream or comes back to it all at once,
-// an old report that counts like a new one, a primary without room for its writes, an order that prefers an upstream that failed,
-// times that overflow, and another order than the former one where hosts are few or nothing is reported.
+// an old report that counts like a new one, a primary without room for its writes, a gateway that answers nobody and gets all reads of
+// its zone until they fail, an order that prefers an upstream that failed, times that overflow, and another order than the former one where hosts are few or nothing is reported.
 func TestChoose(t *testing.T) {
 	const ms = time.Millisecond
 	near := func(r balance.Report) balance.Option { return balance.Option{Report: r} }
@@ -42,6 +42,11 @@
 		return o
 	}
 	const even, over = 4, 6
+	silent := func(silence time.Duration) balance.Option {
+		o := near(report(2, 15*ms, silence))
+		o.InFlight, o.Report.Silence = 1, silence
+		return o
+	}
 	var out strings.Builder
 	for _, c := range []struct {
 		name    string
@@ -65,6 +70,9 @@
 		{"all are full", hosts, []balance.Option{far(report(36, 15*ms, 0)), near(report(36, 15*ms, 0)), far(report(36, 15*ms, 0))}},
 		{"near reports absurd numbers", hosts, []balance.Option{idle, near(report(1<<32, time.Hour, 0)), idle}},
 		{"two are near", hosts, []balance.Option{near(report(4, 15*ms, 0)), near(report(10, 15*ms, 0)), idle}},
+		{"near has not answered for 60 ms", hosts, []balance.Option{idle, silent(60 * ms), idle}},
+		{"near has not answered for 90 ms", hosts, []balance.Option{idle, silent(90 * ms), idle}},
+		{"near has not answered for 200 ms", hosts, []balance.Option{idle, silent(200 * ms), idle}},
 		{"near has failed", hosts, []balance.Option{idle, avoided, idle}},
 		{"only near is not reported", hosts, []balance.Option{idle, near(unknown), idle}},
 		{"few hosts", 11, []balance.Option{idle, near(report(36, 15*ms, 0)), idle}},
@@ -95,15 +103,16 @@
 	var out strings.Builder
 	show := func(what string, at time.Duration) {
 		r := tracker.Report(start.Add(at))
-		fmt.Fprintf(&out, "%-22s known %-5t age %-5v work %d, sent %d, rate %.2f\n", what, r.Known, r.Age, r.Load.Waiting+r.Load.Running, r.Sent, r.Rate)
+		fmt.Fprintf(&out, "%-22s known %-5t age %-5v work %d, sent %d, rate %.2f, silence %v\n", what, r.Known, r.Age,
+			r.Load.Waiting+r.Load.Running, r.Sent, r.Rate, r.Silence)
 	}
 	show("nothing", 0)
 	for i := range 40 {
-		tracker.RecordSent(start.Add(time.Duration(i) * 250 * time.Millisecond))
+		tracker.RecordSent(start.Add(time.Duration(i)*250*time.Millisecond), false)
 	}
 	tracker.RecordLoad(start.Add(10*time.Second), balance.Load{Waiting: 2, Running: 4, Slots: 4, Service: service})
 	show("4 a second for 10 s", 10*time.Second)
-	tracker.RecordSent(start.Add(10 * time.Second))
+	tracker.RecordSent(start.Add(10*time.Second), true)
 	show("another 0.5 s later", 10500*time.Millisecond)
 	show("nothing for 10 s", 20*time.Second)
 	goldie.New(t).Assert(t, "tracker", []byte(out.String()))
--- a/fleet/balance/replay_test.go
+++ b/fleet/balance/replay_test.go
@@ -187,7 +187,7 @@
 	s := &r.servers[u]
 	_, delay := distance(host, u)
 	r.inFlight[host][u]++
-	r.trackers[host][u].RecordSent(r.time())
+	r.trackers[host][u].RecordSent(r.time(), r.inFlight[host][u] == 1)
 	answer := func(then func()) {
 		load := balance.Load{Waiting: len(s.waiting), Running: s.running, Slots: slots, Service: s.service.Mean()}
 		r.after(delay, func() {
--- a/fleet/balance/tracker.go
+++ b/fleet/balance/tracker.go
@@ -21,15 +21,26 @@
 	// rate is the rate of the host's own statements per second, as of rateAt.
 	rate   float64
 	rateAt ident.Time
+	// silentSince is the time of the last answer, or that of a later statement that was sent while none was in flight.
+	silentSince ident.Time
 }
 
 // RecordLoad records a report of the gateway.
 func (t *Tracker) RecordLoad(now ident.Time, load Load) {
 	t.load, t.at, t.sent = load, now, 0
+	t.RecordAnswer(now)
 }
 
-// RecordSent counts a statement that the host sends to the upstream.
-func (t *Tracker) RecordSent(now ident.Time) {
+// RecordAnswer records an answer without a report.
+func (t *Tracker) RecordAnswer(now ident.Time) {
+	t.silentSince = now
+}
+
+// RecordSent counts a statement that the host sends to the upstream. alone is set if the host has no other one in flight there.
+func (t *Tracker) RecordSent(now ident.Time, alone bool) {
+	if alone {
+		t.silentSince = now
+	}
 	t.sent++
 	t.rate = t.rateNow(now) + 1/rateWindow.Seconds()
 	t.rateAt = now
@@ -37,10 +48,13 @@
 
 // Report returns what the host knows of the upstream's load.
 func (t *Tracker) Report(now ident.Time) Report {
+	report := Report{Silence: max(0, now.Sub(t.silentSince))}
 	if t.at == 0 {
-		return Report{}
+		return report
 	}
-	return Report{Load: t.load, Known: true, Age: max(0, now.Sub(t.at)), Sent: t.sent, Rate: t.rateNow(now)}
+	report.Load, report.Known, report.Age = t.load, true, max(0, now.Sub(t.at))
+	report.Sent, report.Rate = t.sent, t.rateNow(now)
+	return report
 }
 
 func (t *Tracker) rateNow(now ident.Time) float64 {
@@ -57,4 +71,6 @@
 	// Sent counts the host's statements since the report; Rate is how many it sends per second.
 	Sent int
 	Rate float64
+	// Silence is the time without an answer, since the first of the statements that are in flight; it says nothing if there are none.
+	Silence time.Duration
 }
--- a/node/routing/candidates.go
+++ b/node/routing/candidates.go
@@ -93,7 +93,7 @@
 	}
 	if chosen := gatewayOf(t.hosts, target); chosen != nil && chosen.GetHost() == string(t.options.Host) {
 		// This host holds the upstream's connections and measures its load itself.
-		option.Report = balance.Report{Load: pool.MeasuredLoad(now), Known: true}
+		option.Report = balance.Report{Load: pool.MeasuredLoad(now), Known: true, Silence: option.Report.Silence}
 	}
 	return option
 }
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -91,6 +91,7 @@
 	switch {
 	case err == nil:
 		c.pool.RecordReachable()
+		c.pool.RecordReply(steady.Now())
 	case !c.gatewayFailed && (errors.As(err, &broken) || errors.As(err, &unreachable)):
 		c.pool.RecordFailure(steady.Now())
 	}
--- a/node/upstream/load.go
+++ b/node/upstream/load.go
@@ -27,11 +27,19 @@
 	p.meter.tracker.RecordLoad(now, load)
 }
 
-// RecordSent counts a statement that this host sends to the upstream.
+// RecordReply records an answer of the upstream to this host.
+func (p *Pool) RecordReply(now ident.Time) {
+	p.meter.mu.Lock()
+	defer p.meter.mu.Unlock()
+	p.meter.tracker.RecordAnswer(now)
+}
+
+// RecordSent counts a statement that this host sends to the upstream, after BeginStatement.
 func (p *Pool) RecordSent(now ident.Time) {
+	alone := p.Load(now).InFlight <= 1
 	p.meter.mu.Lock()
 	defer p.meter.mu.Unlock()
-	p.meter.tracker.RecordSent(now)
+	p.meter.tracker.RecordSent(now, alone)
 }
 
 // Report returns the load that the upstream's gateway has reported, as known to this host.
