--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -126,6 +126,24 @@
 	return s.waiting + len(s.lane)
 }
 
+// Running returns the number of statements that have a slot.
+func (s *Scheduler) Running() int {
+	return s.running
+}
+
+// Limit returns the number of statements that the upstream gets at a time.
+func (s *Scheduler) Limit() int {
+	return s.limit
+}
+
+// WarmupRate returns the statements per second to which a warm-up limits the upstream, or 0 unless it warms up.
+func (s *Scheduler) WarmupRate(now ident.Time) float64 {
+	if now < s.warmup.end {
+		return s.warmup.rate
+	}
+	return 0
+}
+
 // Arrive adds a statement. A statement that holds a connection gets a slot, any other one a reservation, now or by a later decision;
 // or it is refused. The decisions may concern other statements as well.
 func (s *Scheduler) Arrive(now ident.Time, request Request) (ID, []Decision) {
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -114,6 +114,7 @@
 		},
 		Opened: positionFromProto(response.GetOpened()),
 		Ran:    response.GetRan(),
+		Load:   loadFromProto(response.GetLoad()),
 	}
 	outcome.Result.Failure = failureFromProto(response)
 	switch {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -63,6 +65,7 @@
 		State:     uint32(outcome.Result.State),
 		Position:  positionToProto(outcome.Result.Position),
 		Opened:    positionToProto(outcome.Opened),
+		Load:      loadToProto(outcome.Load),
 	}
 	if f := failureOf(outcome, err); f != nil {
 		response.RetryMs = uint32(max(0, (f.Retry+time.Millisecond-1)/time.Millisecond))
@@ -104,6 +107,30 @@
 	return &statement.Failure{Code: statement.Code(f.GetCode()), Text: string(f.GetText()), Retry: retry}
 }
 
+// maxService is the longest service time that a message carries.
+const maxService = math.MaxUint32 * time.Microsecond
+
+func loadToProto(load balance.Load) *fleetpb.UpstreamLoad {
+	if load == (balance.Load{}) {
+		return nil
+	}
+	return &fleetpb.UpstreamLoad{
+		Waiting:   uint32(load.Waiting),
+		Running:   uint32(load.Running),
+		Slots:     uint32(load.Slots),
+		ServiceUs: uint32(min(load.Service, maxService) / time.Microsecond),
+	}
+}
+
+func loadFromProto(load *fleetpb.UpstreamLoad) balance.Load {
+	return balance.Load{
+		Waiting: int(load.GetWaiting()),
+		Running: int(load.GetRunning()),
+		Slots:   int(load.GetSlots()),
+		Service: time.Duration(load.GetServiceUs()) * time.Microsecond,
+	}
+}
+
 func rows(texts []string) [][]byte {
 	list := make([][]byte, 0, len(texts))
 	for _, text := range texts {
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackshunt.dev/fleet/admission"
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
@@ -55,6 +56,8 @@
 	// Gateway is the peer address of the gateway that the statement was sent to, and Lease names the connection that it kept for the
 	// statement's transaction. Both are empty for this host's own connections.
 	Gateway, Lease string
+	// Load is the load of the upstream as the host that ran the statement measures it, or zero if it is not known.
+	Load balance.Load
 }
 
 // Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError or a
@@ -87,13 +90,13 @@
 
 // Execute implements Executor. A statement waits for its turn before it takes a connection. It gives its slot back after the
 // connection, so that the next statement finds it.
-func (d *directExecutor) Execute(ctx context.Context, use Use) (Outcome, error) {
+func (d *directExecutor) Execute(ctx context.Context, use Use) (outcome Outcome, err error) {
+	defer func() { outcome.Load = d.pool.MeasuredLoad(steady.Now()) }()
 	id, err := d.admit(ctx, &use)
 	if err != nil {
 		d.Close()
 		return Outcome{}, err
 	}
-	var outcome Outcome
 	if use.ID != "" {
 		defer func() { d.leave(id, outcome, err) }()
 	}
@@ -221,6 +224,8 @@
 		request = statement.Execute{Name: name, Arguments: use.Text}
 	}
 	outcome.Ran = true
+	began := steady.Now()
+	defer func() { d.pool.recordService(began, &outcome.Result, err) }()
 	ended := d.pool.began(d.team, inside)
 	outcome.Result, err = c.Run(use.ID, since, request, use.Timeout)
 	ended(outcome.Result, err)
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -122,7 +122,8 @@
 // upstream that can't be reached.
 func TestNoConnectionInTime(t *testing.T) {
 	p := NewPool(Target{Service: "svc", Upstream: "i-1"}, nil, 1)
-	p.total = 1 // the only connection is taken
+	_, _, err := p.request(steady.Now(), "t", 0)
+	require.NoError(t, err, "the only connection is taken")
 	for range 10 {
 		_, err := p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: time.Millisecond})
 		var refused *statement.Failure
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -25,6 +25,7 @@
 	target   Target
 	protocol Protocol
 	limiter  *limiter
+	loads    loadMeter
 	mu       sync.Mutex
 	// meter counts the operations, nil if usage is not reported.
 	meter Meter
