--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -28,12 +28,19 @@
 	refused      map[ident.Team]int
 	longestWaits map[ident.Team]ident.Time
 	waiting      map[string]waiting // by waiterKey
+	period       time.Duration      // options of the borrowers
+	prefetch     int64
+	requests     int // callers' requests so far
+	bytes        int // sum of the messages' sizes
+	// decided, if not nil, is called with each request's outcome.
+	decided func(w waiting, refused *limit.Exceeded)
 }
 
 // waiting is a request that has no token yet.
 type waiting struct {
-	team  ident.Team
-	since ident.Time
+	limit.Request
+	since  ident.Time
+	number int // of the request in the simulation
 }
 
 // message is a message in transit: a borrow request, or the response to its borrower.
@@ -68,20 +75,39 @@
 	sim.incarnations[host]++
 	sim.busyUntil[host] = 0
 	sim.borrowers[host] = limit.NewBorrower(limit.BorrowerOptions{
-		Host: ident.Host(fmt.Sprint("entry", host)), Incarnation: sim.incarnations[host],
+		Host: ident.Host(fmt.Sprint("entry", host)), Incarnation: sim.incarnations[host], Period: sim.period, Prefetch: sim.prefetch,
 	})
 }
 
 func (sim *simulation) take(host int, team ident.Team) {
-	decision, _ := sim.borrowers[host].Take(sim.now, limit.Request{Team: team}, sim.now+5000*ms)
+	sim.takeFor(host, limit.Request{Team: team}, sim.now+5000*ms)
+}
+
+func (sim *simulation) takeFor(host int, request limit.Request, deadline ident.Time) {
+	decision, _ := sim.borrowers[host].Take(sim.now, request, deadline)
+	sim.requests++
+	w := waiting{request, sim.now, sim.requests}
 	switch d := decision.(type) {
 	case limit.Spent:
-		sim.spends[team] = append(sim.spends[team], sim.now)
+		sim.decide(w, nil)
 	case limit.Wait:
-		sim.waiting[sim.waiterKey(host, d.ID)] = waiting{team, sim.now}
+		sim.waiting[sim.waiterKey(host, d.ID)] = w
 	case limit.Refuse:
-		sim.refused[team]++
+		sim.decide(w, &d.Exceeded)
+	}
+}
+
+// decide records the outcome of a request.
+func (sim *simulation) decide(w waiting, refused *limit.Exceeded) {
+	if sim.decided != nil {
+		sim.decided(w, refused)
 	}
+	if refused != nil {
+		sim.refused[w.Team]++
+		return
+	}
+	sim.spends[w.Team] = append(sim.spends[w.Team], sim.now)
+	sim.longestWaits[w.Team] = max(sim.longestWaits[w.Team], sim.now-w.since)
 }
 
 func (sim *simulation) waiterKey(host int, id limit.WaiterID) string {
@@ -90,14 +116,9 @@
 
 func (sim *simulation) applyOutcomes(host int, list []limit.Outcome) {
 	for _, o := range list {
-		request := sim.waiting[sim.waiterKey(host, o.ID)]
+		w := sim.waiting[sim.waiterKey(host, o.ID)]
 		delete(sim.waiting, sim.waiterKey(host, o.ID))
-		if o.Refused != nil {
-			sim.refused[request.team]++
-			continue
-		}
-		sim.spends[request.team] = append(sim.spends[request.team], sim.now)
-		sim.longestWaits[request.team] = max(sim.longestWaits[request.team], sim.now-request.since)
+		sim.decide(w, o.Refused)
 	}
 }
 
@@ -112,6 +133,7 @@
 	if request == nil {
 		return false
 	}
+	sim.bytes += proto.Size(request)
 	sim.busyUntil[host] = sim.now + 100*ms
 	if sim.down {
 		requestDelay = -1
@@ -130,6 +152,11 @@
 
 // deliver delivers the messages that have arrived. The response to a delivered request arrives after responseDelay.
 func (sim *simulation) deliver(responseDelay ident.Time) {
+	sim.deliverWith(func(int) ident.Time { return responseDelay })
+}
+
+// deliverWith is deliver with a delay of the responses for each host.
+func (sim *simulation) deliverWith(delay func(host int) ident.Time) {
 	for i := 0; i < len(sim.messages); i++ {
 		m := sim.messages[i]
 		if m.at > sim.now {
@@ -138,8 +165,10 @@
 		sim.messages = slices.Delete(sim.messages, i, i+1)
 		i--
 		if m.request != nil {
+			responseDelay := delay(m.host)
 			response := sim.owner.Borrow(sim.now, proto.Clone(m.request).(*fleetpb.BorrowRequest))
 			if responseDelay >= 0 {
+				sim.bytes += proto.Size(response)
 				sim.messages = append(sim.messages, message{
 					at: sim.now + responseDelay, host: m.host, incarnation: m.incarnation, response: response,
 				})
