--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -85,7 +85,7 @@
 type Decision interface{ decision() }
 
 // Spent means that a token was spent and the request may run.
-type Spent struct{}
+type Spent struct{ Receipt Receipt }
 
 // Wait means that the request waits until HandleResponse, HandleFailure or Expire returns its outcome. It is refused
 // at Until or, when no owner has responded by then, at a later time up to its deadline.
@@ -108,6 +108,8 @@
 	Priority int
 	// MaxWait is the longest wait while the owner lends; 0 means DefaultMaxWait.
 	MaxWait time.Duration
+	// Receipt, if not nil, receives what Refund needs once a token was spent.
+	Receipt *Receipt
 }
 
 // Take spends a token of the request's team, or queues the request for at most its MaxWait and until its deadline.
@@ -117,8 +119,10 @@
 	lb.mu.Lock()
 	defer lb.mu.Unlock()
 	lb.demand.count(now)
-	if len(lb.waiters) == 0 && lb.spend(now) {
-		return Spent{}, b.lowerDue(b.afterLastRequest(b.opts.Period))
+	if len(lb.waiters) == 0 {
+		if receipt, spent := lb.spend(now); spent {
+			return Spent{receipt}, b.lowerDue(b.afterLastRequest(b.opts.Period))
+		}
 	}
 	if lb.ownerUnresponsive && lb.reserve.spend(now) {
 		return Spent{}, b.lowerDue(b.afterLastRequest(b.opts.Period))
@@ -132,16 +136,27 @@
 	w := waiter{
 		id: WaiterID(b.lastWaiter.Add(1)), since: now, deadline: deadline, priority: request.Priority, maxWait: request.MaxWait,
 	}
+	if lb.comesTooLate(now, w, lb.waitersUpTo(w.priority)) {
+		return Refuse{*lb.tooLate(now, w)}, false
+	}
 	until := w.deadline
 	if !lb.ownerUnresponsive {
 		until = lb.maxWaitEnd(w)
 	}
 	lb.enqueue(w)
-	if lb.retryAfter > 0 {
+	return Wait{w.id, until}, b.lowerDue(max(now, b.requestAt(now, lb, w)))
+}
+
+// requestAt returns the time of the borrow request for a request that waits.
+func (b *Borrower) requestAt(now ident.Time, lb *localBucket, w waiter) ident.Time {
+	switch {
+	case lb.retryAfter > 0:
 		// The owner has just lent less than was wanted, so a sooner request would only add load.
-		return Wait{w.id, until}, b.lowerDue(b.afterLastRequest(lb.retryAfter))
+		return b.afterLastRequest(lb.retryAfter)
+	case lb.forecast.appliesTo(now, w.priority):
+		return max(lb.forecast.askAt, b.afterLastRequest(minRequestGap))
 	}
-	return Wait{w.id, until}, b.lowerDue(max(now, b.afterLastRequest(minRequestGap)))
+	return b.afterLastRequest(minRequestGap)
 }
 
 func (b *Borrower) afterLastRequest(d time.Duration) ident.Time {
@@ -252,13 +267,14 @@
 // Outcome is the result of a waiting request: it got its token or was refused.
 type Outcome struct {
 	ID WaiterID
-	// Refused is nil when a token was spent for the request.
+	// Refused is nil when a token was spent for the request, which Receipt identifies then.
 	Refused *Exceeded
+	Receipt Receipt
 }
 
 // HandleResponse handles the owner's response and returns the outcomes of the waiting requests that it decides: for
-// each team the refused ones, then those that got a token, both by priority and age. Repeated and unknown responses are
-// ignored, and so is a loan that has expired before its response arrives.
+// each team the refused ones, then those that got a token, both by priority and age; of a scarce team, those whose wait is over or
+// would end before their token comes are the last. Repeated and unknown responses are ignored, and so is a loan that has expired before its response arrives.
 func (b *Borrower) HandleResponse(now ident.Time, response *fleetpb.BorrowResponse) []Outcome {
 	at, found := b.inFlight[response.GetSeq()]
 	if !found || response.GetLeader() != "" {
@@ -268,7 +284,6 @@
 	if response.GetLifetimeMs() == 0 {
 		return b.HandleFailure(now)
 	}
-	expires := at.Add(time.Duration(response.GetLifetimeMs()) * time.Millisecond)
 	lent := map[ident.Team]*fleetpb.Tokens{}
 	for _, t := range response.GetLent() {
 		lent[ident.Team(t.GetTeam())] = t
@@ -276,12 +291,22 @@
 	var outcomes []Outcome
 	for _, lb := range b.sortedBuckets() {
 		t := lent[lb.team]
-		retry := time.Duration(t.GetRetryMs()) * time.Millisecond
-		outcomes = append(outcomes, lb.handleResponse(now, response.GetSeq(), int64(t.GetAmount()), retry, expires)...)
+		outcomes = append(outcomes, lb.handleResponse(now, answer{
+			seq: response.GetSeq(), lent: int64(t.GetAmount()), asked: at, expires: at.Add(duration(response.GetLifetimeMs())),
+			scarce: t.GetScarce(), forecast: forecast{retry: duration(t.GetRetryMs()), slot: duration(t.GetSlotMs())},
+		})...)
+		if again, needed := lb.askAgainAt(now); needed {
+			b.lowerDue(max(again, b.afterLastRequest(minRetry)))
+		}
 	}
 	return outcomes
 }
 
+// duration converts the milliseconds of a message.
+func duration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
 // HandleFailure handles a failed request, whose response may still arrive, and returns the outcomes of the waiting
 // requests that run on the reserve.
 func (b *Borrower) HandleFailure(now ident.Time) []Outcome {
--- a/fleet/limit/bucket.go
+++ b/fleet/limit/bucket.go
@@ -36,10 +36,14 @@
 	lent int64
 	// wanted is the sum of all borrowers' waiting and predicted demand; it may still contain expired demand.
 	wanted int64
+	// ahead counts those of the lent tokens that were lent for predicted demand.
+	ahead int64
 	// loans is ordered by expiry; spent loans stay until they expire.
 	loans     []*loan
 	borrowers map[borrowerID]*account
 	lastSweep ident.Time
+	// lastWait is when a request of each priority last waited for a token, if the team is scarce.
+	lastWait [Priorities]ident.Time
 }
 
 type loan struct {
@@ -49,17 +53,22 @@
 	outstanding int64
 	returned    int64
 	amount      int64
-	expires     ident.Time
+	// ahead counts the outstanding tokens that were lent for predicted demand.
+	ahead   int64
+	expires ident.Time
 }
 
 // account is the owner's record of one borrower.
 type account struct {
 	loans map[uint64]*loan
-	// waiting is the unmet demand of waiting requests, and predicted that of the next horizon. Both count until
-	// wantExpires.
+	// waiting is the unmet demand of waiting requests, waits the part of each priority in it, and predicted the unmet demand
+	// of the next horizon. They count until wantExpires.
 	waiting     int64
+	waits       [Priorities]int64
 	predicted   int64
 	wantExpires ident.Time
+	// demand is the number of requests in the last demandWindow, as of lastRequest.
+	demand int64
 	// recentLoans is the sum of the borrower's loans, with exponential decay as of decayedAt.
 	recentLoans float64
 	decayedAt   ident.Time
@@ -67,7 +76,11 @@
 }
 
 func newBucket(now ident.Time, rule Rule) *bucket {
-	return &bucket{rule: rule, updated: now, lastSweep: now, borrowers: map[borrowerID]*account{}}
+	b := &bucket{rule: rule, updated: now, lastSweep: now, borrowers: map[borrowerID]*account{}}
+	for p := range b.lastWait {
+		b.lastWait[p] = never
+	}
+	return b
 }
 
 func (b *bucket) setRule(now ident.Time, rule Rule) {
@@ -89,7 +102,7 @@
 		// frees.
 		b.refill(b.loans[n].expires)
 		b.lent -= b.loans[n].outstanding
-		b.loans[n].outstanding = 0
+		b.lower(b.loans[n], 0)
 		b.loans[n] = nil
 		n++
 	}
@@ -127,23 +140,34 @@
 	b.advance(now)
 	if l := b.liveLoan(id, seq); l != nil && amount < l.outstanding {
 		b.lent -= l.outstanding - amount
-		l.outstanding = amount
+		b.lower(l, amount)
 	}
 }
 
+// lower sets the outstanding tokens of a loan.
+func (b *bucket) lower(l *loan, outstanding int64) {
+	l.outstanding = outstanding
+	spent := max(0, l.ahead-outstanding)
+	l.ahead -= spent
+	b.ahead -= spent
+}
+
 // returnTokens puts tokens back into the bucket. Total is the number of all tokens of the loan that the borrower has
-// returned so far; those that earlier reports returned are not put back again. A loan that has expired counts as spent.
-func (b *bucket) returnTokens(now ident.Time, id borrowerID, seq uint64, total int64) {
+// returned so far; those that earlier reports returned are not put back again. A loan that has expired counts as spent. It
+// returns the number of tokens put back.
+func (b *bucket) returnTokens(now ident.Time, id borrowerID, seq uint64, total int64) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
 	l := b.liveLoan(id, seq)
 	if l == nil || total <= l.returned || total > l.amount-l.outstanding {
-		return
+		return 0
 	}
-	b.nanotokens += (total - l.returned) * second
+	returned := total - l.returned
+	b.nanotokens += returned * second
 	l.returned = total
 	b.clamp()
+	return returned
 }
 
 // liveLoan returns a loan that has not expired, or nil.
@@ -159,9 +183,27 @@
 	return l
 }
 
-// lend makes the loan for a borrow request. Want includes waiting, the tokens for requests that wait; the rest is
-// predicted demand. A repeated request gets the same loan as before.
-func (b *bucket) lend(now ident.Time, id borrowerID, seq uint64, want, waiting int64) int64 {
+// want is what a borrow request says about one team.
+type want struct {
+	// amount includes waiting, the tokens for requests that wait; the rest is predicted demand.
+	amount, waiting int64
+	// waits is the part of each priority in waiting.
+	waits [Priorities]int64
+	// patience is how long the most patient of the waiting requests still waits; 0 if it is not known.
+	patience time.Duration
+	demand   int64
+}
+
+// grant is the owner's answer to a want.
+type grant struct {
+	amount int64
+	scarce bool
+	// forecast applies while fewer tokens are lent than requests wait.
+	forecast
+}
+
+// lend makes the loan for a borrow request. A repeated request gets the same loan as before.
+func (b *bucket) lend(now ident.Time, id borrowerID, seq uint64, w want) grant {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -169,14 +211,29 @@
 	now = max(now, b.updated)
 	a := b.account(now, id)
 	if l := a.loans[seq]; l != nil {
-		return l.amount
+		return grant{amount: l.amount, scarce: b.scarce(), forecast: forecast{retry: b.retry()}}
+	}
+	b.setWant(now, a, w)
+	if b.scarce() {
+		return b.lendScarce(now, a, seq, w)
 	}
-	waiting = min(want, waiting)
-	b.wanted += want - a.waiting - a.predicted
-	a.waiting, a.predicted, a.wantExpires = waiting, want-waiting, now.Add(wantLifetime)
 	amount := b.share(now, a)
+	b.addLoan(now, a, seq, amount)
+	return grant{amount: amount, forecast: forecast{retry: b.retry()}}
+}
+
+func (b *bucket) setWant(now ident.Time, a *account, w want) {
+	w.waiting = min(w.amount, w.waiting)
+	b.wanted += w.amount - a.waiting - a.predicted
+	a.waiting, a.predicted, a.waits = w.waiting, w.amount-w.waiting, w.waits
+	a.wantExpires = now.Add(wantLifetime)
+	a.demand = w.demand
+}
+
+// addLoan lends tokens to a borrower, the waiting requests first and the most urgent of them before the others.
+func (b *bucket) addLoan(now ident.Time, a *account, seq uint64, amount int64) {
 	if amount <= 0 {
-		return 0
+		return
 	}
 	a.decay(now)
 	a.recentLoans += float64(amount)
@@ -184,12 +241,17 @@
 	met := min(amount, a.waiting)
 	a.waiting -= met
 	a.predicted -= amount - met
-	l := &loan{seq: seq, outstanding: amount, amount: amount, expires: now.Add(Lifetime)}
+	l := &loan{seq: seq, outstanding: amount, amount: amount, ahead: amount - met, expires: now.Add(Lifetime)}
+	for p := range a.waits {
+		served := min(met, a.waits[p])
+		a.waits[p] -= served
+		met -= served
+	}
 	a.loans[seq] = l
 	b.loans = append(b.loans, l)
 	b.lent += amount
+	b.ahead += l.ahead
 	b.nanotokens -= amount * second
-	return amount
 }
 
 func (b *bucket) account(now ident.Time, id borrowerID) *account {
@@ -271,7 +333,7 @@
 	b.wanted = 0
 	for _, a := range b.borrowers {
 		if now >= a.wantExpires {
-			a.waiting, a.predicted = 0, 0
+			a.waiting, a.predicted, a.waits = 0, 0, [Priorities]int64{}
 		}
 		if a.waiting+a.predicted == 0 {
 			continue
--- a/fleet/limit/cause_enumer.go
+++ b/fleet/limit/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CauseName = "rateno_ownercrowded"
+const _CauseName = "rateno_ownercrowdedtoo_late"
 
-var _CauseIndex = [...]uint8{0, 4, 12, 19}
+var _CauseIndex = [...]uint8{0, 4, 12, 19, 27}
 
-const _CauseLowerName = "rateno_ownercrowded"
+const _CauseLowerName = "rateno_ownercrowdedtoo_late"
 
 func (i Cause) String() string {
 	if i < 0 || i >= Cause(len(_CauseIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[CauseRate-(0)]
 	_ = x[CauseNoOwner-(1)]
 	_ = x[CauseCrowded-(2)]
+	_ = x[CauseTooLate-(3)]
 }
 
-var _CauseValues = []Cause{CauseRate, CauseNoOwner, CauseCrowded}
+var _CauseValues = []Cause{CauseRate, CauseNoOwner, CauseCrowded, CauseTooLate}
 
 var _CauseNameToValueMap = map[string]Cause{
 	_CauseName[0:4]:   CauseRate,
 	_CauseName[4:12]:  CauseNoOwner,
 	_CauseName[12:19]: CauseCrowded,
+	_CauseName[19:27]: CauseTooLate,
 }
 
 var _CauseLowerNameToValueMap = map[string]Cause{
 	_CauseLowerName[0:4]:   CauseRate,
 	_CauseLowerName[4:12]:  CauseNoOwner,
 	_CauseLowerName[12:19]: CauseCrowded,
+	_CauseLowerName[19:27]: CauseTooLate,
 }
 
 var _CauseNames = []string{
 	_CauseName[0:4],
 	_CauseName[4:12],
 	_CauseName[12:19],
+	_CauseName[19:27],
 }
 
 // CauseString retrieves an enum value from the enum constants string name.
--- a/fleet/limit/demand.go
+++ b/fleet/limit/demand.go
@@ -19,6 +19,8 @@
 const (
 	demandSlots = 8
 	demandSlot  = 50 * time.Millisecond
+	// demandWindow is the time over which requests are counted.
+	demandWindow = demandSlots * demandSlot
 	// recentUse is the time after a request for which the next one is expected soon.
 	recentUse = time.Second
 )
@@ -34,16 +36,26 @@
 // with less than one request per horizon therefore borrows on demand only, so that it does not hold tokens that
 // others lack, unless prefetch is set.
 func (d *demand) predict(now ident.Time) int64 {
+	predicted := d.predictMeasured(now)
+	if d.last != 0 && now.Sub(d.last) < recentUse {
+		predicted = max(predicted, d.prefetch)
+	}
+	return predicted
+}
+
+// predictMeasured returns the prediction without the prefetch.
+func (d *demand) predictMeasured(now ident.Time) int64 {
+	return d.measured(now) * int64(horizon) / int64(demandWindow)
+}
+
+// measured returns the number of requests in the last demandWindow.
+func (d *demand) measured(now ident.Time) int64 {
 	d.advance(now)
 	var sum int64
 	for _, n := range d.slots {
 		sum += n
 	}
-	predicted := sum * int64(horizon) / int64(demandSlots*demandSlot)
-	if d.last != 0 && now.Sub(d.last) < recentUse {
-		predicted = max(predicted, d.prefetch)
-	}
-	return predicted
+	return sum
 }
 
 func (d *demand) advance(now ident.Time) {
--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -17,7 +17,7 @@
 )
 
 // Guards invariant 7 (no team exceeds rate and burst over all hosts) against lost, late, reordered and repeated
-// messages, restarted borrowers and changes of owner.
+// messages, restarted borrowers, changes of owner, and tokens that are put back for operations that did not run.
 func TestSpendingStaysWithinRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		rule := limit.Rule{Rate: rapid.Uint32Range(1, 400).Draw(r, "rate"), Burst: rapid.Uint32Range(1, 60).Draw(r, "burst")}
@@ -43,6 +43,11 @@
 				for range rapid.SampledFrom([]int{0, 0, 0, 0, 1, 5, 60}).Draw(r, "requests") {
 					sim.take(host, "stalls")
 				}
+				for range rapid.SampledFrom([]int{0, 0, 1, 10}).Draw(r, "undone") {
+					if n := len(sim.spent); n > 0 {
+						sim.undo(n - 1 - rapid.IntRange(0, min(n-1, 80)).Draw(r, "undone request"))
+					}
+				}
 				sim.expire(host)
 				sim.sendRequest(host, delay("request delay"), delay("response delay"))
 			}
--- a/fleet/limit/local_bucket.go
+++ b/fleet/limit/local_bucket.go
@@ -21,6 +21,8 @@
 	CauseNoOwner
 	// CauseCrowded means that too many requests of the team wait on the host.
 	CauseCrowded
+	// CauseTooLate means that the team is above its rate and that its next token comes after the end of the request's wait.
+	CauseTooLate
 )
 
 //go:generate enumer -type=Cause -trimprefix=Cause -transform=snake
@@ -30,6 +32,8 @@
 	Team   ident.Team
 	Cause  Cause
 	Waited time.Duration
+	// Retry is the time after which a token can be expected; 0 if it is not known.
+	Retry time.Duration
 }
 
 // Error names the team, the cause and the wait.
@@ -39,6 +43,8 @@
 		return fmt.Sprintf("team %s got no token within %v, since the owner of its tokens does not answer", e.Team, rounded(e.Waited))
 	case CauseCrowded:
 		return fmt.Sprintf("team %s has as many requests waiting for tokens on this host as it may", e.Team)
+	case CauseTooLate:
+		return fmt.Sprintf("team %s is above its rate and its next token comes too late", e.Team)
 	default:
 		return fmt.Sprintf("team %s is above its rate and got no token within %v", e.Team, rounded(e.Waited))
 	}
@@ -60,6 +66,12 @@
 	// message until it is answered.
 	waiting   int64
 	wantedSeq uint64
+	// scarce is set while the owner lends the team's tokens on demand, and forecast is its last forecast for requests of
+	// priority forecastFor and less urgent ones. askedFor is the priority of the most urgent request that waited at the last message.
+	scarce    bool
+	forecast  localForecast
+	askedFor  int
+	returning returnTimes
 	// retryAfter is the time between requests while the owner's last response lent less than waiting; 0 otherwise.
 	retryAfter time.Duration
 	// ownerUnresponsive is set while no owner responds to requests for tokens. ownerReturned is when the last such
@@ -80,6 +92,8 @@
 	held     int64
 	returned int64
 	expires  ident.Time
+	// reports is the number of reports to the owner that included the loan.
+	reports uint64
 	// reportedIn is the number of the borrow request that last reported held and returned, 0 after a change. acknowledged
 	// is set once that request is answered.
 	reportedIn   uint64
@@ -101,17 +115,17 @@
 	lb.waiters = slices.Insert(lb.waiters, at, w)
 }
 
-// spend takes one token from the loan that expires first.
-func (lb *localBucket) spend(now ident.Time) bool {
+// spend takes one token from the loan that expires first. It returns false if there is none.
+func (lb *localBucket) spend(now ident.Time) (Receipt, bool) {
 	lb.dropLoans(now)
 	for _, l := range lb.loans {
 		if l.held > 0 {
 			l.held--
 			l.reportedIn, l.acknowledged = 0, false
-			return true
+			return Receipt{Team: lb.team, loan: l.seq, reports: l.reports}, true
 		}
 	}
-	return false
+	return Receipt{}, false
 }
 
 // dropLoans removes expired loans, and spent loans whose last report the owner has acknowledged.
@@ -135,7 +149,7 @@
 	lb.mu.Lock()
 	defer lb.mu.Unlock()
 	lb.dropLoans(now)
-	expected := lb.demand.predict(now)
+	expected := lb.expected(now)
 	if len(lb.waiters) == 0 {
 		lb.returnUnused(now, expected, all)
 	}
@@ -144,27 +158,58 @@
 			continue
 		}
 		l.reportedIn = request.GetSeq()
+		l.reports++
 		request.Held = append(request.Held, lb.tokens(l.held, l.seq))
 		if l.returned > 0 {
 			request.Returned = append(request.Returned, lb.tokens(l.returned, l.seq))
 		}
 	}
 	lb.waiting = int64(len(lb.waiters))
-	if wanted := lb.waiting + expected - lb.held(now); wanted > 0 && !all {
+	if wanted := lb.waiting + expected - lb.held(now); wanted > 0 && !all && (!lb.scarce || lb.waiting > 0) {
 		lb.wantedSeq = request.GetSeq()
-		tokens := lb.tokens(wanted, 0)
-		tokens.Waiting = uint32(min(wanted, lb.waiting))
-		request.Wanted = append(request.Wanted, tokens)
+		request.Wanted = append(request.Wanted, lb.want(now, wanted))
 	}
 	switch {
 	case len(lb.waiters) > 0 && lb.retryAfter > 0:
 		return lb.retryAfter
-	case len(lb.waiters) > 0 || len(lb.loans) > 0 || expected > 0:
+	case len(lb.waiters) > 0 || len(lb.loans) > 0 || (expected > 0 && !lb.scarce):
 		return lb.period
 	}
 	return 0
 }
 
+// expected returns the predicted demand. Tokens of a scarce team are borrowed in advance for measured demand only.
+func (lb *localBucket) expected(now ident.Time) int64 {
+	if lb.scarce {
+		return lb.demand.predictMeasured(now)
+	}
+	return lb.demand.predict(now)
+}
+
+// want returns the line of a borrow request for wanted tokens. What the owner needs for a scarce team is left out for others.
+func (lb *localBucket) want(now ident.Time, wanted int64) *fleetpb.Tokens {
+	tokens := lb.tokens(wanted, 0)
+	tokens.Waiting = uint32(min(wanted, lb.waiting))
+	if !lb.scarce {
+		return tokens
+	}
+	lb.askedFor = 0
+	tokens.Demand = uint32(lb.demand.measured(now))
+	for i, w := range lb.waiters {
+		p := min(max(w.priority, 0), Priorities-1)
+		if i == 0 {
+			lb.askedFor = p
+		}
+		for len(tokens.Waits) <= p {
+			tokens.Waits = append(tokens.Waits, 0)
+		}
+		tokens.Waits[p]++
+		patience := lb.maxWaitEnd(w).Sub(now)
+		tokens.PatienceMs = max(tokens.PatienceMs, milliseconds(max(patience, time.Millisecond)))
+	}
+	return tokens
+}
+
 func (lb *localBucket) tokens(amount int64, loan uint64) *fleetpb.Tokens {
 	return &fleetpb.Tokens{Team: string(lb.team), Amount: uint32(amount), Loan: loan}
 }
@@ -180,7 +225,8 @@
 		if all {
 			keep = 0
 		}
-		if young := left > Lifetime-minReturnAge; (young && !all) || keep == l.held {
+		// Others wait for the tokens of a scarce team, so it keeps no young ones.
+		if young := left > Lifetime-minReturnAge; (young && !all && !lb.scarce) || keep == l.held {
 			continue
 		}
 		l.returned += l.held - keep
@@ -190,42 +236,79 @@
 	}
 }
 
-// handleResponse adds a loan and spends it on waiting requests in order.
-func (lb *localBucket) handleResponse(
-	now ident.Time, seq uint64, lent int64, retry time.Duration, expires ident.Time,
-) []Outcome {
+// answer is the owner's response to the wants of one team.
+type answer struct {
+	seq  uint64
+	lent int64
+	// expires is the end of the loan; asked is when the request was sent.
+	expires, asked ident.Time
+	scarce         bool
+	forecast       forecast
+}
+
+// handleResponse adds a loan, spends it on waiting requests in order, and refuses those whose token would come too late.
+func (lb *localBucket) handleResponse(now ident.Time, a answer) []Outcome {
 	lb.mu.Lock()
 	defer lb.mu.Unlock()
 	for _, l := range lb.loans {
-		if l.reportedIn == seq {
+		if l.reportedIn == a.seq {
 			l.acknowledged = true
 		}
 	}
-	if lb.wantedSeq == seq {
-		if lb.ownerUnresponsive {
-			lb.ownerReturned = now
-		}
-		lb.retryAfter, lb.ownerUnresponsive, lb.wantedSeq, lb.lastResponse = 0, false, 0, now
-		if lent < lb.waiting {
-			// A long period means that calls to the owner are expensive. A team above its rate must not cause many times
-			// as many calls as the others, so its retry interval is only RequestPeriod shorter than a long period.
-			lb.retryAfter = max(min(max(retry, minRequestGap), RequestPeriod), lb.period-RequestPeriod)
-		}
+	answered := lb.wantedSeq == a.seq
+	if answered {
+		lb.handleAnswer(now, a)
 	}
-	if lb.lastResponse == now && (lent < lb.waiting || now < expires) {
+	if answered && (a.lent < lb.waiting || now < a.expires) {
 		lb.lastDecision = now
 	}
-	if lent > 0 && now < expires {
-		lb.loans = append(lb.loans, &localLoan{seq: seq, held: lent, acknowledged: true, expires: expires})
+	if a.lent > 0 && now < a.expires {
+		lb.loans = append(lb.loans, &localLoan{seq: a.seq, held: a.lent, acknowledged: true, expires: a.expires})
 		slices.SortStableFunc(lb.loans, func(x, y *localLoan) int { return int(x.expires - y.expires) })
 	}
-	outcomes := lb.refuseExpired(now)
-	n := 0
-	for n < len(lb.waiters) && lb.spend(now) {
-		outcomes = append(outcomes, Outcome{ID: lb.waiters[n].id})
-		n++
+	if !lb.scarce {
+		return append(lb.refuseExpired(now), lb.serveWaiters(now)...)
+	}
+	// A token that comes just after the end of a request's wait still serves it, since no other request of the host may need it.
+	outcomes := append(lb.refuseWhere(now, func(w waiter) bool { return now >= w.deadline }), lb.serveWaiters(now)...)
+	outcomes = append(outcomes, lb.refuseExpired(now)...)
+	if answered {
+		outcomes = append(outcomes, lb.refuseTooLate(now)...)
 	}
-	lb.waiters = slices.Delete(lb.waiters, 0, n)
+	return outcomes
+}
+
+// handleAnswer records what the owner says to the wants of the last message.
+func (lb *localBucket) handleAnswer(now ident.Time, a answer) {
+	if lb.ownerUnresponsive {
+		lb.ownerReturned = now
+	}
+	lb.retryAfter, lb.ownerUnresponsive, lb.wantedSeq, lb.lastResponse = 0, false, 0, now
+	lb.scarce, lb.forecast = a.scarce, localForecast{}
+	switch short := a.lent < lb.waiting; {
+	case short && a.scarce:
+		lb.forecast = localForecast{
+			askAt: a.asked.Add(a.forecast.retry), next: now.Add(a.forecast.retry), until: now.Add(min(a.forecast.retry, maxForecastAge)),
+			slot: max(a.forecast.slot, time.Millisecond), priority: lb.askedFor,
+		}
+	case short:
+		// A long period means that calls to the owner are expensive. A team above its rate must not cause many times
+		// as many calls as the others, so its retry interval is only RequestPeriod shorter than a long period.
+		lb.retryAfter = max(min(max(a.forecast.retry, minRequestGap), RequestPeriod), lb.period-RequestPeriod)
+	}
+}
+
+// serveWaiters spends tokens on waiting requests in order.
+func (lb *localBucket) serveWaiters(now ident.Time) []Outcome {
+	var outcomes []Outcome
+	for len(lb.waiters) > len(outcomes) {
+		receipt, spent := lb.spend(now)
+		if !spent {
+			break
+		}
+		outcomes = append(outcomes, Outcome{ID: lb.waiters[len(outcomes)].id, Receipt: receipt})
+	}
+	lb.waiters = slices.Delete(lb.waiters, 0, len(outcomes))
 	return outcomes
 }
 
@@ -258,9 +341,14 @@
 }
 
 func (lb *localBucket) refuseExpired(now ident.Time) []Outcome {
+	return lb.refuseWhere(now, func(w waiter) bool { return now >= lb.waitEnd(w) })
+}
+
+// refuseWhere refuses the waiting requests that expired returns true for.
+func (lb *localBucket) refuseWhere(now ident.Time, expired func(waiter) bool) []Outcome {
 	var outcomes []Outcome
 	lb.waiters = slices.DeleteFunc(lb.waiters, func(w waiter) bool {
-		if now < lb.waitEnd(w) {
+		if !expired(w) {
 			return false
 		}
 		outcomes = append(outcomes, Outcome{ID: w.id, Refused: lb.exceeded(w, now)})
@@ -273,6 +361,10 @@
 	e := &Exceeded{Team: lb.team, Cause: CauseRate, Waited: now.Sub(w.since)}
 	if lb.ownerUnresponsive || lb.lastDecision < w.since {
 		e.Cause = CauseNoOwner
+		return e
+	}
+	if lb.scarce {
+		e.Retry = lb.returnTime(now, w.priority)
 	}
 	return e
 }
--- a/fleet/limit/owner.go
+++ b/fleet/limit/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -16,6 +17,8 @@
 	// wantLifetime is the time for which an unmet want competes for tokens: two periods of a borrower's requests, so
 	// that one lost request does not forfeit the share.
 	wantLifetime = 2 * RequestPeriod
+	// demandLifetime is the time for which a borrower's demand counts after its last request.
+	demandLifetime = time.Second
 	// idleTimeout is the time without requests for tokens after which a borrower is removed.
 	idleTimeout = 10 * time.Second
 	// second is the number of nanoseconds in a second and of nanotokens in a token, which makes rate x elapsed
@@ -40,6 +43,7 @@
 	lendsFrom ident.Time
 	mu        sync.RWMutex
 	teams     map[ident.Team]*bucket
+	takenBack atomic.Int64
 }
 
 // NewOwner returns an owner without teams.
@@ -83,7 +87,7 @@
 	}
 	for _, t := range request.GetReturned() {
 		if b := o.bucket(t.GetTeam()); b != nil {
-			b.returnTokens(now, id, t.GetLoan(), int64(t.GetAmount()))
+			o.takenBack.Add(b.returnTokens(now, id, t.GetLoan(), int64(t.GetAmount())))
 		}
 	}
 	if now < o.lendsFrom {
@@ -95,16 +99,43 @@
 		if b == nil {
 			continue
 		}
-		amount := b.lend(now, id, request.GetSeq(), int64(t.GetAmount()), int64(t.GetWaiting()))
-		lent := &fleetpb.Tokens{Team: t.GetTeam(), Amount: uint32(amount), Loan: request.GetSeq()}
-		if amount < int64(t.GetWaiting()) {
-			lent.RetryMs = uint32(b.retry() / time.Millisecond)
+		w := newWant(t)
+		g := b.lend(now, id, request.GetSeq(), w)
+		lent := &fleetpb.Tokens{Team: t.GetTeam(), Amount: uint32(g.amount), Loan: request.GetSeq(), Scarce: g.scarce}
+		if g.amount < w.waiting {
+			lent.RetryMs = milliseconds(g.retry)
+			lent.SlotMs = milliseconds(g.slot)
 		}
 		response.Lent = append(response.Lent, lent)
 	}
 	return response
 }
 
+// newWant converts a line of a borrow request. A request that names no priorities counts as one of the most urgent ones.
+func newWant(t *fleetpb.Tokens) want {
+	w := want{
+		amount: int64(t.GetAmount()), waiting: int64(t.GetWaiting()), demand: int64(t.GetDemand()),
+		patience: time.Duration(t.GetPatienceMs()) * time.Millisecond,
+	}
+	left := min(w.amount, w.waiting)
+	for p, n := range t.GetWaits() {
+		n := min(int64(n), left)
+		w.waits[min(p, Priorities-1)] += n
+		left -= n
+	}
+	w.waits[0] += left
+	return w
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(d / time.Millisecond)
+}
+
+// TakenBack returns the number of unspent tokens that borrowers have given back.
+func (o *Owner) TakenBack() int64 {
+	return o.takenBack.Load()
+}
+
 func (o *Owner) bucket(name string) *bucket {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
--- a/fleet/limit/replay_test.go
+++ b/fleet/limit/replay_test.go
@@ -35,6 +35,7 @@
 	requests    [2]*fleetpb.BorrowRequest
 	responses   [2]*fleetpb.BorrowResponse
 	loans       [2]uint64
+	taken       [2]limit.Receipt // of the tokens of operations that do not run
 	// allowance is a token bucket with the rule's rate and burst. It has a token at every spending exactly if no
 	// window exceeds them.
 	allowance  int
@@ -67,13 +68,13 @@
 }
 
 // take spends a token; a request that would have to wait is cancelled.
-func (r *replay) take(i int) bool {
+func (r *replay) take(i int) (limit.Receipt, bool) {
 	decision, _ := r.borrowers[i].Take(r.now, limit.Request{Team: "stalls"}, r.now+tick)
 	if w, ok := decision.(limit.Wait); ok {
 		r.borrowers[i].Cancel("stalls", w.ID)
-		return false
+		return limit.Receipt{}, false
 	}
-	return true
+	return decision.(limit.Spent).Receipt, true
 }
 
 // request makes the borrower send a borrow request for three waiting requests, and cancels these, so that the tokens
@@ -116,7 +117,7 @@
 }
 
 func (r *replay) spend(t *testing.T, i int) string {
-	if !r.take(i) {
+	if _, spent := r.take(i); !spent {
 		return r.deviation("has no token")
 	}
 	require.Positive(t, r.allowance, "more tokens are spent than burst and rate allow")
@@ -154,11 +155,26 @@
 		return r.spend(t, a)
 	case "return":
 		// The token leaves the borrower although no request runs.
-		if !r.take(a) {
+		if _, taken := r.take(a); !taken {
 			return r.deviation("has no token")
 		}
 		return "gives one back"
-	case "report", "lose":
+	case "take":
+		receipt, taken := r.take(a)
+		if !taken {
+			return r.deviation("has no token")
+		}
+		r.taken[a] = receipt
+		return "takes one"
+	case "undo":
+		if _, undone := r.borrowers[a].Refund(r.now, r.taken[a]); !undone {
+			return r.deviation("does not put it back")
+		}
+		return "puts it back"
+	case "report":
+		r.borrowers[a].NextRequest(r.now)
+		return "on its way"
+	case "lose":
 		return "on its way"
 	case "deliver":
 		return r.deliver(a, b, c)
--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -25,6 +25,7 @@
 	incarnations []ident.Incarnation
 	messages     []message
 	spends       map[ident.Team][]ident.Time
+	spent        []spent // by requests that may be undone
 	refused      map[ident.Team]int
 	longestWaits map[ident.Team]ident.Time
 	waiting      map[string]waiting // by waiterKey
@@ -43,6 +44,15 @@
 	number int // of the request in the simulation
 }
 
+// spent is a token that a host spent.
+type spent struct {
+	team        ident.Team
+	at          ident.Time
+	host        int
+	incarnation ident.Incarnation
+	receipt     limit.Receipt
+}
+
 // message is a message in transit: a borrow request, or the response to its borrower.
 type message struct {
 	at          ident.Time
@@ -89,7 +99,7 @@
 	w := waiting{request, sim.now, sim.requests}
 	switch d := decision.(type) {
 	case limit.Spent:
-		sim.decide(w, nil)
+		sim.spend(host, w, d.Receipt)
 	case limit.Wait:
 		sim.waiting[sim.waiterKey(host, d.ID)] = w
 	case limit.Refuse:
@@ -97,6 +107,27 @@
 	}
 }
 
+func (sim *simulation) spend(host int, w waiting, receipt limit.Receipt) {
+	sim.decide(w, nil)
+	sim.spent = append(sim.spent, spent{w.Team, sim.now, host, sim.incarnations[host], receipt})
+}
+
+// undo refunds the token of a request that did not run. If the host accepts, the spending never happened.
+func (sim *simulation) undo(i int) {
+	s := sim.spent[i]
+	sim.spent = slices.Delete(sim.spent, i, i+1)
+	if s.incarnation != sim.incarnations[s.host] {
+		return
+	}
+	outcomes, done := sim.borrowers[s.host].Refund(sim.now, s.receipt)
+	if !done {
+		return
+	}
+	at := slices.Index(sim.spends[s.team], s.at)
+	sim.spends[s.team] = slices.Delete(sim.spends[s.team], at, at+1)
+	sim.applyOutcomes(s.host, outcomes)
+}
+
 // decide records the outcome of a request.
 func (sim *simulation) decide(w waiting, refused *limit.Exceeded) {
 	if sim.decided != nil {
@@ -118,6 +149,10 @@
 	for _, o := range list {
 		w := sim.waiting[sim.waiterKey(host, o.ID)]
 		delete(sim.waiting, sim.waiterKey(host, o.ID))
+		if o.Refused == nil {
+			sim.spend(host, w, o.Receipt)
+			continue
+		}
 		sim.decide(w, o.Refused)
 	}
 }
--- a/host/quota/quota.go
+++ b/host/quota/quota.go
@@ -22,10 +22,14 @@
 // drainTimeout bounds the call that returns tokens at shutdown; tokens that are not returned expire by themselves.
 const drainTimeout = 500 * time.Millisecond
 
-// Counters of the calls to the owner.
+// Counters of the calls to the owner, of the tokens of operations that did not run, and of the requests that were refused before
+// the end of their wait.
 var (
-	calls    = metrics.NewCounter("tamarack_quota_calls_total")
-	failures = metrics.NewCounter("tamarack_quota_call_failures_total")
+	calls         = metrics.NewCounter("tamarack_quota_calls_total")
+	failures      = metrics.NewCounter("tamarack_quota_call_failures_total")
+	refunded      = metrics.NewCounter("tamarack_quota_refunded_total")
+	notRefunded   = metrics.NewCounter("tamarack_quota_not_refunded_total")
+	refusedAtOnce = metrics.NewCounter("tamarack_quota_refused_at_once_total")
 )
 
 // Fleet provides the time and the owner's address to a Quota, which reports calls that were redirected or failed.
@@ -62,8 +66,8 @@
 	mu       sync.Mutex
 	// waiting holds the channels of waiting requests, and earlyOutcomes the outcomes that were decided before the request
 	// registered its channel.
-	waiting       map[limit.WaiterID]chan *limit.Exceeded
-	earlyOutcomes map[limit.WaiterID]*limit.Exceeded
+	waiting       map[limit.WaiterID]chan limit.Outcome
+	earlyOutcomes map[limit.WaiterID]limit.Outcome
 }
 
 // New returns a Quota without tokens.
@@ -75,8 +79,8 @@
 		}),
 		client:        opts.Peers.Client(0),
 		wake:          make(chan struct{}, 1),
-		waiting:       map[limit.WaiterID]chan *limit.Exceeded{},
-		earlyOutcomes: map[limit.WaiterID]*limit.Exceeded{},
+		waiting:       map[limit.WaiterID]chan limit.Outcome{},
+		earlyOutcomes: map[limit.WaiterID]limit.Outcome{},
 	}
 }
 
@@ -91,15 +95,42 @@
 	}
 	switch d := decision.(type) {
 	case limit.Spent:
+		setReceipt(request, d.Receipt)
 		return nil
 	case limit.Refuse:
+		countRefusal(&d.Exceeded)
 		return trace.Wrap(&d.Exceeded)
 	case limit.Wait:
-		return q.wait(ctx, request.Team, d)
+		return q.wait(ctx, request, d)
 	}
 	return trace.BadParameter("unknown decision %T", decision)
 }
 
+// Refund gives back the token of an operation of which nothing was sent to an upstream. The next request that waits on this host
+// gets it, or the owner does. A token that may count as spent already stays spent.
+func (q *Quota) Refund(receipt limit.Receipt) {
+	outcomes, done := q.borrower.Refund(q.opts.Fleet.Now(), receipt)
+	if !done {
+		notRefunded.Inc()
+		return
+	}
+	refunded.Inc()
+	q.signal()
+	q.deliver(outcomes)
+}
+
+func setReceipt(request limit.Request, receipt limit.Receipt) {
+	if request.Receipt != nil {
+		*request.Receipt = receipt
+	}
+}
+
+func countRefusal(exceeded *limit.Exceeded) {
+	if exceeded.Cause == limit.CauseTooLate {
+		refusedAtOnce.Inc()
+	}
+}
+
 func deadline(ctx context.Context, now ident.Time) ident.Time {
 	if end, found := ctx.Deadline(); found {
 		return now.Add(time.Until(end))
@@ -114,46 +145,48 @@
 	}
 }
 
-func (q *Quota) wait(ctx context.Context, team ident.Team, w limit.Wait) error {
+func (q *Quota) wait(ctx context.Context, request limit.Request, w limit.Wait) error {
 	outcome := q.register(w.ID)
 	timeout := w.Until.Sub(q.opts.Fleet.Now())
 	for {
 		timer := time.NewTimer(max(0, timeout))
 		select {
-		case exceeded := <-outcome:
+		case o := <-outcome:
 			timer.Stop()
-			return wrapExceeded(exceeded)
+			return finish(request, o)
 		case <-timer.C:
-			q.deliver(q.borrower.Expire(q.opts.Fleet.Now(), team))
+			q.deliver(q.borrower.Expire(q.opts.Fleet.Now(), request.Team))
 			// While no owner answers, the request keeps waiting.
 			timeout = limit.RequestPeriod
 		case <-ctx.Done():
 			timer.Stop()
-			if q.borrower.Cancel(team, w.ID) {
+			if q.borrower.Cancel(request.Team, w.ID) {
 				q.unregister(w.ID)
 				return trace.Wrap(ctx.Err())
 			}
 			// The outcome has been decided and will be delivered.
-			return wrapExceeded(<-outcome)
+			return finish(request, <-outcome)
 		}
 	}
 }
 
-// wrapExceeded converts an outcome to an error; a nil outcome becomes a nil error instead of a typed nil.
-func wrapExceeded(exceeded *limit.Exceeded) error {
-	if exceeded == nil {
-		return nil
+// finish hands the receipt of a spent token to the request, or returns the refusal as an error.
+func finish(request limit.Request, o limit.Outcome) error {
+	if o.Refused != nil {
+		countRefusal(o.Refused)
+		return trace.Wrap(o.Refused)
 	}
-	return trace.Wrap(exceeded)
+	setReceipt(request, o.Receipt)
+	return nil
 }
 
-func (q *Quota) register(id limit.WaiterID) <-chan *limit.Exceeded {
-	outcome := make(chan *limit.Exceeded, 1)
+func (q *Quota) register(id limit.WaiterID) <-chan limit.Outcome {
+	outcome := make(chan limit.Outcome, 1)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if exceeded, found := q.earlyOutcomes[id]; found {
+	if early, found := q.earlyOutcomes[id]; found {
 		delete(q.earlyOutcomes, id)
-		outcome <- exceeded
+		outcome <- early
 		return outcome
 	}
 	q.waiting[id] = outcome
@@ -172,10 +205,10 @@
 	for _, o := range outcomes {
 		if outcome, found := q.waiting[o.ID]; found {
 			delete(q.waiting, o.ID)
-			outcome <- o.Refused
+			outcome <- o
 			continue
 		}
-		q.earlyOutcomes[o.ID] = o.Refused
+		q.earlyOutcomes[o.ID] = o
 	}
 }
 
--- a/models/slices.pml
+++ b/models/slices.pml
@@ -6,7 +6,8 @@
  *
  * Bounds: two hosts with one loan each at a time, a burst of three tokens, one token for each tick, a lifetime of two
  * ticks. Requests, responses and reports may be late or lost, and reports may be repeated. Hosts restart and the owner
- * changes any number of times. Clocks run at the same speed on all hosts.
+ * changes any number of times. Clocks run at the same speed on all hosts. A token may be taken for an operation that does not
+ * run, one at a time on each host, and put back: for the property, the operation never spent it.
  *
  * Not modelled: parts of tokens, several loans of one host at a time, a change of rate and burst, an earlier owner that
  * still lends when the new one begins to wait, and a request that is delivered twice.
@@ -46,6 +47,7 @@
   byte in_transit;
   byte held;
   byte returned;
+  bool taken;            /* a token was taken for an operation that does not run, and no report has told of it */
   /* Report in transit. */
   bool sent;
   byte sent_held;
@@ -73,7 +75,11 @@
   :: else
   fi;
   if
-  :: loans[i].elapsed >= LIFE -> loans[i].held = 0; loans[i].returned = 0
+  :: loans[i].elapsed >= LIFE ->
+     loans[i].held = 0; loans[i].returned = 0;
+#ifndef UNDOES_EXPIRED
+     loans[i].taken = false
+#endif
   :: else
   fi;
   if
@@ -140,6 +146,16 @@
   allowance--
 }
 
+inline take(i) {
+  loans[i].held--; loans[i].taken = true;
+  printf("REPLAY take %d\n", i)
+}
+
+inline undo(i) {
+  loans[i].held++; loans[i].taken = false;
+  printf("REPLAY undo %d\n", i)
+}
+
 inline deliver(i) {
   printf("REPLAY deliver %d %d %d\n", i, loans[i].sent_held, loans[i].sent_returned);
   if
@@ -163,7 +179,7 @@
 }
 
 inline restart(i) {
-  loans[i].held = 0; loans[i].returned = 0;
+  loans[i].held = 0; loans[i].returned = 0; loans[i].taken = false;
 #ifdef REFUNDS_RESTART
   bucket = bucket + loans[i].owed; lent = lent - loans[i].owed; loans[i].owed = 0;
 #endif
@@ -196,6 +212,12 @@
   printf("REPLAY change\n")
 }
 
+#ifdef UNDOES_REPORTED
+#define FORGET_TAKEN(i) skip
+#else
+#define FORGET_TAKEN(i) loans[i].taken = false
+#endif
+
 active proctype fleet() {
   do
   :: d_step { true -> tick() }
@@ -215,9 +237,13 @@
   :: d_step { loans[1].held > 0 -> spend(1) }
   :: d_step { loans[0].held > 0 -> loans[0].held--; loans[0].returned++; printf("REPLAY return 0\n") }
   :: d_step { loans[1].held > 0 -> loans[1].held--; loans[1].returned++; printf("REPLAY return 1\n") }
-  :: d_step { loans[0].phase == 3 -> loans[0].sent = true; loans[0].sent_held = loans[0].held;
+  :: d_step { loans[0].held > 0 && !loans[0].taken -> take(0) }
+  :: d_step { loans[1].held > 0 && !loans[1].taken -> take(1) }
+  :: d_step { loans[0].taken -> undo(0) }
+  :: d_step { loans[1].taken -> undo(1) }
+  :: d_step { loans[0].phase == 3 -> loans[0].sent = true; FORGET_TAKEN(0); loans[0].sent_held = loans[0].held;
      loans[0].sent_returned = loans[0].returned; printf("REPLAY report 0\n") }
-  :: d_step { loans[1].phase == 3 -> loans[1].sent = true; loans[1].sent_held = loans[1].held;
+  :: d_step { loans[1].phase == 3 -> loans[1].sent = true; FORGET_TAKEN(1); loans[1].sent_held = loans[1].held;
      loans[1].sent_returned = loans[1].returned; printf("REPLAY report 1\n") }
   :: d_step { loans[0].sent -> deliver(0) }
   :: d_step { loans[1].sent -> deliver(1) }
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -112,6 +112,7 @@
 	}
 	result, failure := run(o, w)
 	if failure != nil {
+		s.refundUnsent(o)
 		return answerError(s.fail(query, failure))
 	}
 	s.recordLatency(o)
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -62,6 +62,7 @@
 // execute runs a use on an executor and records the attempt.
 func (s *session) execute(ctx context.Context, executor upstream.Executor, use upstream.Use) (upstream.Outcome, error) {
 	outcome, err := executor.Execute(ctx, use)
+	s.sent = s.sent || outcome.Ran
 	s.recordTry(executor.Target().Upstream, outcome, err)
 	return outcome, err
 }
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -41,6 +41,8 @@
 type Quota interface {
 	// Take returns nil once it has spent a token of the request's team, or an error if none is available in time.
 	Take(ctx context.Context, request limit.Request) error
+	// Refund gives back the token of an operation of which nothing was sent to an upstream.
+	Refund(receipt limit.Receipt)
 }
 
 // Caller is the host's side of a caller's protocol over one connection. It is not safe for concurrent use.
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -62,6 +62,8 @@
 	// abortReason is set if the host has rolled back an idle transaction; it is the text of the failure of the next request.
 	abortReason string
 
+	// sent is set once a statement of the current operation may have reached an upstream.
+	sent bool
 	// began is when the current request was read; attemptLog lists the attempts to run it.
 	began      ident.Time
 	attemptLog []string
@@ -85,6 +87,8 @@
 	route *catalog.Route
 	// team may be nil on public routes.
 	team *catalog.Team
+	// receipt identifies the spent token of the team.
+	receipt limit.Receipt
 }
 
 func (o *operation) teamName() ident.Team {
@@ -212,12 +216,23 @@
 
 // dropTransaction ends an open transaction, if there is one; closing its executor rolls it back.
 func (s *session) dropTransaction() {
-	if s.tx != nil && s.tx.executor != nil {
+	if s.tx == nil {
+		return
+	}
+	if s.tx.executor != nil {
 		s.tx.executor.Close()
 	}
+	s.refundUnsent(&s.tx.operation)
 	s.tx = nil
 }
 
+// refundUnsent gives back the token of an operation that has ended if none of its statements was sent to an upstream.
+func (s *session) refundUnsent(o *operation) {
+	if o.team != nil && !s.sent {
+		s.server.options.Quota.Refund(o.receipt)
+	}
+}
+
 // authorize returns the route and the team of the session under the current configuration.
 func (s *session) authorize() (*operation, *statement.Failure) {
 	c := s.server.options.Table.Catalog()
@@ -241,27 +256,42 @@
 	if failure != nil {
 		return nil, failure
 	}
-	o.id, o.began = id, s.began
+	o.id, o.began, s.sent = id, s.began, false
 	if o.team == nil {
 		return o, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective)
 	defer cancel()
-	request := limit.Request{Team: o.team.Name, Priority: o.priority(), MaxWait: o.route.Objective / quotaWaitDivisor}
+	request := limit.Request{
+		Team: o.team.Name, Priority: o.priority(), MaxWait: o.route.Objective / quotaWaitDivisor, Receipt: &o.receipt,
+	}
 	if err := s.server.options.Quota.Take(ctx, request); err != nil {
-		var exceeded *limit.Exceeded
-		reason := "no token of the team in time"
-		if errors.As(err, &exceeded) {
-			reason = exceeded.Error()
-		}
-		return nil, &statement.Failure{Code: statement.CodeBusy, Text: reason + retryText(o.route)}
+		return nil, tokenFailure(o, err)
 	}
 	return o, nil
 }
 
+// tokenFailure returns the failure of an operation that got no token. It says when the team's next token can be expected, if that is
+// known.
+func tokenFailure(o *operation, err error) *statement.Failure {
+	reason, hint := "no token of the team in time", retryText(o.route)
+	var exceeded *limit.Exceeded
+	if errors.As(err, &exceeded) {
+		reason = exceeded.Error()
+		if exceeded.Retry > 0 {
+			hint = retryAfterText(exceeded.Retry)
+		}
+	}
+	return &statement.Failure{Code: statement.CodeBusy, Text: reason + hint}
+}
+
 // retryText returns the hint when to retry, which is appended to the text of a failure.
 func retryText(route *catalog.Route) string {
-	return fmt.Sprintf("; retry after %d ms", (route.Objective / 2).Milliseconds())
+	return retryAfterText(route.Objective / 2)
+}
+
+func retryAfterText(retry time.Duration) string {
+	return fmt.Sprintf("; retry after %d ms", retry.Milliseconds())
 }
 
 var (
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -31,6 +31,8 @@
 type tokens struct {
 	mu   sync.Mutex
 	left map[ident.Team]int
+	// refusal, if not nil, is the answer to every request.
+	refusal error
 }
 
 // newTokens returns tokens of one team.
@@ -42,13 +44,26 @@
 func (t *tokens) Take(_ context.Context, request limit.Request) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.refusal != nil {
+		return t.refusal
+	}
 	if t.left[request.Team] == 0 {
 		return errors.New("none left")
 	}
 	t.left[request.Team]--
+	if request.Receipt != nil {
+		request.Receipt.Team = request.Team
+	}
 	return nil
 }
 
+// Refund implements entry.Quota.
+func (t *tokens) Refund(receipt limit.Receipt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left[receipt.Team]++
+}
+
 // host is an entry host with a service of one primary and one replica.
 type host struct {
 	t               *testing.T
@@ -59,8 +74,10 @@
 	table           *routing.Table
 	idleTransaction time.Duration
 	directory       *fleetpb.Directory
-	// connections is the configured number of connections of an upstream.
+	// connections is the configured number of connections of an upstream, and timeout the routes' timeout.
 	connections int
+	timeout     time.Duration
+	quota       *tokens
 }
 
 func newHost(t *testing.T, idleTransaction time.Duration) *host {
@@ -69,7 +86,8 @@
 
 func newHostWith(t *testing.T, idleTransaction time.Duration, protocol upstream.Protocol) *host {
 	h := &host{
-		t: t, group: platform.NewGroup("svc"), idleTransaction: idleTransaction, connections: 20,
+		t: t, group: platform.NewGroup("svc"), idleTransaction: idleTransaction, connections: 20, timeout: 5 * time.Second,
+		quota: newTokens(100),
 		table: routing.New(routing.Options{Host: "h", Zone: "z", Protocol: protocol}),
 	}
 	start := func(id string) *platform.Upstream {
@@ -94,7 +112,7 @@
 	h.address = listener.Addr().String()
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
-		Table:    h.table, Quota: newTokens(100), Grace: time.Minute,
+		Table:    h.table, Quota: h.quota, Grace: time.Minute,
 	})
 	go func() { _ = server.Serve(listener) }()
 	return h
@@ -103,7 +121,7 @@
 func (h *host) configure(version ident.Version, key string) {
 	route := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
-			Name: name, Database: ident.Route(name), Kind: kind, Timeout: 5 * time.Second, Objective: 4 * time.Second, Service: "svc",
+			Name: name, Database: ident.Route(name), Kind: kind, Timeout: h.timeout, Objective: 4 * time.Second, Service: "svc",
 			Staleness: time.Minute,
 		}
 	}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -65,6 +65,26 @@
 		"fleet/limit/bucket.go", "b.lent -= b.loans[n].outstanding\n", "b.lent -= 2 * b.loans[n].outstanding\n",
 		"./fleet/limit", ".",
 	},
+	{
+		7, "a token whose spending was reported is not put back",
+		"fleet/limit/receipt.go", "|| lb.loans[i].reports != receipt.reports {", "{",
+		"./fleet/limit", "Replay",
+	},
+	{
+		7, "tokens of a small burst are lent in advance from a surplus only",
+		"fleet/limit/scarce.go", "return max(0, min(a.predicted, surplus, int64(b.rule.Burst/aheadPart)-b.ahead))", "return max(0, min(a.predicted, surplus))",
+		"./fleet/limit", "Ahead",
+	},
+	{
+		7, "requests get the tokens that more urgent ones at all hosts leave",
+		"fleet/limit/scarce.go", "left -= wants", "left -= wants * 0",
+		"./fleet/limit", "AllHosts",
+	},
+	{
+		7, "a request whose token comes too late is refused at once",
+		"fleet/limit/forecast.go", "return !lb.ownerUnresponsive && lb.forecast.appliesTo", "return false && lb.forecast.appliesTo",
+		"./fleet/limit", "Forecast",
+	},
 	{
 		8, "upstreams of an availability zone that is out get no work",
 		"fleet/route/choose.go", "!c.Leaving && !c.ZoneOut", "!c.Leaving",
