--- a/fleet/limit/scarce_test.go
+++ b/fleet/limit/scarce_test.go
@@ -226,7 +226,7 @@
 func TestUrgentRequestsOfAllHostsGetTokensFirst(t *testing.T) {
 	now := 10_000 * ms
 	owner := limit.NewOwner(limit.OwnerOptions{})
-	owner.SetRules(0, map[ident.Team]limit.Rule{"stalls": {Rate: 10, Burst: 16}})
+	owner.SetRules(0, map[ident.Team]limit.Rule{"stalls": {Rate: 20, Burst: 16}})
 	seq := uint64(0)
 	lent := func(host string, priority int, waiting uint32) uint32 {
 		seq++
@@ -239,10 +239,10 @@
 		require.EqualValues(t, 1, lent(fmt.Sprint("urgent", i), 0, 1))
 	}
 	require.EqualValues(t, 9, lent("busy", 2, 30), "all but one token, which is kept for an urgent request")
-	require.EqualValues(t, 1, lent("urgent0", 0, 2))
+	require.EqualValues(t, 1, lent("urgent0", 0, 4))
 	now += 110 * ms
-	require.Zero(t, lent("busy", 2, 30), "a more urgent request waits at another host")
-	require.EqualValues(t, 1, lent("urgent0", 0, 1))
+	require.Zero(t, lent("busy", 2, 30), "more urgent requests wait at another host")
+	require.EqualValues(t, 2, lent("urgent0", 0, 3))
 }
 
 // Guards against tokens of a small burst that lie in advance at hosts which don't need them.
