Keep a request waiting while the call for its token is on its way

A response to an earlier call of the same team no longer ends the wait of a request whose own call is in flight.

--- a/fleet/limit/local_bucket.go
+++ b/fleet/limit/local_bucket.go
@@ -79,6 +79,8 @@
 	ownerUnresponsive bool
 	ownerReturned     ident.Time
 	lastResponse      ident.Time
+	// answeredAsk is when the last answered request for tokens was sent.
+	answeredAsk ident.Time
 	// lastDecision is when an owner last lent tokens that could still be spent, or fewer than were wanted.
 	lastDecision ident.Time
 	reserve      reserve
@@ -284,7 +286,7 @@
 		lb.ownerReturned = now
 	}
 	lb.retryAfter, lb.ownerUnresponsive, lb.wantedSeq, lb.lastResponse = 0, false, 0, now
-	lb.scarce, lb.forecast = a.scarce, localForecast{}
+	lb.answeredAsk, lb.scarce, lb.forecast = a.asked, a.scarce, localForecast{}
 	switch short := a.lent < lb.waiting; {
 	case short && a.scarce:
 		lb.forecast = localForecast{
@@ -333,6 +335,10 @@
 	if lb.ownerUnresponsive || lb.lastResponse < w.since {
 		return w.deadline
 	}
+	if lb.scarce && lb.answeredAsk < w.since {
+		// The response was to an earlier request, and the one for this token may be on its way.
+		return w.deadline
+	}
 	return lb.maxWaitEnd(w)
 }
 
--- a/host/lending/lending.go
+++ b/host/lending/lending.go
@@ -51,6 +51,7 @@
 	l.since = leadership.Since
 	l.owner = limit.NewOwner(limit.OwnerOptions{Since: leadership.NoLeaderSince})
 	l.counted = 0
+	clear(l.scarce)
 	l.owner.SetRules(now, l.rules)
 }
 
