--- a/fleet/limit/bucket.go
+++ b/fleet/limit/bucket.go
@@ -38,6 +38,8 @@
 	wanted int64
 	// ahead counts those of the lent tokens that were lent for predicted demand.
 	ahead int64
+	// demand is the sum of the borrowers' demand.
+	demand int64
 	// loans is ordered by expiry; spent loans stay until they expire.
 	loans     []*loan
 	borrowers map[borrowerID]*account
@@ -67,7 +69,7 @@
 	waits       [Priorities]int64
 	predicted   int64
 	wantExpires ident.Time
-	// demand is the number of requests in the last demandWindow, as of lastRequest.
+	// demand is the number of requests in the last demandWindow. It counts until demandLifetime after lastRequest.
 	demand int64
 	// recentLoans is the sum of the borrower's loans, with exponential decay as of decayedAt.
 	recentLoans float64
@@ -227,7 +229,12 @@
 	b.wanted += w.amount - a.waiting - a.predicted
 	a.waiting, a.predicted, a.waits = w.waiting, w.amount-w.waiting, w.waits
 	a.wantExpires = now.Add(wantLifetime)
-	a.demand = w.demand
+	b.setDemand(a, w.demand)
+}
+
+func (b *bucket) setDemand(a *account, demand int64) {
+	b.demand += demand - a.demand
+	a.demand = demand
 }
 
 // addLoan lends tokens to a borrower, the waiting requests first and the most urgent of them before the others.
@@ -326,12 +333,15 @@
 	return max(0, int64(amount+levelError))
 }
 
-// competitors drops expired wants and returns the accounts with current ones. The sort order makes sums of
+// competitors drops expired wants and demand and returns the accounts with current ones. The sort order makes sums of
 // floating-point numbers independent of map order.
 func (b *bucket) competitors(now ident.Time) []*account {
 	var list []*account
 	b.wanted = 0
 	for _, a := range b.borrowers {
+		if now.Sub(a.lastRequest) >= demandLifetime {
+			b.setDemand(a, 0)
+		}
 		if now >= a.wantExpires {
 			a.waiting, a.predicted, a.waits = 0, 0, [Priorities]int64{}
 		}
@@ -387,6 +397,7 @@
 	for id, a := range b.borrowers {
 		if now.Sub(a.lastRequest) >= idleTimeout {
 			b.wanted -= a.waiting + a.predicted
+			b.setDemand(a, 0)
 			delete(b.borrowers, id)
 		}
 	}
--- a/fleet/limit/scarce.go
+++ b/fleet/limit/scarce.go
@@ -69,15 +69,17 @@
 func (b *bucket) shareWaiting(now ident.Time, competitors []*account, a *account) int64 {
 	left := b.nanotokens / second
 	inflow := int64(b.rule.Rate) * int64(b.retry()) / second
+	var wants [Priorities]int64
+	for _, c := range competitors {
+		for p, n := range c.waits {
+			wants[p] += n
+		}
+	}
 	var amount int64
 	for p := range Priorities {
 		want := func(c *account) int64 { return c.waits[p] }
-		var wants int64
-		for _, c := range competitors {
-			wants += want(c)
-		}
-		amount += fairShare(competitors, a, wants, left-b.kept(now, p), inflow, want)
-		left -= wants
+		amount += fairShare(competitors, a, wants[p], left-b.kept(now, p), inflow, want)
+		left -= wants[p]
 	}
 	return amount
 }
@@ -112,7 +114,7 @@
 	before := servedBefore(competitors, a, first) + float64(b.kept(now, first))
 	tokens := max(0, (before+1)*float64(second)-float64(b.nanotokens))
 	retry := time.Duration(math.Ceil(tokens / float64(b.rule.Rate)))
-	slot := time.Duration(float64(time.Second) / b.shareOfRate(now, a))
+	slot := time.Duration(float64(time.Second) / b.shareOfRate(a))
 	return forecast{min(max(retry, minRetry), maxForecast), min(slot, maxForecast)}
 }
 
@@ -144,14 +146,8 @@
 }
 
 // shareOfRate returns the borrower's tokens per second: what the others' demand leaves of the rate, at least its part by demand.
-func (b *bucket) shareOfRate(now ident.Time, a *account) float64 {
-	var others int64
-	for _, c := range b.borrowers {
-		if c != a && now.Sub(c.lastRequest) < demandLifetime {
-			others += c.demand
-		}
-	}
-	own, rate := float64(max(a.demand, 1)), float64(b.rule.Rate)
-	left := rate - float64(others)/demandWindow.Seconds()
-	return max(left, rate*own/(own+float64(others)))
+func (b *bucket) shareOfRate(a *account) float64 {
+	own, others := float64(max(a.demand, 1)), float64(b.demand-a.demand)
+	rate := float64(b.rule.Rate)
+	return max(rate-others/demandWindow.Seconds(), rate*own/(own+others))
 }
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -77,7 +77,7 @@
 	},
 	{
 		7, "requests get the tokens that more urgent ones at all hosts leave",
-		"fleet/limit/scarce.go", "left -= wants", "left -= wants * 0",
+		"fleet/limit/scarce.go", "left -= wants[p]", "left -= wants[p] * 0",
 		"./fleet/limit", "AllHosts",
 	},
 	{
