--- a/fleet/limit/borrower.go
+++ b/fleet/limit/borrower.go
@@ -273,8 +273,9 @@
 }
 
 // HandleResponse handles the owner's response and returns the outcomes of the waiting requests that it decides: for
-// each team the refused ones, then those that got a token, both by priority and age; of a scarce team, those whose wait is over or
-// would end before their token comes are the last. Repeated and unknown responses are ignored, and so is a loan that has expired before its response arrives.
+// each team the refused ones, then those that got a token, both by priority and age. Of a scarce team, those whose wait
+// is over, or would end before their token comes, are the last. Repeated and unknown responses are ignored, and so is a
+// loan that has expired before its response arrives.
 func (b *Borrower) HandleResponse(now ident.Time, response *fleetpb.BorrowResponse) []Outcome {
 	at, found := b.inFlight[response.GetSeq()]
 	if !found || response.GetLeader() != "" {
--- a/fleet/limit/forecast.go
+++ b/fleet/limit/forecast.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"slices"
 	"time"
 
 	"tamarackshunt.dev/fleet/ident"
@@ -34,20 +33,6 @@
 	return f.next.Add(time.Duration(others) * f.slot)
 }
 
-// waitersUpTo returns the number of waiting requests that get tokens before a further one of the priority.
-func (lb *localBucket) waitersUpTo(priority int) int {
-	return len(lb.waiters) - len(lb.waitersAfter(priority))
-}
-
-// waitersAfter returns the waiting requests that are less urgent than the priority.
-func (lb *localBucket) waitersAfter(priority int) []waiter {
-	i := slices.IndexFunc(lb.waiters, func(w waiter) bool { return w.priority > priority })
-	if i < 0 {
-		return nil
-	}
-	return lb.waiters[i:]
-}
-
 // comesTooLate reports whether the token of a request behind others would come after the end of its wait.
 func (lb *localBucket) comesTooLate(now ident.Time, w waiter, others int) bool {
 	return !lb.ownerUnresponsive && lb.forecast.appliesTo(now, w.priority) && lb.forecast.tokenAt(others) > lb.maxWaitEnd(w)
--- a/fleet/limit/local_bucket.go
+++ b/fleet/limit/local_bucket.go
@@ -66,8 +66,8 @@
 	// message until it is answered.
 	waiting   int64
 	wantedSeq uint64
-	// scarce is set while the owner lends the team's tokens on demand, and forecast is its last forecast for requests of
-	// priority forecastFor and less urgent ones. askedFor is the priority of the most urgent request that waited at the last message.
+	// scarce is set while the owner lends the team's tokens on demand; forecast is what it said last. askedFor is the priority of
+	// the most urgent request for which the last message wanted a token.
 	scarce    bool
 	forecast  localForecast
 	askedFor  int
@@ -112,9 +112,14 @@
 
 // enqueue adds a waiting request after those of the same or a higher urgency.
 func (lb *localBucket) enqueue(w waiter) {
-	at, _ := slices.BinarySearchFunc(lb.waiters, w.priority+1,
+	lb.waiters = slices.Insert(lb.waiters, lb.waitersUpTo(w.priority), w)
+}
+
+// waitersUpTo returns the number of waiting requests that get tokens before a further one of the priority.
+func (lb *localBucket) waitersUpTo(priority int) int {
+	n, _ := slices.BinarySearchFunc(lb.waiters, priority+1,
 		func(other waiter, priority int) int { return other.priority - priority })
-	lb.waiters = slices.Insert(lb.waiters, at, w)
+	return n
 }
 
 // spend takes one token from the loan that expires first. It returns false if there is none.
