--- a/fleet/limit/bucket.go
+++ b/fleet/limit/bucket.go
@@ -43,6 +43,8 @@
 	// loans is ordered by expiry; spent loans stay until they expire.
 	loans     []*loan
 	borrowers map[borrowerID]*account
+	// hosts counts the borrowers of each host, which are several after restarts.
+	hosts     map[ident.Host]int
 	lastSweep ident.Time
 	// lastWait is when a request of each priority last waited for a token, if the team is scarce.
 	lastWait [Priorities]ident.Time
@@ -78,7 +80,7 @@
 }
 
 func newBucket(now ident.Time, rule Rule) *bucket {
-	b := &bucket{rule: rule, updated: now, lastSweep: now, borrowers: map[borrowerID]*account{}}
+	b := &bucket{rule: rule, updated: now, lastSweep: now, borrowers: map[borrowerID]*account{}, hosts: map[ident.Host]int{}}
 	for p := range b.lastWait {
 		b.lastWait[p] = never
 	}
@@ -266,6 +268,7 @@
 	if !found {
 		a = &account{loans: map[uint64]*loan{}, decayedAt: now}
 		b.borrowers[id] = a
+		b.hosts[id.host]++
 	}
 	a.lastRequest = now
 	for seq, l := range a.loans {
@@ -399,6 +402,9 @@
 			b.wanted -= a.waiting + a.predicted
 			b.setDemand(a, 0)
 			delete(b.borrowers, id)
+			if b.hosts[id.host]--; b.hosts[id.host] == 0 {
+				delete(b.hosts, id.host)
+			}
 		}
 	}
 }
--- a/fleet/limit/scarce.go
+++ b/fleet/limit/scarce.go
@@ -11,9 +11,9 @@
 const Priorities = 4
 
 const (
-	// amplePerBorrower is the number of tokens of the burst for each borrower from which a team isn't scarce. Each borrower may
-	// then hold two tokens in advance, and half of the burst is left.
-	amplePerBorrower = 4
+	// amplePerHost is the number of tokens of the burst for each host from which a team isn't scarce. Each host may then hold two
+	// tokens in advance, and half of the burst is left.
+	amplePerHost = 4
 	// aheadPart of a scarce team's burst may be lent for predicted demand and unspent, over all borrowers.
 	aheadPart = 8
 	// urgentPart of a scarce team's burst is kept from less urgent requests for each more urgent priority that had requests within
@@ -31,10 +31,10 @@
 	retry, slot time.Duration
 }
 
-// scarce reports whether the burst is small beside the number of borrowers. Tokens that are lent in advance to many borrowers
+// scarce reports whether the burst is small beside the number of hosts that borrow. Tokens that are lent in advance to many hosts
 // then leave too few for the requests that wait.
 func (b *bucket) scarce() bool {
-	return int64(b.rule.Burst) < int64(amplePerBorrower*len(b.borrowers))
+	return int64(b.rule.Burst) < int64(amplePerHost*len(b.hosts))
 }
 
 // lendScarce lends tokens of a scarce team: on demand, the more urgent requests of all borrowers first, and in advance only from
--- a/fleet/limit/scarce_test.go
+++ b/fleet/limit/scarce_test.go
@@ -73,6 +73,17 @@
 	require.EqualValues(t, 21, borrow("host0", 21, 21), "waiting requests get all that is left")
 }
 
+// Guards against a team that counts as scarce because its few hosts were restarted.
+func TestRestartsDoNotMakeATeamScarce(t *testing.T) {
+	owner := limit.NewOwner(limit.OwnerOptions{})
+	owner.SetRules(0, map[ident.Team]limit.Rule{"stalls": {Rate: 8, Burst: 24}})
+	for i := range 21 {
+		request := demandOf(fmt.Sprint("host", i%3), 1, 0, 1)
+		request.Incarnation = uint64(i)
+		require.False(t, owner.Borrow(10_000*ms, request).GetLent()[0].GetScarce())
+	}
+}
+
 // Guards against requests that wait although their token comes too late, urgent requests that are refused because less urgent ones
 // have to wait, and refused callers that return together.
 func TestForecastRefusesAtOnce(t *testing.T) {
--- a/host/lending/lending_test.go
+++ b/host/lending/lending_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/control"
@@ -40,9 +41,12 @@
 	require.Zero(t, borrow(first), "lent without leadership")
 	l.SetLeadership(first, control.Leadership{Leads: true, Since: first.Add(40 * time.Millisecond), NoLeaderSince: first})
 	require.Zero(t, borrow(first.Add(limit.Lifetime-1)), "lent before the loans of an earlier owner expired")
+	lent := metrics.GetOrCreateCounter(`tamarack_lending_tokens_total{for="waiting"}`)
+	before := lent.Get()
 	bucketFull := first.Add(30 * time.Second)
 	require.EqualValues(t, burst, borrow(bucketFull))
 	require.Zero(t, borrow(bucketFull), "lent more than the burst")
+	require.EqualValues(t, burst, lent.Get()-before)
 	later := bucketFull.Add(time.Second)
 	l.SetLeadership(later, control.Leadership{
 		Leads: true, Since: first.Add(40 * time.Millisecond), NoLeaderSince: first, Until: later,
--- a/host/quota/quota_test.go
+++ b/host/quota/quota_test.go
@@ -138,6 +138,25 @@
 	require.Zero(t, c.owner.Balance(c.fleet.Now(), "stalls").Lent)
 }
 
+// Guards against tokens of operations that did not run and that are lost on their way back.
+func TestRefund(t *testing.T) {
+	q, c, cancel, done := startQuota(t)
+	refunded := metrics.GetOrCreateCounter("tamarack_quota_refunded_total")
+	taken := int64(0)
+	require.Eventually(t, func() bool {
+		var receipt limit.Receipt
+		require.NoError(t, q.Take(t.Context(), limit.Request{Team: "stalls", Receipt: &receipt}))
+		taken++
+		before := refunded.Get()
+		// A token whose spending a report has told the owner stays spent.
+		q.Refund(receipt)
+		return refunded.Get() > before
+	}, 10*time.Second, time.Millisecond)
+	cancel()
+	<-done
+	require.GreaterOrEqual(t, c.owner.Balance(c.fleet.Now(), "stalls").Bucket, 20-(taken-1))
+}
+
 // Guards against a failed call to the owner that is not reported to the rest of the host, which would then detect the loss
 // only by its own, less frequent calls.
 func TestUnresponsiveOwner(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -26,7 +26,8 @@
 const borrowPeriod = 150 * time.Millisecond
 
 // borrowPrefetch is the number of tokens that a host keeps for a team that has sent it a request within the last second. A team
-// sends a few requests a second to one host, and without prefetched tokens each of them would need a call across regions.
+// sends a few requests a second to one host, and without prefetched tokens each of them would need a call across regions. Nothing is
+// kept for a team whose burst is small beside the number of hosts.
 const borrowPrefetch = 2
 
 // memoryLimitPercent is the garbage collector's soft memory limit in percent of the process's memory limit.
