--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -89,6 +89,10 @@
 	version int
 	// grace is the time from SIGTERM to SIGKILL in seconds.
 	grace int
+	// limits are the lines of the settings' table of limits.
+	limits string
+	// ctx ends after the processes.
+	ctx context.Context
 }
 
 // configuration describes one service with three routes, and two teams. revoked omits the second team's key; rate is the first
@@ -154,12 +158,12 @@
 [listen]
 %s
 [limits]
-memory_mb = 284
+%s
 [bounds]
 grace_s = %d
 [cloud]
 addr = %q
-`, host, role, ip, host%3, host%3, portPeers, portPeers+9, strings.Join(addresses, ","), bootstrap, data, listen, f.grace, f.cloud.Address)
+`, host, role, ip, host%3, host%3, portPeers, portPeers+9, strings.Join(addresses, ","), bootstrap, data, listen, f.limits, f.grace, f.cloud.Address)
 	path := filepath.Join(f.folder, fmt.Sprintf("%s-%d.toml", role, host))
 	require.NoError(f.t, os.WriteFile(path, []byte(text), 0o600))
 	return path
@@ -201,15 +205,22 @@
 	return newFleetWithGrace(t, 6)
 }
 
-func newFleetWithGrace(t *testing.T, grace int) *fleet {
-	f := &fleet{t: t, grace: grace, folder: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))}
-	ctx, cancel := context.WithCancel(context.Background())
+// newFleetOf starts the platform of a fleet without hosts and upstreams.
+func newFleetOf(t *testing.T, grace int, limits string) *fleet {
+	f := &fleet{t: t, grace: grace, limits: limits, folder: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))}
+	var cancel context.CancelFunc
+	f.ctx, cancel = context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var err error
-	f.cloud, err = platform.NewCloud(ctx)
+	f.cloud, err = platform.NewCloud(f.ctx)
 	require.NoError(t, err)
 	f.group = platform.NewGroup("svc")
 	f.cloud.Add(f.group)
+	return f
+}
+
+func newFleetWithGrace(t *testing.T, grace int) *fleet {
+	f := newFleetOf(t, grace, "memory_mb = 284")
 	for i := range 3 {
 		u, err := f.group.Start(platform.Options{
 			ID: fmt.Sprintf("i-%d", i), Zone: fmt.Sprintf("z%d", i), Address: "127.0.0.1:0", Slots: 2, Queue: 16, Connections: 20, Work: time.Millisecond,
@@ -221,7 +232,7 @@
 		f.cores = append(f.cores, f.start("core", f.settings("core", i, true, 0, 1, 2)))
 		f.entries = append(f.entries, f.start("entry", f.settings("entry", i, true, 0, 1, 2)))
 	}
-	go f.cloud.Announce(ctx, f.controlAddresses(), 300*time.Millisecond)
+	go f.cloud.Announce(f.ctx, f.controlAddresses(), 300*time.Millisecond)
 	f.put(configuration{version: 1, rate: 500})
 	for i := range 3 {
 		f.eventually("entry host ready", func() bool { return f.ready(i) })
