Bound what callers make a process of tamarack-node hold

Change: fleet/budget decides (an account with a total, a reserve, shares of a session, an address and a team; the largest holder goes first), host/admission holds connections and HTTP calls to it. Long lines take their bytes before they are read, requests take their copies before they run, and answers before they are composed. A message has to end and an answer to be taken within a time. Values and prepared statements are bounded by bytes and number and no longer pin the message they came in. A gateway refuses a call for which it has no memory as not run, and its host does not avoid it for that. An upstream connection with much session state is closed when it is released. Fields of log lines that callers fill are cut at 200 bytes. shutdown_test.go: the fake connection gains an address and a write deadline, which the server now uses; no check changes.

--- /dev/null
+++ b/host/admission/session.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarackshunt.dev/fleet/budget"
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// Session is a connection with what it holds and its deadlines. One goroutine uses it, but for SetReadDeadline and Close.
+type Session struct {
+	net.Conn
+	gate   *Gate
+	holder *budget.Holder
+	limits budget.SessionLimits
+	// evicted is set when the gate has closed the connection.
+	evicted atomic.Bool
+
+	mu sync.Mutex
+	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
+	idle, message time.Time
+}
+
+// Take reserves bytes before they are used, or returns a budget.RefusedError. The first bytes taken while no request runs begin a message.
+func (s *Session) Take(n int) error {
+	switch s.phase() {
+	case budget.PhaseStarting:
+		if budget.Bytes(n) > s.limits.First {
+			err := &budget.RefusedError{Reason: budget.ReasonFirst}
+			s.gate.refused(err, "bytes", s.RemoteAddr().String())
+			return err
+		}
+	case budget.PhaseIdle:
+		s.beginMessage()
+	default:
+	}
+	return s.gate.take(s, budget.Bytes(n))
+}
+
+// Give returns bytes.
+func (s *Session) Give(n int) {
+	if n > 0 {
+		s.gate.give(s, budget.Bytes(n))
+	}
+}
+
+// beginMessage bounds the time until the rest of a message has arrived.
+func (s *Session) beginMessage() {
+	s.setPhase(budget.PhaseReading)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.message = time.Now().Add(s.limits.Message)
+	// A connection that is closed already has no deadline; the next read reports it.
+	_ = s.applyDeadline()
+}
+
+// Waiting records that the owner waits for the next message, of which a part may have arrived already.
+func (s *Session) Waiting() {
+	if s.phase() != budget.PhaseReading {
+		s.setPhase(budget.PhaseIdle)
+	}
+}
+
+// Received records that a whole message has arrived, whose request runs now.
+func (s *Session) Received() {
+	s.mu.Lock()
+	s.message = time.Time{}
+	s.mu.Unlock()
+	s.setPhase(budget.PhaseBusy)
+}
+
+// Overdue reports whether a message that has begun has not arrived in time.
+func (s *Session) Overdue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.message.IsZero() && !time.Now().Before(s.message)
+}
+
+// SetReadDeadline sets the deadline of the wait for a message. The deadline of a message that has begun applies in addition.
+func (s *Session) SetReadDeadline(deadline time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = deadline
+	return s.applyDeadline()
+}
+
+func (s *Session) applyDeadline() error {
+	deadline := s.idle
+	if !s.message.IsZero() && (deadline.IsZero() || s.message.Before(deadline)) {
+		deadline = s.message
+	}
+	return s.Conn.SetReadDeadline(deadline)
+}
+
+// Write sends an answer; it fails if the caller does not take the answer in time.
+func (s *Session) Write(answer []byte) (int, error) {
+	_ = s.SetWriteDeadline(time.Now().Add(s.limits.Answer))
+	if s.phase() == budget.PhaseBusy && len(answer) > smallAnswer {
+		s.setPhase(budget.PhaseWriting)
+		defer s.setPhase(budget.PhaseBusy)
+	}
+	n, err := s.Conn.Write(answer)
+	if isTimeout(err) {
+		s.gate.Closed("answer_not_read", s.RemoteAddr().String())
+	}
+	return n, err
+}
+
+// smallAnswer is the size in bytes up to which an answer is not worth the record that it is being written.
+const smallAnswer = 4 << 10
+
+// SetTeam records the team that the connection belongs to.
+func (s *Session) SetTeam(team ident.Team) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.account.SetTeam(s.holder, team)
+}
+
+// CountClosed counts that the owner closes the connection at a limit.
+func (s *Session) CountClosed(reason string) {
+	s.gate.Closed(reason, s.RemoteAddr().String())
+}
+
+// Close closes the connection and returns what it holds.
+func (s *Session) Close() error {
+	s.gate.close(s)
+	return s.Conn.Close()
+}
+
+func (s *Session) phase() budget.Phase {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	return s.holder.Phase()
+}
+
+func (s *Session) setPhase(phase budget.Phase) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.account.SetPhase(s.holder, phase, steady.Now())
+}
+
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
--- a/node/core.go
+++ b/node/core.go
@@ -16,6 +16,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/store"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/core"
 	"tamarackshunt.dev/platform/api"
@@ -55,19 +56,24 @@
 		return nil, trace.BadParameter("listen.control and data_dir are missing")
 	}
 	limitMemory(s.MemoryMB)
+	limits, _, err := callerLimits(&s)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	doors := &doors{gate: admission.New(limits), limits: limits}
 	p := &corePart{
 		file: file, peers: peer.New(peer.Options{Trusted: true}), ownAddress: address(s.IP, s.FirstPort+portOffsetCore),
 		folder: filepath.Join(s.Folder, logFolder), background: newBackground(), done: make(chan struct{}),
 	}
 	// The listeners start before the core: other hosts ask for this host's name before the log can be bootstrapped.
 	p.serveStarting(&s)
-	if err := serve(p.ownAddress, peer.TrustedHandler(&p.peerHandler)); err != nil {
+	if err := doors.peers(p.ownAddress, peer.TrustedHandler(&p.peerHandler)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := serve(s.Control, &p.platformHandler); err != nil {
+	if err := doors.calls("control", s.Control, &p.platformHandler); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := serveMetrics(address(s.IP, portCoreMetrics)); err != nil {
+	if err := doors.metrics(address(s.IP, portCoreMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	go p.supervise(&s)
--- a/node/entry.go
+++ b/node/entry.go
@@ -8,10 +8,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
-	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 	"tamarackshunt.dev/node/coreclient"
@@ -49,6 +49,11 @@
 		return nil, trace.BadParameter("listen.front and listen.ready are missing")
 	}
 	limitMemory(s.MemoryMB)
+	limits, session, err := callerLimits(&s)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	doors := &doors{gate: admission.New(limits), limits: limits}
 	peers := peer.New(peer.Options{Trusted: true})
 	table := routing.New(routing.Options{
 		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstream,
@@ -64,20 +69,21 @@
 	})
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Prefetch: borrowPrefetch})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
-	p.server = entry.New(entry.Options{Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace})
-	var err error
+	p.server = entry.New(entry.Options{
+		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: doors.gate, Limits: session, Sessions: limits.Sessions,
+	})
 	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	ready := func() bool { return table.Received() && core.Connected() && !p.server.Draining() }
-	if err := serve(s.Ready, api.NewReadyHandler(ready)); err != nil {
+	if err := doors.calls("ready", s.Ready, api.NewReadyHandler(ready)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := serveMetrics(address(s.IP, portEntryMetrics)); err != nil {
+	if err := doors.metrics(address(s.IP, portEntryMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	gateways := gateway.NewServer(table)
-	if err := serve(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
+	if err := doors.peers(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.leave = core.Leave
@@ -111,26 +117,8 @@
 	}
 }
 
-// serve serves HTTP at an address until the process ends.
-func serve(listenAddress string, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", listenAddress)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: peer.ErrorLog()}
-	go func() {
-		if err := server.Serve(listener); err != nil {
-			klog.ErrorS(err, "Listener ended", "address", listenAddress)
-		}
-	}()
-	return nil
-}
-
-// headerTimeout bounds the time for reading a request's header.
-const headerTimeout = 5 * time.Second
-
-func serveMetrics(listenAddress string) error {
+func (d *doors) metrics(listenAddress string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
-	return serve(listenAddress, mux)
+	return d.calls("metrics", listenAddress, mux)
 }
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -43,13 +43,11 @@
 		s.dropTransaction()
 		return err
 	case statement.Set:
-		s.values[request.Name] = request.Value
-		return s.caller.Done(s.state)
+		return s.handleSet(query, request)
 	case statement.Prepare:
-		s.prepared[request.Name] = request.Prepared
-		return s.caller.Done(s.state)
+		return s.handlePrepare(query, request)
 	case statement.Deallocate:
-		delete(s.prepared, request.Name)
+		s.forgetPrepared(request.Name)
 		return s.caller.Done(s.state)
 	case statement.Read:
 		return s.handleStatement(query, work{text: request.Text})
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"runtime/debug"
 	"sync"
@@ -13,8 +14,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/node/routing"
 )
 
@@ -26,8 +29,8 @@
 	idleCheckInterval = 50 * time.Millisecond
 	// closeMargin is the part of the grace period that is left for the exit of the process.
 	closeMargin = 700 * time.Millisecond
-	// startTimeout bounds the wait for a caller's first message.
-	startTimeout = 10 * time.Second
+	// listenerName names the callers' connections among those that the gate counts.
+	listenerName = "callers"
 )
 
 var (
@@ -66,6 +69,11 @@
 	Quota    Quota
 	// Grace is the maximum duration of a shutdown.
 	Grace time.Duration
+	// Gate admits sessions and what they hold, within Limits for each session, and Sessions is the largest number of sessions. Without a
+	// gate there are no bounds but those of each session.
+	Gate     *admission.Gate
+	Limits   budget.SessionLimits
+	Sessions int
 }
 
 // Server serves callers on a listener.
@@ -79,6 +87,10 @@
 
 // New returns a server without sessions.
 func New(options Options) *Server {
+	if options.Gate == nil {
+		options.Gate = admission.New(budget.Limits{Total: math.MaxInt64, Session: math.MaxInt64, Address: math.MaxInt64, Team: math.MaxInt64})
+		options.Limits, options.Sessions = budget.NewSessionLimits(), math.MaxInt
+	}
 	return &Server{options: options, sessions: map[*session]struct{}{}}
 }
 
@@ -95,8 +107,12 @@
 			continue
 		}
 		sessions.Inc()
+		admitted, err := s.options.Gate.Open(budget.Listener{Name: listenerName, Limit: s.options.Sessions}, raw, s.options.Limits)
+		if err != nil {
+			continue
+		}
 		sessionsOpen.Inc()
-		caller := newSession(s, raw)
+		caller := newSession(s, admitted)
 		s.mu.Lock()
 		s.sessions[caller] = struct{}{}
 		s.mu.Unlock()
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -5,19 +5,21 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/node/upstream"
 )
 
@@ -45,7 +47,7 @@
 // shutdown uses as well.
 type session struct {
 	server *Server
-	raw    net.Conn
+	raw    *admission.Session
 	caller Caller
 	// activity is read and ending is set by a shutdown.
 	activity atomic.Int32
@@ -56,6 +58,8 @@
 	// values are the settings that the caller has made, and prepared its prepared statements, by name.
 	values   map[string]string
 	prepared map[string]statement.Prepared
+	// kept counts values and prepared against the session's limits.
+	kept budget.State
 	// lastCommits holds the position of the session's own last commit on each service.
 	lastCommits map[ident.Service]ident.Position
 	tx          *transaction
@@ -99,13 +103,14 @@
 	return o.route.Priority
 }
 
-func newSession(server *Server, raw net.Conn) *session {
+func newSession(server *Server, raw *admission.Session) *session {
 	return &session{
 		server:      server,
 		raw:         raw,
 		caller:      server.options.Protocol(raw),
 		values:      map[string]string{},
 		prepared:    map[string]statement.Prepared{},
+		kept:        budget.NewState(server.options.Limits),
 		lastCommits: map[ident.Service]ident.Position{},
 	}
 }
@@ -124,19 +129,21 @@
 func (s *session) serve() {
 	defer s.raw.Close()
 	defer s.dropTransaction()
-	_ = s.raw.SetReadDeadline(time.Now().Add(startTimeout))
+	_ = s.raw.SetReadDeadline(time.Now().Add(s.server.options.Limits.Start))
 	start, err := s.caller.ReadStart()
 	if err != nil {
 		return
 	}
 	_ = s.raw.SetReadDeadline(time.Time{})
 	s.start = start
-	if _, failure := s.authorize(); failure != nil {
+	o, failure := s.authorize()
+	if failure != nil {
 		countFailure(failure)
-		klog.V(1).InfoS("Session refused", "database", start.Database, "code", failure.Code, "reason", failure.Text)
+		klog.V(1).InfoS("Session refused", "database", shortened(string(start.Database)), "code", failure.Code, "reason", failure.Text)
 		_ = s.caller.Refuse(failure)
 		return
 	}
+	s.raw.SetTeam(o.teamName())
 	if s.caller.Ready() != nil {
 		return
 	}
@@ -157,6 +164,11 @@
 	if query.Request == nil {
 		return s.fail(&query, malformed("this is not a request"))
 	}
+	copies, failure := s.takeCopies(&query)
+	if failure != nil {
+		return s.fail(&query, failure)
+	}
+	defer s.raw.Give(copies)
 	if s.handle(&query) != nil {
 		return false
 	}
@@ -173,16 +185,26 @@
 	if s.tx != nil && s.tx.executor != nil {
 		deadline = time.Now().Add(s.idleTransactionLimit())
 	}
+	s.raw.Waiting()
 	_ = s.raw.SetReadDeadline(deadline)
 	s.activity.Store(int32(waiting))
 	defer s.activity.Store(int32(activityBusy))
-	return s.caller.ReadQuery()
+	return s.readQuery()
+}
+
+// readQuery reads the next request, of which a part may have arrived before.
+func (s *session) readQuery() (statement.Query, error) {
+	query, err := s.caller.ReadQuery()
+	if err == nil {
+		s.raw.Received()
+	}
+	return query, err
 }
 
 // readLast reads a request that arrived just before a shutdown interrupted the wait for it.
 func (s *session) readLast() (statement.Query, error) {
 	_ = s.raw.SetReadDeadline(time.Now().Add(lastReadTimeout))
-	return s.caller.ReadQuery()
+	return s.readQuery()
 }
 
 // idleTransactionLimit returns how long a transaction may be idle.
@@ -196,9 +218,13 @@
 // handleReadError handles a failed read of a request. It rolls back a transaction that was idle for too long and returns true;
 // otherwise the session ends and it returns false.
 func (s *session) handleReadError(err error) bool {
+	if s.raw.Overdue() {
+		s.raw.CountClosed(reasonMessageUnfinished)
+		return false
+	}
 	if s.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 		if !errors.Is(err, io.EOF) && !s.ending.Load() {
-			klog.V(1).InfoS("Session ended", "database", s.start.Database, "reason", err)
+			klog.V(1).InfoS("Session ended", "database", shortened(string(s.start.Database)), "reason", err)
 		}
 		return false
 	}
@@ -241,7 +267,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	o.id, o.began = id, s.began
+	// An open transaction keeps its id for the log only.
+	o.id, o.began = strings.Clone(shortened(id)), s.began
 	if o.team == nil {
 		return o, nil
 	}
@@ -317,7 +344,8 @@
 	if tx != nil {
 		transaction, team = tx.id, tx.teamName()
 	}
-	klog.InfoS("Request failed", "id", query.ID, "code", failure.Code, "reason", failure.Text, "database", s.start.Database,
+	klog.InfoS("Request failed", "id", shortened(query.ID), "code", failure.Code, "reason", shortened(failure.Text),
+		"database", shortened(string(s.start.Database)),
 		"team", team, "transaction", transaction, "state", s.state, "took", steady.Now().Sub(s.began), "tried", s.attemptLog,
 		"configuration", version)
 }
--- a/node/entry/shutdown_test.go
+++ b/node/entry/shutdown_test.go
@@ -64,6 +64,10 @@
 	return nil
 }
 
+func (c *arrivedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *arrivedConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
 func (c *arrivedConn) Close() error {
 	close(c.closed)
 	return nil
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -147,7 +147,9 @@
 // statement.
 func (r *remoteExecutor) callFailed(use *upstream.Use, err error) (upstream.Outcome, error) {
 	callFailures.Inc()
-	r.onFailure()
+	if !refusedForMemory(err) {
+		r.onFailure()
+	}
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	if neverSent(err) {
 		// The gateway does not hold the lease, or can't be reached to end it.
--- /dev/null
+++ b/node/limits.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/budget"
+	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/platform/machine"
+)
+
+const (
+	// maxOrder bounds a platform's call and maxPeerCall a call of another host in bytes. A configuration is parsed into several times its
+	// size, and a statement has one copy for each step from the call to the upstream.
+	maxOrder       = 16 << 20
+	orderCopies    = 3
+	maxPeerCall    = 64 << 20
+	peerCallCopies = 5
+)
+
+// callerLimits returns the limits for callers: those that the settings name, and defaults for the machine's memory and descriptors.
+func callerLimits(s *machine.Settings) (budget.Limits, budget.SessionLimits, error) {
+	memory, descriptors := budget.Bytes(s.MemoryMB)*budget.MiB, s.Descriptors
+	if memory == 0 {
+		memory = admission.MachineMemory()
+	}
+	if descriptors == 0 {
+		descriptors = admission.MachineDescriptors()
+	}
+	limits := budget.NewLimits(memory, descriptors).With(s.Callers.Limits)
+	return limits, budget.NewSessionLimits().With(s.Callers.Session), limits.Check()
+}
+
+// doors serves the HTTP listeners of a process within one gate.
+type doors struct {
+	gate   *admission.Gate
+	limits budget.Limits
+}
+
+// peers serves other hosts' calls at an address until the process ends.
+func (d *doors) peers(address string, handler http.Handler) error {
+	return d.serve(address, admission.Calls{
+		Listener: budget.Listener{Name: "peers", Limit: d.limits.Peers}, Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
+		Refuse: func(w http.ResponseWriter, err error) {
+			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
+		},
+	})
+}
+
+// calls serves the platform's calls at an address until the process ends.
+func (d *doors) calls(name, address string, handler http.Handler) error {
+	return d.serve(address, admission.Calls{
+		Listener: budget.Listener{Name: name, Limit: d.limits.Calls}, Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
+		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusServiceUnavailable) },
+	})
+}
+
+func (d *doors) serve(address string, calls admission.Calls) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	go func() {
+		if err := d.gate.Server(calls).Serve(listener); err != nil {
+			klog.ErrorS(err, "Listener ended", "address", address)
+		}
+	}()
+	return nil
+}
--- a/node/log.go
+++ b/node/log.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
@@ -19,6 +20,8 @@
 	// logRate and logBurst limit the lines per second, since writing them takes processor time from requests.
 	logRate  = 100
 	logBurst = 400
+	// maxLine bounds a line in bytes, so that queued lines hold little.
+	maxLine = 8 << 10
 	// dropReportInterval is the interval at which the number of dropped lines is logged.
 	dropReportInterval = 5 * time.Second
 )
@@ -47,13 +50,21 @@
 		return len(line), nil
 	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- bounded(line):
 	default:
 		w.drop()
 	}
 	return len(line), nil
 }
 
+// bounded returns a copy of a line that is cut at maxLine.
+func bounded(line []byte) []byte {
+	if len(line) <= maxLine {
+		return bytes.Clone(line)
+	}
+	return append(bytes.Clone(line[:maxLine]), '\n')
+}
+
 func (w *logWriter) drop() {
 	w.dropped.Add(1)
 	droppedLines.Inc()
--- a/node/main.go
+++ b/node/main.go
@@ -82,6 +82,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	settings := file.current()
+	if _, _, err := callerLimits(&settings); err != nil {
+		return trace.Wrap(err)
+	}
 	if opts.Check {
 		fmt.Println(path, "is valid")
 		return nil
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -259,6 +259,7 @@
 			c.broken = true
 		}
 	}
+	c.broken = c.broken || c.holdsMuch()
 	c.pool.put(c)
 }
 
