--- a/fleet/budget/account.go
+++ b/fleet/budget/account.go
@@ -1,6 +1,10 @@
 package budget
 
-import "tamarackshunt.dev/fleet/ident"
+import (
+	"cmp"
+
+	"tamarackshunt.dev/fleet/ident"
+)
 
 // Account is the budget of one process. It is not safe for concurrent use.
 type Account struct {
@@ -11,6 +15,8 @@
 	connections map[string]int
 	addresses   map[string]Bytes
 	teams       map[ident.Team]Bytes
+	// opened is the number of the holder that was opened last.
+	opened uint64
 }
 
 // New returns an account that nobody holds anything of.
@@ -26,7 +32,8 @@
 // Open adds a connection. The caller must close the connection of the victim, if there is one. It returns a RefusedError if nobody
 // can be closed for it.
 func (a *Account) Open(listener Listener, address string, now ident.Time) (*Holder, *Holder, error) {
-	h := &Holder{listener: listener.Name, address: address, since: now}
+	a.opened++
+	h := &Holder{number: a.opened, listener: listener.Name, address: address, since: now}
 	var victim *Holder
 	if a.connections[listener.Name] >= listener.Limit {
 		if victim = a.longestWaiting(listener.Name); victim == nil {
@@ -51,7 +58,7 @@
 		if h.listener != listener || (h.phase != PhaseStarting && h.phase != PhaseIdle) {
 			continue
 		}
-		if longest == nil || h.phase < longest.phase || (h.phase == longest.phase && h.since < longest.since) {
+		if longest == nil || cmp.Or(cmp.Compare(h.phase, longest.phase), h.compareWait(longest)) < 0 {
 			longest = h
 		}
 	}
@@ -126,12 +133,20 @@
 	return 0, false
 }
 
+// compareWait returns a negative number if a holder has waited longer in its phase than another.
+func (h *Holder) compareWait(other *Holder) int {
+	return cmp.Or(cmp.Compare(h.since, other.since), cmp.Compare(h.number, other.number))
+}
+
 // largest returns the largest holder that is to be closed so that another may take bytes, or nil.
 func (a *Account) largest(h *Holder, n Bytes, reason Reason) *Holder {
 	var largest *Holder
 	for v := range a.holders {
 		inScope := reason == ReasonTotal || (reason == ReasonAddress && v.address == h.address) || (reason == ReasonTeam && v.team == h.team)
-		if v != h && inScope && goesFirst(v, h, n) && (largest == nil || v.held > largest.held) {
+		if v == h || !inScope || !goesFirst(v, h, n) {
+			continue
+		}
+		if largest == nil || cmp.Or(cmp.Compare(largest.held, v.held), v.compareWait(largest)) < 0 {
 			largest = v
 		}
 	}
--- a/fleet/budget/holder.go
+++ b/fleet/budget/holder.go
@@ -57,6 +57,8 @@
 
 // Holder is a connection that holds bytes of an account.
 type Holder struct {
+	// number orders holders by their openings.
+	number   uint64
 	listener string
 	address  string
 	team     ident.Team
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -127,7 +127,7 @@
 
 // serve serves the session until its end.
 func (s *session) serve() {
-	defer s.raw.Close()
+	defer func() { _ = s.raw.Close() }()
 	defer s.dropTransaction()
 	_ = s.raw.SetReadDeadline(time.Now().Add(s.server.options.Limits.Start))
 	start, err := s.caller.ReadStart()
