--- a/fleet/budget/account.go
+++ b/fleet/budget/account.go
@@ -33,7 +33,7 @@
 // can be closed for it.
 func (a *Account) Open(listener Listener, address string, now ident.Time) (*Holder, *Holder, error) {
 	a.opened++
-	h := &Holder{number: a.opened, listener: listener.Name, address: address, since: now}
+	h := &Holder{number: a.opened, listener: listener.Name, address: address, since: now, share: cmp.Or(listener.Share, a.limits.Session)}
 	var victim *Holder
 	if a.connections[listener.Name] >= listener.Limit {
 		if victim = a.longestWaiting(listener.Name); victim == nil {
@@ -97,7 +97,7 @@
 	if h.closed {
 		return nil, &RefusedError{ReasonTotal}
 	}
-	if h.held+n > a.limits.Session {
+	if h.held+n > h.share {
 		return nil, &RefusedError{ReasonSession}
 	}
 	var victims []*Holder
--- a/fleet/budget/holder.go
+++ b/fleet/budget/holder.go
@@ -53,6 +53,8 @@
 type Listener struct {
 	Name  string
 	Limit int
+	// Share is the largest share of one connection, or 0 for Limits.Session.
+	Share Bytes
 }
 
 // Holder is a connection that holds bytes of an account.
@@ -67,6 +69,8 @@
 	since ident.Time
 	// held is what it has taken beyond BaseBytes.
 	held Bytes
+	// share is the most that it may hold.
+	share Bytes
 	// closed is set when the holder has been closed or has to be; it holds nothing from then on.
 	closed bool
 }
--- a/fleet/budget/limits.go
+++ b/fleet/budget/limits.go
@@ -59,6 +59,17 @@
 	return l
 }
 
+// PeerListener returns the listener for calls of other hosts. One call may use all
+// but the reserve, since a configuration or a state of the log is sent whole.
+func (l Limits) PeerListener() Listener {
+	return Listener{Name: "peers", Limit: l.Peers, Share: l.Total - l.Reserve}
+}
+
+// CallListener returns the listener with a name for HTTP calls; see PeerListener.
+func (l Limits) CallListener(name string) Listener {
+	return Listener{Name: name, Limit: l.Calls, Share: l.Total - l.Reserve}
+}
+
 // With returns the limits with those in place that named sets to more than 0. Shares that it doesn't name follow its total.
 func (l Limits) With(named Limits) Limits {
 	if named.Total > 0 {
--- a/node/limits.go
+++ b/node/limits.go
@@ -44,7 +44,7 @@
 // peers serves other hosts' calls at an address until the process ends.
 func (d *doors) peers(address string, handler http.Handler) error {
 	return d.serve(address, admission.Calls{
-		Listener: budget.Listener{Name: "peers", Limit: d.limits.Peers}, Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
+		Listener: d.limits.PeerListener(), Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
 		Refuse: func(w http.ResponseWriter, err error) {
 			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
 		},
@@ -54,7 +54,7 @@
 // calls serves the platform's calls at an address until the process ends.
 func (d *doors) calls(name, address string, handler http.Handler) error {
 	return d.serve(address, admission.Calls{
-		Listener: budget.Listener{Name: name, Limit: d.limits.Calls}, Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
+		Listener: d.limits.CallListener(name), Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
 		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusServiceUnavailable) },
 	})
 }
