--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -166,7 +166,9 @@
 // statement.
 func (r *remoteExecutor) callFailed(use *upstream.Use, err error) (upstream.Outcome, error) {
 	callFailures.Inc()
-	r.onFailure(errors.Is(err, syscall.ECONNREFUSED))
+	if !refusedForMemory(err) {
+		r.onFailure(errors.Is(err, syscall.ECONNREFUSED))
+	}
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	if neverSent(err) {
 		// The gateway does not hold the lease, or can't be reached to end it.
