--- a/models/slices.pml
+++ b/models/slices.pml
@@ -21,6 +21,8 @@
 // broken: RETURNS_AGAIN     (a repeated report returns tokens again)
 // broken: REFUNDS_EXPIRED   (unspent tokens of an expired loan are added to the bucket)
 // broken: REFUNDS_RESTART   (the loan of a restarted host is added to the bucket)
+// broken: UNDOES_REPORTED   (a host puts a token back whose spending it has reported)
+// broken: UNDOES_EXPIRED    (a host puts a token back after its loan has expired)
 
 #define BURST 3
 #define RATE 1
