--- a/fleet/limit/doc.go
+++ b/fleet/limit/doc.go
@@ -8,5 +8,12 @@
 // owner counts as lent, and a borrower counts a loan's lifetime from the time of its request, so that the loan
 // expires there before it expires at the owner.
 //
-// The one exception is the Reserve, which a host may spend without a loan while no owner responds.
+// A team whose burst is small beside the number of its hosts is scarce: its tokens are lent on demand, the more urgent
+// requests of all hosts first, and the owner forecasts when a host gets its next one, so that requests which can't wait for
+// it are refused at once.
+//
+// Refund puts the token of an operation that did not run back into its loan. For the owner, the token was on loan all the
+// time; after a report that counted it as spent, it stays spent.
+//
+// The one exception to the bound is the Reserve, which a host may spend without a loan while no owner responds.
 package limit
