--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -285,6 +285,32 @@
 		"node/core/state.go", "return &fleetpb.Outcome{Done: true, Version: index}", "return &fleetpb.Outcome{Done: true, Version: 1}",
 		"./node/core", "State",
 	},
+	{
+		0, "ONE: another entry for a closed window keeps its counts",
+		"node/core/usage_state.go", "next.Usage.Holder, next.Token = change.GetHolder(), index",
+		"next.Usage.Holder, next.Usage.Counts, next.Token = change.GetHolder(), change.GetCounts(), index",
+		"./node/core", "UsageLeaderLost",
+	},
+	{
+		0, "ONE: a leader reports no usage under the token of an earlier leader",
+		"fleet/metering/reporter.go", "r.reserved[oldest.Window] != oldest.Token || oldest.Token < r.sent", "oldest.Token < r.sent",
+		"./fleet/metering", "Reporter",
+	},
+	{
+		0, "ONE: a new leader reports no usage within the lease of the earlier one",
+		"fleet/metering/reporter.go", "notBefore: since.Add(lease)", "notBefore: since",
+		"./fleet/metering", "Reporter",
+	},
+	{
+		0, "Duty: windows of usage are cut by the median of the hosts' clocks",
+		"fleet/metering/clock.go", "offsets[len(offsets)/2]", "offsets[0]",
+		"./fleet/metering", "ClockSteps",
+	},
+	{
+		0, "Duty: repeated and reordered reports of usage count once",
+		"fleet/metering/ledger.go", "if count > merged[team] {", "if count != merged[team] {",
+		"./fleet/metering", "CountOnce",
+	},
 	{
 		0, "LOST: the candidate whose log reaches furthest is promoted",
 		"fleet/takeover/decision.go", "positions[best].Less(position)", "position.Less(positions[best])",
