Let a new leader collect counts before it closes a window

Cause: half of the delay after the end of a window, a leader that had just been elected closed the window at once with what it had. Change: no window is closed within the lease, and at least 2 s, of a leadership; no report is sent in that time anyway. The estimate of the time is renewed at an interval, since it takes the clocks of all hosts. Measured: go test ./fleet/metering and ./node/core -run Usage pass.

--- a/fleet/metering/clock.go
+++ b/fleet/metering/clock.go
@@ -33,7 +33,7 @@
 	if c.samples == nil {
 		c.samples = map[ident.Host]sample{}
 	}
-	c.samples[host] = sample{ahead: time.Duration(int64(timeOfDay) - int64(now)), at: now}
+	c.samples[host] = sample{ahead: timeOfDay.Sub(now), at: now}
 }
 
 // Now returns the true time at the leader's steady time now. It is unknown until most of the live hosts have reported their time of
@@ -51,7 +51,7 @@
 		return 0, false
 	}
 	slices.Sort(offsets)
-	return Instant(int64(now) + int64(offsets[len(offsets)/2])), true
+	return InstantAt(now, offsets[len(offsets)/2]), true
 }
 
 // HostClock converts a host's steady time to true time. It is not safe for concurrent use.
@@ -65,12 +65,12 @@
 
 // NewHostClock returns a clock that uses the host's time of day until the fleet's time is known.
 func NewHostClock(now ident.Time, timeOfDay Instant) *HostClock {
-	return &HostClock{ahead: time.Duration(int64(timeOfDay) - int64(now))}
+	return &HostClock{ahead: timeOfDay.Sub(now)}
 }
 
 // At returns the true time at a steady time.
 func (c *HostClock) At(now ident.Time) Instant {
-	return Instant(int64(now) + int64(c.ahead))
+	return InstantAt(now, c.ahead)
 }
 
 // Due reports whether the fleet's time should be requested.
@@ -90,6 +90,6 @@
 		return
 	}
 	c.halfTrip = trip / 2
-	c.ahead = time.Duration(int64(fleet.Add(c.halfTrip)) - int64(receivedAt))
+	c.ahead = fleet.Add(c.halfTrip).Sub(receivedAt)
 	c.updatedAt = receivedAt
 }
--- a/fleet/metering/metering_test.go
+++ b/fleet/metering/metering_test.go
@@ -227,7 +227,7 @@
 	require.Equal(t, first+100-metering.MaxOpenWindows, skipped.Window)
 }
 
-// Guards against a holder that sends within the lease of an earlier one, under another leadership's token, a token below one that it
+// Guards against a new leader that closes a window before the hosts had time to report it again, and a holder that sends within the lease of an earlier one, under another leadership's token, a token below one that it
 // has sent, a younger window before an older one, anything after the platform saw a higher token, and repeats without a pause.
 func TestReporter(t *testing.T) {
 	var out bytes.Buffer
@@ -241,6 +241,10 @@
 		r.Answered(second(at), w, answer)
 		fmt.Fprintf(&out, "%5.2f s window %d, token %d: %s\n", at, w, token, answer)
 	}
+	for _, at := range []float64{12.9, 13} {
+		fmt.Fprintf(&out, "%5.2f s gathers: %t\n", at, r.Gathers(second(at)))
+	}
+	fmt.Fprintf(&out, "without a lease, after 1.9 s: %t\n", metering.NewReporter(0, 0).Gathers(second(1.9)))
 	r.Reserved(8, 60)
 	next(12.9, metering.Pending{Window: 7, Token: 50}, metering.Pending{Window: 8, Token: 60})
 	next(13, metering.Pending{Window: 7, Token: 50}, metering.Pending{Window: 8, Token: 60})
--- a/fleet/metering/reporter.go
+++ b/fleet/metering/reporter.go
@@ -10,6 +10,9 @@
 	// minRetryPause and maxRetryPause bound the pause before a call that was not executed, or not answered, is repeated.
 	minRetryPause = 250 * time.Millisecond
 	maxRetryPause = 2 * time.Second
+	// minGatherTime is the shortest time for which a new leader only collects counts. Hosts have to find it, and report everything that
+	// is open in two requests.
+	minGatherTime = 2 * time.Second
 )
 
 // Pending is a closed window whose report has no outcome yet, as the control log contains it.
@@ -52,6 +55,8 @@
 
 // Reporter decides which report the holder sends, during one leadership of the core. It is not safe for concurrent use.
 type Reporter struct {
+	// gathersUntil is the time until which no window is closed.
+	gathersUntil ident.Time
 	// notBefore is the earliest time of the next call.
 	notBefore ident.Time
 	pause     time.Duration
@@ -66,7 +71,15 @@
 // NewReporter returns the reporter of a leadership that began at a time. It sends nothing for the lease: an earlier holder may have
 // sent its last report just before, and holders must not take turns within it.
 func NewReporter(since ident.Time, lease time.Duration) *Reporter {
-	return &Reporter{notBefore: since.Add(lease), reserved: map[Window]uint64{}}
+	return &Reporter{
+		gathersUntil: since.Add(max(lease, minGatherTime)), notBefore: since.Add(lease), reserved: map[Window]uint64{},
+	}
+}
+
+// Gathers reports whether it is too early in the leadership to close a window: hosts that have not found the leader yet would be missing
+// from it. Nothing is lost by the wait, as no report is sent within the lease either.
+func (r *Reporter) Gathers(now ident.Time) bool {
+	return now < r.gathersUntil
 }
 
 // Reserved records that this leadership reserved a token for a window.
--- a/fleet/metering/window.go
+++ b/fleet/metering/window.go
@@ -20,6 +20,12 @@
 	return Instant(milliseconds * int64(time.Millisecond))
 }
 
+// InstantAt returns the true time at a steady time if the true time is that far ahead of the steady clock.
+func InstantAt(now ident.Time, ahead time.Duration) Instant { return Instant(now.Add(ahead)) }
+
+// Sub returns what the instant is ahead of a steady time.
+func (i Instant) Sub(now ident.Time) time.Duration { return time.Duration(int64(i) - int64(now)) }
+
 // Window is the number of a window: window k begins k times the length of windows after the start of 1970.
 type Window uint64
 
--- a/node/core/usage.go
+++ b/node/core/usage.go
@@ -21,6 +21,8 @@
 	usageInterval = 200 * time.Millisecond
 	// usageTimeout bounds one call to the platform, which may be slow.
 	usageTimeout = 2 * time.Second
+	// estimateInterval is the interval at which the estimate of the true time is renewed. It takes the clocks of all hosts.
+	estimateInterval = 100 * time.Millisecond
 	// maxLoggedHosts bounds the hosts without a report that a log line names.
 	maxLoggedHosts = 8
 )
@@ -57,7 +59,12 @@
 
 	mu sync.Mutex
 	// clock holds for all leaderships of this host, ledger for one.
-	clock  metering.FleetClock
+	clock metering.FleetClock
+	// ahead is what the true time was ahead of this host's steady clock at estimatedAt, if timeKnown is set.
+	ahead       time.Duration
+	estimatedAt ident.Time
+	timeKnown   bool
+
 	term   uint64
 	ledger *metering.Ledger
 	// reporter and missing belong to the leadership of the term reporterTerm. Only run uses them.
@@ -76,14 +83,13 @@
 
 // record records a host's time of day and its counts, and adds what the host asks for to the response.
 func (u *usage) record(now ident.Time, term uint64, request *fleetpb.WatchRequest, response *fleetpb.WatchResponse) {
-	live := u.core.liveStarts(now)
 	u.teams.add(u.core.state.parsed())
 	closed := u.core.state.lastUsage()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if request.GetClockMs() != 0 {
 		u.clock.Record(now, ident.Host(request.GetHost()), metering.InstantOf(request.GetClockMs()))
-		if at, known := u.clock.Now(now, len(live)); known {
+		if at, known := u.time(now); known {
 			response.TimeMs = at.Milliseconds()
 		}
 	}
@@ -103,6 +109,16 @@
 	response.Usage = &fleetpb.UsageReceipt{Leadership: term, Closed: uint64(closed)}
 }
 
+// time returns the true time, from an estimate that is renewed at an interval. The caller must hold mu.
+func (u *usage) time(now ident.Time) (metering.Instant, bool) {
+	if u.estimatedAt == 0 || now.Sub(u.estimatedAt) >= estimateInterval {
+		var at metering.Instant
+		at, u.timeKnown = u.clock.Now(now, len(u.core.liveStarts(now)))
+		u.ahead, u.estimatedAt = at.Sub(now), now
+	}
+	return metering.InstantAt(now, u.ahead), u.timeKnown
+}
+
 // ledgerOf returns the ledger of a leadership. What hosts have reported to an earlier one may be incomplete.
 func (u *usage) ledgerOf(term uint64) *metering.Ledger {
 	if u.term != term || u.ledger == nil {
@@ -116,7 +132,7 @@
 	for steady.Wait(ctx, usageInterval) == nil {
 		if leadership := u.core.replica.Leadership(); leadership.Confirmed {
 			u.lead(leadership)
-			u.close(ctx, leadership.Term)
+			u.close(ctx, steady.Now(), leadership.Term)
 			u.report(ctx, steady.Now())
 		}
 	}
@@ -131,7 +147,10 @@
 }
 
 // close closes the next window if it can be closed.
-func (u *usage) close(ctx context.Context, term uint64) {
+func (u *usage) close(ctx context.Context, now ident.Time, term uint64) {
+	if u.reporter.Gathers(now) {
+		return
+	}
 	closing := u.closing(term)
 	if closing == nil {
 		return
@@ -163,7 +182,7 @@
 	last := u.core.state.lastUsage()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	at, known := u.clock.Now(now, len(live))
+	at, known := u.time(now)
 	if !known {
 		return nil
 	}
--- a/node/core/usage_test.go
+++ b/node/core/usage_test.go
@@ -59,6 +59,8 @@
 	s.core.hosts.record(steady.Now(), request)
 	s.core.mu.Unlock()
 	response := &fleetpb.WatchResponse{}
+	// The host's time of day jumps faster than the estimate is renewed.
+	s.core.usage.estimatedAt = 0
 	s.core.usage.record(steady.Now(), s.core.usage.reporterTerm, request, response)
 	return response
 }
@@ -70,7 +72,7 @@
 		Windows: []*fleetpb.WindowUsage{{Window: s.window, Teams: []uint32{0, 1}[:len(counts)], Counts: counts}},
 	}
 	require.NotNil(s.t, s.watch(6, report).GetUsage())
-	s.core.usage.close(s.t.Context(), s.core.usage.reporterTerm)
+	s.core.usage.close(s.t.Context(), afterPause(), s.core.usage.reporterTerm)
 	require.Equal(s.t, metering.Window(s.window), s.core.state.lastUsage())
 	s.window++
 }
@@ -204,7 +206,7 @@
 	counts := &fleetpb.WindowUsage{Window: s.window, Teams: []uint32{0}, Counts: []uint64{7}}
 	s.watch(6, &fleetpb.UsageReport{Leadership: u.reporterTerm, Version: 1, Complete: s.window, Windows: []*fleetpb.WindowUsage{counts}})
 	u.lead(replica.Leadership{Term: u.reporterTerm + 2, Since: steady.Now()})
-	u.close(t.Context(), u.reporterTerm)
+	u.close(t.Context(), afterPause(), u.reporterTerm)
 	require.Zero(t, s.core.state.lastUsage())
 	s.closeWindow(9)
 	require.Equal(t, metering.Counts{"one": 9}, s.core.state.usageCounts(1000))
