--- a/fleet/metering/reporter.go
+++ b/fleet/metering/reporter.go
@@ -9,7 +9,7 @@
 const (
 	// minRetryPause and maxRetryPause bound the pause before a call that was not executed, or not answered, is repeated.
 	minRetryPause = 250 * time.Millisecond
-	maxRetryPause = 2 * time.Second
+	maxRetryPause = time.Second
 	// minGatherTime is the shortest time for which a new leader only collects counts. Hosts have to find it, and report everything that
 	// is open in two requests.
 	minGatherTime = 2 * time.Second
--- a/node/core/usage.go
+++ b/node/core/usage.go
@@ -21,6 +21,9 @@
 	usageInterval = 200 * time.Millisecond
 	// usageTimeout bounds one call to the platform, which may be slow.
 	usageTimeout = 2 * time.Second
+	// maxSteps bounds the steps in one interval, so that reports which have waited do not use up the calls that the platform accepts in a
+	// second. A report that has waited takes two steps.
+	maxSteps = 8
 	// estimateInterval is the interval at which the estimate of the true time is renewed. It takes the clocks of all hosts.
 	estimateInterval = 100 * time.Millisecond
 	// maxLoggedHosts bounds the hosts without a report that a log line names.
@@ -132,8 +135,17 @@
 	for steady.Wait(ctx, usageInterval) == nil {
 		if leadership := u.core.replica.Leadership(); leadership.Confirmed {
 			u.lead(leadership)
-			u.close(ctx, steady.Now(), leadership.Term)
-			u.report(ctx, steady.Now())
+			u.step(ctx, leadership.Term)
+		}
+	}
+}
+
+// step closes the windows that can be closed and sends the reports that wait, as far as the platform takes them.
+func (u *usage) step(ctx context.Context, term uint64) {
+	for range maxSteps {
+		closed := u.close(ctx, steady.Now(), term)
+		if reported := u.report(ctx, steady.Now()); !closed && !reported {
+			return
 		}
 	}
 }
@@ -146,14 +158,14 @@
 	}
 }
 
-// close closes the next window if it can be closed.
-func (u *usage) close(ctx context.Context, now ident.Time, term uint64) {
+// close closes the next window if it can be closed, and reports whether it did.
+func (u *usage) close(ctx context.Context, now ident.Time, term uint64) bool {
 	if u.reporter.Gathers(now) {
-		return
+		return false
 	}
 	closing := u.closing(term)
 	if closing == nil {
-		return
+		return false
 	}
 	if closing.Skipped > 0 {
 		usageLost.Add(int(closing.Skipped))
@@ -163,7 +175,7 @@
 	token, err := u.reserve(ctx, &fleetpb.Usage{Window: uint64(closing.Window), Counts: encodeCounts(closing.Counts)})
 	if err != nil {
 		klog.InfoS("Usage window not closed", "window", closing.Window, "problem", problem(err))
-		return
+		return false
 	}
 	if len(pending) > 0 && len(u.core.state.usages()) == maxSavedUsages && u.core.state.usageCounts(pending[0].Window) == nil {
 		usageLost.Inc()
@@ -174,6 +186,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.ledgerOf(term).Closed(closing.Window)
+	return true
 }
 
 func (u *usage) closing(term uint64) *metering.Closing {
@@ -204,26 +217,28 @@
 	return outcome.GetVersion(), nil
 }
 
-// report takes the next step of the oldest report that has no outcome.
-func (u *usage) report(ctx context.Context, now ident.Time) {
+// report takes the next step of the oldest report that has no outcome, and reports whether another one may follow at once.
+func (u *usage) report(ctx context.Context, now ident.Time) bool {
 	switch action := u.reporter.Next(now, u.core.state.pendingUsages()).(type) {
 	case metering.Reserve:
 		token, err := u.reserve(ctx, &fleetpb.Usage{Window: uint64(action.Window)})
 		if err != nil {
 			klog.InfoS("Usage report without a token", "window", action.Window, "problem", problem(err))
-			return
+			return false
 		}
 		u.reporter.Reserved(action.Window, token)
+		return true
 	case metering.Send:
-		u.send(ctx, action)
+		return u.send(ctx, action)
 	}
+	return false
 }
 
-// send sends a report and records its outcome.
-func (u *usage) send(ctx context.Context, action metering.Send) {
+// send sends a report and records its outcome. It reports whether there is one.
+func (u *usage) send(ctx context.Context, action metering.Send) bool {
 	counts := u.core.state.usageCounts(action.Window)
 	if counts == nil || !u.core.leads() {
-		return
+		return false
 	}
 	u.reporter.Sent(action.Token)
 	callCtx, cancel := context.WithTimeout(ctx, usageTimeout)
@@ -237,12 +252,14 @@
 	case metering.AnswerRefused:
 		outcome = fleetpb.UsageOutcome_USAGE_OUTCOME_REFUSED
 	case metering.AnswerNone, metering.AnswerBusy, metering.AnswerOutdated:
-		return
+		return false
 	}
 	// If the outcome is not recorded, the same report is sent again, which the platform ignores.
 	if _, err := u.reserve(ctx, &fleetpb.Usage{Window: uint64(action.Window), Outcome: outcome}); err != nil {
 		klog.InfoS("Usage outcome not recorded", "window", action.Window, "problem", problem(err))
+		return false
 	}
+	return true
 }
 
 // log logs and counts the outcome of a call. Calls that are repeated for the same reason are logged once.
