--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -16,6 +16,13 @@
 // minDue is the shortest time until Decide is called without another event.
 const minDue = 5 * time.Millisecond
 
+const (
+	// connectTime is the time in which a free connection is taken, or opened. A reservation that takes longer waits for one that is held.
+	connectTime = 60 * time.Millisecond
+	// reservedPerSlot bounds the reservations of a priority, those included that wait for long.
+	reservedPerSlot = 2
+)
+
 // forgetInterval is the interval between sweeps of idle teams.
 const forgetInterval = 10 * time.Second
 
@@ -158,7 +165,7 @@
 // Start gives a statement with a reservation a slot, now or by a later decision, once it has its connection.
 func (s *Scheduler) Start(now ident.Time, id ID) []Decision {
 	it := s.items[id]
-	s.level(it.Priority).reserved--
+	s.level(it.Priority).unreserve(it)
 	s.join(now, it)
 	return s.decide(now)
 }
@@ -325,25 +332,44 @@
 	return decisions
 }
 
-// hasRoom reports whether a slot is left for a reservation of a priority. Reservations of less urgent statements don't count: these may
-// wait for a connection for long.
+// hasRoom reports whether a slot is left for a reservation of a priority. Reservations of less urgent statements don't count, nor do
+// those that have waited for a connection for long: other teams may have a free one. Their number is bounded.
 func (s *Scheduler) hasRoom(now ident.Time, l *level) bool {
 	taken := s.running + len(s.lane)
 	for _, other := range s.levels {
 		if other.priority <= l.priority {
-			taken += other.reserved
+			taken += other.connecting(now.Add(-connectTime))
 		}
 	}
-	return taken < s.limit && s.warmup.covers(now, taken-s.running+1)
+	return taken < s.limit && len(l.reserved) < reservedPerSlot*s.limit && s.warmup.covers(now, taken-s.running+1)
 }
 
-// Due returns the time after which Decide may grant something without another event, if there is one: the warm-up rate then admits the
-// next statement.
+// Due returns the time after which Decide may grant something without another event, if there is one: a reservation then no longer
+// counts, or the warm-up rate admits the next statement.
 func (s *Scheduler) Due(now ident.Time) (time.Duration, bool) {
-	if now >= s.warmup.end || s.Waiting() == 0 || s.running >= s.limit {
+	if s.Waiting() == 0 || s.running >= s.limit {
 		return 0, false
 	}
-	return max(s.warmup.wait(now), minDue), true
+	due, found := s.connectDue(now)
+	if now < s.warmup.end {
+		due, found = max(due, s.warmup.wait(now)), true
+	}
+	return max(due, minDue), found
+}
+
+// connectDue returns the time until the first reservation no longer counts.
+func (s *Scheduler) connectDue(now ident.Time) (due time.Duration, found bool) {
+	for _, l := range s.levels {
+		count := l.connecting(now.Add(-connectTime))
+		if count == 0 || len(l.reserved) >= reservedPerSlot*s.limit {
+			continue
+		}
+		left := l.reserved[len(l.reserved)-count].grantedAt.Add(connectTime).Sub(now)
+		if !found || left < due {
+			due, found = left, true
+		}
+	}
+	return due, found
 }
 
 // Decide grants what there is room for.
@@ -353,7 +379,7 @@
 
 func (s *Scheduler) reserve(now ident.Time, it *item, l *level) {
 	it.state, it.grantedAt = stateReserved, now
-	l.reserved++
+	l.reserved = append(l.reserved, it)
 	l.recordGrant(now, it.Team)
 	s.decisions = append(s.decisions, Decision{ID: it.id})
 }
@@ -380,7 +406,7 @@
 			s.waiting--
 		}
 	case stateReserved:
-		l.reserved--
+		l.unreserve(it)
 	case stateLane:
 		s.lane = slices.DeleteFunc(s.lane, func(x *item) bool { return x == it })
 	case stateRunning:
--- a/fleet/admission/scheduler_test.go
+++ b/fleet/admission/scheduler_test.go
@@ -152,6 +152,25 @@
 	require.Equal(t, waiting, s.Expire(6*ms, waiting)[0].ID)
 }
 
+// Guards against reservations that wait for connections and keep out the statements of teams that have a free one, and against a wait for
+// connections without a bound.
+func TestReservationsWithoutConnections(t *testing.T) {
+	s := admission.New(admission.Options{Limit: 2})
+	now, granted := ident.Time(0), 0
+	for range 20 {
+		_, decisions := s.Arrive(now, request(1, 9000*ms))
+		granted += len(decisions)
+	}
+	require.Equal(t, 2, granted)
+	due, found := s.Due(now)
+	require.True(t, found)
+	now = now.Add(due)
+	require.Len(t, s.Decide(now), 2)
+	_, found = s.Due(now)
+	require.False(t, found)
+	require.Empty(t, s.Decide(now.Add(time.Second)))
+}
+
 // Guards against statements that wait for an upstream that answers nothing, and against one that is never tried again.
 func TestStalledUpstream(t *testing.T) {
 	s, running := measured(admission.Options{})
--- a/fleet/admission/team.go
+++ b/fleet/admission/team.go
@@ -19,7 +19,8 @@
 type level struct {
 	priority int
 	waiting  int
-	reserved int
+	// reserved holds the statements with a reservation in the order of their grants.
+	reserved []*item
 	teams    map[ident.Team]*team
 	// order holds the teams in the order of their first statements, so that decisions don't depend on the order of a map.
 	order []*team
@@ -128,6 +129,22 @@
 	return ahead
 }
 
+// connecting returns how many reservations were granted after a time.
+func (l *level) connecting(after ident.Time) int {
+	count := 0
+	for _, it := range slices.Backward(l.reserved) {
+		if it.grantedAt <= after {
+			break
+		}
+		count++
+	}
+	return count
+}
+
+func (l *level) unreserve(it *item) {
+	l.reserved = slices.DeleteFunc(l.reserved, func(x *item) bool { return x == it })
+}
+
 // before reports whether the first statement of t goes before that of o. Both must be decayed to the same time.
 func (t *team) before(o *team) bool {
 	return cmp.Or(cmp.Compare(t.granted, o.granted), compareItems(t.items[0], o.items[0])) < 0
