--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -363,13 +363,16 @@
 		a.wakeAt(after)
 		return nil
 	}
-	if r.crowded && r.handshakes >= a.maxHandshakes() {
-		a.wakeAt(r.handshakeEnd)
-		return nil
-	}
-	if r.crowded && r.joins(w, ahead) {
-		a.wakeAt(w.since.Add(joinTime))
-		return nil
+	// The core's requests go ahead of all statements.
+	if r.crowded && w.priority >= 0 {
+		if r.handshakes >= a.maxHandshakes() {
+			a.wakeAt(r.handshakeEnd)
+			return nil
+		}
+		if r.joins(w, ahead) {
+			a.wakeAt(w.since.Add(joinTime))
+			return nil
+		}
 	}
 	return a.open(r, w)
 }
