Give a host that stands in for hosts that are gone the whole account at once

A closed port proves that its process's connections are closed, so nothing has to be waited for; other accounts that grow also grow with time, since all they have may be in use.

--- a/fleet/connections/account.go
+++ b/fleet/connections/account.go
@@ -9,6 +9,8 @@
 const (
 	// firstSize is the size at which a larger account starts.
 	firstSize = 4
+	// firstInterval is the time in which a growing account grows by one even if nothing is opened, since all it has may be in use.
+	firstInterval = 50 * time.Millisecond
 	// settleTime is the time after which an earlier holder's connections are gone: an upstream drops those of a dark machine.
 	settleTime = 3 * time.Second
 	// shrinkDivisor is the part of the open connections by which a refusal shrinks an account.
@@ -25,7 +27,7 @@
 type Account struct {
 	// size is the size of the host's role. The account has it unless it is growing or shrunk.
 	size int
-	// base is the size while the account grows, until settled.
+	// base is the size from which the account grows, until settled.
 	base    int
 	settled ident.Time
 	// shrunk is the time of the last refusal, or 0; from then on the account grows with time.
@@ -55,7 +57,7 @@
 	case a.shrunk != 0:
 		return min(a.size, a.base+int(now.Sub(a.shrunk)/growInterval))
 	case now < a.settled:
-		return min(a.size, a.base)
+		return min(a.size, a.base+int(now.Sub(a.settled.Add(-settleTime))/firstInterval))
 	}
 	return a.size
 }
@@ -68,7 +70,8 @@
 	case a.shrunk != 0:
 		return a.shrunk.Add((now.Sub(a.shrunk)/growInterval + 1) * growInterval)
 	}
-	return a.settled
+	began := a.settled.Add(-settleTime)
+	return began.Add((now.Sub(began)/firstInterval + 1) * firstInterval)
 }
 
 // Opened records that a connection was opened.
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -22,6 +22,9 @@
 	nonGatewayConnections = 1
 	// askedTime is how long after a request for an upstream's connections a host still checks the hosts before it.
 	askedTime = 2 * time.Second
+	// maxChecked is the number of hosts before this one that are checked unless they are known to be gone. With more than two of them
+	// this host has no role.
+	maxChecked = 3
 )
 
 // account is what the table knows of the connections to one upstream.
@@ -101,7 +104,9 @@
 	case a.accepted > 0 && role == connections.RoleGateway:
 		size = max(nonGatewayConnections, role.Size(a.accepted, false))
 	}
-	m.pool.SetLimit(size, a.scarce)
+	// A host that stands in for hosts that are gone has the whole account at once; other changes may overlap with an earlier holder.
+	standsIn := role == connections.RoleGateway && t.position(a.order) > 0
+	m.pool.SetLimit(size, a.scarce && !standsIn)
 	if role != a.role {
 		klog.InfoS("Connection account changed", "upstream", m.pool.Target().Upstream, "role", role, "account", size)
 		a.role = role
@@ -219,8 +224,16 @@
 		return nil
 	}
 	var due []*fleetpb.EntryHost
+	present := 0
 	for _, host := range a.order[:max(0, t.position(a.order))] {
-		if t.peer(host.GetHost()).CheckDue(now) {
+		p := t.peer(host.GetHost())
+		if !p.Gone(now) {
+			present++
+		}
+		if present > maxChecked {
+			break
+		}
+		if p.CheckDue(now) {
 			due = append(due, host)
 		}
 	}
