--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -86,9 +86,8 @@
 // Allocator divides a host's connections to one upstream among waiting statements. While there are at least as many connections as
 // teams it opens them as needed and closes the least recently used one; otherwise it weighs teams by demand and urgency.
 type Allocator struct {
-	// Account is the number of connections that the host may have.
-	Account Account
-
+	// account is the number of connections that the host may have.
+	account      Account
 	teams, slots int
 	conns        map[ConnID]*conn
 	// idle is ordered by the time of last use, waiting by priority and then by arrival.
@@ -107,6 +106,14 @@
 	return &Allocator{conns: map[ConnID]*conn{}, demand: newDemand()}
 }
 
+// Resize sets the number of connections that the host may have in its role. If slowly is set, a larger account grows by degrees.
+func (a *Allocator) Resize(now ident.Time, size int, slowly bool) {
+	a.account.Resize(now, size, slowly)
+}
+
+// Limit returns the number of connections that the host may have now.
+func (a *Allocator) Limit(now ident.Time) int { return a.account.Limit(now) }
+
 // SetTeams sets the number of teams that may need a connection.
 func (a *Allocator) SetTeams(teams int) { a.teams = teams }
 
@@ -124,7 +131,7 @@
 
 // crowded reports whether teams have to share connections.
 func (a *Allocator) crowded(now ident.Time) bool {
-	return a.teams > a.Account.Limit(now)
+	return a.teams > a.account.Limit(now)
 }
 
 // Request adds a statement that needs a connection of its team.
@@ -164,7 +171,7 @@
 	c := a.conns[id]
 	c.state, c.since = connRunning, now
 	a.opening--
-	a.Account.Opened(now)
+	a.account.Opened(now)
 	return a.decide(now)
 }
 
@@ -177,7 +184,7 @@
 	if !atCap {
 		return 0, a.decide(now)
 	}
-	a.Account.Refused(now, len(a.conns)-a.opening)
+	a.account.Refused(now, len(a.conns)-a.opening)
 	return a.request(now, &waiter{team: c.team, priority: c.priority, since: waited})
 }
 
@@ -197,7 +204,7 @@
 func (a *Allocator) Release(now ident.Time, id ConnID, reusable bool) []Action {
 	c := a.conns[id]
 	a.demand.hold(now, c.team, now.Sub(c.since))
-	if !reusable || len(a.conns) > a.Account.Limit(now) {
+	if !reusable || len(a.conns) > a.account.Limit(now) {
 		delete(a.conns, id)
 		actions := a.decide(now)
 		if reusable {
@@ -292,7 +299,7 @@
 }
 
 func (a *Allocator) newRound(now ident.Time) *round {
-	r := &round{now: now, limit: a.Account.Limit(now)}
+	r := &round{now: now, limit: a.account.Limit(now)}
 	if r.crowded = a.crowded(now); !r.crowded {
 		return r
 	}
@@ -328,7 +335,7 @@
 func (a *Allocator) decide(now ident.Time) []Action {
 	var actions []Action
 	a.wake = 0
-	for len(a.conns) > a.Account.Limit(now) && len(a.idle) > 0 {
+	for len(a.conns) > a.account.Limit(now) && len(a.idle) > 0 {
 		actions = append(actions, a.closeIdle(a.victim(now)))
 	}
 	if len(a.waiting) == 0 {
@@ -359,7 +366,7 @@
 			return a.give(r.now, w, c)
 		}
 	}
-	if after := a.Account.OpenAfter(); r.now < after {
+	if after := a.account.OpenAfter(); r.now < after {
 		a.wakeAt(after)
 		return nil
 	}
@@ -397,7 +404,7 @@
 	var actions []Action
 	if len(a.conns) >= limit {
 		if len(a.idle) == 0 || len(a.conns) > limit {
-			if grows := a.Account.GrowsAt(r.now); grows != 0 {
+			if grows := a.account.GrowsAt(r.now); grows != 0 {
 				a.wakeAt(grows)
 			}
 			return nil
--- a/fleet/connections/failure_test.go
+++ b/fleet/connections/failure_test.go
@@ -250,7 +250,7 @@
 	a := connections.NewAllocator()
 	a.SetTeams(loadTeams)
 	a.SetSlots(limit)
-	a.Account.Resize(0, limit, false)
+	a.Resize(0, limit, false)
 	now := ident.Time(time.Second)
 	open := func(team string, priority int) bool {
 		now = now.Add(time.Millisecond)
--- a/fleet/connections/replay_test.go
+++ b/fleet/connections/replay_test.go
@@ -136,7 +136,7 @@
 	r := &replay{allocator: connections.NewAllocator(), granted: map[connections.WaiterID]func(connections.ConnID, bool){}}
 	r.allocator.SetTeams(teams)
 	r.allocator.SetSlots(loadSlots)
-	r.allocator.Account.Resize(0, loadAccount, false)
+	r.allocator.Resize(0, loadAccount, false)
 	return r
 }
 
@@ -195,7 +195,7 @@
 	a := connections.NewAllocator()
 	a.SetTeams(teams)
 	a.SetSlots(2)
-	a.Account.Resize(0, limit, false)
+	a.Resize(0, limit, false)
 	var out bytes.Buffer
 	rng := rand.New(rand.NewPCG(1, 2))
 	names, waiters := map[connections.ConnID]string{}, map[connections.WaiterID]string{}
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -277,12 +277,13 @@
 	t.mu.Lock()
 	t.updateLimits(now)
 	var due []*fleetpb.EntryHost
-	roles, accounts := map[connections.Role]int{}, 0
+	roles, accounts, open := map[connections.Role]int{}, 0, 0
 	for _, g := range t.groups {
 		for _, m := range g.members {
 			due = append(due, t.dueChecks(now, &m.account)...)
 			roles[m.account.role]++
 			accounts += m.pool.Limit()
+			open += m.pool.Connections()
 			m.pool.Trim(now)
 		}
 	}
@@ -292,4 +293,5 @@
 		metrics.GetOrCreateGauge(fmt.Sprintf("tamarack_connections_role{role=%q}", role), nil).Set(float64(roles[role]))
 	}
 	metrics.GetOrCreateGauge("tamarack_connections_account", nil).Set(float64(accounts))
+	metrics.GetOrCreateGauge("tamarack_connections_open", nil).Set(float64(open))
 }
--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -72,18 +72,18 @@
 	return nil, err
 }
 
-// request asks the account for a connection. The channel receives the outcome.
+// request asks the allocator for a connection. The channel receives the outcome.
 func (p *Pool) request(now ident.Time, team ident.Team, priority int) (connections.WaiterID, chan grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.closed:
 		return 0, nil, p.closedError()
-	case p.account.Account.Limit(now) == 0 && priority >= 0:
+	case p.allocator.Limit(now) == 0 && priority >= 0:
 		return 0, nil, noConnection("this host holds no connections to the upstream")
 	}
 	granted := make(chan grant, 1)
-	id, actions := p.account.Request(now, team, priority)
+	id, actions := p.allocator.Request(now, team, priority)
 	p.waiting[id] = granted
 	p.carryOut(actions)
 	return id, granted, nil
@@ -102,7 +102,7 @@
 	defer p.mu.Unlock()
 	conn.pool, conn.id = p, id
 	p.conns[id] = conn
-	p.carryOut(p.account.Opened(now, id))
+	p.carryOut(p.allocator.Opened(now, id))
 	return conn, nil
 }
 
@@ -121,7 +121,7 @@
 	atCap := errors.As(failed, &refused) && refused.Code == statement.CodeConnections
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	waiter, actions := p.account.OpenFailed(now, id, began, atCap && !p.closed)
+	waiter, actions := p.allocator.OpenFailed(now, id, began, atCap && !p.closed)
 	if waiter != 0 {
 		p.waiting[waiter] = granted
 	}
@@ -133,7 +133,7 @@
 	if p.refusalLogged == 0 || now.Sub(p.refusalLogged) >= refusalLogInterval {
 		p.refusalLogged = now
 		klog.InfoS("Connections refused at the upstream's limit", "upstream", p.target.Upstream, "open", len(p.conns),
-			"account", p.account.Account.Limit(now))
+			"account", p.allocator.Limit(now))
 	}
 	if p.closed {
 		return 0, p.closedError()
@@ -149,10 +149,10 @@
 	defer p.mu.Unlock()
 	delete(p.conns, conn.id)
 	if p.closed {
-		p.carryOut(p.account.Release(now, conn.id, false))
+		p.carryOut(p.allocator.Release(now, conn.id, false))
 		return 0, p.closedError()
 	}
-	id, actions := p.account.Lost(now, conn.id, began)
+	id, actions := p.allocator.Lost(now, conn.id, began)
 	p.waiting[id] = granted
 	p.carryOut(actions)
 	return id, nil
@@ -161,7 +161,7 @@
 // cancel ends a wait. What was granted at the same time is passed on.
 func (p *Pool) cancel(id connections.WaiterID, granted chan grant) {
 	p.mu.Lock()
-	waiting := p.account.Cancel(id)
+	waiting := p.allocator.Cancel(id)
 	delete(p.waiting, id)
 	p.mu.Unlock()
 	if waiting {
@@ -174,7 +174,7 @@
 			p.put(g.conn)
 		case g.reserved != 0:
 			p.mu.Lock()
-			_, actions := p.account.OpenFailed(steady.Now(), g.reserved, 0, false)
+			_, actions := p.allocator.OpenFailed(steady.Now(), g.reserved, 0, false)
 			p.carryOut(actions)
 			p.mu.Unlock()
 		}
@@ -196,17 +196,17 @@
 		conn.close()
 		delete(p.conns, conn.id)
 	}
-	p.carryOut(p.account.Release(steady.Now(), conn.id, reusable))
+	p.carryOut(p.allocator.Release(steady.Now(), conn.id, reusable))
 }
 
 // setResting records whether the transaction that holds a connection runs no statement.
 func (p *Pool) setResting(conn *Conn, resting bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.account.SetResting(conn.id, resting)
+	p.allocator.SetResting(conn.id, resting)
 }
 
-// carryOut carries out the account's decisions and sets the timer for the next one. The caller must hold mu. Connections are closed
+// carryOut carries out the allocator's decisions and sets the timer for the next one. The caller must hold mu. Connections are closed
 // before others are opened in their place.
 func (p *Pool) carryOut(actions []connections.Action) {
 	for _, action := range actions {
@@ -234,9 +234,9 @@
 	delete(p.waiting, id)
 }
 
-// setTimer arranges for the account's next decision. The caller must hold mu.
+// setTimer arranges for the allocator's next decision. The caller must hold mu.
 func (p *Pool) setTimer() {
-	at := p.account.Wake()
+	at := p.allocator.Wake()
 	if at == 0 || at == p.wakeAt {
 		return
 	}
@@ -248,6 +248,6 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.wakeAt = 0
-		p.carryOut(p.account.Tick(steady.Now(), maxIdleTime))
+		p.carryOut(p.allocator.Tick(steady.Now(), maxIdleTime))
 	})
 }
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -26,12 +26,12 @@
 	protocol Protocol
 	limiter  *limiter
 	mu       sync.Mutex
-	// account divides the connections; conns are those that are open, and waiting the statements that wait for one.
-	account *connections.Allocator
-	conns   map[connections.ConnID]*Conn
-	waiting map[connections.WaiterID]chan grant
-	closed  bool
-	// wake is the timer for the account's next decision, which is due at wakeAt.
+	// allocator divides the connections; conns are those that are open, and waiting the statements that wait for one.
+	allocator *connections.Allocator
+	conns     map[connections.ConnID]*Conn
+	waiting   map[connections.WaiterID]chan grant
+	closed    bool
+	// wake is the timer for the allocator's next decision, which is due at wakeAt.
 	wake   *time.Timer
 	wakeAt ident.Time
 	// refusalLogged is the time of the last log line about a refused connection.
@@ -55,10 +55,10 @@
 // NewPool returns a pool without connections.
 func NewPool(target Target, protocol Protocol, limit int) *Pool {
 	p := &Pool{
-		target: target, protocol: protocol, limiter: newLimiter(), account: connections.NewAllocator(),
+		target: target, protocol: protocol, limiter: newLimiter(), allocator: connections.NewAllocator(),
 		conns: map[connections.ConnID]*Conn{}, waiting: map[connections.WaiterID]chan grant{},
 	}
-	p.account.Account.Resize(steady.Now(), max(0, limit), false)
+	p.allocator.Resize(steady.Now(), max(0, limit), false)
 	return p
 }
 
@@ -72,7 +72,7 @@
 	p.limiter.setCapacity(capacity)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.account.SetSlots(capacity)
+	p.allocator.SetSlots(capacity)
 }
 
 // SetWarmup limits the statements per second until a time, while the upstream warms up. A rate of 0 refuses all statements.
@@ -99,8 +99,8 @@
 func (p *Pool) SetLimit(limit int, slowly bool) {
 	now := steady.Now()
 	p.mu.Lock()
-	p.account.Account.Resize(now, max(0, limit), slowly)
-	p.carryOut(p.account.Tick(now, maxIdleTime))
+	p.allocator.Resize(now, max(0, limit), slowly)
+	p.carryOut(p.allocator.Tick(now, maxIdleTime))
 	p.mu.Unlock()
 }
 
@@ -108,28 +108,28 @@
 func (p *Pool) SetTeams(teams int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.account.SetTeams(teams)
+	p.allocator.SetTeams(teams)
 }
 
 // Limit returns the maximum number of connections.
 func (p *Pool) Limit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.account.Account.Limit(steady.Now())
+	return p.allocator.Limit(steady.Now())
 }
 
 // Connections returns the number of connections that are open or being opened.
 func (p *Pool) Connections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.account.Total()
+	return p.allocator.Total()
 }
 
 // Waiting returns the number of statements that wait for a connection.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.account.Waiting()
+	return p.allocator.Waiting()
 }
 
 // Closed reports whether Close was called.
@@ -200,7 +200,7 @@
 func (p *Pool) Trim(now ident.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.carryOut(p.account.Tick(now, maxIdleTime))
+	p.carryOut(p.allocator.Tick(now, maxIdleTime))
 }
 
 // Close closes idle connections now, and the others when they are released. Statements that wait for a connection get an
@@ -209,7 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	p.carryOut(p.account.Clear())
+	p.carryOut(p.allocator.Clear())
 	for id := range p.waiting {
 		p.answer(id, grant{err: p.closedError()})
 	}
