Bound what callers make tamarack-host hold

Cause: messages, batches, prepared statements, settings and connections had no bound in sum; a batch could hold 4,096 messages of 8 MiB. Change: the same account and gate as in tamarack-node. A meter between the socket and the protocol's reader takes a message's bytes before the reader allocates its buffer, and its copies when it has arrived. What a session keeps is counted after each batch; portals end with their transaction. Limits are in the settings (limits), with defaults from the machine.

--- a/fleet/budget/limits.go
+++ b/fleet/budget/limits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -85,6 +86,12 @@
 	return l
 }
 
+// Unlimited returns limits that nobody reaches.
+func Unlimited() Limits {
+	const most = math.MaxInt64 / 2
+	return Limits{Total: most, Session: most, Address: most, Team: most, Sessions: math.MaxInt, Peers: math.MaxInt, Calls: math.MaxInt}
+}
+
 // SetTotal sets the total and the shares that follow from it.
 func (l *Limits) SetTotal(total Bytes) {
 	l.Total = total
--- a/host/admission/session.go
+++ b/host/admission/session.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
 	idle, message time.Time
+	// write is the write deadline that the owner has set.
+	write time.Time
 }
 
 // Take reserves bytes before they are used, or returns a budget.RefusedError. The first bytes taken while no request runs begin a message.
@@ -59,6 +61,9 @@
 	_ = s.applyDeadline()
 }
 
+// Starting reports whether the connection has not said yet who it is.
+func (s *Session) Starting() bool { return s.phase() == budget.PhaseStarting }
+
 // Waiting records that the owner waits for the next message, of which a part may have arrived already.
 func (s *Session) Waiting() {
 	if s.phase() != budget.PhaseReading {
@@ -74,6 +79,11 @@
 	s.setPhase(budget.PhaseBusy)
 }
 
+// Continued records that the owner waits for more messages before it runs any; they must arrive in the time of one message.
+func (s *Session) Continued() {
+	s.beginMessage()
+}
+
 // Overdue reports whether a message that has begun has not arrived in time.
 func (s *Session) Overdue() bool {
 	s.mu.Lock()
@@ -97,9 +107,42 @@
 	return s.Conn.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline sets a deadline for answers; each has to be taken in time in addition.
+func (s *Session) SetWriteDeadline(deadline time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write = deadline
+	return nil
+}
+
+// SetDeadline sets both deadlines.
+func (s *Session) SetDeadline(deadline time.Time) error {
+	_ = s.SetWriteDeadline(deadline)
+	return s.SetReadDeadline(deadline)
+}
+
+// answerDeadline returns the time by which an answer that is sent now has to be taken.
+func (s *Session) answerDeadline() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	deadline := time.Now().Add(s.limits.Answer)
+	if !s.write.IsZero() && s.write.Before(deadline) {
+		return s.write
+	}
+	return deadline
+}
+
+// CloseWrite ends the answers of a TCP connection.
+func (s *Session) CloseWrite() error {
+	if half, ok := s.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Write sends an answer; it fails if the caller does not take the answer in time.
 func (s *Session) Write(answer []byte) (int, error) {
-	_ = s.SetWriteDeadline(time.Now().Add(s.limits.Answer))
+	_ = s.Conn.SetWriteDeadline(s.answerDeadline())
 	if s.phase() == budget.PhaseBusy && len(answer) > smallAnswer {
 		s.setPhase(budget.PhaseWriting)
 		defer s.setPhase(budget.PhaseBusy)
--- a/host/deps.go
+++ b/host/deps.go
@@ -11,10 +11,12 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/session"
 	"tamarackshunt.dev/host/acknowledge"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/allotment"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/controller"
@@ -53,6 +55,9 @@
 	entry        *entry.Server
 	control      *controlRole
 	server       *http.Server
+	gate         *admission.Gate
+	limits       budget.Limits
+	session      budget.SessionLimits
 	listener     net.Listener
 	stop         context.CancelFunc
 	running      parts
@@ -71,8 +76,16 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	limits, session, err := callerLimits(settings.GetLimits())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	limitMemory(settings.GetLimits())
 	ctx, stop := context.WithCancel(context.Background())
 	d := &deps{
+		gate:         admission.New(limits),
+		limits:       limits,
+		session:      session,
 		settings:     settings,
 		certificates: certificates,
 		peers: peer.New(peer.Options{
@@ -165,7 +178,7 @@
 		return trace.Wrap(err)
 	}
 	d.listener = listener
-	d.server = &http.Server{Handler: d.handler(), ReadHeaderTimeout: 5 * time.Second, ErrorLog: peer.ErrorLog()}
+	d.server = d.newServer()
 	return nil
 }
 
@@ -232,6 +245,7 @@
 	})
 	return entry.New(entry.Options{
 		Settings: d.settings, Clock: d.clock, View: view, Chooser: chooser, Quota: entryQuota{d.quota}, Pool: d.pool,
+		Gate: d.gate, Limits: d.session, Callers: d.limits.Sessions,
 		Rejected: d.rejections.Add, TLS: d.certificates.caller,
 		Ack: acknowledge.New(d.clock, d.tracker, d.keeper),
 	})
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -11,16 +11,18 @@
 	"github.com/gravitational/trace"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/route"
 	"tamarackshunt.dev/fleet/sqlstate"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
 
 const (
-	// startupTimeout bounds the time from a caller's connection to its authentication.
-	startupTimeout = 10 * time.Second
+	// maxViewWait bounds a new caller's wait for a valid copy of the control state, just after the start of the host.
+	maxViewWait = 5 * time.Second
 	// maxMessage bounds one message of a caller in bytes, so that a length field cannot exhaust the host's memory.
 	maxMessage = 8 << 20
 	// maxBatch bounds the number of messages that a caller may send before a Sync.
@@ -33,9 +35,10 @@
 type caller struct {
 	server *Server
 	// raw is the TCP connection under socket. Without TLS they are the same. Other goroutines use raw only.
-	raw     net.Conn
+	raw     *admission.Session
 	socket  net.Conn
 	backend *pgproto3.Backend
+	meter   *meter
 	pid     uint32
 	secret  []byte
 	session ident.Session
@@ -47,6 +50,9 @@
 	// registered holds the names of the statements that the current batch prepared. They are removed when the batch fails.
 	registered []string
 	settings   settings
+	// kept is what statements, portals and settings have taken of the budget; it is up to date unless stateChanged is set.
+	kept         budget.Bytes
+	stateChanged bool
 
 	// deferredBegin is a BEGIN that the host answered itself and sends to an upstream with the next statement.
 	deferredBegin *beginStatement
@@ -95,13 +101,48 @@
 		if b == nil {
 			return
 		}
+		c.raw.Received()
 		if err := c.run(ctx, b); err != nil {
 			c.reject(err)
 			return
 		}
+		if err := c.keepState(); err != nil {
+			c.reject(err)
+			return
+		}
+		c.meter.settle()
 	}
 }
 
+// keepState takes what the session keeps after a batch from the budget. An error closes the connection.
+func (c *caller) keepState() error {
+	if !c.stateChanged {
+		return nil
+	}
+	c.stateChanged = false
+	if c.status() == 'I' {
+		// Portals end with their transaction.
+		clear(c.portals)
+	}
+	cost, entries := c.stateCost()
+	if limits := c.server.opts.Limits; cost > limits.State || entries > limits.Entries {
+		c.raw.CountClosed(reasonState)
+		return reject(sqlstate.LimitExceeded, "the statements and settings of the session are at their limit")
+	}
+	if err := c.raw.Take(int(max(0, cost-c.kept))); err != nil {
+		return reject(sqlstate.LimitExceeded, "%v", err)
+	}
+	c.raw.Give(int(max(0, c.kept-cost)))
+	c.kept = cost
+	return nil
+}
+
+// reasonState and reasonMessageUnfinished count callers that are disconnected at a limit.
+const (
+	reasonState             = "values_and_prepared"
+	reasonMessageUnfinished = "message_unfinished"
+)
+
 // receive collects the next batch. It returns nil after a Terminate message.
 func (c *caller) receive() (*batch, error) {
 	b := &batch{}
@@ -138,23 +179,45 @@
 		}
 		defer c.idle.Store(false)
 	}
-	message, err := c.backend.Receive()
+	if first {
+		c.raw.Waiting()
+	}
+	message, err := c.receiveMessage()
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
 	return clone(message)
 }
 
-// clone copies a message, since the backend reuses its memory.
+// receiveMessage receives one message, which is valid until the next call.
+func (c *caller) receiveMessage() (pgproto3.FrontendMessage, error) {
+	message, err := c.backend.Receive()
+	if err == nil {
+		err = c.meter.received()
+	}
+	var refused *budget.RefusedError
+	if errors.As(err, &refused) {
+		return nil, reject(sqlstate.LimitExceeded, "%v", refused)
+	}
+	return message, trace.Wrap(err)
+}
+
+// clone copies a message, since the backend reuses its memory. It clears the original, which would otherwise hold the caller's last text
+// for as long as the caller is idle.
 func clone(message pgproto3.FrontendMessage) (pgproto3.FrontendMessage, error) {
 	var copied pgproto3.FrontendMessage
-	switch message.(type) {
+	switch m := message.(type) {
 	case *pgproto3.Query:
-		copied = &pgproto3.Query{}
+		query := *m
+		*m = pgproto3.Query{}
+		return &query, nil
 	case *pgproto3.Parse:
-		copied = &pgproto3.Parse{}
+		parse := *m
+		*m = pgproto3.Parse{}
+		return &parse, nil
 	case *pgproto3.Bind:
 		copied = &pgproto3.Bind{}
+		defer func() { *m = pgproto3.Bind{} }()
 	case *pgproto3.Describe:
 		copied = &pgproto3.Describe{}
 	case *pgproto3.Execute:
@@ -190,6 +253,7 @@
 	case *pgproto3.Parse:
 		s := newStatement(m.Query, m.ParameterOIDs)
 		c.statements[m.Name] = s
+		c.stateChanged = true
 		c.registered = append(c.registered, m.Name)
 		b.add(m, s)
 	case *pgproto3.Bind:
@@ -198,6 +262,7 @@
 			return false, c.unknownStatement(b, m.PreparedStatement)
 		}
 		c.portals[m.DestinationPortal] = s
+		c.stateChanged = true
 		b.add(m, s)
 	case *pgproto3.Describe:
 		return false, c.collectDescribe(b, m)
@@ -273,6 +338,9 @@
 // endReceive answers an error of receive, unless the caller closed the connection.
 func (c *caller) endReceive(err error) {
 	switch {
+	case c.raw.Overdue():
+		c.raw.CountClosed(reasonMessageUnfinished)
+		c.reject(reject(sqlstate.LimitExceeded, "a message has not arrived in time"))
 	case c.server.refusesCallers() && c.txConn == nil:
 		c.reject(errShutdown)
 	case sqlstate.From(err) != nil:
@@ -290,6 +358,7 @@
 		return
 	}
 	c.server.reportRejection(c.session, rejection)
+	c.forget()
 	last := response(rejection)
 	last.Severity = string(sqlstate.Fatal)
 	last.SeverityUnlocalized = last.Severity
@@ -303,6 +372,12 @@
 	_, _ = io.Copy(io.Discard, c.socket)
 }
 
+// forget drops what the session holds, which must not outlast its account while the last answer lingers.
+func (c *caller) forget() {
+	c.statements, c.portals, c.settings = nil, nil, settings{}
+	c.backend = newBackend(c.socket, &meter{from: c.socket, session: c.raw})
+}
+
 func (c *caller) close() {
 	c.endTransaction()
 	c.server.unregister(c)
--- a/host/entry/secure.go
+++ b/host/entry/secure.go
@@ -12,8 +12,8 @@
 	"tamarackshunt.dev/fleet/sqlstate"
 )
 
-func newBackend(socket net.Conn) *pgproto3.Backend {
-	backend := pgproto3.NewBackend(socket, socket)
+func newBackend(socket net.Conn, m *meter) *pgproto3.Backend {
+	backend := pgproto3.NewBackend(m, socket)
 	backend.SetMaxBodyLen(maxMessage)
 	return backend
 }
@@ -39,7 +39,8 @@
 		return trace.Wrap(err)
 	}
 	c.socket = socket
-	c.backend = newBackend(socket)
+	c.meter = &meter{from: socket, session: c.raw}
+	c.backend = newBackend(socket, c.meter)
 	return nil
 }
 
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/binary"
 	"errors"
+	"math"
 	"net"
 	"runtime/debug"
 	"sync"
@@ -16,10 +17,12 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/certificate"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/sqlstate"
+	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
@@ -34,6 +37,8 @@
 	// otherwise. It is long enough for the readiness checks of usual load balancers, and the host still refuses callers
 	// within seconds.
 	defaultNotice = 2 * time.Second
+	// listenerName names the callers' connections among those that the gate counts.
+	listenerName = "callers"
 	// pollInterval is the interval of checks of the view, and of the callers that are left during a shutdown.
 	pollInterval = 20 * time.Millisecond
 )
@@ -85,6 +90,11 @@
 	Pool     Pool
 	// TLS holds the certificate that callers are served with; nil means connections without TLS.
 	TLS *certificate.Store
+	// Gate admits callers and what they hold, within Limits for each, and Callers is the largest number of them. Without a gate there are no
+	// bounds but those of each caller.
+	Gate    *admission.Gate
+	Limits  budget.SessionLimits
+	Callers int
 	// Rejected records a rejection for the explain command of operators; nil discards it.
 	Rejected func(session ident.Session, rejection *sqlstate.Rejection)
 }
@@ -114,6 +124,10 @@
 
 // New listens for callers, whom Start serves.
 func New(opts Options) (*Server, error) {
+	if opts.Gate == nil {
+		opts.Gate = admission.New(budget.Unlimited())
+		opts.Limits, opts.Callers = budget.NewSessionLimits(), math.MaxInt
+	}
 	listener, err := net.Listen("tcp", opts.Settings.GetCaller())
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -226,7 +240,7 @@
 	defer s.mutex.Unlock()
 	for _, c := range s.callers {
 		if c.idle.Load() {
-			c.raw.SetReadDeadline(time.Now())
+			_ = c.raw.SetReadDeadline(time.Now())
 		}
 	}
 	return len(s.callers)
@@ -236,7 +250,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, c := range s.callers {
-		c.raw.Close()
+		_ = c.raw.Close()
 	}
 }
 
@@ -252,9 +266,13 @@
 			time.Sleep(pollInterval)
 			continue
 		}
-		c, err := s.register(socket)
+		session, err := s.opts.Gate.Open(budget.Listener{Name: listenerName, Limit: s.opts.Callers}, socket, s.opts.Limits)
+		if err != nil {
+			continue
+		}
+		c, err := s.register(session)
 		if err != nil {
-			socket.Close()
+			_ = session.Close()
 			continue
 		}
 		s.metrics.callers.Inc()
@@ -275,16 +293,18 @@
 }
 
 // register adds a caller under a random process id, which its cancel requests contain.
-func (s *Server) register(socket net.Conn) (*caller, error) {
+func (s *Server) register(socket *admission.Session) (*caller, error) {
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	m := &meter{from: socket, session: socket}
 	c := &caller{
 		server:     s,
+		meter:      m,
 		raw:        socket,
 		socket:     socket,
-		backend:    newBackend(socket),
+		backend:    newBackend(socket, m),
 		pid:        binary.BigEndian.Uint32(random[:4]),
 		secret:     random[4:],
 		statements: make(map[string]*statement),
--- a/host/entry/settings.go
+++ b/host/entry/settings.go
@@ -35,6 +35,7 @@
 	if len(words) < 2 {
 		return "", true
 	}
+	c.stateChanged = true
 	switch words[0] {
 	case "set":
 		return "SET", c.settings.add(sql)
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -32,7 +32,7 @@
 var errShutdown = sqlstate.New(sqlstate.ShuttingDown, nil)
 
 func (c *caller) start(ctx context.Context) error {
-	c.socket.SetDeadline(time.Now().Add(startupTimeout))
+	c.socket.SetDeadline(time.Now().Add(c.server.opts.Limits.Start))
 	startup, err := c.startupMessage(ctx)
 	if err != nil {
 		return err
@@ -41,6 +41,7 @@
 		return err
 	}
 	c.socket.SetDeadline(time.Time{})
+	c.raw.SetTeam(c.session.Team)
 	return c.completeStartup()
 }
 
@@ -80,7 +81,7 @@
 	if name == "" {
 		name = ident.Route(user)
 	}
-	view, err := c.server.waitView(startupTimeout / 2)
+	view, err := c.server.waitView(maxViewWait)
 	if err != nil {
 		return err
 	}
@@ -110,9 +111,9 @@
 	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
 		return "", trace.Wrap(err)
 	}
-	message, err := c.backend.Receive()
+	message, err := c.receiveMessage()
 	if err != nil {
-		return "", trace.Wrap(err)
+		return "", err
 	}
 	password, ok := message.(*pgproto3.PasswordMessage)
 	if !ok {
--- a/host/main.go
+++ b/host/main.go
@@ -61,6 +61,9 @@
 		if _, err := loadCertificates(&s); err != nil {
 			return trace.Wrap(err)
 		}
+		if _, _, err := callerLimits(s.GetLimits()); err != nil {
+			return trace.Wrap(err)
+		}
 		fmt.Println(opts.Settings, "is valid")
 		return nil
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -88,7 +88,7 @@
 // New returns a server without sessions.
 func New(options Options) *Server {
 	if options.Gate == nil {
-		options.Gate = admission.New(budget.Limits{Total: math.MaxInt64, Session: math.MaxInt64, Address: math.MaxInt64, Team: math.MaxInt64})
+		options.Gate = admission.New(budget.Unlimited())
 		options.Limits, options.Sessions = budget.NewSessionLimits(), math.MaxInt
 	}
 	return &Server{options: options, sessions: map[*session]struct{}{}}
