--- a/fleet/limit/owner.go
+++ b/fleet/limit/owner.go
@@ -45,7 +45,7 @@
 	mu        sync.RWMutex
 	teams     map[ident.Team]*bucket
 	// advanced is set once the owner has an advance, which it lends before lendsFrom.
-	advanced bool
+	advanced  bool
 	takenBack atomic.Int64
 }
 
