Keep a late request of an earlier term from the collected counts

Cause: a request that was handled while the term changed could replace the new term's ledger by an empty one; counts that came while the entry of a window was written were neither reported nor logged.

--- a/fleet/metering/ledger.go
+++ b/fleet/metering/ledger.go
@@ -103,10 +103,13 @@
 	return closing
 }
 
-// Closed records that a window is closed with the counts that Close returned last. What comes later for it is late.
-func (l *Ledger) Closed(w Window) {
-	l.counted = max(l.counted, w)
+// Closed records that a window is closed, and returns the number of operations that came since Close returned it. What comes from now on is
+// late as well.
+func (l *Ledger) Closed(c *Closing) (late uint64) {
+	late = l.sum(c.Window).Total() - c.Counts.Total()
+	l.counted = max(l.counted, c.Window)
 	l.forget()
+	return late
 }
 
 // firstWindow returns the first window of the fleet: the earliest that a host has reported, or the one in which the leader learned the
--- a/fleet/metering/metering_test.go
+++ b/fleet/metering/metering_test.go
@@ -218,9 +218,10 @@
 	require.Zero(t, record(slow, first, 4), "the window is not closed before the log says so")
 	closing = ledger.Close(after(10.1), first-1, live)
 	require.Equal(t, uint64(15), closing.Counts["a"])
-	ledger.Closed(first)
-	require.Equal(t, uint64(2), record(slow, first, 6))
-	require.Zero(t, record(slow, first, 6), "a repeated report is not late again")
+	require.Zero(t, record(slow, first, 5))
+	require.Equal(t, uint64(1), ledger.Closed(closing), "counts that came while the log was written")
+	require.Equal(t, uint64(2), record(slow, first, 7))
+	require.Zero(t, record(slow, first, 7), "a repeated report is not late again")
 
 	skipped := ledger.Close(after(5*100), first, live)
 	require.Equal(t, uint64(100-metering.MaxOpenWindows-1), skipped.Skipped)
--- a/node/core/usage_test.go
+++ b/node/core/usage_test.go
@@ -208,8 +208,10 @@
 	u.lead(replica.Leadership{Term: u.reporterTerm + 2, Since: steady.Now()})
 	u.close(t.Context(), afterPause(), u.reporterTerm)
 	require.Zero(t, s.core.state.lastUsage())
-	s.closeWindow(9)
-	require.Equal(t, metering.Counts{"one": 9}, s.core.state.usageCounts(1000))
+	s.watch(1, &fleetpb.UsageReport{Leadership: u.reporterTerm, Version: 1, Windows: []*fleetpb.WindowUsage{counts}})
+	u.record(steady.Now(), u.reporterTerm-1, &fleetpb.WatchRequest{Usage: &fleetpb.UsageReport{Version: 1}}, &fleetpb.WatchResponse{})
+	s.closeWindow(0, 9)
+	require.Equal(t, metering.Counts{"one": 7, "two": 9}, s.core.state.usageCounts(1000), "a request that arrived in an earlier term changes nothing")
 }
 
 // Guards against a report whose teams are named by the indices of another configuration, and against a host that is told that it was
