--- a/node/entry/retry.go
+++ b/node/entry/retry.go
@@ -74,7 +74,7 @@
 	if ctx.Err() != nil {
 		return false, false
 	}
-	// Only a move is decided by the budget if the plan won't wait.
+	// An attempt that can only be refused spends nothing.
 	waits := cause != retry.CauseFull && cause != retry.CauseLagging
 	funded := (others || waits) && a.session.server.retries.spend()
 	step, pause := a.plan.Next(retry.Situation{Cause: cause, Others: others, Funded: funded, Jitter: rand.Float64()})
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -81,8 +81,7 @@
 	if o.route.Kind == catalog.KindPrimary {
 		return s.readPrimary(ctx, o, w, tries)
 	}
-	use := s.newUse(o, &w, readTimeout)
-	outcome, err := s.onReplica(ctx, o, use, tries, nil)
+	outcome, _, err := s.onReplica(ctx, o, replicaUse{Use: s.newUse(o, &w, readTimeout)}, tries)
 	if isLagging(err) {
 		// A promotion may have rolled back a position of the session. The primary holds every write that still counts.
 		return s.readPrimary(ctx, o, w, tries)
@@ -99,67 +98,87 @@
 // errNoCandidate reports a read that no known upstream may run.
 var errNoCandidate = errors.New("no upstream that may run the read is known to hold what it needs")
 
-// onReplica runs a use on an upstream whose data is fresh enough for the route, until one has run it. It returns a failure with
-// CodeLagging if that is left to the primary. A read outside a transaction has the outcome of its statement as the error and is repeated
-// if its outcome is unknown; inside a transaction, taken gets the executor that has run the use.
+// replicaUse is a use that any upstream whose data is fresh enough may run.
+type replicaUse struct {
+	upstream.Use
+	// opens is set if the use opens a transaction. Otherwise it is a single read, which can be repeated if its outcome is unknown.
+	opens bool
+}
+
+// isFinal reports whether a failed attempt must not be repeated on another upstream.
+func (u *replicaUse) isFinal(outcome upstream.Outcome, err error) bool {
+	if u.opens {
+		return outcome.Ran
+	}
+	return executionFailure(err) != nil
+}
+
+// replica is an upstream that was chosen for a read.
+type replica struct {
+	pool *upstream.Pool
+	// others is set if there are further ones.
+	others bool
+	// since is the position that the read needs.
+	since ident.Position
+}
+
+// onReplica tries a use on one upstream after the other until one has run it, and returns the executor. The error has CodeLagging if the
+// use is left to the primary.
 func (s *session) onReplica(
-	ctx context.Context, o *operation, use upstream.Use, tries *attempts, taken func(upstream.Executor),
-) (upstream.Outcome, error) {
-	var outcome upstream.Outcome
-	var skip *upstream.Pool
-	var before error
+	ctx context.Context, o *operation, use replicaUse, tries *attempts,
+) (upstream.Outcome, upstream.Executor, error) {
+	var refusedBy *upstream.Pool
+	var refusal error
 	for {
 		tries.begin()
-		pool, others, since, err := s.chooseReplica(ctx, o, skip)
+		var outcome upstream.Outcome
+		chosen, err := s.chooseReplica(ctx, o, refusedBy)
 		if err == nil {
-			use.Within, use.Late = o.within()
-			attempt := use
-			attempt.Timeout = timeLeft(ctx, use.Timeout)
-			attempt.Since = since
-			executor := s.server.options.Table.Executor(pool, o.teamName(), o.priority())
-			outcome, err = s.execute(ctx, executor, attempt)
-			switch {
-			case taken == nil:
-				outcome.Result, err = resultOf(outcome, err)
-				if executionFailure(err) != nil {
-					return outcome, err
-				}
-			case err == nil:
-				taken(executor)
-			case outcome.Ran:
-				return outcome, err
-			}
-			if err == nil {
-				return outcome, nil
+			executor := s.server.options.Table.Executor(chosen.pool, o.teamName(), o.priority())
+			outcome, err = s.tryReplica(ctx, o, use, executor, chosen.since)
+			if err == nil || use.isFinal(outcome, err) {
+				return outcome, executor, err
 			}
 		}
-		err = sooner(before, err)
-		move, again := tries.next(ctx, err, others && skip == nil)
+		err = sooner(refusal, err)
+		move, again := tries.next(ctx, err, chosen.others && refusedBy == nil)
 		if !again {
-			return outcome, err
+			return outcome, nil, err
 		}
-		skip, before = nil, nil
+		refusedBy, refusal = nil, nil
 		if move {
-			skip, before = pool, err
+			refusedBy, refusal = chosen.pool, err
 		}
 	}
 }
 
-// chooseReplica returns the pool of the first upstream that may run a read, unless it is to be skipped, and the position that the read
-// needs. Others is set if there are further ones.
-func (s *session) chooseReplica(
-	ctx context.Context, o *operation, skip *upstream.Pool,
-) (pool *upstream.Pool, others bool, since ident.Position, err error) {
-	since, err = s.since(ctx, o)
+// tryReplica tries a use once. A failure of a single read is the error.
+func (s *session) tryReplica(
+	ctx context.Context, o *operation, use replicaUse, executor upstream.Executor, since ident.Position,
+) (upstream.Outcome, error) {
+	use.Since = since
+	use.Within, use.Late = o.within()
+	if use.opens {
+		return s.execute(ctx, executor, use.Use)
+	}
+	use.Timeout = timeLeft(ctx, use.Timeout)
+	outcome, err := s.execute(ctx, executor, use.Use)
+	_, err = resultOf(outcome, err)
+	return outcome, err
+}
+
+// chooseReplica returns the first upstream that may run a read, but not the one that has refused it just now.
+func (s *session) chooseReplica(ctx context.Context, o *operation, refusedBy *upstream.Pool) (replica, error) {
+	since, err := s.since(ctx, o)
 	if err != nil {
-		return nil, false, since, err
+		return replica{}, err
 	}
 	candidates := s.server.options.Table.Candidates(o.route, o.team, since)
-	candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Pool == skip })
+	candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Pool == refusedBy })
 	if len(candidates) == 0 {
-		return nil, false, since, errNoCandidate
+		return replica{}, errNoCandidate
 	}
-	return candidates[0].Pool, len(candidates) > 1, since, nil
+	return replica{pool: candidates[0].Pool, others: len(candidates) > 1, since: since}, nil
 }
 
 // executionFailure returns the failure of a statement that ran and would fail the same way on another upstream, or nil.
@@ -413,5 +432,9 @@
 // runFirstOnReplica opens a read-only transaction on an upstream whose data is fresh enough and runs the first statement there.
 func (s *session) runFirstOnReplica(ctx context.Context, use upstream.Use, tries *attempts) (upstream.Outcome, error) {
 	use.Opening = upstream.OpenRead
-	return s.onReplica(ctx, &s.tx.operation, use, tries, func(executor upstream.Executor) { s.tx.executor = executor })
+	outcome, executor, err := s.onReplica(ctx, &s.tx.operation, replicaUse{Use: use, opens: true}, tries)
+	if err == nil {
+		s.tx.executor = executor
+	}
+	return outcome, err
 }
--- a/node/routing/changes.go
+++ b/node/routing/changes.go
@@ -8,24 +8,23 @@
 
 // Changed returns a channel that is closed at the next change of a service's primary or upstreams. It is nil for an unknown service.
 func (t *Table) Changed(service ident.Service) <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	g := t.groups[service]
-	if g == nil {
-		return nil
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if g := t.groups[service]; g != nil {
+		return g.changed
 	}
-	if g.changed == nil {
-		g.changed = make(chan struct{})
-	}
-	return g.changed
+	return nil
 }
 
 // update replaces the members and the primary, and closes the channel of Changed if they differ. The caller must hold the table's mu.
 func (g *group) update(members []*member, primary ident.Upstream) {
-	same := slices.EqualFunc(g.members, members, func(x, y *member) bool { return *x == *y })
-	if g.changed != nil && (!same || g.primary != primary) {
+	same := g.primary == primary && slices.EqualFunc(g.members, members, func(x, y *member) bool { return *x == *y })
+	if g.changed != nil && same {
+		return
+	}
+	if g.changed != nil {
 		close(g.changed)
-		g.changed = nil
 	}
+	g.changed = make(chan struct{})
 	g.members, g.primary = members, primary
 }
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -62,7 +62,7 @@
 	freshness *freshness.Tracker
 	members   []*member
 	primary   ident.Upstream
-	// changed is closed at the next change of members or primary; nil while nobody waits for one. Guarded by the table's mu.
+	// changed is closed at the next change of members or primary. Guarded by the table's mu.
 	changed chan struct{}
 	// probing is closed when the running query for the primary's position ends; nil when none runs. Guarded by mu.
 	mu      sync.Mutex
