--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -100,6 +100,21 @@
 	require.Equal(t, before+1, *failures)
 }
 
+// Guards against a refusal that loses its time to come back on the way, and a deadline that doesn't reach the gateway's queue.
+func TestRefusalCarriesRetry(t *testing.T) {
+	_, executor, _, _ := startGateway(t)
+	tx := executor("i-1")
+	_, err := tx.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+	require.NoError(t, err)
+	defer tx.Close()
+	outcome, err := executor("i-1").Execute(contextWithTimeout(t), upstream.Use{ID: "2", Text: "FETCH a", Timeout: timeout, Within: time.Millisecond})
+	var refused *statement.Failure
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, statement.CodeBusy, refused.Code)
+	require.Positive(t, refused.Retry)
+	require.False(t, outcome.Ran)
+}
+
 // Guards against a write that is reported as unknown, and a gateway that is avoided by all callers of a host, because a caller's text
 // or an upstream's row is not UTF-8 and no call can carry it.
 func TestTextThatIsNotUTF8(t *testing.T) {
