Name the part of the advance that is over in the log

A leader that stalls between its check and its entry could record a later leader's share as back. Removed hosts were never saved while other changes were saved more often than once a minute. The saved directory is bounded.

--- a/fleet/directory/hint.go
+++ b/fleet/directory/hint.go
@@ -17,6 +17,8 @@
 	confirmTimeout = 3 * time.Second
 	// maxEnded bounds the ended upstreams that are saved.
 	maxEnded = 256
+	// maxSaved bounds the others, whatever announces itself. It is far above the upstreams of one fleet.
+	maxSaved = 4096
 )
 
 // Confirmation counts the upstreams that Restore has added.
@@ -104,7 +106,8 @@
 	slices.SortFunc(ended, func(x, y *fleetpb.Announcement) int {
 		return cmp.Or(cmp.Compare(y.GetBorn(), x.GetBorn()), cmp.Compare(x.GetUpstream(), y.GetUpstream()))
 	})
-	list = append(list, ended[:min(len(ended), maxEnded)]...)
+	sortBy(list, upstreamKey)
+	list = append(list[:min(len(list), maxSaved)], ended[:min(len(ended), maxEnded)]...)
 	sortBy(list, upstreamKey)
 	return list
 }
@@ -182,16 +185,19 @@
 	return proto.Equal(x, y)
 }
 
-// ApplySaved returns the saved state that results from a change; from is not changed.
-func ApplySaved(from *fleetpb.SavedRecovery, change *fleetpb.Recovery) *fleetpb.SavedRecovery {
+// ApplySaved returns the saved state that results from a change at an index of the log; from is not changed.
+func ApplySaved(from *fleetpb.SavedRecovery, index uint64, change *fleetpb.Recovery) *fleetpb.SavedRecovery {
 	to := &fleetpb.SavedRecovery{
-		Upstreams: applyList(from.GetUpstreams(), change.GetUpstreams(), change.GetRemovedUpstreams(), upstreamKey),
-		Hosts:     applyList(from.GetHosts(), change.GetHosts(), change.GetRemovedHosts(), hostKey),
-		Advanced:  from.GetAdvanced(),
+		Upstreams:     applyList(from.GetUpstreams(), change.GetUpstreams(), change.GetRemovedUpstreams(), upstreamKey),
+		Hosts:         applyList(from.GetHosts(), change.GetHosts(), change.GetRemovedHosts(), hostKey),
+		Advanced:      from.GetAdvanced(),
+		AdvancedIndex: from.GetAdvancedIndex(),
 	}
-	if change.GetAdvanceBack() {
+	if back := change.GetAdvanceBack(); back != 0 && back >= from.GetAdvancedIndex() {
 		to.Advanced = 0
 	}
-	to.Advanced += change.GetAdvance()
+	if change.GetAdvance() > 0 {
+		to.Advanced, to.AdvancedIndex = to.Advanced+change.GetAdvance(), index
+	}
 	return to
 }
--- a/fleet/directory/hint_test.go
+++ b/fleet/directory/hint_test.go
@@ -129,7 +129,7 @@
 			saved := &fleetpb.SavedRecovery{Upstreams: base, Hosts: hosts, Advanced: 25}
 			change, urgency := directory.DiffSaved(saved, c.upstreams, c.hosts)
 			require.Equal(t, c.urgency, urgency)
-			next := directory.ApplySaved(saved, change)
+			next := directory.ApplySaved(saved, 1, change)
 			require.EqualValues(t, 25, next.GetAdvanced())
 			_, left := directory.DiffSaved(next, c.upstreams, c.hosts)
 			require.Equal(t, directory.Same, left, "the saved state is the present one")
--- a/host/lending/lending.go
+++ b/host/lending/lending.go
@@ -39,11 +39,12 @@
 	l.owner.SetRules(now, l.rules)
 }
 
-// LendsFrom returns the time from which this host lends the tokens of its buckets, or false while it does not lead.
-func (l *Lender) LendsFrom() (ident.Time, bool) {
+// LendsFrom returns the time from which the owner of the leadership that began at since lends the tokens of its buckets, or false if
+// that leadership does not last.
+func (l *Lender) LendsFrom(since ident.Time) (ident.Time, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.owner == nil {
+	if l.owner == nil || l.since != since {
 		return 0, false
 	}
 	return l.owner.LendsFrom(), true
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -93,9 +93,10 @@
 	// startedAt is when this host was started. restoredHosts is set once it has restored hosts; only Run uses it.
 	startedAt     ident.Time
 	restoredHosts bool
-	// saving is full while a difference of the directory is saved, and savedAt is when the last one was.
-	saving  chan struct{}
-	savedAt atomic.Int64
+	// saving is full while a difference of the directory is saved, savedAt is when the last one was, and lazySavedAt when all of it was.
+	saving      chan struct{}
+	savedAt     atomic.Int64
+	lazySavedAt atomic.Int64
 	// advancedAt is when this leader got its advance of tokens, or the latest time at which it may get it.
 	advancedAt atomic.Int64
 
--- a/node/core/recovery.go
+++ b/node/core/recovery.go
@@ -69,7 +69,9 @@
 		if err := c.saveDirectory(ctx, c.leastUrgency(leadership)); err != nil {
 			klog.V(1).InfoS("Directory not saved", "problem", problem(err))
 		}
-		c.endAdvance(ctx)
+		if err := c.endAdvance(ctx); err != nil {
+			klog.V(1).InfoS("Advance not ended", "problem", problem(err))
+		}
 	}
 }
 
@@ -86,10 +88,11 @@
 
 // leastUrgency returns the urgency from which on a difference is saved now.
 func (c *Core) leastUrgency(leadership replica.Leadership) directory.Urgency {
-	switch elapsed := steady.Now().Sub(max(ident.Time(c.savedAt.Load()), leadership.Since)); {
-	case elapsed >= lazySaveInterval:
+	now := steady.Now()
+	switch {
+	case now.Sub(max(ident.Time(c.lazySavedAt.Load()), leadership.Since)) >= lazySaveInterval:
 		return directory.Lazy
-	case elapsed >= saveInterval:
+	case now.Sub(max(ident.Time(c.savedAt.Load()), leadership.Since)) >= saveInterval:
 		return directory.Due
 	}
 	return directory.Urgent
@@ -126,6 +129,9 @@
 	klog.InfoS("Directory saved", "upstreams", len(change.GetUpstreams()), "removed", change.GetRemovedUpstreams(),
 		"hosts", len(change.GetHosts()), "removedHosts", len(change.GetRemovedHosts()))
 	c.savedAt.Store(int64(now))
+	if least == directory.Lazy {
+		c.lazySavedAt.Store(int64(now))
+	}
 	return nil
 }
 
@@ -174,7 +180,7 @@
 			advancesTaken.Inc()
 		}
 	}
-	lendsFrom, _ := c.lender.LendsFrom()
+	lendsFrom, _ := c.lender.LendsFrom(leadership.Since)
 	klog.InfoS("Lending of tokens begins", "advancePercent", share, "taken", taken, "restarted", restarted, "bucketsRefillIn", lendsFrom.Sub(now),
 		"problem", outcomeProblem(outcome, err))
 }
@@ -188,18 +194,20 @@
 }
 
 // endAdvance records that the advance is back once no window contains spending from before it, whichever leaders have taken it: earlier
-// ones lent nothing from it that can be spent after this leader's buckets refill.
-func (c *Core) endAdvance(ctx context.Context) {
-	lendsFrom, leads := c.lender.LendsFrom()
+// ones lent nothing from it that can be spent after this leader's buckets refill. The saved state is read before the leadership is
+// checked, so that it contains nothing that a later leader has taken.
+func (c *Core) endAdvance(ctx context.Context) error {
+	saved := c.state.recovery()
+	leadership := c.replica.Leadership()
+	lendsFrom, found := c.lender.LendsFrom(leadership.Since)
 	over := max(lendsFrom, ident.Time(c.advancedAt.Load())).Add(c.options.Overrun.Window)
-	if !leads || c.state.recovery().GetAdvanced() == 0 || steady.Now() <= over {
-		return
+	if !leadership.Confirmed || !found || saved.GetAdvanced() == 0 || steady.Now() <= over {
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := c.proposeRecovery(ctx, &fleetpb.Recovery{AdvanceBack: true}); err != nil {
-		klog.V(1).InfoS("Advance not ended", "problem", problem(err))
-	}
+	_, err := c.proposeRecovery(ctx, &fleetpb.Recovery{AdvanceBack: saved.GetAdvancedIndex()})
+	return err
 }
 
 // outcomeProblem returns why a change was not made, or an empty text.
--- a/node/core/recovery_test.go
+++ b/node/core/recovery_test.go
@@ -292,7 +292,9 @@
 	require.NoError(t, err)
 	require.NoError(t, s.Restore(snapshot))
 	require.False(t, take(6, 1), "also after a restart")
-	require.True(t, apply(7, &fleetpb.Recovery{AdvanceBack: true}))
-	require.True(t, take(8, 100))
-	require.False(t, take(9, math.MaxUint32))
+	apply(7, &fleetpb.Recovery{AdvanceBack: 1})
+	require.False(t, take(8, 1), "a part was taken after the entry that is over")
+	apply(9, &fleetpb.Recovery{AdvanceBack: 3})
+	require.True(t, take(10, 100))
+	require.False(t, take(11, math.MaxUint32))
 }
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -60,7 +60,7 @@
 		if kind.Recovery.GetAdvance() > limit.WholeAdvance-min(s.saved.GetRecovery().GetAdvanced(), limit.WholeAdvance) {
 			return &fleetpb.Outcome{Problem: advanceOut}
 		}
-		s.saved.Recovery = directory.ApplySaved(s.saved.GetRecovery(), kind.Recovery)
+		s.saved.Recovery = directory.ApplySaved(s.saved.GetRecovery(), index, kind.Recovery)
 	}
 	return &fleetpb.Outcome{Done: true, Version: index}
 }
