--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -16,6 +16,8 @@
 	leadership Leadership
 	// complete is the latest window that this leadership knows as complete.
 	complete Window
+	// finished is set once the host begins no more operations.
+	finished bool
 	// late counts the statements of closed windows, dropped those of windows that were dropped before they were closed.
 	late, dropped uint64
 }
@@ -113,9 +115,12 @@
 	return report
 }
 
-// completeAt returns the latest window up to which all windows have ended and have no running statement.
+// completeAt returns the latest window up to which all windows have ended, for this host, and have no running statement.
 func (m *Meter) completeAt(now Instant) Window {
-	complete := WindowAt(now, m.length) - 1
+	complete := WindowAt(now, m.length)
+	if !m.finished {
+		complete--
+	}
 	for w, open := range m.windows {
 		if open.running > 0 && w <= complete {
 			complete = w - 1
@@ -124,6 +129,11 @@
 	return complete
 }
 
+// Finish records that the host begins no more operations, so the leader need not wait for the end of the present window.
+func (m *Meter) Finish() {
+	m.finished = true
+}
+
 // LeaderLost records that the next leader may have nothing of what earlier ones have confirmed.
 func (m *Meter) LeaderLost() {
 	m.leadership, m.complete = 0, 0
--- a/fleet/metering/metering_test.go
+++ b/fleet/metering/metering_test.go
@@ -123,6 +123,9 @@
 	require.Equal(t, uint64(3), m.Late())
 	require.Nil(t, m.Report(after(7)), "a closed window is not reported again")
 
+	m.Finish()
+	require.Equal(t, first+1, m.Report(after(7)).Complete, "a host that has shut down is not waited for")
+
 	for w := range metering.MaxOpenWindows + 1 {
 		run(m, after(5*float64(w+2)), "a", 1)
 	}
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -235,6 +235,7 @@
 // Flush reports what the host has counted since its last report. It is called after the last statement of a shutdown.
 func (c *Client) Flush(ctx context.Context) {
 	if c.options.Usage != nil {
+		c.options.Usage.finish()
 		c.watch(ctx)
 	}
 }
--- a/node/coreclient/usage.go
+++ b/node/coreclient/usage.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// finish makes the next report the last one of the host.
+func (u *Usage) finish() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.meter.Finish()
+}
+
 // leaderLost makes the next request contain everything that is not closed: the next leader has nothing yet, and waits for each host
 // before it closes a window.
 func (u *Usage) leaderLost() {
