--- a/fleet/metering/ledger.go
+++ b/fleet/metering/ledger.go
@@ -37,7 +37,7 @@
 	return &Ledger{length: length, maxWait: maxWait, sources: map[Source]*sourceUsage{}}
 }
 
-// Record merges a host's report in a leadership, and returns the number of statements that came after their window was counted. A
+// Record merges a host's report in a leadership, and returns the number of operations that came after their window was counted. A
 // report that builds on the receipts of another leadership may lack counts, so it does not make the host complete.
 func (l *Ledger) Record(leadership Leadership, source Source, report *Report) (late uint64) {
 	usage := l.sources[source]
--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -6,7 +6,7 @@
 	"tamarackshunt.dev/fleet/ident"
 )
 
-// Meter counts the statements that begin to run through one entry host. A statement is counted in the window in which it was sent,
+// Meter counts the operations that begin to run through one entry host. An operation is counted in the window in which it was sent,
 // once it is known that it was not refused; counts therefore never fall, and reports need no order. It is not safe for concurrent use.
 type Meter struct {
 	length  time.Duration
@@ -18,7 +18,7 @@
 	complete Window
 	// finished is set once the host begins no more operations.
 	finished bool
-	// late counts the statements of closed windows, dropped those of windows that were dropped before they were closed.
+	// late counts the operations of closed windows, dropped those of windows that were dropped before they were closed.
 	late, dropped uint64
 }
 
@@ -27,7 +27,7 @@
 	counts Counts
 	// confirmed are the counts that the present leadership has.
 	confirmed Counts
-	// running is the number of statements without an answer.
+	// running is the number of operations without an answer.
 	running int
 }
 
@@ -36,14 +36,14 @@
 	return &Meter{length: length, windows: map[Window]*openWindow{}}
 }
 
-// Begin records that a statement is sent at an instant, and returns its window for End.
+// Begin records that an operation is sent at an instant, and returns its window for End.
 func (m *Meter) Begin(at Instant) Window {
 	w := WindowAt(at, m.length)
 	m.open(w).running++
 	return w
 }
 
-// End records the end of a statement. It is counted if it may have run.
+// End records the end of an operation. It is counted if it may have run.
 func (m *Meter) End(w Window, team ident.Team, ran bool) {
 	open := m.windows[w]
 	switch {
@@ -60,11 +60,11 @@
 	m.discardClosed()
 }
 
-// Late returns the number of statements that ended after their window was closed, and Dropped that of statements in windows that
+// Late returns the number of operations that ended after their window was closed, and Dropped that of operations in windows that
 // were dropped because too many were open.
 func (m *Meter) Late() uint64 { return m.late }
 
-// Dropped returns the number of statements in windows that were dropped because too many were open.
+// Dropped returns the number of operations in windows that were dropped because too many were open.
 func (m *Meter) Dropped() uint64 { return m.dropped }
 
 func (m *Meter) open(w Window) *openWindow {
@@ -115,7 +115,7 @@
 	return report
 }
 
-// completeAt returns the latest window up to which all windows have ended, for this host, and have no running statement.
+// completeAt returns the latest window up to which all windows have ended, for this host, and have no running operation.
 func (m *Meter) completeAt(now Instant) Window {
 	complete := WindowAt(now, m.length)
 	if !m.finished {
@@ -166,7 +166,7 @@
 	m.discardClosed()
 }
 
-// discardClosed discards the closed windows in which no statement runs any more. What the others count from now on is late.
+// discardClosed discards the closed windows in which no operation runs any more. What the others count from now on is late.
 func (m *Meter) discardClosed() {
 	for w, open := range m.windows {
 		if w > m.closed {
--- a/fleet/metering/window.go
+++ b/fleet/metering/window.go
@@ -39,7 +39,7 @@
 	return Instant((int64(w) + 1) * int64(length))
 }
 
-// Counts are numbers of statements by team.
+// Counts are numbers of operations by team.
 type Counts map[ident.Team]uint64
 
 // Total returns the sum of the counts.
@@ -67,7 +67,7 @@
 type Report struct {
 	// Leadership is that of the receipts on which the report builds.
 	Leadership Leadership
-	// Complete is the latest window up to which all windows have ended and none of their statements still runs on the host.
+	// Complete is the latest window up to which all windows have ended and none of their operations still runs on the host.
 	Complete Window
 	Windows  map[Window]Counts
 }
