--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -6,7 +6,7 @@
 	"tamarackshunt.dev/fleet/ident"
 )
 
-// Meter counts the statements that begin to run through one entry host. A statement is counted in the window in which it was sent,
+// Meter counts the operations that begin to run through one entry host. An operation is counted in the window in which it was sent,
 // once it is known that it was not refused; counts therefore never fall, and reports need no order. It is not safe for concurrent use.
 type Meter struct {
 	length  time.Duration
@@ -16,7 +16,9 @@
 	leadership Leadership
 	// complete is the latest window that this leadership knows as complete.
 	complete Window
-	// late counts the statements of closed windows, dropped those of windows that were dropped before they were closed.
+	// finished is set once the host begins no more operations.
+	finished bool
+	// late counts the operations of closed windows, dropped those of windows that were dropped before they were closed.
 	late, dropped uint64
 }
 
@@ -25,7 +27,7 @@
 	counts Counts
 	// confirmed are the counts that the present leadership has.
 	confirmed Counts
-	// running is the number of statements without an answer.
+	// running is the number of operations without an answer.
 	running int
 }
 
@@ -34,14 +36,14 @@
 	return &Meter{length: length, windows: map[Window]*openWindow{}}
 }
 
-// Begin records that a statement is sent at an instant, and returns its window for End.
+// Begin records that an operation is sent at an instant, and returns its window for End.
 func (m *Meter) Begin(at Instant) Window {
 	w := WindowAt(at, m.length)
 	m.open(w).running++
 	return w
 }
 
-// End records the end of a statement. It is counted if it may have run.
+// End records the end of an operation. It is counted if it may have run.
 func (m *Meter) End(w Window, team ident.Team, ran bool) {
 	open := m.windows[w]
 	switch {
@@ -58,11 +60,11 @@
 	m.discardClosed()
 }
 
-// Late returns the number of statements that ended after their window was closed, and Dropped that of statements in windows that
+// Late returns the number of operations that ended after their window was closed, and Dropped that of operations in windows that
 // were dropped because too many were open.
 func (m *Meter) Late() uint64 { return m.late }
 
-// Dropped returns the number of statements in windows that were dropped because too many were open.
+// Dropped returns the number of operations in windows that were dropped because too many were open.
 func (m *Meter) Dropped() uint64 { return m.dropped }
 
 func (m *Meter) open(w Window) *openWindow {
@@ -113,9 +115,12 @@
 	return report
 }
 
-// completeAt returns the latest window up to which all windows have ended and have no running statement.
+// completeAt returns the latest window up to which all windows have ended, for this host, and have no running operation.
 func (m *Meter) completeAt(now Instant) Window {
-	complete := WindowAt(now, m.length) - 1
+	complete := WindowAt(now, m.length)
+	if !m.finished {
+		complete--
+	}
 	for w, open := range m.windows {
 		if open.running > 0 && w <= complete {
 			complete = w - 1
@@ -124,6 +129,11 @@
 	return complete
 }
 
+// Finish records that the host begins no more operations, so the leader need not wait for the end of the present window.
+func (m *Meter) Finish() {
+	m.finished = true
+}
+
 // LeaderLost records that the next leader may have nothing of what earlier ones have confirmed.
 func (m *Meter) LeaderLost() {
 	m.leadership, m.complete = 0, 0
@@ -156,7 +166,7 @@
 	m.discardClosed()
 }
 
-// discardClosed discards the closed windows in which no statement runs any more. What the others count from now on is late.
+// discardClosed discards the closed windows in which no operation runs any more. What the others count from now on is late.
 func (m *Meter) discardClosed() {
 	for w, open := range m.windows {
 		if w > m.closed {
