--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -250,6 +250,16 @@
 		"fleet/limit/reserve.go", "if int64(len(r.spent)) >= r.rule.Tokens {", "if int64(len(r.spent)) < 0 {",
 		"./fleet/limit", "Reserve",
 	},
+	{
+		0, "QUOTA: leaders take no more than the whole advance of tokens in one window",
+		"node/core/state.go", "if kind.Recovery.GetAdvance() > limit.WholeAdvance", "if kind.Recovery.GetAdvance() > 10*limit.WholeAdvance",
+		"./node/core", "AdvanceIsTaken",
+	},
+	{
+		0, "ROUTE, DRAIN: a saved upstream replaces no newer announcement",
+		"fleet/directory/hint.go", "Check(a) != nil || d.newer(a) != nil {", "Check(a) != nil {",
+		"./fleet/directory", "Restore",
+	},
 	{
 		0, "CONFIG: a configuration whose version is not higher changes nothing",
 		"node/core/state.go", "if kind.Configure.GetVersion() <= s.saved", "if kind.Configure.GetVersion() < 0*s.saved",
