Keep the connections of searches for the leader

A search across regions on a new connection took as long as core hosts held it plus 50 ms, the 200 ms after which the host broke it off and closed the connection.

--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -17,9 +17,9 @@
 // maxBody bounds the body of a call in bytes; the largest one contains a configuration.
 const maxBody = 32 << 20
 
-// searchHold is how long a core host that does not lead holds a search for the leader. With a round trip between regions it stays
-// below the timeout of a search.
-const searchHold = 150 * time.Millisecond
+// searchHold is how long a core host that does not lead holds a search for the leader. With a new connection and a round trip between
+// regions, 50 ms, it stays below the time for which hosts wait: they would ask again on further connections.
+const searchHold = 100 * time.Millisecond
 
 // Handler serves the calls of other hosts.
 func (c *Core) Handler() http.Handler {
--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -36,9 +36,12 @@
 	// wholeTimeout is that timeout while the host has no configuration or no directory. After a loss of power, the leader sends
 	// them to all hosts at once.
 	wholeTimeout = 2 * time.Second
-	// searchTimeout bounds the requests to all core hosts while the leader is unknown. One of them may be unresponsive, and
-	// the next requests must not wait for it. It is the time for which core hosts hold a search and a round trip between regions, 24 ms.
+	// searchTimeout bounds the wait for all core hosts while the leader is unknown. One of them may be unresponsive, and the next
+	// requests must not wait for it. It is longer than core hosts hold a search.
 	searchTimeout = 200 * time.Millisecond
+	// searchCallTimeout bounds one request of a search. A request that is broken off closes its connection, and hundreds of hosts
+	// that open new ones again and again fill the queues of the core hosts.
+	searchCallTimeout = 600 * time.Millisecond
 	// connectedTimeout is the time after the last contact with the leader for which the host counts as connected.
 	connectedTimeout = 3 * time.Second
 )
@@ -229,8 +232,7 @@
 // search asks core hosts at once which of them leads. The responses are small, so that hundreds of hosts that search at the same
 // time don't fill the leader's link.
 func (c *Client) search(ctx context.Context, targets []string) (leader string) {
-	// The other calls go on once one host has answered as the leader, since breaking them off would close their connections.
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, searchCallTimeout)
 	request := &fleetpb.WatchRequest{
 		Host: string(c.options.Host), Incarnation: uint64(c.options.Incarnation), Zone: string(c.options.Zone), Peer: c.options.Peer,
 		Leaving: c.isLeaving(), Search: true,
@@ -250,9 +252,16 @@
 		calls.Wait()
 		cancel()
 	}()
+	timer := time.NewTimer(searchTimeout)
+	defer timer.Stop()
 	for range targets {
-		if leader = <-leaders; leader != "" {
-			return leader
+		select {
+		case leader = <-leaders:
+			if leader != "" {
+				return leader
+			}
+		case <-timer.C:
+			return ""
 		}
 	}
 	return ""
