--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -89,9 +89,8 @@
 func (n *Node) handlePreVote(m *fleetpb.Message, request *fleetpb.PreVote) {
 	granted := m.GetTerm() > n.term && !n.hasActiveLeader() && n.upToDate(request.GetLastIndex(), request.GetLastTerm()) &&
 		!n.precedes(m.GetFrom(), request)
-	if granted && n.role == Follower {
-		// The other member is about to start an election. Another one at the same time would split the votes.
-		n.electionDeadline = max(n.electionDeadline, n.now.Add(n.bounds.ElectionMin/2))
+	if granted {
+		n.yield()
 	}
 	answer := &fleetpb.Message{
 		Kind: &fleetpb.Message_Answer{Answer: &fleetpb.VoteAnswer{Pre: true, Granted: granted}},
@@ -138,6 +137,18 @@
 	}
 }
 
+// yield leaves the next election to a member that is about to start one and goes first, since another one at the same time would split the
+// votes. It waits for half of the shortest timeout only, as that member may not reach a majority.
+func (n *Node) yield() {
+	if n.role == PreCandidate {
+		n.resetRole(nil)
+		n.electionDeadline = n.now
+	}
+	if n.role == Follower {
+		n.electionDeadline = max(n.electionDeadline, n.now.Add(n.bounds.ElectionMin/2))
+	}
+}
+
 // precedes reports whether this member asks for the same votes as another one with an equal log, and goes first. Of members that ask at
 // the same moment only one then finds a majority, where all of them would start elections and split the votes. It concerns the question
 // before an election only, so a member that goes first and reaches no majority holds nobody up who has one without it.
