Pass calls to the core leader on for hosts that don't reach it

Change: a host whose search among the core hosts has failed for half a second asks three other entry hosts; one that reaches the leader passes Watch and Borrow on to it, and is then used in the leader's place until a core host answers again. Reports about primaries are not passed on, since the leader could not ask their sender to make a primary step down.

--- a/node/coreclient/coreclient.go
+++ b/node/coreclient/coreclient.go
@@ -71,10 +71,14 @@
 
 // Client is an entry host's client of the core leader.
 type Client struct {
-	options     Options
-	client      *http.Client
-	mu          sync.Mutex
+	options Options
+	client  *http.Client
+	mu      sync.Mutex
+	// leader is the address that takes the calls to the leader: its own, or that of an entry host if relayed is set. directAt is the time
+	// of the last search for the leader itself while a relay is used.
 	leader      string
+	relayed     bool
+	directAt    ident.Time
 	members     []string
 	lastContact ident.Time
 	// directory is the one in use; the leader answers with what changed since.
@@ -108,7 +112,7 @@
 func (c *Client) OwnerRedirected(string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader = ""
+	c.setLeader("", false)
 }
 
 // OwnerUnresponsive reports that the owner at an address did not answer. The client queries all core hosts at once: calls for
@@ -120,7 +124,7 @@
 		return
 	}
 	klog.InfoS("Core leader does not lend tokens", "leader", owner)
-	c.leader = ""
+	c.setLeader("", false)
 	c.watchNow()
 }
 
@@ -200,10 +204,18 @@
 // targets returns the leader, or all core hosts while the leader is unknown.
 func (c *Client) targets() []string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leader != "" {
-		return []string{c.leader}
+	leader := c.leader
+	c.mu.Unlock()
+	if leader != "" {
+		return []string{leader}
 	}
+	return c.coreHosts()
+}
+
+// coreHosts returns the peer addresses of the core hosts.
+func (c *Client) coreHosts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	all := slices.Concat(c.members, c.options.Seeds())
 	slices.Sort(all)
 	return slices.Compact(all)
@@ -211,9 +223,13 @@
 
 // watch sends a request to the leader, which it searches for while it is unknown. It reports whether the leader answered.
 func (c *Client) watch(ctx context.Context) bool {
-	targets := c.targets()
+	c.returnToDirect(ctx)
+	targets, relayed := c.targets(), c.usesRelay()
 	if len(targets) > 1 {
 		leader := c.search(ctx, targets)
+		if relayed = leader == ""; relayed {
+			leader = c.searchRelays(ctx)
+		}
 		if leader == "" {
 			return false
 		}
@@ -229,7 +245,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.watchHost(ctx, targets[0], request, usage)
+	return c.watchHost(ctx, targets[0], relayed, request, usage)
 }
 
 // Flush reports what the host has counted since its last report. It is called after the last statement of a shutdown.
@@ -272,6 +288,13 @@
 	return ""
 }
 
+// usesRelay reports whether the calls to the leader go to an entry host that passes them on.
+func (c *Client) usesRelay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayed
+}
+
 func (c *Client) isLeaving() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -321,9 +344,9 @@
 	return request
 }
 
-// watchHost sends a request, which contains a usage report unless that is nil, to one core host. It reports whether that host is the
-// leader and its response was usable.
-func (c *Client) watchHost(ctx context.Context, address string, request *fleetpb.WatchRequest, usage *metering.Report) bool {
+// watchHost sends a request, which contains a usage report unless that is nil, to one core host, or to a relay. It reports whether the
+// leader has answered and its response was usable.
+func (c *Client) watchHost(ctx context.Context, address string, relayed bool, request *fleetpb.WatchRequest, usage *metering.Report) bool {
 	sentAt := steady.Now()
 	response, err := c.call(ctx, address, request)
 	if err != nil {
@@ -333,7 +356,7 @@
 	if c.options.Usage != nil {
 		c.options.Usage.receive(sentAt, steady.Now(), usage, response)
 	}
-	return c.handleResponse(sentAt, address, request.GetDigest(), response)
+	return c.handleResponse(sentAt, address, relayed, request.GetDigest(), response)
 }
 
 func (c *Client) handleFailure(address string, err error) {
@@ -341,25 +364,26 @@
 	defer c.mu.Unlock()
 	if c.leader == address {
 		klog.InfoS("Core leader lost", "leader", address, "reason", trace.UserMessage(err))
-		c.leader = ""
+		c.setLeader("", false)
 	}
 }
 
 // handleResponse handles a response to a request that was sent with the digest of a directory, and reports whether it came from the
 // leader and was usable.
-func (c *Client) handleResponse(sentAt ident.Time, address string, digest uint64, response *fleetpb.WatchResponse) bool {
+func (c *Client) handleResponse(sentAt ident.Time, address string, relayed bool, digest uint64, response *fleetpb.WatchResponse) bool {
 	c.mu.Lock()
 	if !response.GetLeads() {
 		if c.leader == address {
-			c.leader = ""
+			c.setLeader("", false)
 		}
 		c.mu.Unlock()
 		return false
 	}
 	if c.leader != address {
-		klog.InfoS("Core leader found", "leader", address)
+		klog.InfoS("Core leader found", "leader", address, "relayed", relayed)
 	}
-	c.leader, c.lastContact = address, sentAt
+	c.setLeader(address, relayed)
+	c.lastContact = sentAt
 	c.mu.Unlock()
 	if configuration := response.GetConfiguration(); configuration != nil {
 		parsed, err := c.parse(configuration)
--- a/node/coreclient/coreclient_test.go
+++ b/node/coreclient/coreclient_test.go
@@ -53,7 +53,7 @@
 	receive := func(version uint64, directory *fleetpb.Directory) {
 		packed, err := catalog.Pack(make([]byte, version))
 		require.NoError(t, err)
-		require.True(t, c.handleResponse(1, "leader", 0, &fleetpb.WatchResponse{
+		require.True(t, c.handleResponse(1, "leader", false, 0, &fleetpb.WatchResponse{
 			Leads: true, Configuration: &fleetpb.Configure{Version: version, Packed: packed}, Directory: directory,
 		}))
 	}
@@ -81,7 +81,7 @@
 		require.NoError(t, err)
 		response := &fleetpb.WatchResponse{Leads: true}
 		response.Digest, response.Directory, response.Change = history.Update(digest)
-		require.True(t, c.handleResponse(1, "leader", digest, response))
+		require.True(t, c.handleResponse(1, "leader", false, digest, response))
 	}
 	receive(c.directory.Digest(), "a", "b")
 	require.Equal(t, 2, table.HostCount())
--- a/node/entry.go
+++ b/node/entry.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 
+	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/host/admission"
@@ -94,7 +95,10 @@
 		return nil, trace.Wrap(err)
 	}
 	gateways := gateway.NewServer(table)
-	if err := doors.peers(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
+	calls := http.NewServeMux()
+	calls.Handle("/", core.RelayHandler())
+	calls.Handle(fleetpb.GatewayPathPrefix, gateways.Handler())
+	if err := doors.peers(ownAddress, peer.TrustedHandler(calls)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.leave, p.flush = core.Leave, core.Flush
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -116,6 +116,13 @@
 	return t.received && t.Catalog() != nil
 }
 
+// Hosts returns the entry hosts of the directory, which must not be changed.
+func (t *Table) Hosts() []*fleetpb.EntryHost {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.hosts
+}
+
 // HostCount returns the number of entry hosts in the directory.
 func (t *Table) HostCount() int {
 	t.mu.RLock()
