--- a/host/admission/http.go
+++ b/host/admission/http.go
@@ -13,13 +13,15 @@
 )
 
 const (
-	// headerTimeout bounds the time for reading a request's header, bodyTimeout the time for its body, and idleTimeout the time between
-	// two requests, which is longer than peers keep idle connections.
+	// headerTimeout bounds the time for reading a request's header, readTimeout the time for the whole request, and idleTimeout the time
+	// between two requests, which is longer than peers keep idle connections.
 	headerTimeout = 5 * time.Second
-	bodyTimeout   = 30 * time.Second
+	readTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// maxHeader bounds a request's header in bytes.
 	maxHeader = 32 << 10
+	// smallBody is the size in bytes up to which a body is part of what each connection costs.
+	smallBody = 8 << 10
 )
 
 // Calls describes the calls that an HTTP server answers.
@@ -40,7 +42,7 @@
 func (g *Gate) Server(calls Calls) *http.Server {
 	connections := &connections{sessions: map[net.Conn]*Session{}}
 	return &http.Server{
-		Handler: calls, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: peer.ErrorLog(),
+		Handler: calls, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: peer.ErrorLog(),
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
 			s, err := g.Open(calls.Listener, connection, budget.SessionLimits{})
 			if err != nil {
@@ -90,7 +92,7 @@
 // ServeHTTP implements http.Handler.
 func (c Calls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s, found := r.Context().Value(sessionKey{}).(*Session)
-	if !found || r.ContentLength == 0 {
+	if !found || (r.ContentLength >= 0 && r.ContentLength <= smallBody) {
 		c.Handler.ServeHTTP(w, r)
 		return
 	}
@@ -99,13 +101,14 @@
 		return
 	}
 	s.setPhase(budget.PhaseReading)
-	body := &body{ReadCloser: http.MaxBytesReader(w, r.Body, c.MaxBody), session: s, copies: c.Copies, deadline: http.NewResponseController(w)}
+	body := &body{ReadCloser: http.MaxBytesReader(w, r.Body, c.MaxBody), session: s, copies: c.Copies}
 	defer body.release()
 	if err := body.take(r.ContentLength); err != nil {
+		// A client that still sends would lose the answer, and with it that the call was not run.
+		_, _ = io.Copy(io.Discard, body.ReadCloser)
 		c.Refuse(w, err)
 		return
 	}
-	_ = body.deadline.SetReadDeadline(time.Now().Add(bodyTimeout))
 	r.Body = body
 	c.Handler.ServeHTTP(w, r)
 }
@@ -113,14 +116,11 @@
 // body is the body of a call, whose bytes are taken before they are read, or while they are read if their number is not known.
 type body struct {
 	io.ReadCloser
-	session  *Session
-	copies   int
-	deadline *http.ResponseController
-	taken    int
+	session *Session
+	copies  int
+	taken   int
 	// known is set if the number of bytes was known and they were taken before.
 	known bool
-	// ended is set when the whole body was read.
-	ended bool
 }
 
 func (b *body) take(size int64) error {
@@ -148,17 +148,11 @@
 		}
 	}
 	if err == io.EOF {
-		b.ended = true
-		_ = b.deadline.SetReadDeadline(time.Time{})
 		b.session.setPhase(budget.PhaseBusy)
 	}
 	return n, err
 }
 
 func (b *body) release() {
-	if !b.ended {
-		// The server reads some of the rest before the next request.
-		_ = b.deadline.SetReadDeadline(time.Now().Add(headerTimeout))
-	}
 	b.session.Give(b.taken)
 }
--- a/host/admission/session.go
+++ b/host/admission/session.go
@@ -24,8 +24,8 @@
 	mu sync.Mutex
 	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
 	idle, message time.Time
-	// write is the write deadline that the owner has set.
-	write time.Time
+	// write is the write deadline that the owner has set, and armed the one that applies.
+	write, armed time.Time
 }
 
 // Take reserves bytes before they are used, or returns a budget.RefusedError. The first bytes taken while no request runs begin a message.
@@ -121,15 +121,20 @@
 	return s.SetReadDeadline(deadline)
 }
 
-// answerDeadline returns the time by which an answer that is sent now has to be taken.
-func (s *Session) answerDeadline() time.Time {
+// armAnswer sets the time by which an answer that is sent now has to be taken. A deadline that leaves at least half of the time stays, since
+// most answers are short and follow one another.
+func (s *Session) armAnswer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	deadline := time.Now().Add(s.limits.Answer)
-	if !s.write.IsZero() && s.write.Before(deadline) {
-		return s.write
+	now := time.Now()
+	if s.write.IsZero() && s.armed.Sub(now) > s.limits.Answer/2 {
+		return
 	}
-	return deadline
+	s.armed = now.Add(s.limits.Answer)
+	if !s.write.IsZero() && s.write.Before(s.armed) {
+		s.armed = s.write
+	}
+	_ = s.Conn.SetWriteDeadline(s.armed)
 }
 
 // CloseWrite ends the answers of a TCP connection.
@@ -142,7 +147,7 @@
 
 // Write sends an answer; it fails if the caller does not take the answer in time.
 func (s *Session) Write(answer []byte) (int, error) {
-	_ = s.Conn.SetWriteDeadline(s.answerDeadline())
+	s.armAnswer()
 	if s.phase() == budget.PhaseBusy && len(answer) > smallAnswer {
 		s.setPhase(budget.PhaseWriting)
 		defer s.setPhase(budget.PhaseBusy)
@@ -182,9 +187,14 @@
 }
 
 func (s *Session) setPhase(phase budget.Phase) {
+	var now ident.Time
+	if phase != budget.PhaseBusy {
+		// A busy session is never chosen by its wait.
+		now = steady.Now()
+	}
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
-	s.gate.account.SetPhase(s.holder, phase, steady.Now())
+	s.gate.account.SetPhase(s.holder, phase, now)
 }
 
 func isTimeout(err error) bool {
--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -52,7 +52,12 @@
 
 // newCrowd starts a fleet whose upstream is in the zone of its last entry host.
 func newCrowd(t *testing.T, hosts int) *crowd {
-	c := &crowd{fleet: newFleetOf(t, 6, fmt.Sprintf("memory_mb = %d\nmax_fds = %d", crowdMemoryMB, crowdDescriptors))}
+	return newCrowdWithin(t, hosts, fmt.Sprintf("memory_mb = %d\nmax_fds = %d", crowdMemoryMB, crowdDescriptors))
+}
+
+// newCrowdWithin starts such a fleet with other limits.
+func newCrowdWithin(t *testing.T, hosts int, limits string) *crowd {
+	c := &crowd{fleet: newFleetOf(t, 6, limits)}
 	zone := fmt.Sprintf("z%d", hosts-1)
 	u, err := c.group.Start(platform.Options{
 		ID: "i-0", Zone: zone, Address: "127.0.0.1:0", Slots: 4, Queue: 64, Connections: 20, Work: time.Millisecond,
