Close nobody for a request that is refused anyway, and no open transaction

Take plans its victims before it closes any. A session between the requests of a transaction has a phase of its own, so that a new connection never ends a transaction. A core process gives the sessions' part of the descriptors to other hosts. Closed sessions are counted by why they went (largest, longest_waiting).

--- a/fleet/budget/account.go
+++ b/fleet/budget/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"tamarackshunt.dev/fleet/ident"
 )
@@ -92,7 +93,7 @@
 }
 
 // Take reserves bytes for a holder. The caller must close the connections of the victims, which hold nothing any more. It returns a
-// RefusedError if the bytes may not be used.
+// RefusedError, and no victims, if the bytes may not be used.
 func (a *Account) Take(h *Holder, n Bytes) ([]*Holder, error) {
 	if h.closed {
 		return nil, &RefusedError{ReasonTotal}
@@ -101,33 +102,52 @@
 		return nil, &RefusedError{ReasonSession}
 	}
 	var victims []*Holder
+	var freed freed
 	for {
-		reason, exceeded := a.exceeded(h, n)
+		reason, exceeded := a.exceeded(h, n, freed)
 		if !exceeded {
-			a.add(h, n)
-			return victims, nil
+			break
 		}
-		victim := a.largest(h, n, reason)
+		victim := a.largest(h, n, reason, victims)
 		if victim == nil {
-			return victims, &RefusedError{reason}
+			return nil, &RefusedError{reason}
 		}
-		a.Close(victim)
 		victims = append(victims, victim)
+		freed.add(h, victim)
+	}
+	for _, v := range victims {
+		a.Close(v)
+	}
+	a.add(h, n)
+	return victims, nil
+}
+
+// freed is what the victims of a holder leave to it.
+type freed struct{ total, address, team Bytes }
+
+func (f *freed) add(h, victim *Holder) {
+	f.total += victim.held + BaseBytes
+	if victim.address == h.address {
+		f.address += victim.held
+	}
+	if victim.team == h.team {
+		f.team += victim.held
 	}
 }
 
-// exceeded returns the limit that a holder would exceed with further bytes. Holders of little are not bound to shares and use the
-// reserve.
-func (a *Account) exceeded(h *Holder, n Bytes) (Reason, bool) {
+// exceeded returns the limit that a holder would exceed with further bytes once some are freed. Holders of little are not bound to shares
+// and use the reserve.
+func (a *Account) exceeded(h *Holder, n Bytes, freed freed) (Reason, bool) {
+	used := a.used + n - freed.total
 	small := h.held+n <= smallSession
 	switch {
 	case small:
-		return ReasonTotal, a.used+n > a.limits.Total
-	case a.used+n > a.limits.Total-a.limits.Reserve:
+		return ReasonTotal, used > a.limits.Total
+	case used > a.limits.Total-a.limits.Reserve:
 		return ReasonTotal, true
-	case a.addresses[h.address]+n > a.limits.Address:
+	case a.addresses[h.address]+n-freed.address > a.limits.Address:
 		return ReasonAddress, true
-	case h.team != "" && a.teams[h.team]+n > a.limits.Team:
+	case h.team != "" && a.teams[h.team]+n-freed.team > a.limits.Team:
 		return ReasonTeam, true
 	}
 	return 0, false
@@ -138,12 +158,12 @@
 	return cmp.Or(cmp.Compare(h.since, other.since), cmp.Compare(h.number, other.number))
 }
 
-// largest returns the largest holder that is to be closed so that another may take bytes, or nil.
-func (a *Account) largest(h *Holder, n Bytes, reason Reason) *Holder {
+// largest returns the largest holder that is to be closed, in addition to others, so that h may take bytes, or nil.
+func (a *Account) largest(h *Holder, n Bytes, reason Reason, others []*Holder) *Holder {
 	var largest *Holder
 	for v := range a.holders {
 		inScope := reason == ReasonTotal || (reason == ReasonAddress && v.address == h.address) || (reason == ReasonTeam && v.team == h.team)
-		if v == h || !inScope || !goesFirst(v, h, n) {
+		if v == h || !inScope || !goesFirst(v, h, n) || slices.Contains(others, v) {
 			continue
 		}
 		if largest == nil || cmp.Or(cmp.Compare(largest.held, v.held), v.compareWait(largest)) < 0 {
--- a/fleet/budget/account_test.go
+++ b/fleet/budget/account_test.go
@@ -128,6 +128,22 @@
 	r.open(3, "b-3")
 	log.WriteString(r.log.String())
 
+	r = newReplay("a refusal closes nobody, and a new connection none that is in a transaction", limits)
+	r.open(4, "a-1", "b-1", "c-1", "d-1")
+	for _, name := range []string{"a-1", "b-1", "d-1"} {
+		r.phase(name, budget.PhaseBusy)
+	}
+	r.take("a-1", 5*budget.MiB)
+	r.take("b-1", 5*budget.MiB)
+	r.phase("c-1", budget.PhaseReading)
+	r.take("c-1", budget.MiB)
+	r.take("d-1", 4*budget.MiB)
+	r.phase("c-1", budget.PhaseOpen)
+	r.open(4, "e-1")
+	r.phase("d-1", budget.PhaseIdle)
+	r.open(4, "e-1")
+	log.WriteString(r.log.String())
+
 	goldie.New(t).Assert(t, "account", []byte(log.String()))
 }
 
--- a/fleet/budget/holder.go
+++ b/fleet/budget/holder.go
@@ -17,6 +17,8 @@
 	// PhaseStarting is before a connection has said who it is.
 	PhaseStarting Phase = iota
 	PhaseIdle
+	// PhaseOpen is between the requests of a transaction, which would be lost with the connection.
+	PhaseOpen
 	// PhaseReading is between the beginning and the end of a message.
 	PhaseReading
 	// PhaseBusy is while a request runs; such a holder is never closed for another.
--- a/fleet/budget/phase_enumer.go
+++ b/fleet/budget/phase_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PhaseName = "startingidlereadingbusywriting"
+const _PhaseName = "startingidleopenreadingbusywriting"
 
-var _PhaseIndex = [...]uint8{0, 8, 12, 19, 23, 30}
+var _PhaseIndex = [...]uint8{0, 8, 12, 16, 23, 27, 34}
 
-const _PhaseLowerName = "startingidlereadingbusywriting"
+const _PhaseLowerName = "startingidleopenreadingbusywriting"
 
 func (i Phase) String() string {
 	if i < 0 || i >= Phase(len(_PhaseIndex)-1) {
@@ -26,35 +26,39 @@
 	var x [1]struct{}
 	_ = x[PhaseStarting-(0)]
 	_ = x[PhaseIdle-(1)]
-	_ = x[PhaseReading-(2)]
-	_ = x[PhaseBusy-(3)]
-	_ = x[PhaseWriting-(4)]
+	_ = x[PhaseOpen-(2)]
+	_ = x[PhaseReading-(3)]
+	_ = x[PhaseBusy-(4)]
+	_ = x[PhaseWriting-(5)]
 }
 
-var _PhaseValues = []Phase{PhaseStarting, PhaseIdle, PhaseReading, PhaseBusy, PhaseWriting}
+var _PhaseValues = []Phase{PhaseStarting, PhaseIdle, PhaseOpen, PhaseReading, PhaseBusy, PhaseWriting}
 
 var _PhaseNameToValueMap = map[string]Phase{
 	_PhaseName[0:8]:   PhaseStarting,
 	_PhaseName[8:12]:  PhaseIdle,
-	_PhaseName[12:19]: PhaseReading,
-	_PhaseName[19:23]: PhaseBusy,
-	_PhaseName[23:30]: PhaseWriting,
+	_PhaseName[12:16]: PhaseOpen,
+	_PhaseName[16:23]: PhaseReading,
+	_PhaseName[23:27]: PhaseBusy,
+	_PhaseName[27:34]: PhaseWriting,
 }
 
 var _PhaseLowerNameToValueMap = map[string]Phase{
 	_PhaseLowerName[0:8]:   PhaseStarting,
 	_PhaseLowerName[8:12]:  PhaseIdle,
-	_PhaseLowerName[12:19]: PhaseReading,
-	_PhaseLowerName[19:23]: PhaseBusy,
-	_PhaseLowerName[23:30]: PhaseWriting,
+	_PhaseLowerName[12:16]: PhaseOpen,
+	_PhaseLowerName[16:23]: PhaseReading,
+	_PhaseLowerName[23:27]: PhaseBusy,
+	_PhaseLowerName[27:34]: PhaseWriting,
 }
 
 var _PhaseNames = []string{
 	_PhaseName[0:8],
 	_PhaseName[8:12],
-	_PhaseName[12:19],
-	_PhaseName[19:23],
-	_PhaseName[23:30],
+	_PhaseName[12:16],
+	_PhaseName[16:23],
+	_PhaseName[23:27],
+	_PhaseName[27:34],
 }
 
 // PhaseString retrieves an enum value from the enum constants string name.
--- a/host/admission/gate.go
+++ b/host/admission/gate.go
@@ -18,6 +18,12 @@
 // logInterval is the interval between two log lines of the same kind.
 const logInterval = 10 * time.Second
 
+// reasonLargest and reasonLongestWaiting count sessions that are closed for the bytes or the connection of another one.
+const (
+	reasonLargest        = "largest"
+	reasonLongestWaiting = "longest_waiting"
+)
+
 // Gate is the budget of one process. Its methods are safe for concurrent use.
 type Gate struct {
 	mu       sync.Mutex
@@ -54,7 +60,7 @@
 	}
 	g.update()
 	g.mu.Unlock()
-	g.evict(evicted, budget.ReasonConnections, listener.Name)
+	g.evict(evicted, reasonLongestWaiting, listener.Name)
 	if err != nil {
 		g.refused(err, listener.Name, host)
 		_ = connection.Close()
@@ -74,7 +80,7 @@
 	g.update()
 	g.mu.Unlock()
 	for _, v := range evicted {
-		g.evict(v, budget.ReasonTotal, v.RemoteAddr().String())
+		g.evict(v, reasonLargest, v.RemoteAddr().String())
 	}
 	if err != nil {
 		g.refused(err, "bytes", s.RemoteAddr().String())
@@ -110,13 +116,12 @@
 }
 
 // evict closes the connection of a session that goes for another one.
-func (g *Gate) evict(s *Session, reason budget.Reason, of string) {
+func (g *Gate) evict(s *Session, reason, of string) {
 	if s == nil {
 		return
 	}
-	s.evicted.Store(true)
 	_ = s.Conn.Close()
-	g.Closed(reason.String(), of)
+	g.Closed(reason, of)
 }
 
 // Closed counts and logs a connection that a limit has closed.
--- a/host/admission/gate_test.go
+++ b/host/admission/gate_test.go
@@ -32,7 +32,7 @@
 // Guards against a message that has begun and never ends, while a session that waits for a message may be idle.
 func TestMessageTime(t *testing.T) {
 	s, far := open(t, admission.New(budget.NewLimits(64*budget.MiB, 400)))
-	s.Waiting()
+	s.Waiting(false)
 	go func() { _, _ = far.Write([]byte("x")) }()
 	time.Sleep(2 * short)
 	_, err := s.Read(make([]byte, 1))
@@ -47,7 +47,7 @@
 // Guards against a deadline of the owner, such as that of a shutdown, which a message that begins replaces.
 func TestMessageKeepsDeadline(t *testing.T) {
 	s, _ := open(t, admission.New(budget.NewLimits(64*budget.MiB, 400)))
-	s.Waiting()
+	s.Waiting(false)
 	require.NoError(t, s.SetReadDeadline(time.Now()))
 	require.NoError(t, s.Take(2000))
 	_, err := s.Read(make([]byte, 1))
@@ -59,7 +59,7 @@
 // Guards against a caller that reads no answers and holds them for ever.
 func TestAnswerTime(t *testing.T) {
 	s, _ := open(t, admission.New(budget.NewLimits(64*budget.MiB, 400)))
-	s.Waiting()
+	s.Waiting(false)
 	s.Received()
 	_, err := s.Write([]byte(strings.Repeat("x", 8000)))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
@@ -71,7 +71,7 @@
 	var refused *budget.RefusedError
 	require.ErrorAs(t, s.Take(int(65*budget.KiB)), &refused)
 	require.Equal(t, budget.ReasonFirst, refused.Reason)
-	s.Waiting()
+	s.Waiting(false)
 	require.NoError(t, s.Take(int(65*budget.KiB)))
 }
 
@@ -79,10 +79,10 @@
 func TestEvicted(t *testing.T) {
 	gate := admission.New(budget.NewLimits(64*budget.MiB, 400))
 	large, _ := open(t, gate)
-	large.Waiting()
+	large.Waiting(false)
 	require.NoError(t, large.Take(int(9*budget.MiB)))
 	small, _ := open(t, gate)
-	small.Waiting()
+	small.Waiting(false)
 	small.Received()
 	require.NoError(t, small.Take(int(8*budget.MiB)))
 	_, err := large.Read(make([]byte, 1))
--- a/host/admission/session.go
+++ b/host/admission/session.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tamarackshunt.dev/fleet/budget"
@@ -18,8 +17,6 @@
 	gate   *Gate
 	holder *budget.Holder
 	limits budget.SessionLimits
-	// evicted is set when the gate has closed the connection.
-	evicted atomic.Bool
 
 	mu sync.Mutex
 	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
@@ -37,7 +34,7 @@
 			s.gate.refused(err, "bytes", s.RemoteAddr().String())
 			return err
 		}
-	case budget.PhaseIdle:
+	case budget.PhaseIdle, budget.PhaseOpen:
 		s.beginMessage()
 	default:
 	}
@@ -64,9 +61,14 @@
 // Starting reports whether the connection has not said yet who it is.
 func (s *Session) Starting() bool { return s.phase() == budget.PhaseStarting }
 
-// Waiting records that the owner waits for the next message, of which a part may have arrived already.
-func (s *Session) Waiting() {
-	if s.phase() != budget.PhaseReading {
+// Waiting records that the owner waits for the next message, of which a part may have arrived already. inTransaction is set if a
+// transaction would be lost with the connection.
+func (s *Session) Waiting(inTransaction bool) {
+	switch {
+	case s.phase() == budget.PhaseReading:
+	case inTransaction:
+		s.setPhase(budget.PhaseOpen)
+	default:
 		s.setPhase(budget.PhaseIdle)
 	}
 }
--- a/host/callers_test.go
+++ b/host/callers_test.go
@@ -43,12 +43,16 @@
 	crowdWait   = 40 * time.Second
 )
 
-// program is the path of the built program, which buildProgram builds once.
+// programFolder is the folder of the built program; it is empty before buildProgram.
+var programFolder string
+
+// buildProgram builds the program once and returns its path.
 var buildProgram = sync.OnceValues(func() (string, error) {
 	folder, err := os.MkdirTemp("", "tamarack-host")
 	if err != nil {
 		return "", err
 	}
+	programFolder = folder
 	path := filepath.Join(folder, "tamarack-host")
 	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
 	if err != nil {
@@ -60,8 +64,8 @@
 // TestMain removes the built program.
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if path, err := buildProgram(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
+	if programFolder != "" {
+		_ = os.RemoveAll(programFolder)
 	}
 	os.Exit(code)
 }
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -180,7 +180,7 @@
 		defer c.idle.Store(false)
 	}
 	if first {
-		c.raw.Waiting()
+		c.raw.Waiting(c.status() != 'I')
 	}
 	message, err := c.receiveMessage()
 	if err != nil {
--- a/node/core.go
+++ b/node/core.go
@@ -60,6 +60,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if s.Callers.Limits.Peers == 0 {
+		// A core process has no sessions, and every entry host keeps connections to it.
+		limits.Peers += limits.Sessions
+	}
 	doors := &doors{gate: admission.New(limits), limits: limits}
 	p := &corePart{
 		file: file, peers: peer.New(peer.Options{Trusted: true}), ownAddress: address(s.IP, s.FirstPort+portOffsetCore),
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -185,7 +185,7 @@
 	if s.tx != nil && s.tx.executor != nil {
 		deadline = time.Now().Add(s.idleTransactionLimit())
 	}
-	s.raw.Waiting()
+	s.raw.Waiting(s.state != statement.StateIdle)
 	_ = s.raw.SetReadDeadline(deadline)
 	s.activity.Store(int32(waiting))
 	defer s.activity.Store(int32(activityBusy))
