--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -147,10 +147,13 @@
 // statement.
 func (r *remoteExecutor) callFailed(use *upstream.Use, err error) (upstream.Outcome, error) {
 	callFailures.Inc()
-	if !refusedForMemory(err) {
-		r.onFailure()
-	}
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
+	if refusedForMemory(err) {
+		// The gateway answers others, and still holds the lease.
+		r.end()
+		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
+	}
+	r.onFailure()
 	if neverSent(err) {
 		// The gateway does not hold the lease, or can't be reached to end it.
 		r.lease = ""
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -10,9 +10,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
+	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
 	"tamarackshunt.dev/platform/wire"
@@ -138,3 +142,33 @@
 }
 
 func protocol(connection io.ReadWriter) upstream.Session { return wire.NewUpstream(connection) }
+
+// Guards against a statement that is reported as one that may have run, a gateway that is avoided for all statements, and a transaction
+// that stays open, after the gateway has refused a large call for its memory.
+func TestRefusedForMemory(t *testing.T) {
+	g, u, target := startPrimary(t)
+	limits := budget.NewLimits(16*budget.MiB, 400)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = admission.New(limits).Server(admission.Calls{
+		Listener: limits.PeerListener(), MaxBody: 64 << 20, Copies: 5,
+		Handler: peer.TrustedHandler(gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 1)}).Handler()),
+		Refuse: func(w http.ResponseWriter, err error) {
+			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
+		},
+	})
+	server.Start()
+	t.Cleanup(server.Close)
+	failures := 0
+	tx := newClient().Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { failures++ })
+	_, err := tx.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+	require.NoError(t, err)
+	require.Equal(t, 1, u.OpenTransactions())
+	var unreachable *upstream.UnreachableError
+	outcome, err := tx.Execute(contextWithTimeout(t), upstream.Use{ID: "2", Text: "STORE b " + strings.Repeat("x", 3<<20), Timeout: timeout, Keep: true})
+	require.ErrorAs(t, err, &unreachable)
+	require.False(t, outcome.Ran)
+	require.Zero(t, failures)
+	require.Eventually(t, func() bool { return u.OpenTransactions() == 0 }, timeout, time.Millisecond, "the transaction is rolled back")
+	_, runs := g.Items()
+	require.Empty(t, runs)
+}
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -17,14 +17,14 @@
 	var refused twirp.Error
 	if errors.As(err, &refused) {
 		switch refused.Code() {
-		case twirp.FailedPrecondition, twirp.NotFound, twirp.ResourceExhausted, twirp.Unauthenticated, twirp.BadRoute:
+		case twirp.FailedPrecondition, twirp.NotFound, twirp.Unauthenticated, twirp.BadRoute:
 			return true
 		}
 	}
 	return false
 }
 
-// refusedForMemory reports whether a gateway has refused a call because it holds as much as it may.
+// refusedForMemory reports whether a gateway has refused a call, which it has not run, because it holds as much as it may.
 func refusedForMemory(err error) bool {
 	var refused twirp.Error
 	return errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -305,4 +305,19 @@
 		"fleet/takeover/takeover.go", "case d.unfinished:", "case d.unfinished && d.primary == \"\":",
 		"./fleet/takeover", "Unfinished",
 	},
+	{
+		0, "callers: all together hold at most the total without its reserve",
+		"fleet/budget/account.go", "case used > a.limits.Total-a.limits.Reserve:", "case used < 0:",
+		"./fleet/budget", "Account",
+	},
+	{
+		0, "callers: a long message is taken from the memory before it is held",
+		"platform/wire/line.go", "if err := r.memory.Take(size); err != nil {", "if err := error(nil); err != nil {",
+		"./platform/wire", "Memory",
+	},
+	{
+		0, "callers: values and prepared statements of a session are bounded",
+		"node/entry/kept.go", "admitted := s.kept.Admits(old, cost)", "admitted := true",
+		"./node/entry", "StateLimits",
+	},
 }
