Take the memory of upstreams' and gateways' answers before they are read

Cause: sessions that read properly but ask for large rows at once made a host hold them while they are read. Change: an account for answers within the same gate, for connections to upstreams and for calls to gateways. A gateway whose answer is refused by its host is not avoided.

--- a/host/admission/gate.go
+++ b/host/admission/gate.go
@@ -69,10 +69,10 @@
 	return s, nil
 }
 
-// take reserves bytes for a session and closes the sessions that have to go for it.
-func (g *Gate) take(s *Session, n budget.Bytes) error {
+// take reserves bytes for a holder, whose name is for the log, and closes the sessions that have to go for it.
+func (g *Gate) take(holder *budget.Holder, name fmt.Stringer, n budget.Bytes) error {
 	g.mu.Lock()
-	victims, err := g.account.Take(s.holder, n)
+	victims, err := g.account.Take(holder, n)
 	evicted := make([]*Session, 0, len(victims))
 	for _, v := range victims {
 		evicted = append(evicted, g.remove(v))
@@ -83,15 +83,15 @@
 		g.evict(v, reasonLargest, v.RemoteAddr().String())
 	}
 	if err != nil {
-		g.refused(err, "bytes", s.RemoteAddr().String())
+		g.refused(err, "bytes", name.String())
 	}
 	return err
 }
 
-func (g *Gate) give(s *Session, n budget.Bytes) {
+func (g *Gate) give(holder *budget.Holder, n budget.Bytes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.account.Give(s.holder, n)
+	g.account.Give(holder, n)
 	g.update()
 }
 
--- a/host/admission/session.go
+++ b/host/admission/session.go
@@ -38,13 +38,13 @@
 		s.beginMessage()
 	default:
 	}
-	return s.gate.take(s, budget.Bytes(n))
+	return s.gate.take(s.holder, s.RemoteAddr(), budget.Bytes(n))
 }
 
 // Give returns bytes.
 func (s *Session) Give(n int) {
 	if n > 0 {
-		s.gate.give(s, budget.Bytes(n))
+		s.gate.give(s.holder, budget.Bytes(n))
 	}
 }
 
--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -297,6 +297,20 @@
 	c.check()
 }
 
+// Guards against a gateway and its host that hold as many large answers of upstreams as callers ask for at once.
+func TestCrowdLargeAnswers(t *testing.T) {
+	c := newCrowd(t, 2)
+	c.do(0, "primary", "key-two", "STORE large "+filler(largeMessage))
+	c.each(crowdSize, func(i int) {
+		connection := c.session()
+		go answers(connection)
+		for n := range 20 {
+			c.send(connection, query(fmt.Sprintf("q-%d-%d", i, n), "FETCH large"))
+		}
+	})
+	c.check()
+}
+
 // Guards against a process that holds the beginnings of messages that arrive slowly or stop half-way.
 func TestCrowdStopsHalfway(t *testing.T) {
 	c := newCrowd(t, 1)
--- a/node/entry.go
+++ b/node/entry.go
@@ -54,10 +54,16 @@
 		return nil, trace.Wrap(err)
 	}
 	doors := &doors{gate: admission.New(limits), limits: limits}
+	answers, err := doors.gate.NewAnswers(limits)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	peers := peer.New(peer.Options{Trusted: true})
+	gatewayCalls := peers.Client(0)
+	gatewayCalls.Transport = answers.Transport(gatewayCalls.Transport)
 	table := routing.New(routing.Options{
-		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstream,
-		Gateways: gateway.NewClient(peers.Client(0), peers.URL),
+		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstreamWithin(answers),
+		Gateways: gateway.NewClient(gatewayCalls, peers.URL),
 	})
 	ownAddress := address(s.IP, s.FirstPort+portOffsetEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -153,7 +153,9 @@
 		r.end()
 		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
 	}
-	r.onFailure()
+	if !answerRefused(err) {
+		r.onFailure()
+	}
 	if neverSent(err) {
 		// The gateway does not hold the lease, or can't be reached to end it.
 		r.lease = ""
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -172,3 +172,29 @@
 	_, runs := g.Items()
 	require.Empty(t, runs)
 }
+
+// Guards against a large answer that is held without being admitted, and against a gateway that is avoided because its answer was not.
+func TestAnswerRefused(t *testing.T) {
+	g, _, target := startPrimary(t)
+	require.True(t, g.Store("0", "a", strings.Repeat("x", 1<<20-100)))
+	server := httptest.NewServer(gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 1)}).Handler())
+	t.Cleanup(server.Close)
+	for memory, admitted := range map[budget.Bytes]bool{64 * budget.MiB: true, 4 * budget.MiB: false} {
+		limits := budget.NewLimits(memory, 400)
+		answers, err := admission.New(limits).NewAnswers(limits)
+		require.NoError(t, err)
+		failures := 0
+		client := gateway.NewClient(&http.Client{Transport: answers.Transport(http.DefaultTransport)}, func(address string) string { return "http://" + address })
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { failures++ })
+		outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "FETCH a", Timeout: timeout})
+		if admitted {
+			require.NoError(t, err)
+			require.Len(t, outcome.Result.Rows, 1)
+		} else {
+			var refused *budget.RefusedError
+			require.ErrorAs(t, err, &refused)
+			require.True(t, outcome.Ran, "the upstream has run it")
+		}
+		require.Zero(t, failures)
+	}
+}
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/budget"
 )
 
 // neverSent reports whether a failed call can't have run a statement, because the connection to the gateway could not be opened
@@ -29,3 +31,9 @@
 	var refused twirp.Error
 	return errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted
 }
+
+// answerRefused reports whether this host has refused to hold the answer of a gateway, which is not the gateway's failure.
+func answerRefused(err error) bool {
+	var refused *budget.RefusedError
+	return errors.As(err, &refused)
+}
