--- a/node/core.go
+++ b/node/core.go
@@ -64,20 +64,20 @@
 		// A core process has no sessions, and every entry host keeps connections to it.
 		limits.Peers += limits.Sessions
 	}
-	doors := &doors{gate: admission.New(limits), limits: limits}
+	listeners := &listeners{gate: admission.New(limits), limits: limits}
 	p := &corePart{
 		file: file, peers: peer.New(peer.Options{Trusted: true}), ownAddress: address(s.IP, s.FirstPort+portOffsetCore),
 		folder: filepath.Join(s.Folder, logFolder), background: newBackground(), done: make(chan struct{}),
 	}
 	// The listeners start before the core: other hosts ask for this host's name before the log can be bootstrapped.
 	p.serveStarting(&s)
-	if err := doors.peers(p.ownAddress, peer.TrustedHandler(&p.peerHandler)); err != nil {
+	if err := listeners.peers(p.ownAddress, peer.TrustedHandler(&p.peerHandler)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := doors.calls("control", s.Control, &p.platformHandler); err != nil {
+	if err := listeners.calls("control", s.Control, &p.platformHandler); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := doors.metrics(address(s.IP, portCoreMetrics)); err != nil {
+	if err := listeners.metrics(address(s.IP, portCoreMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	go p.supervise(&s)
--- a/node/entry.go
+++ b/node/entry.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	doors := &doors{gate: admission.New(limits), limits: limits}
-	answers, err := doors.gate.NewAnswers(limits)
+	listeners := &listeners{gate: admission.New(limits), limits: limits}
+	answers, err := listeners.gate.NewAnswers(limits)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -76,20 +76,20 @@
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Prefetch: borrowPrefetch})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{
-		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: doors.gate, Limits: session, Sessions: limits.Sessions,
+		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: listeners.gate, Limits: session, Sessions: limits.Sessions,
 	})
 	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	ready := func() bool { return table.Received() && core.Connected() && !p.server.Draining() }
-	if err := doors.calls("ready", s.Ready, api.NewReadyHandler(ready)); err != nil {
+	if err := listeners.calls("ready", s.Ready, api.NewReadyHandler(ready)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := doors.metrics(address(s.IP, portEntryMetrics)); err != nil {
+	if err := listeners.metrics(address(s.IP, portEntryMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	gateways := gateway.NewServer(table)
-	if err := doors.peers(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
+	if err := listeners.peers(ownAddress, peer.TrustedHandler(gateways.Handler())); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.leave = core.Leave
@@ -123,8 +123,8 @@
 	}
 }
 
-func (d *doors) metrics(listenAddress string) error {
+func (l *listeners) metrics(listenAddress string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
-	return d.calls("metrics", listenAddress, mux)
+	return l.calls("metrics", listenAddress, mux)
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -35,16 +35,16 @@
 	return limits, budget.NewSessionLimits().With(s.Callers.Session), limits.Check()
 }
 
-// doors serves the HTTP listeners of a process within one gate.
-type doors struct {
+// listeners serves the HTTP listeners of a process within one gate.
+type listeners struct {
 	gate   *admission.Gate
 	limits budget.Limits
 }
 
 // peers serves other hosts' calls at an address until the process ends.
-func (d *doors) peers(address string, handler http.Handler) error {
-	return d.serve(address, admission.Calls{
-		Listener: d.limits.PeerListener(), Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
+func (l *listeners) peers(address string, handler http.Handler) error {
+	return l.serve(address, admission.Calls{
+		Listener: l.limits.PeerListener(), Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
 		Refuse: func(w http.ResponseWriter, err error) {
 			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
 		},
@@ -52,20 +52,20 @@
 }
 
 // calls serves the platform's calls at an address until the process ends.
-func (d *doors) calls(name, address string, handler http.Handler) error {
-	return d.serve(address, admission.Calls{
-		Listener: d.limits.CallListener(name), Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
+func (l *listeners) calls(name, address string, handler http.Handler) error {
+	return l.serve(address, admission.Calls{
+		Listener: l.limits.CallListener(name), Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
 		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusServiceUnavailable) },
 	})
 }
 
-func (d *doors) serve(address string, calls admission.Calls) error {
+func (l *listeners) serve(address string, calls admission.Calls) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	go func() {
-		if err := d.gate.Server(calls).Serve(listener); err != nil {
+		if err := l.gate.Server(calls).Serve(listener); err != nil {
 			klog.ErrorS(err, "Listener ended", "address", address)
 		}
 	}()
