--- a/host/admission/gate.go
+++ b/host/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -120,7 +121,12 @@
 	if s == nil {
 		return
 	}
-	_ = s.Conn.Close()
+	connection := s.Conn
+	if secured, ok := connection.(*tls.Conn); ok {
+		// The end of TLS would wait for a peer that reads nothing.
+		connection = secured.NetConn()
+	}
+	_ = connection.Close()
 	g.Closed(reason, of)
 }
 
