--- a/host/admission/gate.go
+++ b/host/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -18,6 +19,12 @@
 // logInterval is the interval between two log lines of the same kind.
 const logInterval = 10 * time.Second
 
+// reasonLargest and reasonLongestWaiting count sessions that are closed for the bytes or the connection of another one.
+const (
+	reasonLargest        = "largest"
+	reasonLongestWaiting = "longest_waiting"
+)
+
 // Gate is the budget of one process. Its methods are safe for concurrent use.
 type Gate struct {
 	mu       sync.Mutex
@@ -54,7 +61,7 @@
 	}
 	g.update()
 	g.mu.Unlock()
-	g.evict(evicted, budget.ReasonConnections, listener.Name)
+	g.evict(evicted, reasonLongestWaiting, listener.Name)
 	if err != nil {
 		g.refused(err, listener.Name, host)
 		_ = connection.Close()
@@ -63,10 +70,10 @@
 	return s, nil
 }
 
-// take reserves bytes for a session and closes the sessions that have to go for it.
-func (g *Gate) take(s *Session, n budget.Bytes) error {
+// take reserves bytes for a holder, whose name is for the log, and closes the sessions that have to go for it.
+func (g *Gate) take(holder *budget.Holder, name fmt.Stringer, n budget.Bytes) error {
 	g.mu.Lock()
-	victims, err := g.account.Take(s.holder, n)
+	victims, err := g.account.Take(holder, n)
 	evicted := make([]*Session, 0, len(victims))
 	for _, v := range victims {
 		evicted = append(evicted, g.remove(v))
@@ -74,18 +81,18 @@
 	g.update()
 	g.mu.Unlock()
 	for _, v := range evicted {
-		g.evict(v, budget.ReasonTotal, v.RemoteAddr().String())
+		g.evict(v, reasonLargest, v.RemoteAddr().String())
 	}
 	if err != nil {
-		g.refused(err, "bytes", s.RemoteAddr().String())
+		g.refused(err, "bytes", name.String())
 	}
 	return err
 }
 
-func (g *Gate) give(s *Session, n budget.Bytes) {
+func (g *Gate) give(holder *budget.Holder, n budget.Bytes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.account.Give(s.holder, n)
+	g.account.Give(holder, n)
 	g.update()
 }
 
@@ -110,13 +117,17 @@
 }
 
 // evict closes the connection of a session that goes for another one.
-func (g *Gate) evict(s *Session, reason budget.Reason, of string) {
+func (g *Gate) evict(s *Session, reason, of string) {
 	if s == nil {
 		return
 	}
-	s.evicted.Store(true)
-	_ = s.Conn.Close()
-	g.Closed(reason.String(), of)
+	connection := s.Conn
+	if secured, ok := connection.(*tls.Conn); ok {
+		// The end of TLS would wait for a peer that reads nothing.
+		connection = secured.NetConn()
+	}
+	_ = connection.Close()
+	g.Closed(reason, of)
 }
 
 // Closed counts and logs a connection that a limit has closed.
--- a/host/admission/session.go
+++ b/host/admission/session.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tamarackshunt.dev/fleet/budget"
@@ -18,14 +17,12 @@
 	gate   *Gate
 	holder *budget.Holder
 	limits budget.SessionLimits
-	// evicted is set when the gate has closed the connection.
-	evicted atomic.Bool
 
 	mu sync.Mutex
 	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
 	idle, message time.Time
-	// write is the write deadline that the owner has set.
-	write time.Time
+	// write is the write deadline that the owner has set, and armed the one that applies.
+	write, armed time.Time
 }
 
 // Take reserves bytes before they are used, or returns a budget.RefusedError. The first bytes taken while no request runs begin a message.
@@ -37,17 +34,17 @@
 			s.gate.refused(err, "bytes", s.RemoteAddr().String())
 			return err
 		}
-	case budget.PhaseIdle:
+	case budget.PhaseIdle, budget.PhaseOpen:
 		s.beginMessage()
 	default:
 	}
-	return s.gate.take(s, budget.Bytes(n))
+	return s.gate.take(s.holder, s.RemoteAddr(), budget.Bytes(n))
 }
 
 // Give returns bytes.
 func (s *Session) Give(n int) {
 	if n > 0 {
-		s.gate.give(s, budget.Bytes(n))
+		s.gate.give(s.holder, budget.Bytes(n))
 	}
 }
 
@@ -64,9 +61,14 @@
 // Starting reports whether the connection has not said yet who it is.
 func (s *Session) Starting() bool { return s.phase() == budget.PhaseStarting }
 
-// Waiting records that the owner waits for the next message, of which a part may have arrived already.
-func (s *Session) Waiting() {
-	if s.phase() != budget.PhaseReading {
+// Waiting records that the owner waits for the next message, of which a part may have arrived already. inTransaction is set if a
+// transaction would be lost with the connection.
+func (s *Session) Waiting(inTransaction bool) {
+	switch {
+	case s.phase() == budget.PhaseReading:
+	case inTransaction:
+		s.setPhase(budget.PhaseOpen)
+	default:
 		s.setPhase(budget.PhaseIdle)
 	}
 }
@@ -121,15 +123,20 @@
 	return s.SetReadDeadline(deadline)
 }
 
-// answerDeadline returns the time by which an answer that is sent now has to be taken.
-func (s *Session) answerDeadline() time.Time {
+// armAnswer sets the time by which an answer that is sent now has to be taken. A deadline that leaves at least half of the time stays, since
+// most answers are short and follow one another.
+func (s *Session) armAnswer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	deadline := time.Now().Add(s.limits.Answer)
-	if !s.write.IsZero() && s.write.Before(deadline) {
-		return s.write
+	now := time.Now()
+	if s.write.IsZero() && s.armed.Sub(now) > s.limits.Answer/2 {
+		return
+	}
+	s.armed = now.Add(s.limits.Answer)
+	if !s.write.IsZero() && s.write.Before(s.armed) {
+		s.armed = s.write
 	}
-	return deadline
+	_ = s.Conn.SetWriteDeadline(s.armed)
 }
 
 // CloseWrite ends the answers of a TCP connection.
@@ -142,7 +149,7 @@
 
 // Write sends an answer; it fails if the caller does not take the answer in time.
 func (s *Session) Write(answer []byte) (int, error) {
-	_ = s.Conn.SetWriteDeadline(s.answerDeadline())
+	s.armAnswer()
 	if s.phase() == budget.PhaseBusy && len(answer) > smallAnswer {
 		s.setPhase(budget.PhaseWriting)
 		defer s.setPhase(budget.PhaseBusy)
@@ -182,9 +189,14 @@
 }
 
 func (s *Session) setPhase(phase budget.Phase) {
+	var now ident.Time
+	if phase != budget.PhaseBusy {
+		// A busy session is never chosen by its wait.
+		now = steady.Now()
+	}
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
-	s.gate.account.SetPhase(s.holder, phase, steady.Now())
+	s.gate.account.SetPhase(s.holder, phase, now)
 }
 
 func isTimeout(err error) bool {
--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -52,7 +52,12 @@
 
 // newCrowd starts a fleet whose upstream is in the zone of its last entry host.
 func newCrowd(t *testing.T, hosts int) *crowd {
-	c := &crowd{fleet: newFleetOf(t, 6, fmt.Sprintf("memory_mb = %d\nmax_fds = %d", crowdMemoryMB, crowdDescriptors))}
+	return newCrowdWithin(t, hosts, fmt.Sprintf("memory_mb = %d\nmax_fds = %d", crowdMemoryMB, crowdDescriptors))
+}
+
+// newCrowdWithin starts such a fleet with other limits.
+func newCrowdWithin(t *testing.T, hosts int, limits string) *crowd {
+	c := &crowd{fleet: newFleetOf(t, 6, limits)}
 	zone := fmt.Sprintf("z%d", hosts-1)
 	u, err := c.group.Start(platform.Options{
 		ID: "i-0", Zone: zone, Address: "127.0.0.1:0", Slots: 4, Queue: 64, Connections: 20, Work: time.Millisecond,
@@ -292,6 +297,20 @@
 	c.check()
 }
 
+// Guards against a gateway and its host that hold as many large answers of upstreams as callers ask for at once.
+func TestCrowdLargeAnswers(t *testing.T) {
+	c := newCrowd(t, 2)
+	c.do(0, "primary", "key-two", "STORE large "+filler(largeMessage))
+	c.each(crowdSize, func(i int) {
+		connection := c.session()
+		go answers(connection)
+		for n := range 20 {
+			c.send(connection, query(fmt.Sprintf("q-%d-%d", i, n), "FETCH large"))
+		}
+	})
+	c.check()
+}
+
 // Guards against a process that holds the beginnings of messages that arrive slowly or stop half-way.
 func TestCrowdStopsHalfway(t *testing.T) {
 	c := newCrowd(t, 1)
--- a/node/entry.go
+++ b/node/entry.go
@@ -59,7 +59,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	doors := &doors{gate: admission.New(limits), limits: limits}
+	listeners := &listeners{gate: admission.New(limits), limits: limits}
+	answers, err := listeners.gate.NewAnswers(limits)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	peers := peer.New(peer.Options{Trusted: true})
 	var usage *coreclient.Usage
 	var meter upstream.Meter
@@ -67,9 +71,11 @@
 		usage = coreclient.NewUsage(s.Usage.Window)
 		meter = usage
 	}
+	gatewayCalls := peers.Client(0)
+	gatewayCalls.Transport = answers.Transport(gatewayCalls.Transport)
 	table := routing.New(routing.Options{
-		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstream,
-		Gateways: gateway.NewClient(peers.Client(0), peers.URL), Meter: meter,
+		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstreamWithin(answers),
+		Gateways: gateway.NewClient(gatewayCalls, peers.URL), Meter: meter,
 	})
 	ownAddress := address(s.IP, s.FirstPort+portOffsetEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
@@ -82,23 +88,23 @@
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Prefetch: borrowPrefetch})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{
-		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: doors.gate, Limits: session, Sessions: limits.Sessions,
+		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: listeners.gate, Limits: session, Sessions: limits.Sessions,
 	})
 	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	ready := func() bool { return table.Received() && core.Connected() && !p.server.Draining() }
-	if err := doors.calls("ready", s.Ready, api.NewReadyHandler(ready)); err != nil {
+	if err := listeners.calls("ready", s.Ready, api.NewReadyHandler(ready)); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := doors.metrics(address(s.IP, portEntryMetrics)); err != nil {
+	if err := listeners.metrics(address(s.IP, portEntryMetrics)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	gateways := gateway.NewServer(table)
 	calls := http.NewServeMux()
 	calls.Handle("/", core.RelayHandler())
 	calls.Handle(fleetpb.GatewayPathPrefix, gateways.Handler())
-	if err := doors.peers(ownAddress, peer.TrustedHandler(calls)); err != nil {
+	if err := listeners.peers(ownAddress, peer.TrustedHandler(calls)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.leave, p.flush = core.Leave, core.Flush
@@ -133,8 +139,8 @@
 	}
 }
 
-func (d *doors) metrics(listenAddress string) error {
+func (l *listeners) metrics(listenAddress string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, false) })
-	return d.calls("metrics", listenAddress, mux)
+	return l.calls("metrics", listenAddress, mux)
 }
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/twitchtv/twirp"
+
+	"tamarackshunt.dev/fleet/budget"
 )
 
 // neverSent reports whether a failed call can't have run a statement, because the connection to the gateway could not be opened
@@ -17,15 +19,21 @@
 	var refused twirp.Error
 	if errors.As(err, &refused) {
 		switch refused.Code() {
-		case twirp.FailedPrecondition, twirp.NotFound, twirp.ResourceExhausted, twirp.Unauthenticated, twirp.BadRoute:
+		case twirp.FailedPrecondition, twirp.NotFound, twirp.Unauthenticated, twirp.BadRoute:
 			return true
 		}
 	}
 	return false
 }
 
-// refusedForMemory reports whether a gateway has refused a call because it holds as much as it may.
+// refusedForMemory reports whether a gateway has refused a call, which it has not run, because it holds as much as it may.
 func refusedForMemory(err error) bool {
 	var refused twirp.Error
 	return errors.As(err, &refused) && refused.Code() == twirp.ResourceExhausted
 }
+
+// answerRefused reports whether this host has refused to hold the answer of a gateway, which is not the gateway's failure.
+func answerRefused(err error) bool {
+	var refused *budget.RefusedError
+	return errors.As(err, &refused)
+}
