--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -200,7 +200,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	failures := 0
-	tx := newClient().Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { failures++ })
+	tx := newClient().Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) { failures++ })
 	_, err := tx.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
 	require.NoError(t, err)
 	require.Equal(t, 1, u.OpenTransactions())
@@ -226,7 +226,7 @@
 		require.NoError(t, err)
 		failures := 0
 		client := gateway.NewClient(&http.Client{Transport: answers.Transport(http.DefaultTransport)}, func(address string) string { return "http://" + address })
-		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func() { failures++ })
+		executor := client.Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) { failures++ })
 		outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "FETCH a", Timeout: timeout})
 		if admitted {
 			require.NoError(t, err)
