End the waits for connections of a host that may hold none

A statement that waited for a connection when its host ceased to be a holder waited until its deadline, since only new requests were refused. The allocator now refuses both, with a NotHolderError, which still is CodeConnections to those that don't ask for it.

Measured: the new test fails without the refusal; go test of node/upstream, routing, gateway, entry and fleet/connections passes.

--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -47,8 +47,12 @@
 // Close closes a connection. It comes before the Open that takes its place.
 type Close struct{ Conn ConnID }
 
-// Refuse ends the wait of a statement that is not urgent enough.
-type Refuse struct{ Waiter WaiterID }
+// Refuse ends the wait of a statement that is not urgent enough, or of one on a host that may hold no connections.
+type Refuse struct {
+	Waiter WaiterID
+	// NotHolder is set if the host may hold none.
+	NotHolder bool
+}
 
 func (*HandOver) action() {}
 func (*Open) action()     {}
@@ -356,6 +360,10 @@
 
 // serve returns the actions that end the wait of a statement, or nil; ahead counts the waiters of its team before it.
 func (a *Allocator) serve(r *round, w *waiter, ahead int) []Action {
+	if r.limit == 0 && w.priority >= 0 {
+		a.Cancel(w.id)
+		return []Action{&Refuse{w.id, true}}
+	}
 	if r.heldBack(w) {
 		return a.holdBack(r.now, w)
 	}
@@ -391,7 +399,7 @@
 		return nil
 	}
 	a.Cancel(w.id)
-	return []Action{&Refuse{w.id}}
+	return []Action{&Refuse{w.id, false}}
 }
 
 // open has a statement open a connection, in the place of an idle one if the account is full. It returns nil if there is none.
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -60,7 +60,7 @@
 	Load balance.Load
 }
 
-// Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError or a
+// Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError, a NotHolderError or a
 // statement.Failure if the caller's statement did not run, and a BrokenError if the connection broke so that the outcome is
 // unknown; Outcome.Ran is set if the caller's statement may have run. After an Execute without Keep, or an error, the executor
 // holds no connection.
--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -35,13 +35,32 @@
 	err      error
 }
 
-// noConnection returns the failure of a statement that gets no connection on this host.
-func noConnection(text string) error {
-	return &statement.Failure{Code: statement.CodeConnections, Text: text}
+// NotHolderError reports a host that may hold no connections to an upstream; no statement ran. Another host is to be asked.
+type NotHolderError struct{ Upstream ident.Upstream }
+
+// Error implements error.
+func (e *NotHolderError) Error() string { return e.failure().Error() }
+
+// Unwrap returns the failure for a caller that asks no other host.
+func (e *NotHolderError) Unwrap() error { return e.failure() }
+
+func (e *NotHolderError) failure() *statement.Failure {
+	return &statement.Failure{Code: statement.CodeConnections, Text: "the host holds no connections to " + string(e.Upstream)}
+}
+
+// refused returns the error of a statement that the allocator refuses.
+func (p *Pool) refused(refusal *connections.Refuse) error {
+	if refusal.NotHolder {
+		return &NotHolderError{p.target.Upstream}
+	}
+	statementsHeldBack.Inc()
+	return &statement.Failure{
+		Code: statement.CodeConnections, Text: "the upstream's other connections are left to more urgent requests",
+	}
 }
 
-// Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError or a
-// statement.Failure; no statement has run in any of these cases.
+// Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError, a NotHolderError
+// or a statement.Failure; no statement has run in any of these cases.
 func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
 	began := steady.Now()
 	id, granted, err := p.request(began, team, priority)
@@ -76,11 +95,8 @@
 func (p *Pool) request(now ident.Time, team ident.Team, priority int) (connections.WaiterID, chan grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case p.closed:
+	if p.closed {
 		return 0, nil, p.closedError()
-	case p.allocator.Limit(now) == 0 && priority >= 0:
-		return 0, nil, noConnection("this host holds no connections to the upstream")
 	}
 	granted := make(chan grant, 1)
 	id, actions := p.allocator.Request(now, team, priority)
@@ -221,8 +237,7 @@
 		case *connections.Open:
 			p.answer(action.Waiter, grant{reserved: action.Conn})
 		case *connections.Refuse:
-			statementsHeldBack.Inc()
-			p.answer(action.Waiter, grant{err: noConnection("the upstream's other connections are left to more urgent requests")})
+			p.answer(action.Waiter, grant{err: p.refused(action)})
 		}
 	}
 	p.setTimer()
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -138,3 +138,21 @@
 		require.NoError(t, err)
 	}
 }
+
+// Guards against statements that wait until their deadline for a connection that the host may no longer hold, in place of being sent
+// to the host that may.
+func TestWaitEndsWithoutAccount(t *testing.T) {
+	p := NewPool(Target{Service: "svc", Upstream: "i-1"}, nil, 1)
+	_, _, err := p.request(steady.Now(), "t", 0)
+	require.NoError(t, err, "the only connection is taken")
+	ended := make(chan error)
+	go func() {
+		_, err := p.Executor("t", 1).Execute(context.Background(), Use{ID: "1", Within: time.Hour})
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return p.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	p.SetLimit(0, true)
+	var notHolder *NotHolderError
+	require.ErrorAs(t, <-ended, &notHolder)
+	require.Zero(t, p.MeasuredLoad(steady.Now()).Waiting)
+}
