Ask the next host when one holds no connections

While directories differ after hosts return, a host that isn't a holder yet answered CodeConnections and the sender retried the same host every 25 ms. The answer now says so (UseResponse.not_holder), and the sender asks the next host in its order and avoids the first one for 250 ms. Three such hosts count like three silent ones. Such an answer's load is no report of the upstream.

Measured: TestNextHolder fails without the second call; tests of the packages pass.

--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -107,7 +107,7 @@
 const (
 	// StandingUsable is the standing of a host that has not failed lately.
 	StandingUsable Standing = iota
-	// StandingSilent is the standing of a host that did not answer. It may still hold connections.
+	// StandingSilent is the standing of a host that did not answer, or not as a holder. It may still hold connections.
 	StandingSilent
 	// StandingGone is the standing of a host whose process has ended, and with it all its connections.
 	StandingGone
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 
+	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -120,6 +121,10 @@
 	switch {
 	case len(response.GetBroken()) > 0:
 		return outcome, &upstream.BrokenError{Cause: errors.New(string(response.GetBroken()))}
+	case response.GetNotHolder():
+		// What a host without connections measures is not the upstream's load.
+		outcome.Load = balance.Load{}
+		return outcome, &upstream.NotHolderError{Upstream: r.target.Upstream}
 	case len(response.GetUnreachable()) > 0 && outcome.Result.Failure != nil:
 		return outcome, outcome.Result.Failure
 	case len(response.GetUnreachable()) > 0:
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -141,6 +141,23 @@
 	require.False(t, outcome.Ran)
 }
 
+// Guards against a host without connections whose answer doesn't tell that another one is to be asked, and whose own measurements pass
+// for the upstream's load.
+func TestNotHolder(t *testing.T) {
+	_, _, target := startPrimary(t)
+	server := httptest.NewServer(gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 0)}).Handler())
+	t.Cleanup(server.Close)
+	executor := newClient().Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) {})
+	outcome, err := executor.Execute(contextWithTimeout(t), upstream.Use{ID: "1", Text: "FETCH a", Timeout: timeout, Keep: true})
+	var notHolder *upstream.NotHolderError
+	require.ErrorAs(t, err, &notHolder)
+	var refused *statement.Failure
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, statement.CodeConnections, refused.Code)
+	require.False(t, outcome.Ran)
+	require.Zero(t, outcome.Load)
+}
+
 // Guards against a write that is reported as unknown, and a gateway that is avoided by all callers of a host, because a caller's text
 // or an upstream's row is not UTF-8 and no call can carry it.
 func TestTextThatIsNotUTF8(t *testing.T) {
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -67,6 +67,8 @@
 		Opened:    positionToProto(outcome.Opened),
 		Load:      loadToProto(outcome.Load),
 	}
+	var notHolder *upstream.NotHolderError
+	response.NotHolder = errors.As(err, &notHolder)
 	if f := failureOf(outcome, err); f != nil {
 		response.RetryMs = uint32(max(0, (f.Retry+time.Millisecond-1)/time.Millisecond))
 	}
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -24,26 +24,8 @@
 // Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
 // through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
-	executor := &trackedExecutor{pool: pool}
-	m := t.memberOf(pool)
-	if m == nil {
-		// The upstream has just left the directory, and its pool is closed.
-		executor.Executor = pool.Executor(team, priority)
-		return executor
-	}
-	holder, direct := t.chooseHolder(steady.Now(), m)
-	switch {
-	case direct:
-		t.recordAsked(m)
-		executor.Executor = pool.Executor(team, priority)
-	case holder == nil:
-		executor.Executor = unavailableExecutor{pool.Target()}
-	default:
-		executor.Executor = t.options.Gateways.Executor(holder.GetPeer(), pool.Target(), team, priority, func(closed bool) {
-			executor.gatewayFailed = true
-			t.recordFailure(holder, closed)
-		})
-	}
+	executor := &trackedExecutor{table: t, pool: pool, team: team, priority: priority}
+	executor.choose()
 	return executor
 }
 
@@ -63,20 +45,51 @@
 // Target implements upstream.Executor.
 func (u unavailableExecutor) Target() upstream.Target { return u.target }
 
-// trackedExecutor records the outcome of statements in the upstream's pool: those in flight, answers, failures and positions.
+// trackedExecutor runs statements at the host that holds the upstream's connections. It records their outcome in the upstream's pool:
+// those in flight, answers, failures and positions.
 type trackedExecutor struct {
 	upstream.Executor
-	pool          *upstream.Pool
+	table    *Table
+	pool     *upstream.Pool
+	team     ident.Team
+	priority int
+	// holder is the other host that the executor asks, or nil.
+	holder        *fleetpb.EntryHost
 	gatewayFailed bool
 }
 
+// choose selects the host that the executor asks.
+func (c *trackedExecutor) choose() {
+	t := c.table
+	c.holder = nil
+	m := t.memberOf(c.pool)
+	if m == nil {
+		// The upstream has just left the directory, and its pool is closed.
+		c.Executor = c.pool.Executor(c.team, c.priority)
+		return
+	}
+	holder, direct := t.chooseHolder(steady.Now(), m)
+	switch {
+	case direct:
+		t.recordAsked(m)
+		c.Executor = c.pool.Executor(c.team, c.priority)
+	case holder == nil:
+		c.Executor = unavailableExecutor{c.pool.Target()}
+	default:
+		c.holder = holder
+		c.Executor = t.options.Gateways.Executor(holder.GetPeer(), c.pool.Target(), c.team, c.priority, func(closed bool) {
+			c.gatewayFailed = true
+			t.recordFailure(holder, closed)
+		})
+	}
+}
+
 // Execute implements upstream.Executor.
 func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
 	c.pool.BeginStatement()
 	c.pool.RecordSent(steady.Now())
 	defer c.pool.EndStatement()
-	c.gatewayFailed = false
-	outcome, err := c.Executor.Execute(ctx, use)
+	outcome, err := c.ask(ctx, use)
 	if outcome.Gateway != "" {
 		c.pool.RecordLoad(steady.Now(), outcome.Load)
 	}
@@ -94,3 +107,18 @@
 	}
 	return outcome, err
 }
+
+// ask executes a use at the chosen host. If that host holds no connections, as while its directory differs from this host's, the next
+// one in the order is asked.
+func (c *trackedExecutor) ask(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+	for {
+		c.gatewayFailed = false
+		outcome, err := c.Executor.Execute(ctx, use)
+		var notHolder *upstream.NotHolderError
+		if c.holder == nil || ctx.Err() != nil || !errors.As(err, &notHolder) {
+			return outcome, err
+		}
+		c.table.recordNotHolder(c.pool, c.holder)
+		c.choose()
+	}
+}
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,8 +26,13 @@
 	// maxChecked is the number of hosts before this one that are checked unless they are known to be gone. With more than two of them
 	// this host has no role.
 	maxChecked = 3
+	// notHolderTime is how long a host that holds no connections to an upstream is not asked for them again. Directories of hosts differ
+	// for some hundred milliseconds.
+	notHolderTime = 250 * time.Millisecond
 )
 
+var notHolders = metrics.NewCounter("tamarack_connections_not_holder_total")
+
 // account is what the table knows of the connections to one upstream.
 type account struct {
 	// order lists the hosts in the order in which they hold the connections.
@@ -37,6 +43,8 @@
 	role     connections.Role
 	// asked is the time of the last request for this host's connections, or 0.
 	asked ident.Time
+	// avoided has the hosts that hold no connections to the upstream by their own account, and until when they are not asked.
+	avoided map[string]ident.Time
 }
 
 // orderOf returns the hosts in the order in which they hold the connections to an upstream.
@@ -150,12 +158,12 @@
 	if !a.scarce {
 		gateway := gatewayIn(a.order, m.pool.Target())
 		direct = gateway == nil || gateway.GetHost() == string(t.options.Host) ||
-			t.peers[gateway.GetHost()].Standing(now) != connections.StandingUsable
+			t.standing(now, a, gateway) != connections.StandingUsable
 		return gateway, direct
 	}
 	standings := make([]connections.Standing, len(a.order))
 	for i, host := range a.order {
-		standings[i] = t.peers[host.GetHost()].Standing(now)
+		standings[i] = t.standing(now, a, host)
 		if standings[i] == connections.StandingUsable {
 			standings = standings[:i+1]
 			break
@@ -168,6 +176,31 @@
 	return a.order[i], a.order[i].GetHost() == string(t.options.Host)
 }
 
+// standing returns whether a host is to be asked for the connections to an upstream. The caller must hold mu.
+func (t *Table) standing(now ident.Time, a *account, host *fleetpb.EntryHost) connections.Standing {
+	if now < a.avoided[host.GetHost()] {
+		return connections.StandingSilent
+	}
+	return t.peers[host.GetHost()].Standing(now)
+}
+
+// recordNotHolder records that a host holds no connections to an upstream by its own account.
+func (t *Table) recordNotHolder(pool *upstream.Pool, host *fleetpb.EntryHost) {
+	notHolders.Inc()
+	m := t.memberOf(pool)
+	if m == nil {
+		return
+	}
+	now := steady.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.account.avoided == nil {
+		m.account.avoided = map[string]ident.Time{}
+	}
+	maps.DeleteFunc(m.account.avoided, func(_ string, until ident.Time) bool { return now >= until })
+	m.account.avoided[host.GetHost()] = now.Add(notHolderTime)
+}
+
 // memberOf returns the listed upstream of a pool, or nil.
 func (t *Table) memberOf(pool *upstream.Pool) *member {
 	t.mu.RLock()
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -1,8 +1,12 @@
 package routing
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
@@ -79,3 +84,51 @@
 		return m.account.role == connections.RoleGateway
 	}, 20*time.Second, time.Millisecond)
 }
+
+// stubGateway answers all statements alike and counts them.
+type stubGateway struct {
+	fleetpb.Gateway
+	response *fleetpb.UseResponse
+	calls    atomic.Int32
+}
+
+// Use implements fleetpb.Gateway.
+func (g *stubGateway) Use(context.Context, *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
+	g.calls.Add(1)
+	return g.response, nil
+}
+
+// Guards against a statement that is sent again and again to a host that holds no connections, because its directory is another one,
+// although the next host in the order holds some; and against more than a few such calls if no host does.
+func TestNextHolder(t *testing.T) {
+	table, m, order := crowdedTable(t, 5)
+	table.options.Gateways = gateway.NewClient(http.DefaultClient, func(address string) string { return "http://" + address })
+	refusal := &fleetpb.UseResponse{
+		Failure:     &fleetpb.UseFailure{Code: uint32(statement.CodeConnections)},
+		Unreachable: []byte("none"), NotHolder: true, Load: &fleetpb.UpstreamLoad{Slots: 4},
+	}
+	stubs := make([]*stubGateway, 4)
+	for i := range stubs {
+		stubs[i] = &stubGateway{response: refusal}
+		server := httptest.NewServer(fleetpb.NewGatewayServer(stubs[i]))
+		t.Cleanup(server.Close)
+		order[i].Peer = server.Listener.Addr().String()
+	}
+	stubs[1].response = &fleetpb.UseResponse{Ran: true, Rows: [][]byte{[]byte("row")}}
+	execute := func() (upstream.Outcome, error) {
+		return table.Executor(m.pool, "t1", 1).Execute(t.Context(), upstream.Use{ID: "1", Timeout: time.Minute})
+	}
+	outcome, err := execute()
+	require.NoError(t, err)
+	require.Equal(t, []string{"row"}, outcome.Result.Rows)
+	require.Equal(t, order[1].GetPeer(), outcome.Gateway)
+	require.False(t, m.pool.Report(steady.Now()).Known, "a host without connections doesn't measure the upstream's load")
+
+	stubs[1].response = refusal
+	_, err = execute()
+	var refused *statement.Failure
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, statement.CodeConnections, refused.Code)
+	require.Zero(t, stubs[3].calls.Load(), "no host after the last resort is asked")
+	require.False(t, m.pool.Load(steady.Now()).Avoid)
+}
