Tell the callers of transactions when to come back

A refusal inside a transaction kept a time of 0, so that its caller was told none, or a time beyond the route's timeout, unlike the refusal of a single statement. Both now use the same rule, which names a time also for a route without an objective.

--- a/node/entry/refusal_internal_test.go
+++ b/node/entry/refusal_internal_test.go
@@ -30,5 +30,9 @@
 	} {
 		fmt.Fprintf(&out, "%s: %s\n", causeOf(err), withRetryText(busyFailure(o, err)).Text)
 	}
+	tx := &transaction{operation: *o}
+	for _, retry := range []time.Duration{0, 200 * time.Millisecond, 1100 * time.Millisecond} {
+		fmt.Fprintf(&out, "in a transaction: %s\n", withRetryText(tx.failure(busy(retry), upstream.Use{Keep: true}, true)).Text)
+	}
 	goldie.New(t).Assert(t, "refusals", out.Bytes())
 }
--- a/node/entry/retry.go
+++ b/node/entry/retry.go
@@ -118,12 +118,16 @@
 
 // busyFailure returns the failure of a statement that did not run in time; last is the error of the last attempt.
 func busyFailure(o *operation, last error) *statement.Failure {
-	after := o.route.Objective / 2
+	return &statement.Failure{Code: statement.CodeBusy, Text: last.Error(), Retry: returnTime(o, last)}
+}
+
+// returnTime returns when the caller of a statement that did not run should come back.
+func returnTime(o *operation, last error) time.Duration {
 	var failure *statement.Failure
 	if errors.As(last, &failure) && failure.Retry > 0 {
-		after = within(failure.Retry, o.route.Timeout)
+		return within(failure.Retry, o.route.Timeout)
 	}
-	return &statement.Failure{Code: statement.CodeBusy, Text: last.Error(), Retry: after}
+	return max(o.route.Objective/2, minRetry)
 }
 
 // within returns a time to come back that is at most a limit. Longer times are spread over the limit's second half, so that their callers
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -335,7 +335,7 @@
 		outcome, err := s.tryStep(ctx, use, writes, tries)
 		if err != nil {
 			s.tx.executor = nil
-			return outcome.Result, s.transactionFailure(err, use, outcome.Ran)
+			return outcome.Result, tx.failure(err, use, outcome.Ran)
 		}
 		failure := outcome.Result.Failure
 		if failure == nil {
@@ -349,7 +349,7 @@
 				continue
 			}
 		}
-		return outcome.Result, s.transactionFailure(failure, use, true)
+		return outcome.Result, tx.failure(failure, use, true)
 	}
 }
 
@@ -367,10 +367,10 @@
 	return s.runFirst(ctx, use, writes, tries)
 }
 
-// transactionFailure returns the failure of a statement inside a transaction. The upstream rolls the transaction back and keeps
+// failure returns the failure of a statement inside a transaction. The upstream rolls the transaction back and keeps
 // none of its writes, unless the statement was a commit of writes that may have run. The upstream's own message is passed on if
 // there is one.
-func (s *session) transactionFailure(err error, use upstream.Use, ran bool) *statement.Failure {
+func (t *transaction) failure(err error, use upstream.Use, ran bool) *statement.Failure {
 	text := err.Error()
 	var failure *statement.Failure
 	if errors.As(err, &failure) && ran {
@@ -378,9 +378,11 @@
 	}
 	commits := !use.Keep
 	switch {
+	case failure != nil && failure.Code == statement.CodeBusy:
+		return &statement.Failure{Code: statement.CodeBusy, Text: failure.Text, Retry: returnTime(&t.operation, failure)}
 	case failure != nil && failure.Code.NoEffect():
 		return failure
-	case commits && ran && s.tx.wrote:
+	case commits && ran && t.wrote:
 		return &statement.Failure{Code: statement.CodeInDoubt, Text: text}
 	case failure != nil && ran && failure.Code != statement.CodeNone:
 		return failure
