Don't avoid an upstream because an opening was cut short

Since a statement takes its connection only after its turn, an opening may begin just before the statement's deadline. Its timeout counted as an upstream that can't be reached: all statements of the host avoided it for a second. Such a statement is now refused as one that got no connection in time, unless the upstream was silent for 200 ms.

Measured: TestOpeningCutShort fails without the check; go test -race ./node/upstream passes.

--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,9 @@
 // refusalLogInterval bounds the log lines about connections that the upstream refuses.
 const refusalLogInterval = 5 * time.Second
 
+// openingTime is the time in which an upstream that runs answers the opening of a connection.
+const openingTime = 200 * time.Millisecond
+
 var (
 	connectionsOpened     = metrics.NewCounter("tamarack_upstream_connections_opened_total")
 	openFailures          = metrics.NewCounter("tamarack_upstream_open_failures_total")
@@ -82,9 +86,13 @@
 			id, err = p.replaceLost(g.conn, began, granted)
 		default:
 			var conn *Conn
+			opening := steady.Now()
 			if conn, refused = p.open(ctx, g.reserved, team); refused == nil {
 				return conn, nil
 			}
+			if cutShort(ctx, opening, refused) {
+				refused = context.DeadlineExceeded
+			}
 			id, err = p.openFailed(ctx, g.reserved, refused, began, granted)
 		}
 	}
@@ -122,6 +130,16 @@
 	return conn, nil
 }
 
+// cutShort reports whether an opening failed only because ctx ended, too early to say anything of the upstream.
+func cutShort(ctx context.Context, began ident.Time, failed error) bool {
+	var timeout net.Error
+	if !errors.As(failed, &timeout) || !timeout.Timeout() {
+		return false
+	}
+	end, bounded := ctx.Deadline()
+	return bounded && !time.Now().Before(end) && steady.Now().Sub(began) < openingTime
+}
+
 // openFailed gives a reserved id back. It returns the error, unless the upstream refused the connection as over its cap: the statement
 // then waits again, under the new id.
 func (p *Pool) openFailed(
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/admission"
+	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 )
@@ -156,3 +160,33 @@
 	require.ErrorAs(t, <-ended, &notHolder)
 	require.Zero(t, p.MeasuredLoad(steady.Now()).Waiting)
 }
+
+// silentSession waits for an answer of the upstream to Connect.
+type silentSession struct {
+	Session
+	connection io.Reader
+}
+
+// Connect implements Session.
+func (s silentSession) Connect(ident.Service, ident.Team, ident.Upstream) (ident.Position, error) {
+	_, err := s.connection.Read(make([]byte, 1))
+	return ident.Position{}, err
+}
+
+// Guards against an upstream that is avoided as unreachable because a statement had too little time left to open a connection to it.
+func TestOpeningCutShort(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	protocol := func(connection io.ReadWriter) Session { return silentSession{connection: connection} }
+	p := NewPool(Target{Service: "svc", Upstream: "i-1", Address: listener.Addr().String()}, protocol, 1)
+	// An attempt that the machine delays says that the upstream was silent for long.
+	require.Eventually(t, func() bool {
+		_, err := p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: 20 * time.Millisecond})
+		var refused *statement.Failure
+		return errors.As(err, &refused) && refused.Code == statement.CodeBusy && refused.Retry > 0
+	}, 20*time.Second, time.Millisecond)
+	_, err = p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: 2 * openingTime})
+	var unreachable *UnreachableError
+	require.ErrorAs(t, err, &unreachable, "an upstream that is silent for long is one that can't be reached")
+}
