Grow slowly after an old refusal too

An account that the upstream had once refused kept the time of the refusal. When the host's role shrank and grew again, the time since then counted as growth, so that it had its whole account at once beside the earlier holder's.

--- a/fleet/connections/account.go
+++ b/fleet/connections/account.go
@@ -43,7 +43,8 @@
 		return
 	}
 	if current := a.Limit(now); size > current {
-		a.base, a.settled = size, now
+		// An earlier refusal does not bound the larger account beyond what is current.
+		a.base, a.settled, a.shrunk = size, now, 0
 		if slowly {
 			a.base, a.settled = min(size, max(current, firstSize)), now.Add(settleTime)
 		}
--- a/fleet/connections/failure_test.go
+++ b/fleet/connections/failure_test.go
@@ -278,3 +278,19 @@
 	require.Empty(t, actions)
 	require.Equal(t, []connections.Action{&connections.Refuse{Waiter: id}}, a.Tick(a.Wake(), time.Minute))
 }
+
+// Guards against a host that takes over again and has its whole account at once, beside the connections of the holder before it, because
+// the upstream refused a connection long ago.
+func TestGrowsSlowlyAfterAnOldRefusal(t *testing.T) {
+	var a connections.Account
+	now := ident.Time(time.Hour)
+	a.Resize(now, 40, false)
+	a.Refused(now, 40)
+	now = now.Add(time.Minute)
+	a.Resize(now, 3, true)
+	require.Equal(t, 3, a.Limit(now))
+	a.Resize(now, 40, true)
+	require.Equal(t, 4, a.Limit(now))
+	now = now.Add(time.Second)
+	require.Less(t, a.Limit(now), 40)
+}
