End a transaction whose gateway may still hold its lease

A statement that the gateway refused for lack of memory, or that could not be sent because the gateway was not reached in time, gave up its lease without a word: the gateway kept the connection, and the upstream the open transaction, until the lease expired after 12 s. The gateway is now asked to end it.

Measured: the new test fails without the call; go test -race ./node/gateway passes.

--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -176,7 +176,9 @@
 	}
 	outcome := upstream.Outcome{Gateway: r.address, Lease: r.lease}
 	if neverSent(err) {
-		// The gateway does not hold the lease, or can't be reached to end it.
+		if mayHold(err) {
+			r.Close()
+		}
 		r.lease = ""
 		return outcome, &upstream.UnreachableError{Upstream: r.target.Upstream, Cause: err}
 	}
--- a/node/gateway/lease_test.go
+++ b/node/gateway/lease_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -295,3 +296,35 @@
 		require.Eventually(t, func() bool { return u.OpenTransactions() == 0 }, timeout, time.Millisecond)
 	}
 }
+
+// Guards against a connection that a gateway keeps until its lease expires, with an open transaction on the upstream, because it refused
+// a later statement for lack of memory.
+func TestRefusalForMemoryEndsTransaction(t *testing.T) {
+	_, _, target := startPrimary(t)
+	handler := gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 1)}).Handler()
+	var exhausted atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if exhausted.Load() && strings.HasSuffix(r.URL.Path, "/Use") {
+			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error("full"))
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	executor := func() upstream.Executor {
+		return newClient().Executor(strings.TrimPrefix(server.URL, "http://"), target, "team", 1, func(bool) {})
+	}
+	tx := executor()
+	_, err := tx.Execute(contextWithTimeout(t), upstream.Use{Opening: upstream.OpenPrimary, ID: "1", Text: "STORE a 1", Timeout: timeout, Keep: true})
+	require.NoError(t, err)
+	exhausted.Store(true)
+	outcome, err := tx.Execute(contextWithTimeout(t), upstream.Use{ID: "2", Text: "STORE b 1", Timeout: timeout, Keep: true})
+	var unreachable *upstream.UnreachableError
+	require.ErrorAs(t, err, &unreachable)
+	require.False(t, outcome.Ran)
+	exhausted.Store(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = executor().Execute(ctx, upstream.Use{ID: "3", Text: "FETCH a", Timeout: timeout})
+	require.NoError(t, err, "the only connection is free before the lease expires")
+}
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 
 	"github.com/twitchtv/twirp"
 )
@@ -24,6 +25,13 @@
 	return false
 }
 
+// mayHold reports whether a gateway may still hold the lease of a statement that was never sent: it has refused the call for lack of
+// memory, or its process may run although it could not be reached.
+func mayHold(err error) bool {
+	var dial *net.OpError
+	return refusedForMemory(err) || (errors.As(err, &dial) && !errors.Is(err, syscall.ECONNREFUSED))
+}
+
 // refusedForMemory reports whether a gateway has refused a call because it holds as much as it may.
 func refusedForMemory(err error) bool {
 	var refused twirp.Error
