Count the statements that open a connection in the reported load

A statement with a reservation was counted only while it waited in the pool, not while it opened its connection, and the requests of the host itself were counted as statements. The load now counts reservations.

The effect on routing was not measured.

--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -133,6 +133,15 @@
 	return s.waiting + len(s.lane)
 }
 
+// Reserved returns the number of statements that have a reservation and take a connection.
+func (s *Scheduler) Reserved() int {
+	reserved := 0
+	for _, l := range s.levels {
+		reserved += len(l.reserved)
+	}
+	return reserved
+}
+
 // Running returns the number of statements that have a slot.
 func (s *Scheduler) Running() int {
 	return s.running
--- a/node/upstream/load.go
+++ b/node/upstream/load.go
@@ -53,7 +53,6 @@
 // gateway.
 func (p *Pool) MeasuredLoad(now ident.Time) balance.Load {
 	load, warmupRate := p.limiter.load(now)
-	load.Waiting += p.Waiting()
 	p.loads.mu.Lock()
 	defer p.loads.mu.Unlock()
 	load.Service = p.loads.service.Mean()
@@ -76,10 +75,15 @@
 	p.loads.service.Record(now.Sub(began), load.Running, load.Slots)
 }
 
-// load returns the statements that wait and run, the slots, and the warm-up rate, which is 0 unless the upstream warms up.
+// load returns the statements that wait for a slot or a connection and those that run, the slots, and the warm-up rate, which is 0
+// unless the upstream warms up.
 func (l *limiter) load(now ident.Time) (balance.Load, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := balance.Load{Waiting: l.scheduler.Waiting(), Running: l.scheduler.Running(), Slots: l.scheduler.Limit() - spareStatements}
+	load := balance.Load{
+		Waiting: l.scheduler.Waiting() + l.scheduler.Reserved(),
+		Running: l.scheduler.Running(),
+		Slots:   l.scheduler.Limit() - spareStatements,
+	}
 	return load, l.scheduler.WarmupRate(now)
 }
--- a/node/upstream/load_test.go
+++ b/node/upstream/load_test.go
@@ -43,3 +43,20 @@
 	pool.SetWarmup(steady.Now().Add(time.Hour), 0.5)
 	require.Equal(t, 4*time.Second, load().Service, "a statement each 2 s on two slots")
 }
+
+// Guards against a reported load without the statements that are opening a connection, and one that counts the waits of requests that
+// are no statements.
+func TestMeasuredLoadCountsConnecting(t *testing.T) {
+	pool := NewPool(Target{}, nil, 1)
+	for range 2 {
+		_, err := pool.limiter.arrive(t.Context(), testRequest(1, false))
+		require.NoError(t, err)
+		_, _, err = pool.request(steady.Now(), "t", 1)
+		require.NoError(t, err)
+	}
+	load := func() balance.Load { return pool.MeasuredLoad(steady.Now()) }
+	require.Equal(t, 2, load().Waiting, "one waits for a connection, the other one opens it")
+	_, _, err := pool.request(steady.Now(), "", -1)
+	require.NoError(t, err)
+	require.Equal(t, 2, load().Waiting)
+}
