Let a host that stands in for a gateway warm up the upstream

The warm-up rate belonged to the first host of the order if it was in the upstream's zone. A host that had taken over from a gateway whose process had ended, or from a zone without hosts, refused all statements until the end of the warm-up. The rate now follows the host's role, also when it changes.

Measured: the new test fails without the change; go test -race ./node/routing passes. Where connections are enough for all hosts, the condition is the former one.

--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -43,6 +43,8 @@
 	role     connections.Role
 	// asked is the time of the last request for this host's connections, or 0.
 	asked ident.Time
+	// warmupEnd is when the upstream has warmed up, or 0.
+	warmupEnd ident.Time
 	// avoided has the hosts that hold no connections to the upstream by their own account, and until when they are not asked.
 	avoided map[string]ident.Time
 }
@@ -118,6 +120,7 @@
 	if role != a.role {
 		klog.InfoS("Connection account changed", "upstream", m.pool.Target().Upstream, "role", role, "account", size)
 		a.role = role
+		t.applyWarmup(now, m)
 	}
 }
 
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/connections"
@@ -33,7 +34,7 @@
 		require.NoError(t, listener.Close())
 	}
 	order := orderOf(hosts, upstream.Target{Upstream: "a", Zone: "z"})
-	description := catalog.Description{Version: 1, Services: []catalog.Service{{Name: "svc", Connections: 20}}}
+	description := catalog.Description{Version: 1, Services: []catalog.Service{{Name: "svc", Connections: 20, WarmupRate: 10}}}
 	for i := range 30 {
 		description.Teams = append(description.Teams, catalog.Team{Name: ident.Team(fmt.Sprint("t", i)), Keys: []string{fmt.Sprint("k", i)}})
 	}
@@ -132,3 +133,24 @@
 	require.Zero(t, stubs[3].calls.Load(), "no host after the last resort is asked")
 	require.False(t, m.pool.Load(steady.Now()).Avoid)
 }
+
+// warmUp sends a table the directory of an upstream in a zone that warms up, and returns a function that reports whether the host sends
+// it statements meanwhile.
+func warmUp(table *Table, zone string) func() bool {
+	directory := proto.Clone(table.directory).(*fleetpb.Directory)
+	directory.Upstreams[0].Zone, directory.Upstreams[0].WarmupMs = zone, 3600_000
+	table.SetDirectory(directory)
+	return func() bool { return table.member("svc", "a").pool.MeasuredLoad(steady.Now()).Service > 0 }
+}
+
+// Guards against an upstream that gets no statement while it warms up, because its gateway's process has ended or no host is in its zone.
+func TestWarmupWithoutGateway(t *testing.T) {
+	table, _, _ := crowdedTable(t, 2)
+	sends := warmUp(table, "z")
+	require.False(t, sends())
+	table.Pool("svc", "a")
+	require.Eventually(t, sends, 20*time.Second, time.Millisecond, "the host stands in for the gateway")
+
+	table, _, _ = crowdedTable(t, 0)
+	require.True(t, warmUp(table, "elsewhere")(), "the first host of all zones holds the connections")
+}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -186,15 +186,24 @@
 		}
 		g.update(members[service], ident.Upstream(primaries[string(service)]))
 	}
-	t.updateAccounts(steady.Now())
+	now := steady.Now()
+	t.updateAccounts(now)
 	for _, a := range d.GetUpstreams() {
-		m := t.find(ident.Service(a.GetService()), ident.Upstream(a.GetUpstream()))
-		if rate := t.warmupRate(m); a.GetWarmupMs() > 0 && rate >= 0 {
-			m.pool.SetWarmup(steady.Now().Add(time.Duration(a.GetWarmupMs())*time.Millisecond), rate)
+		if a.GetWarmupMs() > 0 {
+			m := t.find(ident.Service(a.GetService()), ident.Upstream(a.GetUpstream()))
+			m.account.warmupEnd = now.Add(time.Duration(a.GetWarmupMs()) * time.Millisecond)
+			t.applyWarmup(now, m)
 		}
 	}
 }
 
+// applyWarmup sets the rate of statements to an upstream that warms up. The caller must hold mu.
+func (t *Table) applyWarmup(now ident.Time, m *member) {
+	if rate := t.warmupRate(m); now < m.account.warmupEnd && rate >= 0 {
+		m.pool.SetWarmup(m.account.warmupEnd, rate)
+	}
+}
+
 // warmupRate returns how many statements a second this host may send to an upstream that warms up: the full rate of the
 // service on the gateway, 0 on other hosts. It is negative if the service sets no limit.
 func (t *Table) warmupRate(m *member) float64 {
@@ -203,7 +212,7 @@
 	if service == nil || service.WarmupRate <= 0 {
 		return -1
 	}
-	if gatewayIn(m.account.order, target) != t.self() {
+	if m.account.role != connections.RoleGateway {
 		return 0
 	}
 	return service.WarmupRate
