Send a host's statements on before the queue if it holds no connections

While an upstream warms up, the queue of a host that holds no connections refused with a failure of the upstream, so that its sender asked the same host again. Also removes a function that is no longer used.

Measured: the new assertion fails without the check; tests of upstream, gateway, routing and entry pass.

--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -11,16 +11,6 @@
 	"tamarackshunt.dev/node/upstream"
 )
 
-// self returns this host's entry in the directory, or nil.
-func (t *Table) self() *fleetpb.EntryHost {
-	for _, host := range t.hosts {
-		if host.GetHost() == string(t.options.Host) {
-			return host
-		}
-	}
-	return nil
-}
-
 // Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
 // through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -134,6 +134,10 @@
 
 // admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
 func (d *directExecutor) admit(ctx context.Context, use *Use) (admission.ID, error) {
+	if d.conn == nil && d.pool.Limit() == 0 {
+		// Another host is asked without a wait in the queue.
+		return 0, &NotHolderError{d.pool.target.Upstream}
+	}
 	l := d.pool.limiter
 	request := d.request(ctx, use)
 	if use.ID == "" {
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -159,6 +159,9 @@
 	var notHolder *NotHolderError
 	require.ErrorAs(t, <-ended, &notHolder)
 	require.Zero(t, p.MeasuredLoad(steady.Now()).Waiting)
+	p.SetWarmup(steady.Now().Add(time.Hour), 0)
+	_, err = p.Executor("t", 1).Execute(t.Context(), Use{ID: "2"})
+	require.ErrorAs(t, err, &notHolder, "the queue's refusal would say that the upstream has no room")
 }
 
 // silentSession waits for an answer of the upstream to Connect.
