Decide anew when an upstream's warm-up changes

The queue's timer was set once and never earlier, for as long as until the end of a warm-up, and a new rate decided nothing. Statements that waited then went on waiting although the host had got a share of the rate meanwhile.

Measured: TestWarmupRateRises times out on the former code; go test -race ./node/upstream passes.

--- a/node/upstream/limiter.go
+++ b/node/upstream/limiter.go
@@ -33,8 +33,9 @@
 	scheduler *admission.Scheduler
 	// undecided holds the channels of the statements that wait for a decision.
 	undecided map[admission.ID]chan error
-	// woken is set while a timer will call wake.
-	woken bool
+	// timer calls wake at wakeAt, or is not set if that is 0.
+	timer  *time.Timer
+	wakeAt ident.Time
 }
 
 func newLimiter(upstream ident.Upstream) *limiter {
@@ -58,7 +59,9 @@
 func (l *limiter) setWarmup(until ident.Time, rate float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.scheduler.SetWarmup(steady.Now(), until, rate)
+	now := steady.Now()
+	l.scheduler.SetWarmup(now, until, rate)
+	l.announce(l.scheduler.Decide(now))
 }
 
 // arrive waits until a statement may run, or may take a connection if it holds none yet. Its error is a statement.Failure, or an
@@ -143,17 +146,28 @@
 		}
 		decided <- refuse(l.upstream, d.Refused)
 	}
-	if due, found := l.scheduler.Due(steady.Now()); found && !l.woken {
-		l.woken = true
-		time.AfterFunc(due, l.wake)
+	l.setTimer()
+}
+
+// setTimer arranges for the decision that is due next. The caller must hold mu.
+func (l *limiter) setTimer() {
+	now := steady.Now()
+	due, found := l.scheduler.Due(now)
+	if !found || (l.wakeAt != 0 && l.wakeAt <= now.Add(due)) {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
 	}
+	l.wakeAt = now.Add(due)
+	l.timer = time.AfterFunc(due, l.wake)
 }
 
 // wake grants what there is room for after time has passed.
 func (l *limiter) wake() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.woken = false
+	l.wakeAt = 0
 	l.announce(l.scheduler.Decide(steady.Now()))
 }
 
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -56,6 +56,24 @@
 	}
 }
 
+// Guards against statements that wait until the end of a warm-up although the host has got a share of its rate meanwhile.
+func TestWarmupRateRises(t *testing.T) {
+	l := newLimiter("i-1")
+	l.setWarmup(steady.Now().Add(time.Hour), 1e-6)
+	ran := make(chan error)
+	for range 2 {
+		go func() {
+			_, err := l.run(t.Context(), testRequest(1, true))
+			ran <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return l.waitingStatements() == 2 }, 10*time.Second, time.Millisecond)
+	l.setWarmup(steady.Now().Add(time.Hour), 1000)
+	for range 2 {
+		require.NoError(t, <-ran)
+	}
+}
+
 // Guards against more statements at a time than the limit, also of transactions, statements that run after their context has ended,
 // and statements of higher priority that wait behind others.
 func TestLimiter(t *testing.T) {
