Share connections by urgency only where they are scarce

A host that opens its one connection while the gateway is away, or in a zone without hosts, took its pool for crowded as soon as there were two teams: a less urgent statement was refused after 100 ms, although the upstream accepts connections for all. The number of teams now counts only while connections are scarce, as the design says.

Measured: the new test fails without the change; go test -race ./node/routing passes.

--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -118,7 +118,7 @@
 // Limit returns the number of connections that the host may have now.
 func (a *Allocator) Limit(now ident.Time) int { return a.account.Limit(now) }
 
-// SetTeams sets the number of teams that may need a connection.
+// SetTeams sets the number of teams that have to share the upstream's connections; 0 if there are enough.
 func (a *Allocator) SetTeams(teams int) { a.teams = teams }
 
 // SetSlots sets the number of statements and handshakes that the upstream runs at a time; 0 if it is unknown.
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -79,15 +79,17 @@
 	for _, g := range t.groups {
 		for _, m := range g.members {
 			m.account.accepted, m.account.scarce = 0, false
+			sharing := 0
 			target := m.pool.Target()
 			if service := catalog.Service(target.Service); service != nil {
 				m.account.accepted = service.Connections
 				m.account.scarce = len(t.hosts) > 0 && connections.Scarce(service.Connections, len(catalog.Teams), len(t.hosts))
-				m.pool.SetTeams(len(catalog.Teams))
 			}
 			if m.account.scarce {
+				sharing = len(catalog.Teams)
 				scarce = append(scarce, connections.Upstream{ID: target.Upstream, Zone: target.Zone})
 			}
+			m.pool.SetTeams(sharing)
 		}
 	}
 	orders := connections.Orders(connectionHosts(t.hosts), scarce)
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -154,3 +155,50 @@
 	table, _, _ = crowdedTable(t, 0)
 	require.True(t, warmUp(table, "elsewhere")(), "the first host of all zones holds the connections")
 }
+
+// silentSession waits for an answer to Connect that never comes.
+type silentSession struct {
+	upstream.Session
+	connection io.Reader
+}
+
+// Connect implements upstream.Session.
+func (s silentSession) Connect(ident.Service, ident.Team, ident.Upstream) (ident.Position, error) {
+	_, err := s.connection.Read(make([]byte, 1))
+	return ident.Position{}, err
+}
+
+// Guards against less urgent statements that are refused after a short wait for a host's only connection, although the upstream accepts
+// enough connections for all hosts and teams.
+func TestSmallDeploymentHoldsNobodyBack(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	table := New(Options{Host: "h0", Zone: "z", Protocol: func(connection io.ReadWriter) upstream.Session {
+		return silentSession{connection: connection}
+	}})
+	c, err := catalog.New(catalog.Description{
+		Version: 1, Services: []catalog.Service{{Name: "svc", Connections: 20}},
+		Teams: []catalog.Team{{Name: "t0", Keys: []string{"0"}}, {Name: "t1", Keys: []string{"1"}}, {Name: "t2", Keys: []string{"2"}}},
+	})
+	require.NoError(t, err)
+	require.True(t, table.SetCatalog(c))
+	table.SetDirectory(&fleetpb.Directory{
+		Hosts:     []*fleetpb.EntryHost{{Host: "h0", Zone: "z"}},
+		Upstreams: []*fleetpb.Announcement{{Upstream: "a", Service: "svc", Address: listener.Addr().String(), Zone: "elsewhere", Born: 1}},
+	})
+	pool := table.Pool("svc", "a")
+	get := func(team ident.Team, priority int, wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		_, err := pool.Get(ctx, team, priority)
+		return err
+	}
+	require.Error(t, get("t0", 0, 0))
+	opened := make(chan error)
+	go func() { opened <- get("t1", 1, time.Minute) }()
+	require.Eventually(t, func() bool { return pool.Connections() == 1 }, 10*time.Second, time.Millisecond)
+	var refused *statement.Failure
+	require.NotErrorAs(t, get("t2", 1, 300*time.Millisecond), &refused)
+	require.Error(t, <-opened)
+}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -107,7 +107,7 @@
 	p.mu.Unlock()
 }
 
-// SetTeams sets the number of teams that may need a connection.
+// SetTeams sets the number of teams that have to share the upstream's connections; 0 if there are enough.
 func (p *Pool) SetTeams(teams int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
