Let a host that stands in for a gateway read its own load

The host that took over an upstream's connections ordered reads by the last report of the gateway that had ended, since only the first host of the order read its own numbers.

Measured: the new assertion fails without the change; go test -race ./node/routing passes.

--- a/node/routing/candidates.go
+++ b/node/routing/candidates.go
@@ -8,6 +8,7 @@
 
 	"tamarackshunt.dev/fleet/balance"
 	"tamarackshunt.dev/fleet/catalog"
+	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/node/upstream"
@@ -92,7 +93,7 @@
 	case target.Region == t.options.Region:
 		option.Distance = balance.DistanceRegion
 	}
-	if chosen := gatewayIn(m.account.order, target); chosen != nil && chosen.GetHost() == string(t.options.Host) {
+	if m.account.role == connections.RoleGateway && t.position(m.account.order) >= 0 {
 		// This host holds the upstream's connections and measures its load itself.
 		option.Report = balance.Report{Load: pool.MeasuredLoad(now), Known: true, Silence: option.Report.Silence}
 	}
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -144,16 +144,21 @@
 	return func() bool { return table.member("svc", "a").pool.MeasuredLoad(steady.Now()).Service > 0 }
 }
 
-// Guards against an upstream that gets no statement while it warms up, because its gateway's process has ended or no host is in its zone.
+// Guards against an upstream that gets no statement while it warms up, because its gateway's process has ended or no host is in its zone;
+// and against a host that stands in for the gateway and chooses by that one's last report.
 func TestWarmupWithoutGateway(t *testing.T) {
 	table, _, _ := crowdedTable(t, 2)
 	sends := warmUp(table, "z")
 	require.False(t, sends())
 	table.Pool("svc", "a")
 	require.Eventually(t, sends, 20*time.Second, time.Millisecond, "the host stands in for the gateway")
+	table.mu.RLock()
+	defer table.mu.RUnlock()
+	g := table.groups["svc"]
+	require.True(t, table.option(g.members[0], g, steady.Now()).Report.Known, "it measures the load itself")
 
-	table, _, _ = crowdedTable(t, 0)
-	require.True(t, warmUp(table, "elsewhere")(), "the first host of all zones holds the connections")
+	other, _, _ := crowdedTable(t, 0)
+	require.True(t, warmUp(other, "elsewhere")(), "the first host of all zones holds the connections")
 }
 
 // silentSession waits for an answer to Connect that never comes.
