Don't count a released connection as held by less urgent statements

When less urgent statements held as many connections as they may, the one that was released counted as well, so that the waiting statement of its own team was passed over and the connection closed for another team.

Measured: the new test fails without the change; go test ./fleet/connections passes, golden files unchanged.

--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -216,11 +216,12 @@
 		}
 		return actions
 	}
+	// A connection that is released is not one that less urgent statements hold.
+	c.state, c.since = connIdle, now
 	if w := a.heir(now, c); w != nil {
 		c.run++
 		return append(a.give(now, w, c), a.decide(now)...)
 	}
-	c.state, c.since = connIdle, now
 	a.idle = append(a.idle, c)
 	return a.decide(now)
 }
--- a/fleet/connections/failure_test.go
+++ b/fleet/connections/failure_test.go
@@ -294,3 +294,28 @@
 	now = now.Add(time.Second)
 	require.Less(t, a.Limit(now), 40)
 }
+
+// Guards against a connection that is closed for another team although its own has a statement waiting, because less urgent statements
+// hold as many connections as they may, this one included.
+func TestBatchAtTheUrgentShare(t *testing.T) {
+	const limit = 8
+	a := connections.NewAllocator()
+	now := ident.Time(time.Hour)
+	a.Resize(now, limit, false)
+	a.SetTeams(4 * limit)
+	a.SetSlots(4 * limit)
+	a.Request(now, "urgent", 0)
+	var held []connections.ConnID
+	for i := range limit * 3 / 4 {
+		_, actions := a.Request(now, ident.Team(fmt.Sprint("t", i)), 1)
+		require.Len(t, actions, 1)
+		conn := actions[0].(*connections.Open).Conn
+		a.Opened(now, conn)
+		held = append(held, conn)
+	}
+	_, actions := a.Request(now, "other", 1)
+	require.Empty(t, actions)
+	next, actions := a.Request(now, "t0", 1)
+	require.Empty(t, actions)
+	require.Equal(t, []connections.Action{&connections.HandOver{Waiter: next, Conn: held[0]}}, a.Release(now, held[0], true))
+}
