--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -17,6 +17,8 @@
 	// stallTime and stallHolds, in hold times, are how long statements run without the end of any until the upstream counts as stalled.
 	stallTime  = 300 * time.Millisecond
 	stallHolds = 8
+	// rateWindow is the time over which the rates of grants and of transactions are averaged.
+	rateWindow = time.Second
 	// minShare is the least part of the rate that a priority counts on, however much goes to more urgent work.
 	minShare = 0.05
 	// minReturn and maxReturn bound the time to come back.
@@ -57,10 +59,10 @@
 	if math.IsInf(total, 1) || total <= 0 {
 		return math.Inf(1)
 	}
-	left := total - s.held.rate(now)
+	left := total - s.held.Rate(now, rateWindow)
 	for _, l := range s.levels {
 		if l.priority < priority {
-			left -= l.grants.rate(now)
+			left -= l.grants.Rate(now, rateWindow)
 		}
 	}
 	return max(left, total*minShare)
--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tamarackshunt.dev/fleet/decay"
 	"tamarackshunt.dev/fleet/ident"
 )
 
@@ -95,7 +96,7 @@
 	// lane holds the statements that hold a connection and wait for a slot. Those of open transactions come first.
 	lane []*item
 	// held measures the statements of open transactions.
-	held       meter
+	held       decay.Sum
 	warmup     warmup
 	holdTime   time.Duration
 	measuredAt ident.Time
@@ -167,7 +168,7 @@
 	it := &item{Request: request, id: s.lastID, since: now}
 	s.items[it.id] = it
 	if request.Holding {
-		s.held.add(now)
+		s.held.Add(now, rateWindow, 1)
 		s.join(now, it)
 		return it.id, s.decide(now)
 	}
--- a/fleet/admission/team.go
+++ b/fleet/admission/team.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"tamarackshunt.dev/fleet/decay"
 	"tamarackshunt.dev/fleet/ident"
 )
 
@@ -25,7 +26,7 @@
 	// order holds the teams in the order of their first statements, so that decisions don't depend on the order of a map.
 	order []*team
 	// grants measures the granted reservations.
-	grants meter
+	grants decay.Sum
 	// nextReturn is the last time at which a refused caller was told to come back.
 	nextReturn ident.Time
 }
@@ -79,7 +80,7 @@
 
 // recordGrant charges a grant to a team.
 func (l *level) recordGrant(now ident.Time, name ident.Team) {
-	l.grants.add(now)
+	l.grants.Add(now, rateWindow, 1)
 	t := l.team(name)
 	t.decay(now)
 	t.granted++
--- a/fleet/balance/tracker.go
+++ b/fleet/balance/tracker.go
@@ -1,9 +1,9 @@
 package balance
 
 import (
-	"math"
 	"time"
 
+	"tamarackshunt.dev/fleet/decay"
 	"tamarackshunt.dev/fleet/ident"
 )
 
@@ -18,9 +18,8 @@
 	at ident.Time
 	// sent counts the host's own statements since the last report.
 	sent int
-	// rate is the rate of the host's own statements per second, as of rateAt.
-	rate   float64
-	rateAt ident.Time
+	// recent counts the host's own statements of the last rateWindow.
+	recent decay.Sum
 	// silentSince is the time of the last answer, or that of a later statement that was sent while none was in flight.
 	silentSince ident.Time
 }
@@ -42,8 +41,7 @@
 		t.silentSince = now
 	}
 	t.sent++
-	t.rate = t.rateNow(now) + 1/rateWindow.Seconds()
-	t.rateAt = now
+	t.recent.Add(now, rateWindow, 1)
 }
 
 // Report returns what the host knows of the upstream's load.
@@ -53,14 +51,10 @@
 		return report
 	}
 	report.Load, report.Known, report.Age = t.load, true, max(0, now.Sub(t.at))
-	report.Sent, report.Rate = t.sent, t.rateNow(now)
+	report.Sent, report.Rate = t.sent, t.recent.Rate(now, rateWindow)
 	return report
 }
 
-func (t *Tracker) rateNow(now ident.Time) float64 {
-	return t.rate * math.Exp(-now.Sub(t.rateAt).Seconds()/rateWindow.Seconds())
-}
-
 // Report is an upstream's load as one host knows it.
 type Report struct {
 	Load Load
--- a/fleet/connections/demand.go
+++ b/fleet/connections/demand.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"tamarackshunt.dev/fleet/decay"
 	"tamarackshunt.dev/fleet/ident"
 )
 
@@ -21,28 +22,21 @@
 	lastUse map[int]ident.Time
 }
 
-// teamDemand is the use of a team, decayed over demandTime, as of at.
-type teamDemand struct {
-	at ident.Time
-	// uses is the number of uses, weighted by their urgency, and held the time in seconds for which connections were held.
-	uses, held float64
-}
+// teamDemand is the use of a team, decayed over demandTime: the number of uses, weighted by their urgency, and the time in seconds for
+// which connections were held.
+type teamDemand struct{ uses, held decay.Sum }
 
 func newDemand() demand {
 	return demand{teams: map[ident.Team]*teamDemand{}, lastUse: map[int]ident.Time{}}
 }
 
-// of returns the demand of a team as of now.
-func (d *demand) of(now ident.Time, team ident.Team) *teamDemand {
+// of returns the demand of a team.
+func (d *demand) of(team ident.Team) *teamDemand {
 	t := d.teams[team]
 	if t == nil {
-		t = &teamDemand{at: now}
+		t = &teamDemand{}
 		d.teams[team] = t
 	}
-	if now > t.at {
-		decay := math.Exp(-now.Sub(t.at).Seconds() / demandTime.Seconds())
-		t.uses, t.held, t.at = t.uses*decay, t.held*decay, now
-	}
 	return t
 }
 
@@ -52,13 +46,13 @@
 		// Requests of the host itself belong to no route.
 		return
 	}
-	d.of(now, team).uses += math.Pow(urgencyFactor, -float64(priority))
+	d.of(team).uses.Add(now, demandTime, math.Pow(urgencyFactor, -float64(priority)))
 	d.lastUse[priority] = now
 }
 
 // hold records for how long a connection was held.
 func (d *demand) hold(now ident.Time, team ident.Team, held time.Duration) {
-	d.of(now, team).held += held.Seconds()
+	d.of(team).held.Add(now, demandTime, held.Seconds())
 }
 
 // urgent returns the priority of the most urgent route that was used lately.
@@ -75,8 +69,8 @@
 // value returns the rate at which a team's n-th connection is needed, weighted by urgency. The chance that n-1 others are in use
 // follows from the team's offered load, as in Erlang's formula.
 func (d *demand) value(now ident.Time, team ident.Team, n int) float64 {
-	t := d.of(now, team)
-	value, load := t.uses, t.held/demandTime.Seconds()
+	t := d.of(team)
+	value, load := t.uses.At(now, demandTime), t.held.Rate(now, demandTime)
 	for k := 1; k < n; k++ {
 		value *= min(1, load/float64(k))
 	}
--- /dev/null
+++ b/fleet/decay/doc.go
@@ -0,0 +1,2 @@
+// Package decay measures how much happened lately.
+package decay
