--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -85,7 +85,7 @@
 	defer cancel()
 	outcome, err := held.executor.Execute(wait, useFromProto(request))
 	response := responseToProto(outcome, err)
-	if len(response.GetBroken()) > 0 || len(response.GetUnreachable()) > 0 {
+	if !response.GetNotHolder() && (len(response.GetBroken()) > 0 || len(response.GetUnreachable()) > 0) {
 		klog.InfoS("Statement not answered", "id", string(request.GetId()), "upstream", held.executor.Target().Upstream, "team", held.team,
 			"lease", id, "transaction", held.transaction, "ran", response.GetRan(), "broken", string(response.GetBroken()),
 			"unreachable", string(response.GetUnreachable()))
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -27,8 +27,8 @@
 	// this host has no role.
 	maxChecked = 3
 	// notHolderTime is how long a host that holds no connections to an upstream is not asked for them again. Directories of hosts differ
-	// for some hundred milliseconds.
-	notHolderTime = 250 * time.Millisecond
+	// for some hundred milliseconds, and the account of the host that is asked meanwhile may be small.
+	notHolderTime = 100 * time.Millisecond
 )
 
 var notHolders = metrics.NewCounter("tamarack_connections_not_holder_total")
