Bound the hosts that one statement is sent to

If the hosts' answers took as long as they are avoided, the first one was asked again after the last, without end.

Measured: go test -race ./node/routing passes; the test covers slow answers.

--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -11,6 +11,9 @@
 	"tamarackshunt.dev/node/upstream"
 )
 
+// maxAsked is the number of hosts that a statement is sent to while they answer that they hold no connections: as many as may hold some.
+const maxAsked = 3
+
 // Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
 // through the host that does.
 func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
@@ -100,15 +103,16 @@
 
 // ask executes a use at the chosen host. If that host holds no connections, as while its directory differs from this host's, the next
 // one in the order is asked.
-func (c *trackedExecutor) ask(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
-	for {
+func (c *trackedExecutor) ask(ctx context.Context, use upstream.Use) (outcome upstream.Outcome, err error) {
+	for range maxAsked {
 		c.gatewayFailed = false
-		outcome, err := c.Executor.Execute(ctx, use)
+		outcome, err = c.Executor.Execute(ctx, use)
 		var notHolder *upstream.NotHolderError
 		if c.holder == nil || ctx.Err() != nil || !errors.As(err, &notHolder) {
-			return outcome, err
+			break
 		}
 		c.table.recordNotHolder(c.pool, c.holder)
 		c.choose()
 	}
+	return outcome, err
 }
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -91,12 +91,14 @@
 type stubGateway struct {
 	fleetpb.Gateway
 	response *fleetpb.UseResponse
+	wait     time.Duration
 	calls    atomic.Int32
 }
 
 // Use implements fleetpb.Gateway.
 func (g *stubGateway) Use(context.Context, *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
 	g.calls.Add(1)
+	time.Sleep(g.wait)
 	return g.response, nil
 }
 
@@ -126,11 +128,15 @@
 	require.Equal(t, order[1].GetPeer(), outcome.Gateway)
 	require.False(t, m.pool.Report(steady.Now()).Known, "a host without connections doesn't measure the upstream's load")
 
+	// Each host's answer takes longer than it is avoided.
+	stubs[0].wait, stubs[1].wait, stubs[2].wait = notHolderTime, notHolderTime, notHolderTime
 	stubs[1].response = refusal
+	before := stubs[0].calls.Load() + stubs[1].calls.Load() + stubs[2].calls.Load()
 	_, err = execute()
 	var refused *statement.Failure
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, statement.CodeConnections, refused.Code)
+	require.LessOrEqual(t, stubs[0].calls.Load()+stubs[1].calls.Load()+stubs[2].calls.Load()-before, int32(maxAsked))
 	require.Zero(t, stubs[3].calls.Load(), "no host after the last resort is asked")
 	require.False(t, m.pool.Load(steady.Now()).Avoid)
 }
