--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -125,8 +125,9 @@
 }
 
 // SetWarmup limits the statements per second until a time; a rate of 0 refuses all.
-func (s *Scheduler) SetWarmup(now, end ident.Time, rate float64) {
+func (s *Scheduler) SetWarmup(now, end ident.Time, rate float64) []Decision {
 	s.warmup.set(now, end, rate)
+	return s.decide(now)
 }
 
 // Waiting returns the number of statements that wait for a reservation or a slot.
--- a/node/upstream/limiter.go
+++ b/node/upstream/limiter.go
@@ -59,9 +59,7 @@
 func (l *limiter) setWarmup(until ident.Time, rate float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := steady.Now()
-	l.scheduler.SetWarmup(now, until, rate)
-	l.announce(l.scheduler.Decide(now))
+	l.announce(l.scheduler.SetWarmup(steady.Now(), until, rate))
 }
 
 // arrive waits until a statement may run, or may take a connection if it holds none yet. Its error is a statement.Failure, or an
@@ -138,13 +136,16 @@
 // announce tells statements what was decided about them. The caller must hold mu.
 func (l *limiter) announce(decisions []admission.Decision) {
 	for _, d := range decisions {
-		decided := l.undecided[d.ID]
+		decided, found := l.undecided[d.ID]
+		if !found {
+			continue
+		}
 		delete(l.undecided, d.ID)
 		if d.Refused == nil {
 			decided <- nil
-			continue
+		} else {
+			decided <- refuse(l.upstream, d.Refused)
 		}
-		decided <- refuse(l.upstream, d.Refused)
 	}
 	l.setTimer()
 }
