--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -47,8 +47,12 @@
 // Close closes a connection. It comes before the Open that takes its place.
 type Close struct{ Conn ConnID }
 
-// Refuse ends the wait of a statement that is not urgent enough.
-type Refuse struct{ Waiter WaiterID }
+// Refuse ends the wait of a statement that is not urgent enough, or of one on a host that may hold no connections.
+type Refuse struct {
+	Waiter WaiterID
+	// NotHolder is set if the host may hold none.
+	NotHolder bool
+}
 
 func (*HandOver) action() {}
 func (*Open) action()     {}
@@ -114,7 +118,7 @@
 // Limit returns the number of connections that the host may have now.
 func (a *Allocator) Limit(now ident.Time) int { return a.account.Limit(now) }
 
-// SetTeams sets the number of teams that may need a connection.
+// SetTeams sets the number of teams that have to share the upstream's connections; 0 if there are enough.
 func (a *Allocator) SetTeams(teams int) { a.teams = teams }
 
 // SetSlots sets the number of statements and handshakes that the upstream runs at a time; 0 if it is unknown.
@@ -212,11 +216,12 @@
 		}
 		return actions
 	}
+	// A connection that is released is not one that less urgent statements hold.
+	c.state, c.since = connIdle, now
 	if w := a.heir(now, c); w != nil {
 		c.run++
 		return append(a.give(now, w, c), a.decide(now)...)
 	}
-	c.state, c.since = connIdle, now
 	a.idle = append(a.idle, c)
 	return a.decide(now)
 }
@@ -356,6 +361,10 @@
 
 // serve returns the actions that end the wait of a statement, or nil; ahead counts the waiters of its team before it.
 func (a *Allocator) serve(r *round, w *waiter, ahead int) []Action {
+	if r.limit == 0 && w.priority >= 0 {
+		a.Cancel(w.id)
+		return []Action{&Refuse{w.id, true}}
+	}
 	if r.heldBack(w) {
 		return a.holdBack(r.now, w)
 	}
@@ -391,7 +400,7 @@
 		return nil
 	}
 	a.Cancel(w.id)
-	return []Action{&Refuse{w.id}}
+	return []Action{&Refuse{w.id, false}}
 }
 
 // open has a statement open a connection, in the place of an idle one if the account is full. It returns nil if there is none.
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 
 	"github.com/twitchtv/twirp"
 
@@ -26,6 +27,13 @@
 	return false
 }
 
+// mayHold reports whether a gateway that could not be reached may still hold the lease of a statement: its process may run unless its port
+// is closed.
+func mayHold(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // refusedForMemory reports whether a gateway has refused a call, which it has not run, because it holds as much as it may.
 func refusedForMemory(err error) bool {
 	var refused twirp.Error
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -60,7 +60,7 @@
 	Load balance.Load
 }
 
-// Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError or a
+// Executor runs statements on an upstream for one session at a time. Execute returns an UnreachableError, a NotHolderError or a
 // statement.Failure if the caller's statement did not run, and a BrokenError if the connection broke so that the outcome is
 // unknown; Outcome.Ran is set if the caller's statement may have run. After an Execute without Keep, or an error, the executor
 // holds no connection.
@@ -134,6 +134,10 @@
 
 // admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
 func (d *directExecutor) admit(ctx context.Context, use *Use) (admission.ID, error) {
+	if d.conn == nil && d.pool.Limit() == 0 {
+		// Another host is asked without a wait in the queue.
+		return 0, &NotHolderError{d.pool.target.Upstream}
+	}
 	l := d.pool.limiter
 	request := d.request(ctx, use)
 	if use.ID == "" {
--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,9 @@
 // refusalLogInterval bounds the log lines about connections that the upstream refuses.
 const refusalLogInterval = 5 * time.Second
 
+// openingTime is the time in which an upstream that runs answers the opening of a connection.
+const openingTime = 200 * time.Millisecond
+
 var (
 	connectionsOpened     = metrics.NewCounter("tamarack_upstream_connections_opened_total")
 	openFailures          = metrics.NewCounter("tamarack_upstream_open_failures_total")
@@ -35,13 +39,32 @@
 	err      error
 }
 
-// noConnection returns the failure of a statement that gets no connection on this host.
-func noConnection(text string) error {
-	return &statement.Failure{Code: statement.CodeConnections, Text: text}
+// NotHolderError reports a host that may hold no connections to an upstream; no statement ran. Another host is to be asked.
+type NotHolderError struct{ Upstream ident.Upstream }
+
+// Error implements error.
+func (e *NotHolderError) Error() string { return e.failure().Error() }
+
+// Unwrap returns the failure for a caller that asks no other host.
+func (e *NotHolderError) Unwrap() error { return e.failure() }
+
+func (e *NotHolderError) failure() *statement.Failure {
+	return &statement.Failure{Code: statement.CodeConnections, Text: "the host holds no connections to " + string(e.Upstream)}
 }
 
-// Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError or a
-// statement.Failure; no statement has run in any of these cases.
+// refused returns the error of a statement that the allocator refuses.
+func (p *Pool) refused(refusal *connections.Refuse) error {
+	if refusal.NotHolder {
+		return &NotHolderError{p.target.Upstream}
+	}
+	statementsHeldBack.Inc()
+	return &statement.Failure{
+		Code: statement.CodeConnections, Text: "the upstream's other connections are left to more urgent requests",
+	}
+}
+
+// Get returns a connection for a team, opening one if none is free. It returns the error of ctx, an UnreachableError, a NotHolderError
+// or a statement.Failure; no statement has run in any of these cases.
 func (p *Pool) Get(ctx context.Context, team ident.Team, priority int) (*Conn, error) {
 	began := steady.Now()
 	id, granted, err := p.request(began, team, priority)
@@ -63,9 +86,13 @@
 			id, err = p.replaceLost(g.conn, began, granted)
 		default:
 			var conn *Conn
+			opening := steady.Now()
 			if conn, refused = p.open(ctx, g.reserved, team); refused == nil {
 				return conn, nil
 			}
+			if cutShort(ctx, opening, refused) {
+				refused = context.DeadlineExceeded
+			}
 			id, err = p.openFailed(ctx, g.reserved, refused, began, granted)
 		}
 	}
@@ -76,11 +103,8 @@
 func (p *Pool) request(now ident.Time, team ident.Team, priority int) (connections.WaiterID, chan grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case p.closed:
+	if p.closed {
 		return 0, nil, p.closedError()
-	case p.allocator.Limit(now) == 0 && priority >= 0:
-		return 0, nil, noConnection("this host holds no connections to the upstream")
 	}
 	granted := make(chan grant, 1)
 	id, actions := p.allocator.Request(now, team, priority)
@@ -106,6 +130,16 @@
 	return conn, nil
 }
 
+// cutShort reports whether an opening failed only because ctx ended, too early to say anything of the upstream.
+func cutShort(ctx context.Context, began ident.Time, failed error) bool {
+	var timeout net.Error
+	if !errors.As(failed, &timeout) || !timeout.Timeout() {
+		return false
+	}
+	end, bounded := ctx.Deadline()
+	return bounded && !time.Now().Before(end) && steady.Now().Sub(began) < openingTime
+}
+
 // openFailed gives a reserved id back. It returns the error, unless the upstream refused the connection as over its cap: the statement
 // then waits again, under the new id.
 func (p *Pool) openFailed(
@@ -221,8 +255,7 @@
 		case *connections.Open:
 			p.answer(action.Waiter, grant{reserved: action.Conn})
 		case *connections.Refuse:
-			statementsHeldBack.Inc()
-			p.answer(action.Waiter, grant{err: noConnection("the upstream's other connections are left to more urgent requests")})
+			p.answer(action.Waiter, grant{err: p.refused(action)})
 		}
 	}
 	p.setTimer()
--- a/node/upstream/limiter_test.go
+++ b/node/upstream/limiter_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/admission"
+	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
 )
@@ -52,6 +56,24 @@
 	}
 }
 
+// Guards against statements that wait until the end of a warm-up although the host has got a share of its rate meanwhile.
+func TestWarmupRateRises(t *testing.T) {
+	l := newLimiter("i-1")
+	l.setWarmup(steady.Now().Add(time.Hour), 1e-6)
+	ran := make(chan error)
+	for range 2 {
+		go func() {
+			_, err := l.run(t.Context(), testRequest(1, true))
+			ran <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return l.waitingStatements() == 2 }, 10*time.Second, time.Millisecond)
+	l.setWarmup(steady.Now().Add(time.Hour), 1000)
+	for range 2 {
+		require.NoError(t, <-ran)
+	}
+}
+
 // Guards against more statements at a time than the limit, also of transactions, statements that run after their context has ended,
 // and statements of higher priority that wait behind others.
 func TestLimiter(t *testing.T) {
@@ -138,3 +160,54 @@
 		require.NoError(t, err)
 	}
 }
+
+// Guards against statements that wait until their deadline for a connection that the host may no longer hold, in place of being sent
+// to the host that may.
+func TestWaitEndsWithoutAccount(t *testing.T) {
+	p := NewPool(Target{Service: "svc", Upstream: "i-1"}, nil, 1)
+	_, _, err := p.request(steady.Now(), "t", 0)
+	require.NoError(t, err, "the only connection is taken")
+	ended := make(chan error)
+	go func() {
+		_, err := p.Executor("t", 1).Execute(context.Background(), Use{ID: "1", Within: time.Hour})
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return p.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	p.SetLimit(0, true)
+	var notHolder *NotHolderError
+	require.ErrorAs(t, <-ended, &notHolder)
+	require.Zero(t, p.MeasuredLoad(steady.Now()).Waiting)
+	p.SetWarmup(steady.Now().Add(time.Hour), 0)
+	_, err = p.Executor("t", 1).Execute(t.Context(), Use{ID: "2"})
+	require.ErrorAs(t, err, &notHolder, "the queue's refusal would say that the upstream has no room")
+}
+
+// silentSession waits for an answer of the upstream to Connect.
+type silentSession struct {
+	Session
+	connection io.Reader
+}
+
+// Connect implements Session.
+func (s silentSession) Connect(ident.Service, ident.Team, ident.Upstream) (ident.Position, error) {
+	_, err := s.connection.Read(make([]byte, 1))
+	return ident.Position{}, err
+}
+
+// Guards against an upstream that is avoided as unreachable because a statement had too little time left to open a connection to it.
+func TestOpeningCutShort(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	protocol := func(connection io.ReadWriter) Session { return silentSession{connection: connection} }
+	p := NewPool(Target{Service: "svc", Upstream: "i-1", Address: listener.Addr().String()}, protocol, 1)
+	// An attempt that the machine delays says that the upstream was silent for long.
+	require.Eventually(t, func() bool {
+		_, err := p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: 20 * time.Millisecond})
+		var refused *statement.Failure
+		return errors.As(err, &refused) && refused.Code == statement.CodeBusy && refused.Retry > 0
+	}, 20*time.Second, time.Millisecond)
+	_, err = p.Executor("t", 1).Execute(t.Context(), Use{ID: "1", Within: 2 * openingTime})
+	var unreachable *UnreachableError
+	require.ErrorAs(t, err, &unreachable, "an upstream that is silent for long is one that can't be reached")
+}
