Save the directory only once a leader has restored the saved one

Cause: a host counts as the leader up to 20 ms before it restores the directory from the log. The end of an upstream that arrived in between was saved as a difference to this host's own directory, which is empty after a restart. The entry removed all saved upstreams and the ends that earlier leaders had acknowledged.

Change: a save waits until the directory is restored for the leadership, within the bounds that it had (300 ms for an acknowledgement).

--- a/node/core/core.go
+++ b/node/core/core.go
@@ -94,6 +94,10 @@
 	takenOver       atomic.Int64
 	takenOverSignal signal
 
+	// restoredFor is the start of the leadership for which this host has restored the saved directory.
+	restoredFor    atomic.Int64
+	restoredSignal signal
+
 	// startedAt is when this host was started. restoredHosts is set once it has restored hosts; only Run uses it.
 	startedAt     ident.Time
 	restoredHosts bool
@@ -232,6 +236,7 @@
 		if begins {
 			handledSince = leadership.Since
 			c.inheritDirectory(steady.Now())
+			c.markRestored(leadership)
 		}
 		c.lender.SetLeadership(steady.Now(), leadership.Control())
 		if leadership.Leads {
--- a/node/core/recovery.go
+++ b/node/core/recovery.go
@@ -57,6 +57,32 @@
 	return saved
 }
 
+// markRestored allows saves of the directory in a leadership.
+func (c *Core) markRestored(leadership replica.Leadership) {
+	c.restoredFor.Store(int64(leadership.Since))
+	c.restoredSignal.broadcast()
+}
+
+// waitRestored waits until this leader has restored the saved directory. A save before that would remove all saved upstreams that it has
+// not heard of, with the ends that were acknowledged.
+func (c *Core) waitRestored(ctx context.Context) error {
+	for {
+		restored := c.restoredSignal.wait()
+		leadership := c.replica.Leadership()
+		if !leadership.Confirmed {
+			return errNotLeader
+		}
+		if c.restoredFor.Load() == int64(leadership.Since) {
+			return nil
+		}
+		select {
+		case <-restored:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // keepRecovery keeps what the next leader starts with up to date in the log, until ctx ends.
 func (c *Core) keepRecovery(ctx context.Context) {
 	var counted directory.Confirmation
@@ -100,6 +126,11 @@
 
 // saveDirectory saves the differences between the directory and the saved one if they are at least as urgent as least.
 func (c *Core) saveDirectory(ctx context.Context, least directory.Urgency) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if err := c.waitRestored(ctx); err != nil {
+		return err
+	}
 	select {
 	case c.saving <- struct{}{}:
 		defer func() { <-c.saving }()
@@ -120,8 +151,6 @@
 		// Hosts that restart would be removed and added again.
 		change.RemovedHosts = nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
 	if _, err := c.proposeRecovery(ctx, change); err != nil {
 		return err
 	}
--- a/node/core/recovery_test.go
+++ b/node/core/recovery_test.go
@@ -276,6 +276,31 @@
 	}
 }
 
+// Guards against a new leader that saves the end of an upstream before it has restored the saved ones: it would remove all others, and an
+// end that was acknowledged to an earlier leader would be forgotten.
+func TestEndBeforeDirectoryIsRestored(t *testing.T) {
+	s := newServiceUnderTest(t)
+	c := s.core
+	ended := testUpstream("b", 1, 2)
+	ended.Leaving, ended.Gone = true, true
+	_, err := c.proposeRecovery(t.Context(), &fleetpb.Recovery{Upstreams: []*fleetpb.Announcement{testUpstream("a", 1, 1), ended, testUpstream("c", 1, 1)}})
+	require.NoError(t, err)
+	saved := func() (list []string) {
+		for _, a := range c.state.recovery().GetUpstreams() {
+			list = append(list, fmt.Sprint(a.GetUpstream(), a.GetGone()))
+		}
+		return list
+	}
+	end := &fleetpb.Announcement{Upstream: "c", Born: 1, Gone: true, Leaving: true}
+	c.recordAnnouncement(end)
+	c.saveEnd(t.Context(), end)
+	require.Equal(t, []string{"afalse", "btrue", "cfalse"}, saved())
+	c.inheritDirectory(steady.Now())
+	c.markRestored(c.replica.Leadership())
+	c.saveEnd(t.Context(), end)
+	require.Equal(t, []string{"afalse", "btrue", "ctrue"}, saved())
+}
+
 // Guards against an advance of which leaders take more than the whole in one window, or that stays out for ever.
 func TestAdvanceIsTakenOnce(t *testing.T) {
 	s := newState(parseStub)
