Let a member without a majority yield before an election

Cause: a member that asks for votes refuses an equal member with a lower id. Where it does not reach a majority itself (two of five lost, one link between two of the others down) it asked again for ever and refused its vote to the only member that does reach one, so no leader was elected.

Change: after four questions that were answered and found no majority, a member no longer goes first.

--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -123,6 +123,7 @@
 }
 
 func (n *Node) handleVoteAnswer(m *fleetpb.Message, answer *fleetpb.VoteAnswer) {
+	n.preVoteAnswered = n.preVoteAnswered || answer.GetPre()
 	if !answer.GetGranted() {
 		return
 	}
@@ -138,11 +139,14 @@
 	}
 }
 
+// maxPrecedence is the number of questions without a majority after which a member no longer goes before others.
+const maxPrecedence = 4
+
 // precedes reports whether this member asks for the same votes as another one with an equal log, and goes first. Of members that ask at
-// the same moment only one then finds a majority, where all of them would start elections and split the votes. It concerns the question
-// before an election only, so a member that goes first and reaches no majority holds nobody up who has one without it.
+// the same moment only one then finds a majority, where all of them would start elections and split the votes. A member that does not reach
+// a majority itself must not hold up for long another one that needs its vote.
 func (n *Node) precedes(other string, request *fleetpb.PreVote) bool {
-	return n.role == PreCandidate && !n.ahead(request) && n.self.GetMember() > other
+	return n.role == PreCandidate && n.failedPreVotes < maxPrecedence && !n.ahead(request) && n.self.GetMember() > other
 }
 
 // ahead reports whether a log whose last entry a request names is ahead of this one.
@@ -153,6 +157,13 @@
 
 // preCampaign asks whether a majority would elect this member. The term stays the same, so no leader has to step down.
 func (n *Node) preCampaign() {
+	switch {
+	case n.role != PreCandidate:
+		n.failedPreVotes = 0
+	case n.preVoteAnswered:
+		n.failedPreVotes++
+	}
+	n.preVoteAnswered = false
 	n.resetRole(nil)
 	n.role = PreCandidate
 	// Voters whose last contact with the lost leader was a little later refuse the first attempt. The next attempt follows
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -154,6 +154,10 @@
 	ledUntil         ident.Time
 	electionDeadline ident.Time
 	ballots          map[string]bool
+	// failedPreVotes is the number of questions before an election that were answered and found no majority, since this member began to
+	// ask. preVoteAnswered is set once the present question has an answer.
+	failedPreVotes  int
+	preVoteAnswered bool
 	// noLeaderSince is the latest lease end that this candidate and its voters know of.
 	noLeaderSince ident.Time
 
--- a/fleet/quorum/sim_test.go
+++ b/fleet/quorum/sim_test.go
@@ -71,6 +71,8 @@
 	isolated        map[string]bool
 	// side separates the hosts into two groups that cannot reach each other; it is empty while there is no split.
 	side map[string]bool
+	// cut holds the pairs of hosts whose link is down, in both orders.
+	cut map[[2]string]bool
 	// seeds are the hosts that a host without a log knows when it starts.
 	seeds      []string
 	terse      bool // Leaves proposals, their answers and messages out of the transcript.
@@ -270,7 +272,7 @@
 
 // connected reports whether messages between two hosts arrive.
 func (s *sim) connected(a, b string) bool {
-	return !s.isolated[a] && !s.isolated[b] && s.side[a] == s.side[b]
+	return !s.isolated[a] && !s.isolated[b] && s.side[a] == s.side[b] && !s.cut[[2]string{a, b}]
 }
 
 // logMessage logs messages about elections and snapshots; repeated messages are logged once per term.
--- a/fleet/quorum/split_test.go
+++ b/fleet/quorum/split_test.go
@@ -54,3 +54,32 @@
 	}
 	require.LessOrEqual(t, split, runs/50)
 }
+
+// Guards against a member that asks for votes again and again, does not reach a majority itself, and refuses its vote to the only member
+// that does: of five hosts two are lost and the link between two of the others is down.
+func TestMemberWithoutMajorityYields(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, "a", "b", "c", "d", "e")
+		s.seeds, s.terse = s.names, true
+		s.bounds.ElectionMin, s.bounds.ElectionMax, s.bounds.Lease = 300*time.Millisecond, 600*time.Millisecond, 250*time.Millisecond
+		for _, name := range s.names {
+			s.start(name)
+		}
+		s.run(10 * time.Second)
+		for _, name := range s.names {
+			s.crash(name)
+		}
+		s.run(time.Second)
+		s.cut = map[[2]string]bool{{"d", "e"}: true, {"e", "d"}: true}
+		for _, name := range s.names[2:] {
+			s.start(name)
+		}
+		start := s.now
+		s.runUntil("a leader", func() bool {
+			status := s.hosts["c"].node.Status()
+			return status.Role == quorum.Leader && s.now < status.Until
+		})
+		require.Empty(t, s.violations, "seed %d", seed)
+		require.Less(t, s.now.Sub(start), 10*time.Second, "seed %d", seed)
+	}
+}
