Replace a dead primary sooner after a change of the leader

Cause: a new leader decides nothing for 2.5 s, in which it collects announcements. One that has followed the announcements before it led has them already.

Change: a leader that held recent announcements of the service when it began, and no restored entry of it, replaces a primary that announced its role and is dead by this leader's own evidence: two failed probes, no answer to any host and no announcement for 1.5 s of this leadership. Every upstream that runs announces itself in that time, so no replica is missing from the count that Choose needs. All other decisions, and leaders that know nothing, keep the 2.5 s. Two changes of the leader take 3.6 s at least before the first of three holders orders again (2 x 1.5 s and two elections), which is above the 3 s of lease_ms.

Result: TestNewLeaderThatHasFollowed (10 cases) decides after 1.6 s where the old code took 2.5 s, and after 2.5 s in the cases that must wait; it fails without the condition in either direction. Tests of fleet/takeover and node/core pass.

--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -27,7 +27,9 @@
 	// announcementMaxAge is the time without announcements after which an upstream is no candidate, and its claim to be the
 	// primary no longer counts.
 	announcementMaxAge = 4 * time.Second
-	// startupDelay is the time for which a new leader collects announcements before it decides.
+	// startupDelay is the time for which a new leader collects announcements before it decides. One that has followed the announcements
+	// needs it for all decisions but the replacement of a dead primary, which takes deadAfter at least: in that time each upstream that
+	// runs announces itself.
 	startupDelay = 2500 * time.Millisecond
 )
 
@@ -47,8 +49,10 @@
 // Decider decides on the primary of one service. It is not safe for concurrent use.
 type Decider struct {
 	startedAt ident.Time
-	members   []Member
-	primary   ident.Upstream
+	// followed is set if this host had the announcements of the service lately when it became the leader.
+	followed bool
+	members  []Member
+	primary  ident.Upstream
 	// assumed is set while the primary is known from a restored entry only.
 	assumed bool
 	// primarySince is the time at which the current primary was set.
@@ -80,6 +84,9 @@
 // SetMembers sets the upstreams that have not been removed, and updates the primary from their announcements.
 func (d *Decider) SetMembers(now ident.Time, members []Member) {
 	d.members = members
+	if now == d.startedAt {
+		d.followed = hasFollowed(now, members)
+	}
 	claims := slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
 		return !m.Primary || now.Sub(m.LastAnnounced) > announcementMaxAge
 	})
@@ -108,6 +115,14 @@
 	}
 }
 
+// hasFollowed reports whether a host that becomes the leader has received the members' announcements until lately. Restored entries show
+// that it has missed some.
+func hasFollowed(now ident.Time, members []Member) bool {
+	return !slices.ContainsFunc(members, restored) && slices.ContainsFunc(members, func(m Member) bool {
+		return !m.Primary && now.Sub(m.LastAnnounced) <= deadAfter
+	})
+}
+
 // restored reports whether a member has not announced itself since the core was restarted.
 func restored(m Member) bool { return m.Restored }
 
@@ -156,7 +171,7 @@
 
 // Decide returns a Decision if the service needs another primary now, or nil.
 func (d *Decider) Decide(now ident.Time) *Decision {
-	if now < d.notBefore || now.Sub(d.startedAt) < startupDelay || d.settles(now) {
+	if now < d.notBefore || d.starts(now) || d.settles(now) {
 		return nil
 	}
 	decision := &Decision{Primary: d.primary}
@@ -197,6 +212,17 @@
 	return decision
 }
 
+// starts reports whether this leader still has to collect announcements.
+func (d *Decider) starts(now ident.Time) bool {
+	if now.Sub(d.startedAt) >= startupDelay {
+		return false
+	}
+	primary := d.member(d.primary)
+	// A primary that does not announce its role may have been promoted by the earlier leader, whose order may still be under way.
+	dead := primary != nil && primary.Primary && d.noPrimarySince == 0 && d.primaryDead(now, primary)
+	return !d.followed || !dead
+}
+
 // settles reports whether a new primary still has time to announce itself.
 func (d *Decider) settles(now ident.Time) bool {
 	return !d.unfinished && now.Sub(d.primarySince) < settleDelay && d.primarySince != d.startedAt
--- a/fleet/takeover/takeover_test.go
+++ b/fleet/takeover/takeover_test.go
@@ -1,6 +1,7 @@
 package takeover_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -188,6 +189,62 @@
 	require.NotNil(t, s.decider.Decide(s.now.Add(time.Second)))
 }
 
+// Guards against a dead primary that a new leader replaces only after the time in which one that knows nothing collects announcements,
+// although it has followed them itself, and against a leader that decides so early without having followed them, or for another cause.
+func TestNewLeaderThatHasFollowed(t *testing.T) {
+	const start = ident.Time(time.Hour)
+	const early, late = 1600 * time.Millisecond, 2500 * time.Millisecond
+	ago := func(d time.Duration) ident.Time { return start.Add(-d) }
+	dead := takeover.Member{Upstream: "a", Primary: true, LastAnnounced: ago(time.Second)}
+	replica := takeover.Member{Upstream: "b", LastAnnounced: ago(500 * time.Millisecond)}
+	for name, c := range map[string]struct {
+		successor ident.Upstream
+		first     []takeover.Member
+		// answers is set while the primary answers other hosts, and announces while it announces itself.
+		answers, announces bool
+		want               time.Duration
+	}{
+		"followed":                      {first: []takeover.Member{dead, replica}, want: early},
+		"followed, it was ordered":      {successor: "a", first: []takeover.Member{dead, replica}, want: early},
+		"it answers hosts":              {first: []takeover.Member{dead, replica}, answers: true},
+		"it announces itself":           {first: []takeover.Member{dead, replica}, announces: true},
+		"an order may be under way":     {successor: "b", first: []takeover.Member{dead, replica}, want: late},
+		"an entry is restored":          {first: []takeover.Member{dead, replica, {Upstream: "c", Restored: true, LastAnnounced: start}}, want: late},
+		"the leader was cut off":        {first: []takeover.Member{dead, {Upstream: "b", LastAnnounced: ago(3 * time.Second)}}, want: late},
+		"the leader knows no replica":   {first: []takeover.Member{dead}, want: late},
+		"a planned replacement is due":  {first: []takeover.Member{{Upstream: "a", Primary: true, Leaving: true, LastAnnounced: start}, replica}, answers: true, want: late},
+		"no upstream claims to lead it": {first: []takeover.Member{{Upstream: "a", LastAnnounced: ago(time.Second)}, replica}, want: late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := takeover.New(start, c.successor)
+			var took time.Duration
+			for now := start; took == 0 && now < start.Add(3*time.Second); now = now.Add(100 * time.Millisecond) {
+				members := slices.Clone(c.first)
+				if now > start || c.successor == "b" {
+					members = append(members[:1], takeover.Member{Upstream: "b", LastAnnounced: now}, takeover.Member{Upstream: "c", LastAnnounced: now})
+				}
+				if c.successor == "b" {
+					// The primary is the one that was ordered, and it has ended too.
+					members[1].LastAnnounced = replica.LastAnnounced
+				}
+				if c.announces {
+					members[0].LastAnnounced = now
+				}
+				d.SetMembers(now, members)
+				if c.answers {
+					d.Answered(d.Primary(), now)
+				} else if d.ProbeDue(now) {
+					d.Failed(d.Primary(), now)
+				}
+				if d.Decide(now) != nil {
+					took = now.Sub(start)
+				}
+			}
+			require.Equal(t, c.want, took)
+		})
+	}
+}
+
 // Guards against promoting an upstream whose log is behind another's and, if writes wait for replicas, one that may lack an
 // acknowledged write.
 func TestChoose(t *testing.T) {
