Give hosts no reserve where the settings name no window

Cause: a reserve is counted in spans of the overrun's window. Where the settings name an overrun and no window, each span was empty and a host could spend its reserve again and again.

Change: no window, no reserve, as for the advance. The property test of the advance also undoes operations, and its advance may be 0.

Result: TestOverrunIsDivided fails before (a reserve of 2 tokens in windows of 0 s). TestAdvanceStaysWithinTheOverrun passes 3,000 checks with refunds among changes of the owner, and fails if refunds ignore reports (rate 5, burst 2, advance 0: one token too many).

--- a/fleet/limit/overrun.go
+++ b/fleet/limit/overrun.go
@@ -32,6 +32,9 @@
 
 // Reserve returns the part of one of a number of hosts that are known to share the reserves.
 func (o Overrun) Reserve(rule Rule, hosts int) Reserve {
+	if o.Window <= 0 {
+		return Reserve{}
+	}
 	return Reserve{Tokens: int64(o.tokens(rule) * reserveShare / float64(hosts+unknownHosts)), Window: o.Window}
 }
 
--- a/fleet/limit/overrun_test.go
+++ b/fleet/limit/overrun_test.go
@@ -24,12 +24,12 @@
 	return worst
 }
 
-// Guards against a team that exceeds rate and burst by more than the advance in one window: because two owners have all of it, because an advance is lent on top of a full bucket, or because hosts that were only cut off still hold an earlier owner's tokens.
+// Guards against a team that exceeds rate and burst by more than the advance in one window: because two owners have all of it, because an advance is lent on top of a full bucket, because hosts that were only cut off still hold an earlier owner's tokens, or because tokens of an advance are put back.
 func TestAdvanceStaysWithinTheOverrun(t *testing.T) {
 	const window = 5000 * ms
 	rapid.Check(t, func(r *rapid.T) {
 		rule := limit.Rule{Rate: rapid.Uint32Range(1, 60).Draw(r, "rate"), Burst: rapid.Uint32Range(1, 40).Draw(r, "burst")}
-		tokens := rapid.Int64Range(1, 40).Draw(r, "advance")
+		tokens := rapid.Int64Range(0, 40).Draw(r, "advance")
 		sim := newSimulation(3, map[ident.Team]limit.Rule{"stalls": rule})
 		// out is the percent of the advance that is out, as the log has it, and takenAt when this owner took its share.
 		out, takenAt := uint32(0), ident.Time(0)
@@ -47,6 +47,11 @@
 					out, takenAt = out+share, sim.now
 					sim.owner.Advance(sim.now, func(limit.Rule) int64 { return tokens * int64(share) / limit.WholeAdvance })
 				}
+			case 5, 6, 7:
+				// An operation that has just got its token doesn't run.
+				if n := len(sim.spent); n > 0 {
+					sim.undo(n - 1 - rapid.IntRange(0, min(n, 10)-1).Draw(r, "undone"))
+				}
 			}
 			if sim.now > max(sim.owner.LendsFrom(), takenAt)+window {
 				out = 0
@@ -123,6 +128,9 @@
 		}
 	})
 	require.Zero(t, limit.Overrun{}.Advance(limit.Rule{Rate: 10, Burst: 10}, 3), "without settings there is none")
+	withoutWindow := limit.Overrun{Fraction: 0.1, Slack: 20}
+	require.Zero(t, withoutWindow.Advance(limit.Rule{Rate: 10, Burst: 10}, 3))
+	require.Zero(t, withoutWindow.Reserve(limit.Rule{Rate: 10, Burst: 10}, 3), "a reserve without a window could be spent again and again")
 	large := limit.Overrun{Window: 5 * time.Second, Fraction: 0.1, Slack: 20}
 	require.EqualValues(t, 20, large.Advance(limit.Rule{Rate: 10, Burst: 20}, 65), "hosts of a large fleet have no reserve")
 }
