Restore upstreams at addresses and in leaderships that had others

Cause: a restored entry replaced one that was restored before without counting it, so the count of open ones never reached zero and the leader looked for unconfirmed upstreams on each directory. An older upstream that this host still listed at the restored one's address stayed listed beside it, for up to a minute.

Change: Restore settles the entry that it replaces, and ends others at its address as Record does, with the same function.

Result: TestRestoreAgain and the case of TestRestore fail before and pass now; all tests of fleet/directory pass.

--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -59,8 +59,16 @@
 	if d.newer(a) != nil {
 		return false
 	}
+	d.endOthersAt(now, a)
+	d.settle(known, true)
+	d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now}
+	return true
+}
+
+// endOthersAt ends the other upstreams at the address of an announcement, which has taken it over.
+func (d *Directory) endOthersAt(now ident.Time, a *fleetpb.Announcement) {
 	for other, r := range d.records {
-		if other == id || r.announcement.GetAddress() != a.GetAddress() || r.announcement.GetGone() {
+		if other == ident.Upstream(a.GetUpstream()) || r.announcement.GetAddress() != a.GetAddress() || r.announcement.GetGone() {
 			continue
 		}
 		d.settle(r, false)
@@ -68,9 +76,6 @@
 		r.announcement.Gone, r.announcement.Leaving = true, true
 		r.updatedAt = now
 	}
-	d.settle(known, true)
-	d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now}
-	return true
 }
 
 // Newer returns the announcement because of which Record refuses an announcement, or nil if it would not refuse it. It tells a host
--- a/fleet/directory/hint.go
+++ b/fleet/directory/hint.go
@@ -40,9 +40,11 @@
 		if Check(a) != nil || d.newer(a) != nil {
 			continue
 		}
-		restored := proto.CloneOf(a)
-		d.records[ident.Upstream(a.GetUpstream())] = &record{announcement: restored, updatedAt: now, unconfirmed: !a.GetGone()}
+		id := ident.Upstream(a.GetUpstream())
+		d.settle(d.records[id], false)
+		d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now, unconfirmed: !a.GetGone()}
 		if !a.GetGone() {
+			d.endOthersAt(now, a)
 			d.confirmation.Restored++
 		}
 	}
--- a/fleet/directory/hint_test.go
+++ b/fleet/directory/hint_test.go
@@ -74,6 +74,10 @@
 			before: []*fleetpb.Announcement{announce("b", "x:1", 2, 1)}, saved: []*fleetpb.Announcement{announce("a", "x:1", 1, 9)},
 			list: []string{"b@x:1"}, later: []string{"b@x:1"},
 		},
+		"has taken over an address since": {
+			before: []*fleetpb.Announcement{announce("a", "x:1", 1, 9)}, saved: []*fleetpb.Announcement{announce("b", "x:1", 2, 1)},
+			list: []string{"b@x:1?"}, settled: directory.Confirmation{Restored: 1, Dropped: 1},
+		},
 		"leaving": {
 			saved: []*fleetpb.Announcement{leaving(announce("a", "x:1", 1, 9))},
 			list:  []string{"a@x:1!?"}, settled: directory.Confirmation{Restored: 1, Dropped: 1},
@@ -103,6 +107,15 @@
 	}
 }
 
+// Guards against restored upstreams that stay open for ever, because the next leadership of the same host replaced them by later entries.
+func TestRestoreAgain(t *testing.T) {
+	d, start := directory.New(), ident.Time(time.Hour)
+	d.Restore(start, []*fleetpb.Announcement{announce("a", "x:1", 1, 9)})
+	d.Restore(start.Add(time.Second), []*fleetpb.Announcement{announce("a", "x:1", 1, 10)})
+	require.Equal(t, 1, d.Confirmation(start.Add(2*time.Second)).Open())
+	require.Zero(t, d.Confirmation(start.Add(5*time.Second)).Open())
+}
+
 // Guards against entries in the log for each announcement, and against a change that is saved late or not at all: what has ended must
 // be known after a restart.
 func TestDiffSaved(t *testing.T) {
