Check the leadership between the reservation and an order

Cause: a leader that is suspended after it has reserved a token and before it sends the order goes on with the call when it wakes up, though a later leader may have sent a higher token by then. Reports of usage check the leadership in that place; orders did not.

Change: an order is sent only while the leadership is confirmed.

Result: TestFormerLeaderOrdersNothing fails without the check; the tests of promotions in node/core pass.

--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -138,22 +138,19 @@
 // whose answer was lost is not executed after a later one. It returns an openOrderError if an order without an answer was followed by
 // none that was executed.
 func (p *promotion) orderPromotion(ctx context.Context, successor ident.Upstream) error {
-	core := p.groups.core
 	var unanswered error
 	for range maxOrders {
 		token, err := p.reserveToken(ctx, successor)
 		if err != nil {
 			return openOrder(unanswered, err)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err = core.options.Promoter.Promote(callCtx, p.group.service, successor, token)
-		cancel()
+		err = p.sendOrder(ctx, successor, token)
 		klog.InfoS("Promotion ordered", "service", p.group.service, "upstream", successor, "token", token, "problem", problem(err))
 		var refused *takeover.RefusedError
 		switch {
 		case err == nil:
 			return nil
-		case errors.As(err, &refused):
+		case errors.As(err, &refused), errors.Is(err, errNotLeader):
 			return openOrder(unanswered, err)
 		}
 		unanswered = err
@@ -161,6 +158,17 @@
 	return openOrder(unanswered, unanswered)
 }
 
+// sendOrder sends one order. It sends none if this host does not lead any more: its process may have been suspended since the token
+// was reserved, and a later leader may have sent a higher one.
+func (p *promotion) sendOrder(ctx context.Context, successor ident.Upstream, token uint64) error {
+	if !p.groups.core.leads() {
+		return errNotLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return p.groups.core.options.Promoter.Promote(ctx, p.group.service, successor, token)
+}
+
 // openOrder returns an error as an openOrderError if an earlier order was not answered.
 func openOrder(unanswered, err error) error {
 	if unanswered == nil {
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -314,3 +314,16 @@
 		{Upstream: "i-2", Primary: decider.Primary() == "i-2", LastAnnounced: now},
 	})
 }
+
+// Guards against an order with an outdated token from a host that was suspended between the reservation of the token and the call.
+func TestFormerLeaderOrdersNothing(t *testing.T) {
+	s := newServiceUnderTest(t)
+	orders := 0
+	p := s.promotion(func(ident.Upstream) error { orders++; return nil })
+	token, err := p.reserveToken(t.Context(), "i-1")
+	require.NoError(t, err)
+	require.NoError(t, s.core.replica.Close(t.Context()))
+	require.Eventually(t, func() bool { return !s.core.leads() }, eventually, time.Millisecond)
+	require.ErrorIs(t, p.sendOrder(t.Context(), "i-1", token), errNotLeader)
+	require.Zero(t, orders)
+}
