Keep what a host spent of a reserve that is withdrawn

Cause: a team without a reserve has a window of length 0, in which all earlier spending counted as over. A team that a configuration removed and another one added again within a window could spend its reserve twice.

Change: a reserve of 0 tokens is refused before the spending is looked at.

Result: the new lines of TestReserve fail before and pass now.

--- a/fleet/limit/reserve.go
+++ b/fleet/limit/reserve.go
@@ -34,7 +34,7 @@
 
 // spend takes a token if the window allows it.
 func (r *reserve) spend(now ident.Time) bool {
-	if !r.started || now.Sub(r.startedAt) < r.rule.Window {
+	if !r.started || r.rule.Tokens == 0 || now.Sub(r.startedAt) < r.rule.Window {
 		return false
 	}
 	r.spent = slices.DeleteFunc(r.spent, func(at ident.Time) bool { return now.Sub(at) >= r.rule.Window })
--- a/fleet/limit/reserve_test.go
+++ b/fleet/limit/reserve_test.go
@@ -38,6 +38,10 @@
 	at = at.Add(time.Second)
 	require.True(t, take())
 	require.False(t, take(), "the reserve is spent")
+	b.SetReserves(at, nil)
+	require.False(t, take())
+	b.SetReserves(at, reserves)
+	require.False(t, take(), "also for a team that was removed and added again")
 
 	at = at.Add(window - time.Second)
 	b.SetReserves(at, reserves)
