--- a/fleet/limit/owner.go
+++ b/fleet/limit/owner.go
@@ -146,7 +146,7 @@
 func newWant(t *fleetpb.Tokens) want {
 	w := want{
 		amount: int64(t.GetAmount()), waiting: int64(t.GetWaiting()), demand: int64(t.GetDemand()),
-		patience: time.Duration(t.GetPatienceMs()) * time.Millisecond,
+		patience: duration(t.GetPatienceMs()),
 	}
 	left := min(w.amount, w.waiting)
 	for p, n := range t.GetWaits() {
