End the steps of usage reports with their term

Cause: one round of closing and reporting takes up to eight calls to the platform, 2 s each, and checked only that this host leads. If the leadership went to another host and came back meanwhile, the round went on: a report without the silence of lease_ms that a new leadership keeps, after the other holder may have sent one, and windows closed with the counts of the earlier term.

Change: each step checks that the leadership of its term lasts.

Result: TestUsageStepEndsWithItsTerm fails before and passes now; the tests of usage in node/core pass.

--- a/node/core/usage.go
+++ b/node/core/usage.go
@@ -91,9 +91,13 @@
 	}
 }
 
-// step closes the windows that can be closed and sends the reports that wait, as far as the platform takes them.
+// step closes the windows that can be closed and sends the reports that wait, as far as the platform takes them, while the leadership of
+// a term lasts. Calls may take long, and a later leadership of this host must not go on without the silence of a new one.
 func (u *usage) step(ctx context.Context, term uint64) {
 	for range maxSteps {
+		if leadership := u.core.replica.Leadership(); !leadership.Confirmed || leadership.Term != term {
+			return
+		}
 		closed := u.close(ctx, steady.Now(), term)
 		if reported := u.report(ctx, steady.Now()); !closed && !reported {
 			return
--- a/node/core/usage_test.go
+++ b/node/core/usage_test.go
@@ -214,6 +214,17 @@
 	require.Equal(t, metering.Counts{"one": 7, "two": 9}, s.core.state.usageCounts(1000), "a request that arrived in an earlier term changes nothing")
 }
 
+// Guards against a host that goes on with reports in a later leadership of its own, without the silence and the hosts' counts of a new one,
+// because the platform's answers took longer than another host's leadership.
+func TestUsageStepEndsWithItsTerm(t *testing.T) {
+	s := newUsageUnderTest(t)
+	s.closeWindow(3, 4)
+	s.core.usage.step(t.Context(), s.core.usage.reporterTerm-1)
+	require.Empty(t, s.cloud.Usage.Reports())
+	s.core.usage.step(t.Context(), s.core.usage.reporterTerm)
+	require.Len(t, s.cloud.Usage.Reports(), 1)
+}
+
 // Guards against a report whose teams are named by the indices of another configuration, and against a host that is told that it was
 // understood.
 func TestUsageOfUnknownConfiguration(t *testing.T) {
