Test reserves and advances together against the overrun

Cause: the tests checked the advances of owners and the reserves of hosts apart; the simulation dropped the requests that run on a reserve, so their spending was not counted.

Change: the simulation counts them. A table test takes a full bucket, two changes of the owner in one window, and hosts that spend their reserves in between.

The golden files are unchanged.

--- a/fleet/limit/overrun_test.go
+++ b/fleet/limit/overrun_test.go
@@ -71,6 +71,59 @@
 	})
 }
 
+// Guards against a team that exceeds rate, burst and overrun in one window because the hosts' reserves, which they spend while no owner
+// answers, and the advances of two new owners add up to more than the overrun. The team asks for more than it gets from a full bucket on.
+func TestReservesAndAdvancesStayWithinTheOverrun(t *testing.T) {
+	for _, c := range []struct {
+		rule  limit.Rule
+		slack int64
+		hosts int
+	}{
+		{limit.Rule{Rate: 2, Burst: 60}, 10, 3},
+		{limit.Rule{Rate: 2, Burst: 60}, 40, 12},
+		{limit.Rule{Rate: 10, Burst: 40}, 20, 6},
+		{limit.Rule{Rate: 2, Burst: 40}, 20, 65},
+	} {
+		overrun := limit.Overrun{Window: 5 * time.Second, Fraction: 0.1, Slack: c.slack}
+		sim := newSimulation(c.hosts, map[ident.Team]limit.Rule{"stalls": c.rule})
+		for host := range c.hosts {
+			sim.borrowers[host].SetReserves(sim.now, map[ident.Team]limit.Reserve{"stalls": overrun.Reserve(c.rule, c.hosts)})
+		}
+		sim.now = 60_000 * ms
+		out := uint32(0)
+		for _, restarted := range []bool{false, true} {
+			askFor(sim, 300*ms)
+			sim.down = true
+			askFor(sim, 300*ms)
+			sim.down = false
+			sim.newOwner()
+			share := limit.AdvanceShare(out, restarted)
+			out += share
+			sim.owner.Advance(sim.now, func(rule limit.Rule) int64 { return overrun.Advance(rule, c.hosts) * int64(share) / limit.WholeAdvance })
+		}
+		askFor(sim, 4000*ms)
+		tokens := (float64(c.rule.Rate)*5+float64(c.rule.Burst))*overrun.Fraction + float64(overrun.Slack)
+		excess := mostInWindow(sim.spends["stalls"], c.rule, 5000*ms)
+		require.LessOrEqual(t, excess, tokens, "%+v", c)
+		require.Greater(t, excess, tokens/3, "%+v", c)
+	}
+}
+
+// askFor makes all hosts ask for many tokens for a time.
+func askFor(sim *simulation, d ident.Time) {
+	for end := sim.now + d; sim.now < end; sim.now += 5 * ms {
+		sim.deliver(5 * ms)
+		for host := range sim.borrowers {
+			if sim.now%(20*ms) == 0 {
+				sim.take(host, "stalls")
+				sim.take(host, "stalls")
+			}
+			sim.expire(host)
+			sim.sendRequest(host, 5*ms, 5*ms)
+		}
+	}
+}
+
 // Guards against a new owner that lends nothing until the loans of an earlier one are over, although the overrun allows some, and
 // against one whose buckets are empty although no owner has lent for long.
 func TestNewOwnerLends(t *testing.T) {
--- a/fleet/limit/simulation_test.go
+++ b/fleet/limit/simulation_test.go
@@ -180,7 +180,7 @@
 		})
 	}
 	if requestDelay < 0 || responseDelay < 0 {
-		b.HandleFailure(sim.now)
+		sim.applyOutcomes(host, b.HandleFailure(sim.now))
 	}
 	return true
 }
