--- a/fleet/quorum/lead.go
+++ b/fleet/quorum/lead.go
@@ -52,7 +52,7 @@
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.self
-	n.ballots = nil
+	n.ballots, n.yields = nil, 0
 	n.leaderState = leaderState{
 		since:         n.now,
 		noLeaderSince: min(n.now, n.noLeaderSince),
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -154,6 +154,12 @@
 	ledUntil         ident.Time
 	electionDeadline ident.Time
 	ballots          map[string]bool
+	// failedPreVotes is the number of questions before an election that were answered and found no majority, since this member began to
+	// ask. preVoteAnswered is set once the present question has an answer.
+	failedPreVotes  int
+	preVoteAnswered bool
+	// yields is the number of times that this member has left an election to another one since it last knew a leader.
+	yields int
 	// noLeaderSince is the latest lease end that this candidate and its voters know of.
 	noLeaderSince ident.Time
 
@@ -280,6 +286,9 @@
 // resetRole ends a candidacy or leadership and makes the member follow a leader, or wait for one if leader is nil.
 func (n *Node) resetRole(leader *fleetpb.Voter) {
 	n.leader = leader
+	if leader != nil {
+		n.yields = 0
+	}
 	n.ballots = nil
 	if n.role == Leader {
 		n.ledUntil = n.now
