Withdraw a question before an election for a member that goes first

So a member with four questions that were answered without a majority, in one term, neither refuses nor withdraws.

--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -89,9 +89,8 @@
 func (n *Node) handlePreVote(m *fleetpb.Message, request *fleetpb.PreVote) {
 	granted := m.GetTerm() > n.term && !n.hasActiveLeader() && n.upToDate(request.GetLastIndex(), request.GetLastTerm()) &&
 		!n.precedes(m.GetFrom(), request)
-	if granted && n.role == Follower {
-		// The other member is about to start an election. Another one at the same time would split the votes.
-		n.electionDeadline = max(n.electionDeadline, n.now.Add(n.bounds.ElectionMin/2))
+	if granted {
+		n.yield()
 	}
 	answer := &fleetpb.Message{
 		Kind: &fleetpb.Message_Answer{Answer: &fleetpb.VoteAnswer{Pre: true, Granted: granted}},
@@ -139,12 +138,28 @@
 	}
 }
 
-// maxPrecedence is the number of questions without a majority after which a member no longer goes before others.
+// maxPrecedence is the number of questions without a majority after which a member neither goes before others nor yields to them. Members
+// that don't reach a majority themselves, or wait for each other, must not hold up for long one that needs their votes.
 const maxPrecedence = 4
 
+// yield leaves the next election to a member that is about to start one and goes first, since another one at the same time would split the
+// votes. It waits for half of the shortest timeout only, as that member may not reach a majority.
+func (n *Node) yield() {
+	if n.failedPreVotes >= maxPrecedence {
+		return
+	}
+	if n.role == PreCandidate {
+		n.resetRole(nil)
+		n.electionDeadline = n.now
+	}
+	if n.role == Follower {
+		n.electionDeadline = max(n.electionDeadline, n.now.Add(n.bounds.ElectionMin/2))
+	}
+}
+
 // precedes reports whether this member asks for the same votes as another one with an equal log, and goes first. Of members that ask at
-// the same moment only one then finds a majority, where all of them would start elections and split the votes. A member that does not reach
-// a majority itself must not hold up for long another one that needs its vote.
+// the same moment only one then finds a majority, where all of them would start elections and split the votes. It concerns the question
+// before an election only, on which no safety rests.
 func (n *Node) precedes(other string, request *fleetpb.PreVote) bool {
 	return n.role == PreCandidate && n.failedPreVotes < maxPrecedence && !n.ahead(request) && n.self.GetMember() > other
 }
@@ -157,10 +172,7 @@
 
 // preCampaign asks whether a majority would elect this member. The term stays the same, so no leader has to step down.
 func (n *Node) preCampaign() {
-	switch {
-	case n.role != PreCandidate:
-		n.failedPreVotes = 0
-	case n.preVoteAnswered:
+	if n.preVoteAnswered {
 		n.failedPreVotes++
 	}
 	n.preVoteAnswered = false
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -154,8 +154,8 @@
 	ledUntil         ident.Time
 	electionDeadline ident.Time
 	ballots          map[string]bool
-	// failedPreVotes is the number of questions before an election that were answered and found no majority, since this member began to
-	// ask. preVoteAnswered is set once the present question has an answer.
+	// failedPreVotes is the number of questions before an election that were answered and found no majority, in this term and since this
+	// member last followed a leader. preVoteAnswered is set once the present question has an answer.
 	failedPreVotes  int
 	preVoteAnswered bool
 	// noLeaderSince is the latest lease end that this candidate and its voters know of.
@@ -284,6 +284,9 @@
 // resetRole ends a candidacy or leadership and makes the member follow a leader, or wait for one if leader is nil.
 func (n *Node) resetRole(leader *fleetpb.Voter) {
 	n.leader = leader
+	if leader != nil {
+		n.failedPreVotes, n.preVoteAnswered = 0, false
+	}
 	n.ballots = nil
 	if n.role == Leader {
 		n.ledUntil = n.now
@@ -310,6 +313,7 @@
 		return
 	}
 	n.term, n.vote = term, ""
+	n.failedPreVotes, n.preVoteAnswered = 0, false
 	n.matchIndex = 0
 	n.disk.dirtyHardState = true
 	n.resetRole(nil)
--- a/fleet/quorum/split_test.go
+++ b/fleet/quorum/split_test.go
@@ -10,8 +10,8 @@
 	"tamarackshunt.dev/fleet/quorum"
 )
 
-// returnOfThree returns the time from the start of three of five members, after all had ended, to a confirmed leader.
-func returnOfThree(t *testing.T, seed uint64) time.Duration {
+// returnWithout returns the time from the start of five members but the lost ones, after all had ended, to a confirmed leader.
+func returnWithout(t *testing.T, lost int, seed uint64) time.Duration {
 	s := newSim(seed, "a", "b", "c", "d", "e")
 	s.seeds, s.terse = s.names, true
 	// The member ids seed the elections.
@@ -25,7 +25,7 @@
 		s.crash(name)
 	}
 	s.run(time.Second)
-	returned := s.names[2:]
+	returned := s.names[lost:]
 	for _, name := range returned {
 		s.run(time.Duration(s.random.IntN(20)) * time.Millisecond)
 		s.start(name)
@@ -41,18 +41,20 @@
 	return s.now.Sub(start)
 }
 
-// Guards against votes that are split again and again after a loss of all power in which two of five disks were lost: all three members
-// must vote for one of them, and they start at the same moment. Logical time, so the times don't depend on the machine.
+// Guards against votes that are split again and again after a loss of all power in which some of five disks were lost: three members must
+// vote for one of them, and all start at the same moment. Logical time, so the times don't depend on the machine.
 func TestVotesAreRarelySplit(t *testing.T) {
 	const runs = 200
-	split := 0
-	for seed := range uint64(runs) {
-		// No member waits for longer than the longest timeout and a few messages unless votes were split.
-		if returnOfThree(t, seed) > 800*time.Millisecond {
-			split++
+	for lost := range 3 {
+		split := 0
+		for seed := range uint64(runs) {
+			// No member waits for longer than the longest timeout and a few messages unless votes were split.
+			if returnWithout(t, lost, seed) > 800*time.Millisecond {
+				split++
+			}
 		}
+		require.LessOrEqual(t, split, runs/100, "%d lost", lost)
 	}
-	require.LessOrEqual(t, split, runs/50)
 }
 
 // Guards against a member that asks for votes again and again, does not reach a majority itself, and refuses its vote to the only member
