Follow the joined code with two removals of the proofs

Cause: connections are chosen by fleet/connections now, and a line stands between two that a removal named. Change: the removal of the team check names the allocator; the one of the broken mark names the line that follows. Tests are unchanged.

--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -197,7 +197,7 @@
 	},
 	{
 		0, "UNASKED: a connection is used for its own team only",
-		"node/upstream/pool.go", "if p.idle[i].conn.Team != team {", "if p.idle[i].conn.Team == \"\" {",
+		"fleet/connections/allocator.go", "if c := a.idle[i]; c.team == w.team {", "if c := a.idle[i]; c.team != \"\" {",
 		"./node/upstream", "SessionState",
 	},
 	{
@@ -232,7 +232,7 @@
 	},
 	{
 		0, "MIXED: a connection with an answer under way is not used again",
-		"node/upstream/conn.go", "\tc.broken = true\n\tresult, err :=", "\tresult, err :=",
+		"node/upstream/conn.go", "\tc.broken = true\n\tif c.state", "\tif c.state",
 		"./node/gateway", "PanicDuringSingle",
 	},
 	{
