Rename package host/admission to host/gate

Two packages were called admission: fleet/admission schedules statements to an upstream, and host/admission limits what callers make a process hold.

Rename the latter to gate and its type Gate to Limiter, with the options and fields that hold it.

--- a/host/deps.go
+++ b/host/deps.go
@@ -16,11 +16,11 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/session"
 	"tamarackshunt.dev/host/acknowledge"
-	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/allotment"
 	"tamarackshunt.dev/host/clock"
 	"tamarackshunt.dev/host/controller"
 	"tamarackshunt.dev/host/entry"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/keeper"
 	"tamarackshunt.dev/host/lending"
 	"tamarackshunt.dev/host/member"
@@ -55,7 +55,7 @@
 	entry        *entry.Server
 	control      *controlRole
 	server       *http.Server
-	gate         *admission.Gate
+	limiter      *gate.Limiter
 	limits       budget.Limits
 	session      budget.SessionLimits
 	listener     net.Listener
@@ -83,7 +83,7 @@
 	limitMemory(settings.GetLimits())
 	ctx, stop := context.WithCancel(context.Background())
 	d := &deps{
-		gate:         admission.New(limits),
+		limiter:      gate.New(limits),
 		limits:       limits,
 		session:      session,
 		settings:     settings,
@@ -245,7 +245,7 @@
 	})
 	return entry.New(entry.Options{
 		Settings: d.settings, Clock: d.clock, View: view, Chooser: chooser, Quota: entryQuota{d.quota}, Pool: d.pool,
-		Gate: d.gate, Limits: d.session, Callers: d.limits.Sessions,
+		Limiter: d.limiter, Limits: d.session, Callers: d.limits.Sessions,
 		Rejected: d.rejections.Add, TLS: d.certificates.caller,
 		Ack: acknowledge.New(d.clock, d.tracker, d.keeper),
 	})
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -15,7 +15,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/route"
 	"tamarackshunt.dev/fleet/sqlstate"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
@@ -35,7 +35,7 @@
 type caller struct {
 	server *Server
 	// raw is the TCP connection under socket. Without TLS they are the same. Other goroutines use raw only.
-	raw     *admission.Session
+	raw     *gate.Session
 	socket  net.Conn
 	backend *pgproto3.Backend
 	meter   *meter
--- a/host/entry/meter.go
+++ b/host/entry/meter.go
@@ -6,7 +6,7 @@
 	"math/bits"
 
 	"tamarackshunt.dev/fleet/budget"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 )
 
 const (
@@ -25,7 +25,7 @@
 // meter takes the memory of a caller's messages before the protocol's reader allocates it.
 type meter struct {
 	from    io.Reader
-	session *admission.Session
+	session *gate.Session
 	header  []byte
 	// rest is the number of bytes of the current message that have not been read yet.
 	rest int
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -22,8 +22,8 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/sqlstate"
-	"tamarackshunt.dev/host/admission"
 	"tamarackshunt.dev/host/clock"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
@@ -37,7 +37,7 @@
 	// otherwise. It is long enough for the readiness checks of usual load balancers, and the host still refuses callers
 	// within seconds.
 	defaultNotice = 2 * time.Second
-	// listenerName names the callers' connections among those that the gate counts.
+	// listenerName names the callers' connections among those that the limiter counts.
 	listenerName = "callers"
 	// pollInterval is the interval of checks of the view, and of the callers that are left during a shutdown.
 	pollInterval = 20 * time.Millisecond
@@ -90,9 +90,9 @@
 	Pool     Pool
 	// TLS holds the certificate that callers are served with; nil means connections without TLS.
 	TLS *certificate.Store
-	// Gate admits callers and what they hold, within Limits for each, and Callers is the largest number of them. Without a gate there are no
-	// bounds but those of each caller.
-	Gate    *admission.Gate
+	// Limiter admits callers and the memory that they use, within Limits for each; Callers is the largest number of them. Without a Limiter,
+	// only the bounds of each caller apply.
+	Limiter *gate.Limiter
 	Limits  budget.SessionLimits
 	Callers int
 	// Rejected records a rejection for the explain command of operators; nil discards it.
@@ -124,8 +124,8 @@
 
 // New listens for callers, whom Start serves.
 func New(opts Options) (*Server, error) {
-	if opts.Gate == nil {
-		opts.Gate = admission.New(budget.Unlimited())
+	if opts.Limiter == nil {
+		opts.Limiter = gate.New(budget.Unlimited())
 		opts.Limits, opts.Callers = budget.NewSessionLimits(), math.MaxInt
 	}
 	listener, err := net.Listen("tcp", opts.Settings.GetCaller())
@@ -266,7 +266,7 @@
 			time.Sleep(pollInterval)
 			continue
 		}
-		session, err := s.opts.Gate.Open(budget.Listener{Name: listenerName, Limit: s.opts.Callers}, socket, s.opts.Limits)
+		session, err := s.opts.Limiter.Open(budget.Listener{Name: listenerName, Limit: s.opts.Callers}, socket, s.opts.Limits)
 		if err != nil {
 			continue
 		}
@@ -293,7 +293,7 @@
 }
 
 // register adds a caller under a random process id, which its cancel requests contain.
-func (s *Server) register(socket *admission.Session) (*caller, error) {
+func (s *Server) register(socket *gate.Session) (*caller, error) {
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, trace.Wrap(err)
--- a/host/admission/answers.go
+++ b/host/gate/answers.go
@@ -1,4 +1,4 @@
-package admission
+package gate
 
 import (
 	"io"
@@ -14,8 +14,8 @@
 
 // Answers accounts for the answers of upstreams and gateways while they are read. Its methods are safe for concurrent use.
 type Answers struct {
-	gate   *Gate
-	holder *budget.Holder
+	limiter *Limiter
+	holder  *budget.Holder
 }
 
 // answersName names the answers in the log.
@@ -24,27 +24,27 @@
 func (answersName) String() string { return "answers" }
 
 // NewAnswers returns an account for answers, which together may use the total of the limits less their reserve.
-func (g *Gate) NewAnswers(limits budget.Limits) (*Answers, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (l *Limiter) NewAnswers(limits budget.Limits) (*Answers, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	listener := budget.Listener{Name: answersName{}.String(), Limit: math.MaxInt, Share: limits.Total - limits.Reserve}
-	holder, _, err := g.account.Open(listener, "", steady.Now())
+	holder, _, err := l.account.Open(listener, "", steady.Now())
 	if err != nil {
 		return nil, err
 	}
-	g.account.SetPhase(holder, budget.PhaseBusy, steady.Now())
-	return &Answers{gate: g, holder: holder}, nil
+	l.account.SetPhase(holder, budget.PhaseBusy, steady.Now())
+	return &Answers{limiter: l, holder: holder}, nil
 }
 
 // Take reserves bytes of an answer before they are used, or returns a budget.RefusedError.
 func (a *Answers) Take(n int) error {
-	return a.gate.take(a.holder, answersName{}, budget.Bytes(n))
+	return a.limiter.take(a.holder, answersName{}, budget.Bytes(n))
 }
 
 // Give returns bytes.
 func (a *Answers) Give(n int) {
 	if n > 0 {
-		a.gate.give(a.holder, budget.Bytes(n))
+		a.limiter.give(a.holder, budget.Bytes(n))
 	}
 }
 
--- a/host/admission/http.go
+++ b/host/gate/http.go
@@ -1,4 +1,4 @@
-package admission
+package gate
 
 import (
 	"context"
@@ -38,13 +38,13 @@
 // sessionKey is the context key of the Session of a call.
 type sessionKey struct{}
 
-// Server returns a server whose connections and bodies the gate admits.
-func (g *Gate) Server(calls Calls) *http.Server {
+// Server returns a server whose connections and bodies the limiter admits.
+func (l *Limiter) Server(calls Calls) *http.Server {
 	connections := &connections{sessions: map[net.Conn]*Session{}}
 	return &http.Server{
 		Handler: calls, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: peer.ErrorLog(),
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
-			s, err := g.Open(calls.Listener, connection, budget.SessionLimits{})
+			s, err := l.Open(calls.Listener, connection, budget.SessionLimits{})
 			if err != nil {
 				return ctx
 			}
@@ -84,7 +84,7 @@
 	case http.StateIdle:
 		s.setPhase(budget.PhaseIdle)
 	case http.StateClosed, http.StateHijacked:
-		s.gate.close(s)
+		s.limiter.close(s)
 	case http.StateNew:
 	}
 }
--- a/host/admission/http_test.go
+++ b/host/gate/http_test.go
@@ -1,4 +1,4 @@
-package admission_test
+package gate_test
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/budget"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 )
 
 // Guards against bodies that are held without being admitted, against a refusal that its client doesn't get because it still sends, and
@@ -19,7 +19,7 @@
 	limits := budget.NewLimits(64*budget.MiB, 400)
 	served := 0
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = admission.New(limits).Server(admission.Calls{
+	server.Config = gate.New(limits).Server(gate.Calls{
 		Listener: limits.PeerListener(), MaxBody: 32 << 20, Copies: 4,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(r.Body)
--- a/host/admission/machine.go
+++ b/host/gate/machine.go
@@ -1,4 +1,4 @@
-package admission
+package gate
 
 import (
 	"math"
--- a/host/admission/session.go
+++ b/host/gate/session.go
@@ -1,4 +1,4 @@
-package admission
+package gate
 
 import (
 	"errors"
@@ -14,9 +14,9 @@
 // Session is a connection with what it holds and its deadlines. One goroutine uses it, but for SetReadDeadline and Close.
 type Session struct {
 	net.Conn
-	gate   *Gate
-	holder *budget.Holder
-	limits budget.SessionLimits
+	limiter *Limiter
+	holder  *budget.Holder
+	limits  budget.SessionLimits
 
 	mu sync.Mutex
 	// idle is the read deadline that the owner has set, and message the time by which a message that has begun must have arrived.
@@ -31,20 +31,20 @@
 	case budget.PhaseStarting:
 		if budget.Bytes(n) > s.limits.First {
 			err := &budget.RefusedError{Reason: budget.ReasonFirst}
-			s.gate.refused(err, "bytes", s.RemoteAddr().String())
+			s.limiter.refused(err, "bytes", s.RemoteAddr().String())
 			return err
 		}
 	case budget.PhaseIdle, budget.PhaseOpen:
 		s.beginMessage()
 	default:
 	}
-	return s.gate.take(s.holder, s.RemoteAddr(), budget.Bytes(n))
+	return s.limiter.take(s.holder, s.RemoteAddr(), budget.Bytes(n))
 }
 
 // Give returns bytes.
 func (s *Session) Give(n int) {
 	if n > 0 {
-		s.gate.give(s.holder, budget.Bytes(n))
+		s.limiter.give(s.holder, budget.Bytes(n))
 	}
 }
 
@@ -156,7 +156,7 @@
 	}
 	n, err := s.Conn.Write(answer)
 	if isTimeout(err) {
-		s.gate.Closed("answer_not_read", s.RemoteAddr().String())
+		s.limiter.Closed("answer_not_read", s.RemoteAddr().String())
 	}
 	return n, err
 }
@@ -166,25 +166,25 @@
 
 // SetTeam records the team that the connection belongs to.
 func (s *Session) SetTeam(team ident.Team) {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	s.gate.account.SetTeam(s.holder, team)
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	s.limiter.account.SetTeam(s.holder, team)
 }
 
 // CountClosed counts that the owner closes the connection at a limit.
 func (s *Session) CountClosed(reason string) {
-	s.gate.Closed(reason, s.RemoteAddr().String())
+	s.limiter.Closed(reason, s.RemoteAddr().String())
 }
 
 // Close closes the connection and returns what it holds.
 func (s *Session) Close() error {
-	s.gate.close(s)
+	s.limiter.close(s)
 	return s.Conn.Close()
 }
 
 func (s *Session) phase() budget.Phase {
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
 	return s.holder.Phase()
 }
 
@@ -194,9 +194,9 @@
 		// A busy session is never chosen by its wait.
 		now = steady.Now()
 	}
-	s.gate.mu.Lock()
-	defer s.gate.mu.Unlock()
-	s.gate.account.SetPhase(s.holder, phase, now)
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	s.limiter.account.SetPhase(s.holder, phase, now)
 }
 
 func isTimeout(err error) bool {
--- a/host/limits.go
+++ b/host/limits.go
@@ -8,7 +8,7 @@
 
 	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/fleetpb"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 )
 
 const (
@@ -24,10 +24,10 @@
 func callerLimits(s *fleetpb.CallerLimits) (budget.Limits, budget.SessionLimits, error) {
 	memory, descriptors := megabytes(s.GetMemory()), int(s.GetDescriptors())
 	if memory == 0 {
-		memory = admission.MachineMemory()
+		memory = gate.MachineMemory()
 	}
 	if descriptors == 0 {
-		descriptors = admission.MachineDescriptors()
+		descriptors = gate.MachineDescriptors()
 	}
 	limits := budget.NewLimits(memory, descriptors).With(budget.Limits{
 		Total: megabytes(s.GetTotal()), Reserve: megabytes(s.GetReserve()), Session: megabytes(s.GetSession()),
@@ -51,7 +51,7 @@
 
 // newServer returns the server for peers, operators, announcements and metrics.
 func (d *deps) newServer() *http.Server {
-	return d.gate.Server(admission.Calls{
+	return d.limiter.Server(gate.Calls{
 		Listener: d.limits.PeerListener(), Handler: d.handler(), MaxBody: maxCall, Copies: callCopies,
 		Refuse: func(w http.ResponseWriter, err error) {
 			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
--- a/node/core.go
+++ b/node/core.go
@@ -17,7 +17,7 @@
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/fleet/store"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/core"
 	"tamarackshunt.dev/platform/api"
@@ -65,7 +65,7 @@
 		// A core process has no sessions, and every entry host keeps connections to it.
 		limits.Peers += limits.Sessions
 	}
-	listeners := &listeners{gate: admission.New(limits), limits: limits}
+	listeners := &listeners{limiter: gate.New(limits), limits: limits}
 	p := &corePart{
 		file: file, peers: peer.New(peer.Options{Trusted: true}), ownAddress: address(s.IP, s.FirstPort+portOffsetCore),
 		folder: filepath.Join(s.Folder, logFolder), background: newBackground(), done: make(chan struct{}),
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,7 +13,7 @@
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/host/quota"
 	"tamarackshunt.dev/node/coreclient"
@@ -59,8 +59,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	listeners := &listeners{gate: admission.New(limits), limits: limits}
-	answers, err := listeners.gate.NewAnswers(limits)
+	listeners := &listeners{limiter: gate.New(limits), limits: limits}
+	answers, err := listeners.limiter.NewAnswers(limits)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -88,7 +88,7 @@
 	tokens = quota.New(quota.Options{Host: s.Host, Incarnation: incarnation, Fleet: core, Peers: peers, Period: borrowPeriod, Prefetch: borrowPrefetch})
 	p := &entryPart{background: newBackground(), failure: make(chan struct{})}
 	p.server = entry.New(entry.Options{
-		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Gate: listeners.gate, Limits: session, Sessions: limits.Sessions,
+		Protocol: newCaller, Table: table, Quota: tokens, Grace: s.Grace, Limiter: listeners.limiter, Limits: session, Sessions: limits.Sessions,
 	})
 	if p.listener, err = net.Listen("tcp4", s.Caller); err != nil {
 		return nil, trace.ConvertSystemError(err)
--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tamarackshunt.dev/fleet/budget"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/node/entry"
 	"tamarackshunt.dev/platform/wire"
 )
@@ -27,7 +27,7 @@
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
 		Table:    h.table, Quota: newTokens(100), Grace: time.Minute,
-		Gate: admission.New(budget.NewLimits(64*budget.MiB, 400)), Limits: limits, Sessions: 10,
+		Limiter: gate.New(budget.NewLimits(64*budget.MiB, 400)), Limits: limits, Sessions: 10,
 	})
 	go func() { _ = server.Serve(listener) }()
 	return h
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -17,7 +17,7 @@
 	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/statement"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/node/routing"
 )
 
@@ -29,7 +29,7 @@
 	idleCheckInterval = 50 * time.Millisecond
 	// closeMargin is the part of the grace period that is left for the exit of the process.
 	closeMargin = 700 * time.Millisecond
-	// listenerName names the callers' connections among those that the gate counts.
+	// listenerName names the callers' connections among those that the limiter counts.
 	listenerName = "callers"
 )
 
@@ -71,9 +71,9 @@
 	Quota    Quota
 	// Grace is the maximum duration of a shutdown.
 	Grace time.Duration
-	// Gate admits sessions and what they hold, within Limits for each session, and Sessions is the largest number of sessions. Without a
-	// gate there are no bounds but those of each session.
-	Gate     *admission.Gate
+	// Limiter admits sessions and the memory that they use, within Limits for each; Sessions is the largest number of them. Without a
+	// Limiter, only the bounds of each session apply.
+	Limiter  *gate.Limiter
 	Limits   budget.SessionLimits
 	Sessions int
 }
@@ -90,8 +90,8 @@
 
 // New returns a server without sessions.
 func New(options Options) *Server {
-	if options.Gate == nil {
-		options.Gate = admission.New(budget.Unlimited())
+	if options.Limiter == nil {
+		options.Limiter = gate.New(budget.Unlimited())
 		options.Limits, options.Sessions = budget.NewSessionLimits(), math.MaxInt
 	}
 	return &Server{options: options, sessions: map[*session]struct{}{}}
@@ -110,7 +110,7 @@
 			continue
 		}
 		sessions.Inc()
-		admitted, err := s.options.Gate.Open(budget.Listener{Name: listenerName, Limit: s.options.Sessions}, raw, s.options.Limits)
+		admitted, err := s.options.Limiter.Open(budget.Listener{Name: listenerName, Limit: s.options.Sessions}, raw, s.options.Limits)
 		if err != nil {
 			continue
 		}
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -20,7 +20,7 @@
 	"tamarackshunt.dev/fleet/limit"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/node/upstream"
 )
 
@@ -48,7 +48,7 @@
 // shutdown uses as well.
 type session struct {
 	server *Server
-	raw    *admission.Session
+	raw    *gate.Session
 	caller Caller
 	// activity is read and ending is set by a shutdown.
 	activity atomic.Int32
@@ -108,7 +108,7 @@
 	return o.route.Priority
 }
 
-func newSession(server *Server, raw *admission.Session) *session {
+func newSession(server *Server, raw *gate.Session) *session {
 	return &session{
 		server:      server,
 		raw:         raw,
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -16,7 +16,7 @@
 	"tamarackshunt.dev/fleet/budget"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/peer"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
@@ -207,7 +207,7 @@
 	g, u, target := startPrimary(t)
 	limits := budget.NewLimits(16*budget.MiB, 400)
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = admission.New(limits).Server(admission.Calls{
+	server.Config = gate.New(limits).Server(gate.Calls{
 		Listener: limits.PeerListener(), MaxBody: 64 << 20, Copies: 5,
 		Handler: peer.TrustedHandler(gateway.NewServer(pools{"i-1": upstream.NewPool(target, protocol, 1)}).Handler()),
 		Refuse: func(w http.ResponseWriter, err error) {
@@ -239,7 +239,7 @@
 	t.Cleanup(server.Close)
 	for memory, admitted := range map[budget.Bytes]bool{64 * budget.MiB: true, 4 * budget.MiB: false} {
 		limits := budget.NewLimits(memory, 400)
-		answers, err := admission.New(limits).NewAnswers(limits)
+		answers, err := gate.New(limits).NewAnswers(limits)
 		require.NoError(t, err)
 		failures := 0
 		client := gateway.NewClient(&http.Client{Transport: answers.Transport(http.DefaultTransport)}, func(address string) string { return "http://" + address })
--- a/node/limits.go
+++ b/node/limits.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/budget"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/platform/machine"
 )
 
@@ -26,24 +26,24 @@
 func callerLimits(s *machine.Settings) (budget.Limits, budget.SessionLimits, error) {
 	memory, descriptors := budget.Bytes(s.MemoryMB)*budget.MiB, s.Descriptors
 	if memory == 0 {
-		memory = admission.MachineMemory()
+		memory = gate.MachineMemory()
 	}
 	if descriptors == 0 {
-		descriptors = admission.MachineDescriptors()
+		descriptors = gate.MachineDescriptors()
 	}
 	limits := budget.NewLimits(memory, descriptors).With(s.Callers.Limits)
 	return limits, budget.NewSessionLimits().With(s.Callers.Session), limits.Check()
 }
 
-// listeners serves the HTTP listeners of a process within one gate.
+// listeners serves the HTTP listeners of a process within one Limiter.
 type listeners struct {
-	gate   *admission.Gate
-	limits budget.Limits
+	limiter *gate.Limiter
+	limits  budget.Limits
 }
 
 // peers serves other hosts' calls at an address until the process ends.
 func (l *listeners) peers(address string, handler http.Handler) error {
-	return l.serve(address, admission.Calls{
+	return l.serve(address, gate.Calls{
 		Listener: l.limits.PeerListener(), Handler: handler, MaxBody: maxPeerCall, Copies: peerCallCopies,
 		Refuse: func(w http.ResponseWriter, err error) {
 			_ = twirp.WriteError(w, twirp.ResourceExhausted.Error(err.Error()))
@@ -53,19 +53,19 @@
 
 // calls serves the platform's calls at an address until the process ends.
 func (l *listeners) calls(name, address string, handler http.Handler) error {
-	return l.serve(address, admission.Calls{
+	return l.serve(address, gate.Calls{
 		Listener: l.limits.CallListener(name), Handler: handler, MaxBody: maxOrder, Copies: orderCopies,
 		Refuse: func(w http.ResponseWriter, err error) { http.Error(w, err.Error(), http.StatusServiceUnavailable) },
 	})
 }
 
-func (l *listeners) serve(address string, calls admission.Calls) error {
+func (l *listeners) serve(address string, calls gate.Calls) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	go func() {
-		if err := l.gate.Server(calls).Serve(listener); err != nil {
+		if err := l.limiter.Server(calls).Serve(listener); err != nil {
 			klog.ErrorS(err, "Listener ended", "address", address)
 		}
 	}()
