Correct two doc comments of limit and metering

The package comment of limit named the Reserve as the only exception to the bound, though the advance of a new owner is another one, and the comment of Meter.Late described Dropped as well. Comments only.

go test of fleet/limit and fleet/metering passes.

--- a/fleet/limit/doc.go
+++ b/fleet/limit/doc.go
@@ -15,5 +15,6 @@
 // Refund puts the token of an operation that did not run back into its loan. For the owner, the token was on loan all the
 // time; after a report that counted it as spent, it stays spent.
 //
-// The one exception to the bound is the Reserve, which a host may spend without a loan while no owner responds.
+// Two exceptions to the bound share an Overrun: the Reserve, which a host may spend without a loan while no owner responds, and the
+// advance, which a new owner may lend before its buckets have refilled.
 package limit
--- a/fleet/metering/meter.go
+++ b/fleet/metering/meter.go
@@ -60,8 +60,7 @@
 	m.discardClosed()
 }
 
-// Late returns the number of operations that ended after their window was closed, and Dropped that of operations in windows that
-// were dropped because too many were open.
+// Late returns the number of operations that ended after their window was closed.
 func (m *Meter) Late() uint64 { return m.late }
 
 // Dropped returns the number of operations in windows that were dropped because too many were open.
