Use the term pre-vote in package quorum

Comments called a pre-vote the question before an election, and yield named what defers one. Rename yield to deferElection and use the usual term. No change of behaviour.

--- a/fleet/quorum/election.go
+++ b/fleet/quorum/election.go
@@ -90,7 +90,7 @@
 	granted := m.GetTerm() > n.term && !n.hasActiveLeader() && n.upToDate(request.GetLastIndex(), request.GetLastTerm()) &&
 		!n.precedes(m.GetFrom(), request)
 	if granted {
-		n.yield()
+		n.deferElection()
 	}
 	answer := &fleetpb.Message{
 		Kind: &fleetpb.Message_Answer{Answer: &fleetpb.VoteAnswer{Pre: true, Granted: granted}},
@@ -138,13 +138,13 @@
 	}
 }
 
-// maxPrecedence is the number of questions without a majority after which a member neither goes before others nor yields to them. Members
+// maxPrecedence is the number of pre-votes without a majority after which a member neither precedes others nor defers to them. Members
 // that don't reach a majority themselves, or wait for each other, must not hold up for long one that needs their votes.
 const maxPrecedence = 4
 
-// yield leaves the next election to a member that is about to start one and goes first, since another one at the same time would split the
-// votes. It waits for half of the shortest timeout only, as that member may not reach a majority.
-func (n *Node) yield() {
+// deferElection leaves the next election to a member that is about to start one and precedes this one, since two elections at the same
+// time would split the votes. It waits for half of the shortest timeout only, as that member may not reach a majority.
+func (n *Node) deferElection() {
 	if n.failedPreVotes >= maxPrecedence {
 		return
 	}
@@ -158,8 +158,8 @@
 }
 
 // precedes reports whether this member asks for the same votes as another one with an equal log, and goes first. Of members that ask at
-// the same moment only one then finds a majority, where all of them would start elections and split the votes. It concerns the question
-// before an election only, on which no safety rests.
+// the same moment only one then finds a majority, where all of them would start elections and split the votes. It concerns the
+// pre-vote only, on which no safety rests.
 func (n *Node) precedes(other string, request *fleetpb.PreVote) bool {
 	return n.role == PreCandidate && n.failedPreVotes < maxPrecedence && !n.ahead(request) && n.self.GetMember() > other
 }
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -154,8 +154,8 @@
 	ledUntil         ident.Time
 	electionDeadline ident.Time
 	ballots          map[string]bool
-	// failedPreVotes is the number of questions before an election that were answered and found no majority, in this term and since this
-	// member last followed a leader. preVoteAnswered is set once the present question has an answer.
+	// failedPreVotes is the number of pre-votes that were answered and found no majority, in this term and since this
+	// member last followed a leader. preVoteAnswered is set once the present pre-vote has an answer.
 	failedPreVotes  int
 	preVoteAnswered bool
 	// noLeaderSince is the latest lease end that this candidate and its voters know of.
