Use usual terms in the scheduling and connection packages

A newcomer has to ask about lane, heir, round, resting and goesFirst. Package comments say what a package is made for in place of the loads that it answers, and a connection without a known caller is called unauthenticated. No change of behaviour.

--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -80,7 +80,7 @@
 
 // aheadOfLevel returns how many waiting statements go before all new ones of a priority.
 func (s *Scheduler) aheadOfLevel(l *level) int {
-	ahead := len(s.lane)
+	ahead := len(s.ready)
 	for _, other := range s.levels {
 		if other.priority < l.priority {
 			ahead += other.waiting
--- a/fleet/admission/scheduler.go
+++ b/fleet/admission/scheduler.go
@@ -66,8 +66,8 @@
 	stateWaiting state = iota
 	// stateReserved means that a slot is reserved while the statement takes a connection.
 	stateReserved
-	// stateLane means waiting for a slot with a connection.
-	stateLane
+	// stateReady means waiting for a slot with a connection.
+	stateReady
 	// stateRunning means running in a slot.
 	stateRunning
 )
@@ -93,8 +93,8 @@
 	waiting int
 	// levels is ordered by priority.
 	levels []*level
-	// lane holds the statements that hold a connection and wait for a slot. Those of open transactions come first.
-	lane []*item
+	// ready holds the statements that hold a connection and wait for a slot. Those of open transactions come first.
+	ready []*item
 	// held measures the statements of open transactions.
 	held       decay.Sum
 	warmup     warmup
@@ -132,7 +132,7 @@
 
 // Waiting returns the number of statements that wait for a reservation or a slot.
 func (s *Scheduler) Waiting() int {
-	return s.waiting + len(s.lane)
+	return s.waiting + len(s.ready)
 }
 
 // Reserved returns the number of statements that have a reservation and take a connection.
@@ -218,7 +218,7 @@
 // Expire refuses a statement that still waits although its time has ended. It does nothing if the statement has been granted or has
 // ended.
 func (s *Scheduler) Expire(now ident.Time, id ID) []Decision {
-	if it := s.items[id]; it != nil && (it.state == stateWaiting || it.state == stateLane) {
+	if it := s.items[id]; it != nil && (it.state == stateWaiting || it.state == stateReady) {
 		s.refuse(now, it, ReasonDeadline, s.aheadOf(now, s.level(it.Priority), it))
 	}
 	return s.decide(now)
@@ -311,27 +311,28 @@
 	}
 }
 
-// join gives a statement with a connection a slot, or a place in the lane. Statements of open transactions go first.
+// join queues a statement that has a connection for a slot, those of open transactions first. It refuses the statement if the warm-up admits
+// none.
 func (s *Scheduler) join(now ident.Time, it *item) {
-	it.state = stateLane
+	it.state = stateReady
 	if s.warmup.closed(now) {
 		s.refuse(now, it, ReasonWarmup, 0)
 		return
 	}
-	at := len(s.lane)
+	at := len(s.ready)
 	if it.Holding {
-		for at > 0 && !s.lane[at-1].Holding {
+		for at > 0 && !s.ready[at-1].Holding {
 			at--
 		}
 	}
-	s.lane = slices.Insert(s.lane, at, it)
+	s.ready = slices.Insert(s.ready, at, it)
 }
 
 // decide grants what there is room for and returns all decisions since the last call.
 func (s *Scheduler) decide(now ident.Time) []Decision {
-	for s.running < s.limit && len(s.lane) > 0 && s.warmup.take(now) {
-		it := s.lane[0]
-		s.lane = slices.Delete(s.lane, 0, 1)
+	for s.running < s.limit && len(s.ready) > 0 && s.warmup.take(now) {
+		it := s.ready[0]
+		s.ready = slices.Delete(s.ready, 0, 1)
 		if s.running == 0 {
 			s.progressAt = now
 		}
@@ -364,7 +365,7 @@
 // hasRoom reports whether a slot is left for a reservation of a priority. Reservations of less urgent statements don't count, nor do
 // those that have waited for a connection for long: other teams may have a free one. Their number is bounded.
 func (s *Scheduler) hasRoom(now ident.Time, l *level) bool {
-	taken := s.running + len(s.lane)
+	taken := s.running + len(s.ready)
 	for _, other := range s.levels {
 		if other.priority <= l.priority {
 			taken += other.connecting(now.Add(-connectTime))
@@ -436,8 +437,8 @@
 		}
 	case stateReserved:
 		l.unreserve(it)
-	case stateLane:
-		s.lane = slices.DeleteFunc(s.lane, func(x *item) bool { return x == it })
+	case stateReady:
+		s.ready = slices.DeleteFunc(s.ready, func(x *item) bool { return x == it })
 	case stateRunning:
 		s.running--
 	}
--- a/fleet/budget/account.go
+++ b/fleet/budget/account.go
@@ -51,8 +51,8 @@
 	return h, victim, nil
 }
 
-// longestWaiting returns the connection of a listener that may be closed for a new one: the one that has not said for the longest time
-// who it is, or else the one that has been idle for the longest time.
+// longestWaiting returns the connection of a listener that may be closed for a new one: the one that has been unauthenticated
+// for the longest time, or else the one that has been idle for the longest time.
 func (a *Account) longestWaiting(listener string) *Holder {
 	var longest *Holder
 	for h := range a.holders {
@@ -163,7 +163,7 @@
 	var largest *Holder
 	for v := range a.holders {
 		inScope := reason == ReasonTotal || (reason == ReasonAddress && v.address == h.address) || (reason == ReasonTeam && v.team == h.team)
-		if v == h || !inScope || !goesFirst(v, h, n) || slices.Contains(others, v) {
+		if v == h || !inScope || !closableFor(v, h, n) || slices.Contains(others, v) {
 			continue
 		}
 		if largest == nil || cmp.Or(cmp.Compare(largest.held, v.held), v.compareWait(largest)) < 0 {
@@ -173,9 +173,9 @@
 	return largest
 }
 
-// goesFirst reports whether a holder is closed before another is refused bytes: if it holds more than the other would, or if it holds
+// closableFor reports whether a holder is closed before another is refused bytes: if it holds more than the other would, or if it holds
 // the beginning of a message while the other has a whole one.
-func goesFirst(v, h *Holder, n Bytes) bool {
+func closableFor(v, h *Holder, n Bytes) bool {
 	if v.phase == PhaseBusy || v.held == 0 {
 		return false
 	}
--- a/fleet/budget/doc.go
+++ b/fleet/budget/doc.go
@@ -2,6 +2,6 @@
 // for one session, one address and one team, and a reserve for sessions that hold little. Bytes are taken before they are used. When
 // something has to be closed, the largest holder that no statement depends on goes first.
 //
-// It answers callers that send many large messages at once, messages without an end, values and prepared statements without number,
-// or nothing, and callers that read no answers.
+// It bounds the memory and the connections that callers can take by many large messages at once, messages that never end, many values
+// and prepared statements, idle connections, and answers that they don't read.
 package budget
--- a/fleet/budget/holder.go
+++ b/fleet/budget/holder.go
@@ -14,7 +14,7 @@
 
 // Phases.
 const (
-	// PhaseStarting is before a connection has said who it is.
+	// PhaseStarting is before a connection is authenticated.
 	PhaseStarting Phase = iota
 	PhaseIdle
 	// PhaseOpen is between the requests of a transaction, which would be lost with the connection.
--- a/fleet/connections/allocator.go
+++ b/fleet/connections/allocator.go
@@ -64,8 +64,8 @@
 const (
 	connOpening connState = iota
 	connRunning
-	// connResting is the state of a connection held by a transaction without a running statement.
-	connResting
+	// connIdleInTransaction is the state of a connection held by a transaction without a running statement.
+	connIdleInTransaction
 	connIdle
 )
 
@@ -192,13 +192,13 @@
 	return a.request(now, &waiter{team: c.team, priority: c.priority, since: waited})
 }
 
-// SetResting records whether the transaction that holds a connection runs no statement.
-func (a *Allocator) SetResting(id ConnID, resting bool) {
+// SetIdleInTransaction records whether the transaction that holds a connection runs no statement.
+func (a *Allocator) SetIdleInTransaction(id ConnID, idle bool) {
 	c := a.conns[id]
 	switch {
 	case c == nil || c.state == connIdle || c.state == connOpening:
-	case resting:
-		c.state = connResting
+	case idle:
+		c.state = connIdleInTransaction
 	default:
 		c.state = connRunning
 	}
@@ -218,7 +218,7 @@
 	}
 	// A connection that is released is not one that less urgent statements hold.
 	c.state, c.since = connIdle, now
-	if w := a.heir(now, c); w != nil {
+	if w := a.waiterFor(now, c); w != nil {
 		c.run++
 		return append(a.give(now, w, c), a.decide(now)...)
 	}
@@ -226,13 +226,13 @@
 	return a.decide(now)
 }
 
-// heir returns the waiting statement of a connection's team that goes on with it, or nil.
-func (a *Allocator) heir(now ident.Time, c *conn) *waiter {
+// waiterFor returns the waiting statement that a released connection of its team is handed over to, or nil.
+func (a *Allocator) waiterFor(now ident.Time, c *conn) *waiter {
 	i := slices.IndexFunc(a.waiting, func(w *waiter) bool { return w.team == c.team })
 	if i < 0 {
 		return nil
 	}
-	r, w, first := a.newRound(now), a.waiting[i], a.waiting[0]
+	r, w, first := a.newSnapshot(now), a.waiting[i], a.waiting[0]
 	switch {
 	case r.heldBack(w):
 		return nil
@@ -289,8 +289,8 @@
 	return &Close{c.id}
 }
 
-// round is what the decisions of one moment have in common.
-type round struct {
+// snapshot is the state of an allocator on which the decisions of one moment rest.
+type snapshot struct {
 	now     ident.Time
 	limit   int
 	crowded bool
@@ -303,8 +303,8 @@
 	handshakeEnd ident.Time
 }
 
-func (a *Allocator) newRound(now ident.Time) *round {
-	r := &round{now: now, limit: a.account.Limit(now)}
+func (a *Allocator) newSnapshot(now ident.Time) *snapshot {
+	r := &snapshot{now: now, limit: a.account.Limit(now)}
 	if r.crowded = a.crowded(now); !r.crowded {
 		return r
 	}
@@ -327,12 +327,12 @@
 }
 
 // heldBack reports whether a statement has to leave what is left of the account to the most urgent route.
-func (r *round) heldBack(w *waiter) bool {
+func (r *snapshot) heldBack(w *waiter) bool {
 	return r.crowded && w.priority > r.urgent && r.held >= r.limit-r.limit/urgentDivisor
 }
 
 // joins reports whether a statement should wait for a running connection of its team; ahead counts the waiters of its team before it.
-func (r *round) joins(w *waiter, ahead int) bool {
+func (r *snapshot) joins(w *waiter, ahead int) bool {
 	return r.now < w.since.Add(joinTime) && ahead < r.running[w.team]*maxJoining
 }
 
@@ -346,7 +346,7 @@
 	if len(a.waiting) == 0 {
 		return actions
 	}
-	r, ahead := a.newRound(now), map[ident.Team]int{}
+	r, ahead := a.newSnapshot(now), map[ident.Team]int{}
 	for _, w := range slices.Clone(a.waiting) {
 		served := a.serve(r, w, ahead[w.team])
 		if served == nil {
@@ -354,13 +354,13 @@
 			continue
 		}
 		actions = append(actions, served...)
-		r = a.newRound(now)
+		r = a.newSnapshot(now)
 	}
 	return actions
 }
 
 // serve returns the actions that end the wait of a statement, or nil; ahead counts the waiters of its team before it.
-func (a *Allocator) serve(r *round, w *waiter, ahead int) []Action {
+func (a *Allocator) serve(r *snapshot, w *waiter, ahead int) []Action {
 	if r.limit == 0 && w.priority >= 0 {
 		a.Cancel(w.id)
 		return []Action{&Refuse{w.id, true}}
@@ -404,7 +404,7 @@
 }
 
 // open has a statement open a connection, in the place of an idle one if the account is full. It returns nil if there is none.
-func (a *Allocator) open(r *round, w *waiter) []Action {
+func (a *Allocator) open(r *snapshot, w *waiter) []Action {
 	limit := r.limit
 	if w.priority < 0 {
 		// The core's requests are served by every host that it asks.
--- a/fleet/connections/failure_test.go
+++ b/fleet/connections/failure_test.go
@@ -245,7 +245,7 @@
 
 // Guards against transactions that rest on all connections while urgent requests wait, and against less urgent ones that then wait
 // until their deadline.
-func TestRestingTransactions(t *testing.T) {
+func TestIdleTransactions(t *testing.T) {
 	const limit = 16
 	a := connections.NewAllocator()
 	a.SetTeams(loadTeams)
@@ -260,7 +260,7 @@
 		}
 		conn := actions[len(actions)-1].(*connections.Open).Conn
 		a.Opened(now, conn)
-		a.SetResting(conn, true)
+		a.SetIdleInTransaction(conn, true)
 		return true
 	}
 	require.True(t, open("urgent", 0))
--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -98,7 +98,7 @@
 	return teams > account || hosts > account
 }
 
-// Standing is what a host takes of another one that may hold connections.
+// Standing is a host's view of another one that may hold connections.
 type Standing int
 
 //go:generate enumer -type=Standing -trimprefix=Standing -transform=snake
--- a/fleet/connections/replay_test.go
+++ b/fleet/connections/replay_test.go
@@ -127,9 +127,9 @@
 					release()
 					return
 				}
-				r.allocator.SetResting(conn, true)
+				r.allocator.SetIdleInTransaction(conn, true)
 				r.after(restTime, func() {
-					r.allocator.SetResting(conn, false)
+					r.allocator.SetIdleInTransaction(conn, false)
 					r.work(kinds[priority].work, release)
 				})
 			})
--- a/fleet/decay/doc.go
+++ b/fleet/decay/doc.go
@@ -1,2 +1,2 @@
-// Package decay measures how much happened lately.
+// Package decay provides sums whose parts decay exponentially with their age, for rates and recent counts.
 package decay
--- a/fleet/retry/doc.go
+++ b/fleet/retry/doc.go
@@ -1,3 +1,3 @@
 // Package retry decides what follows an attempt to run a statement that did not run: another upstream, a wait for the state to change, or
-// a refusal. It answers the load that hosts put on each other when they repeat what an upstream can't serve.
+// a refusal. It bounds the retries of a host, so that retries don't add to an overload.
 package retry
--- a/host/entry/meter.go
+++ b/host/entry/meter.go
@@ -48,7 +48,7 @@
 }
 
 // Read implements io.Reader. The bytes of a message are taken when its beginning is read, or with the next call if that was before the
-// caller has said who it is: the first messages may be sent together.
+// caller was authenticated: the first messages may be sent together.
 func (m *meter) Read(into []byte) (int, error) {
 	if err := m.take(); err != nil {
 		return 0, err
--- a/host/gate/session.go
+++ b/host/gate/session.go
@@ -58,7 +58,7 @@
 	_ = s.applyDeadline()
 }
 
-// Starting reports whether the connection has not said yet who it is.
+// Starting reports whether the connection is not authenticated yet.
 func (s *Session) Starting() bool { return s.phase() == budget.PhaseStarting }
 
 // Waiting records that the owner waits for the next message, of which a part may have arrived already. inTransaction is set if a
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -181,7 +181,7 @@
 		r.onFailure(errors.Is(err, syscall.ECONNREFUSED))
 	}
 	if neverSent(err) {
-		if mayHold(err) {
+		if mayHoldLease(err) {
 			r.Close()
 		}
 		r.lease = ""
--- a/node/gateway/sent.go
+++ b/node/gateway/sent.go
@@ -27,9 +27,9 @@
 	return false
 }
 
-// mayHold reports whether a gateway that could not be reached may still hold the lease of a statement: its process may run unless its port
+// mayHoldLease reports whether a gateway that could not be reached may still hold the lease of a statement: its process may run unless its port
 // is closed.
-func mayHold(err error) bool {
+func mayHoldLease(err error) bool {
 	var dial *net.OpError
 	return errors.As(err, &dial) && !errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -145,7 +145,7 @@
 	// The connection is not used again unless the whole answer has been read, also after a panic: the rest may still arrive.
 	c.broken = true
 	if c.state != statement.StateIdle {
-		c.pool.setResting(c, false)
+		c.pool.setIdleInTransaction(c, false)
 	}
 	result, err := c.session.Run(id, since, request)
 	if err != nil {
@@ -153,7 +153,7 @@
 	}
 	c.broken, c.state = false, result.State
 	if c.state != statement.StateIdle {
-		c.pool.setResting(c, true)
+		c.pool.setIdleInTransaction(c, true)
 	}
 	return result, nil
 }
@@ -267,7 +267,7 @@
 			c.broken = true
 		}
 	}
-	c.broken = c.broken || c.holdsMuch()
+	c.broken = c.broken || c.hasLargeState()
 	c.pool.put(c)
 }
 
--- a/node/upstream/grant.go
+++ b/node/upstream/grant.go
@@ -233,11 +233,11 @@
 	p.carryOut(p.allocator.Release(steady.Now(), conn.id, reusable))
 }
 
-// setResting records whether the transaction that holds a connection runs no statement.
-func (p *Pool) setResting(conn *Conn, resting bool) {
+// setIdleInTransaction records whether the transaction that holds a connection runs no statement.
+func (p *Pool) setIdleInTransaction(conn *Conn, idle bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.allocator.SetResting(conn.id, resting)
+	p.allocator.SetIdleInTransaction(conn.id, idle)
 }
 
 // carryOut carries out the allocator's decisions and sets the timer for the next one. The caller must hold mu. Connections are closed
--- a/node/upstream/kept.go
+++ b/node/upstream/kept.go
@@ -1,11 +1,11 @@
 package upstream
 
-// maxKept is the size in bytes of the values and prepared statements with which a connection stays in its pool. Ordinary sessions have
+// maxKeptState is the size in bytes of the values and prepared statements with which a connection stays in its pool. Ordinary sessions have
 // few and short ones.
-const maxKept = 64 << 10
+const maxKeptState = 64 << 10
 
-// holdsMuch reports whether the session state of a connection is too large to be kept while nobody uses it.
-func (c *Conn) holdsMuch() bool {
+// hasLargeState reports whether the session state of a connection is too large to be kept while nobody uses it.
+func (c *Conn) hasLargeState() bool {
 	size := 0
 	for name, value := range c.values {
 		size += len(name) + len(value)
@@ -13,5 +13,5 @@
 	for definition := range c.prepared {
 		size += len(definition.Shape)
 	}
-	return size > maxKept
+	return size > maxKeptState
 }
