Name clock offsets and reword figurative comments

The difference of two clocks was called ahead in metering and in the usage part of the core; it is now offset. No change of behaviour.

go test of fleet/metering, fleet/connections, fleet/admission, host/gate and node/core passes, as does proofs with -count=1; golangci-lint reports no issues in these packages.

--- a/fleet/admission/estimate.go
+++ b/fleet/admission/estimate.go
@@ -46,7 +46,7 @@
 	return s.running > 0 && now.Sub(s.progressAt) > max(stallTime, stallHolds*s.holdTime)
 }
 
-// rate returns the statements per second that a priority can count on: what the slots and the warm-up bear, less what goes to
+// rate returns the statements per second that a priority can count on: what the slots and the warm-up allow, less what goes to
 // transactions and to more urgent statements. It is infinite without a measurement.
 func (s *Scheduler) rate(now ident.Time, priority int) float64 {
 	total := math.Inf(1)
--- a/fleet/connections/account.go
+++ b/fleet/connections/account.go
@@ -11,7 +11,7 @@
 	firstSize = 4
 	// firstInterval is the time in which a growing account grows by one even if nothing is opened, since all it has may be in use.
 	firstInterval = 50 * time.Millisecond
-	// settleTime is the time after which an earlier holder's connections are gone: an upstream drops those of a dark machine.
+	// settleTime is the time after which an earlier holder's connections are gone: an upstream closes those of a machine that has failed.
 	settleTime = 3 * time.Second
 	// shrinkDivisor is the part of the open connections by which a refusal shrinks an account.
 	shrinkDivisor = 8
--- a/fleet/connections/demand.go
+++ b/fleet/connections/demand.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// demandTime is the time over which uses are averaged. It spans several uses of a middling team.
+	// demandTime is the time over which uses are averaged. It spans several uses of a team with average load.
 	demandTime = 5 * time.Second
 	// urgencyFactor is how many uses of one priority count as much as one of the next more urgent priority.
 	urgencyFactor = 4
--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -55,7 +55,7 @@
 }
 
 // Orders returns the order of the hosts for each of several upstreams. It is that of Order, except that a host is the first one for no
-// more upstreams of its zone than an even division needs: a small host's link does not bear the statements of several busy upstreams.
+// more upstreams of its zone than an even division needs: the link of a small host can't carry the statements of several busy upstreams.
 func Orders(hosts []Host, upstreams []Upstream) map[ident.Upstream][]int {
 	inZone, perZone := map[ident.Zone]int{}, map[ident.Zone]int{}
 	for _, host := range hosts {
--- a/fleet/metering/clock.go
+++ b/fleet/metering/clock.go
@@ -16,10 +16,10 @@
 	maxRoundTrip = 150 * time.Millisecond
 )
 
-// sample is what a host's time of day was ahead of the leader's steady clock at a time.
+// sample is the offset of a host's time of day from the leader's steady clock at a time.
 type sample struct {
-	ahead time.Duration
-	at    ident.Time
+	offset time.Duration
+	at     ident.Time
 }
 
 // FleetClock estimates the true time from the times of day of the hosts. It uses their median, so clocks of a minority that are
@@ -33,7 +33,7 @@
 	if c.samples == nil {
 		c.samples = map[ident.Host]sample{}
 	}
-	c.samples[host] = sample{ahead: timeOfDay.Sub(now), at: now}
+	c.samples[host] = sample{offset: timeOfDay.Sub(now), at: now}
 }
 
 // Now returns the true time at the leader's steady time now. It is unknown until most of the live hosts have reported their time of
@@ -45,7 +45,7 @@
 			delete(c.samples, host)
 			continue
 		}
-		offsets = append(offsets, s.ahead)
+		offsets = append(offsets, s.offset)
 	}
 	if len(offsets) == 0 || 2*len(offsets) <= liveHosts {
 		return 0, false
@@ -56,8 +56,8 @@
 
 // HostClock converts a host's steady time to true time. It is not safe for concurrent use.
 type HostClock struct {
-	// ahead is what the true time is ahead of the steady clock.
-	ahead time.Duration
+	// offset is the offset of the true time from the steady clock.
+	offset time.Duration
 	// updatedAt is when the leader's time was last received, 0 before the first time.
 	updatedAt ident.Time
 	halfTrip  time.Duration
@@ -65,12 +65,12 @@
 
 // NewHostClock returns a clock that uses the host's time of day until the fleet's time is known.
 func NewHostClock(now ident.Time, timeOfDay Instant) *HostClock {
-	return &HostClock{ahead: timeOfDay.Sub(now)}
+	return &HostClock{offset: timeOfDay.Sub(now)}
 }
 
 // At returns the true time at a steady time.
 func (c *HostClock) At(now ident.Time) Instant {
-	return InstantAt(now, c.ahead)
+	return InstantAt(now, c.offset)
 }
 
 // Due reports whether the fleet's time should be requested.
@@ -90,6 +90,6 @@
 		return
 	}
 	c.halfTrip = trip / 2
-	c.ahead = fleet.Add(c.halfTrip).Sub(receivedAt)
+	c.offset = fleet.Add(c.halfTrip).Sub(receivedAt)
 	c.updatedAt = receivedAt
 }
--- a/fleet/metering/window.go
+++ b/fleet/metering/window.go
@@ -20,10 +20,10 @@
 	return Instant(milliseconds * int64(time.Millisecond))
 }
 
-// InstantAt returns the true time at a steady time if the true time is that far ahead of the steady clock.
-func InstantAt(now ident.Time, ahead time.Duration) Instant { return Instant(now.Add(ahead)) }
+// InstantAt returns the true time at a steady time, given the offset of the true time from the steady clock.
+func InstantAt(now ident.Time, offset time.Duration) Instant { return Instant(now.Add(offset)) }
 
-// Sub returns what the instant is ahead of a steady time.
+// Sub returns the offset of the instant from a steady time.
 func (i Instant) Sub(now ident.Time) time.Duration { return time.Duration(int64(i) - int64(now)) }
 
 // Window is the number of a window: window k begins k times the length of windows after the start of 1970.
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -372,7 +372,7 @@
 	_, _ = io.Copy(io.Discard, c.socket)
 }
 
-// forget drops what the session holds, which must not outlast its account while the last answer lingers.
+// forget drops what the session holds, which must not stay in memory after its account is closed while the last answer is being sent.
 func (c *caller) forget() {
 	c.statements, c.portals, c.settings = nil, nil, settings{}
 	c.backend = newBackend(c.socket, &meter{from: c.socket, session: c.raw})
--- a/host/gate/limiter.go
+++ b/host/gate/limiter.go
@@ -71,7 +71,7 @@
 	return s, nil
 }
 
-// take reserves bytes for a holder, whose name is for the log, and closes the sessions that have to go for it.
+// take reserves bytes for a holder, whose name is for the log, and closes the sessions that have to give way.
 func (l *Limiter) take(holder *budget.Holder, name fmt.Stringer, n budget.Bytes) error {
 	l.mu.Lock()
 	victims, err := l.account.Take(holder, n)
@@ -105,19 +105,19 @@
 	l.update()
 }
 
-// remove removes the session of a holder, which may be nil.
+// remove removes the session of a holder, which may be nil, and returns it. The caller must hold mu.
 func (l *Limiter) remove(holder *budget.Holder) *Session {
 	s := l.sessions[holder]
 	delete(l.sessions, holder)
 	return s
 }
 
-// update sets the gauge of held bytes.
+// update sets the gauge of held bytes. The caller must hold mu.
 func (l *Limiter) update() {
 	held.Set(uint64(l.account.Used()))
 }
 
-// evict closes the connection of a session that goes for another one.
+// evict closes the connection of a session that gives way to another one.
 func (l *Limiter) evict(s *Session, reason, of string) {
 	if s == nil {
 		return
--- a/host/gate/limiter_test.go
+++ b/host/gate/limiter_test.go
@@ -14,7 +14,7 @@
 	"tamarackshunt.dev/host/gate"
 )
 
-// short is a time after which a caller is given up.
+// short is a timeout for messages and answers.
 const short = 20 * time.Millisecond
 
 var callers = budget.Listener{Name: "callers", Limit: 2}
@@ -65,7 +65,7 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
 
-// Guards against a first message that takes as much memory as one of a caller who has shown a key.
+// Guards against a first message that takes as much memory as one of an authenticated caller.
 func TestFirstMessage(t *testing.T) {
 	s, _ := open(t, gate.New(budget.NewLimits(64*budget.MiB, 400)))
 	var refused *budget.RefusedError
--- a/node/core/usage.go
+++ b/node/core/usage.go
@@ -60,8 +60,8 @@
 	mu sync.Mutex
 	// clock holds for all leaderships of this host, ledger for one.
 	clock metering.FleetClock
-	// ahead is what the true time was ahead of this host's steady clock at estimatedAt, if timeKnown is set.
-	ahead       time.Duration
+	// offset is the offset of the true time from this host's steady clock at estimatedAt, if timeKnown is set.
+	offset      time.Duration
 	estimatedAt ident.Time
 	timeKnown   bool
 
--- a/node/core/usage_collect.go
+++ b/node/core/usage_collect.go
@@ -53,9 +53,9 @@
 	if u.estimatedAt == 0 || now.Sub(u.estimatedAt) >= estimateInterval {
 		var at metering.Instant
 		at, u.timeKnown = u.clock.Now(now, len(u.core.liveStarts(now)))
-		u.ahead, u.estimatedAt = at.Sub(now), now
+		u.offset, u.estimatedAt = at.Sub(now), now
 	}
-	return metering.InstantAt(now, u.ahead), u.timeKnown
+	return metering.InstantAt(now, u.offset), u.timeKnown
 }
 
 // ledgerOf returns the ledger of a leadership, or nil if a later one has begun. What hosts have reported to an earlier one may be
