--- a/node/entry/refusal_internal_test.go
+++ b/node/entry/refusal_internal_test.go
@@ -24,7 +24,7 @@
 	}
 	for _, err := range []error{
 		busy(0), busy(time.Millisecond), busy(300 * time.Millisecond), busy(900 * time.Millisecond), busy(1100 * time.Millisecond),
-		sooner(busy(300*time.Millisecond), busy(200*time.Millisecond)), sooner(nil, busy(200*time.Millisecond)),
+		withEarlierRetry(busy(300*time.Millisecond), busy(200*time.Millisecond)), withEarlierRetry(nil, busy(200*time.Millisecond)),
 		&statement.Failure{Code: statement.CodeReadOnly, Text: "i-1"}, &statement.Failure{Code: statement.CodeLagging, Text: "i-1"},
 		&upstream.UnreachableError{Upstream: "i-1", Cause: errors.New("stalled")}, errNoPrimary,
 	} {
--- a/node/entry/retry.go
+++ b/node/entry/retry.go
@@ -125,22 +125,22 @@
 func returnTime(o *operation, last error) time.Duration {
 	var failure *statement.Failure
 	if errors.As(last, &failure) && failure.Retry > 0 {
-		return within(failure.Retry, o.route.Timeout)
+		return spreadBelow(failure.Retry, o.route.Timeout)
 	}
 	return max(o.route.Objective/2, minRetry)
 }
 
-// within returns a time to come back that is at most a limit. Longer times are spread over the limit's second half, so that their callers
-// don't come back at the same moment.
-func within(after, limit time.Duration) time.Duration {
+// spreadBelow returns a time to come back that is at most a limit. Longer times are spread over the limit's second half, so that
+// their callers don't come back at the same moment.
+func spreadBelow(after, limit time.Duration) time.Duration {
 	if half := limit / 2; after > limit && half > 0 {
 		return half + after%half
 	}
 	return after
 }
 
-// sooner returns the failure of two upstreams that refused a statement, with the earlier time to come back.
-func sooner(first, second error) error {
+// withEarlierRetry returns the failure of two upstreams that refused a statement, with the earlier time to come back.
+func withEarlierRetry(first, second error) error {
 	var x, y *statement.Failure
 	if errors.As(first, &x) && errors.As(second, &y) && x.Retry > 0 && y.Retry > 0 {
 		both := *y
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -141,7 +141,7 @@
 				return outcome, executor, err
 			}
 		}
-		err = sooner(refusal, err)
+		err = withEarlierRetry(refusal, err)
 		move, again := tries.next(ctx, err, chosen.others && refusedBy == nil)
 		if !again {
 			return outcome, nil, err
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -327,6 +327,11 @@
 	}
 	t.mu.Unlock()
 	t.check(due)
+	publishConnections(roles, accounts, open)
+}
+
+// publishConnections sets the gauges of the roles of this host, the sum of its limits and its open connections.
+func publishConnections(roles map[connections.Role]int, accounts, open int) {
 	for _, role := range []connections.Role{connections.RoleGateway, connections.RoleSuccessor, connections.RoleLastResort} {
 		metrics.GetOrCreateGauge(fmt.Sprintf("tamarack_connections_role{role=%q}", role), nil).Set(float64(roles[role]))
 	}
