--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -15,7 +15,7 @@
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/route"
 	"tamarackshunt.dev/fleet/sqlstate"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
@@ -35,7 +35,7 @@
 type caller struct {
 	server *Server
 	// raw is the TCP connection under socket. Without TLS they are the same. Other goroutines use raw only.
-	raw     *admission.Session
+	raw     *gate.Session
 	socket  net.Conn
 	backend *pgproto3.Backend
 	meter   *meter
@@ -372,7 +372,7 @@
 	_, _ = io.Copy(io.Discard, c.socket)
 }
 
-// forget drops what the session holds, which must not outlast its account while the last answer lingers.
+// forget drops what the session holds, which must not stay in memory after its account is closed while the last answer is being sent.
 func (c *caller) forget() {
 	c.statements, c.portals, c.settings = nil, nil, settings{}
 	c.backend = newBackend(c.socket, &meter{from: c.socket, session: c.raw})
--- a/host/entry/meter.go
+++ b/host/entry/meter.go
@@ -6,7 +6,7 @@
 	"math/bits"
 
 	"tamarackshunt.dev/fleet/budget"
-	"tamarackshunt.dev/host/admission"
+	"tamarackshunt.dev/host/gate"
 )
 
 const (
@@ -25,7 +25,7 @@
 // meter takes the memory of a caller's messages before the protocol's reader allocates it.
 type meter struct {
 	from    io.Reader
-	session *admission.Session
+	session *gate.Session
 	header  []byte
 	// rest is the number of bytes of the current message that have not been read yet.
 	rest int
@@ -48,7 +48,7 @@
 }
 
 // Read implements io.Reader. The bytes of a message are taken when its beginning is read, or with the next call if that was before the
-// caller has said who it is: the first messages may be sent together.
+// caller was authenticated: the first messages may be sent together.
 func (m *meter) Read(into []byte) (int, error) {
 	if err := m.take(); err != nil {
 		return 0, err
