--- a/node/entry.go
+++ b/node/entry.go
@@ -34,7 +34,7 @@
 const borrowPrefetch = 2
 
 // memoryLimitPercent is the garbage collector's soft memory limit in percent of the process's memory limit.
-const memoryLimitPercent = 70
+const memoryLimitPercent = 60
 
 // entryPart runs the role of an entry host.
 type entryPart struct {
