Run the tests of crowds of callers apart from the others

Cause: they measure the memory of processes, and ran beside the other packages' tests. Change: make test leaves them out of the first run and runs the two packages one after the other.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 	@mkdir -p $(BIN)
 	@for p in $(PROGRAMS); do (cd $${p%%:*} && go build -o $(BIN)/$${p##*:} .) || exit 1; done
 
+# The tests that measure memory under crowds of callers run one at a time, after all others.
 test: build models
-	.ci/gotest $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	.ci/gotest -skip '^TestCrowd' $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	.ci/gotest -p 1 -run '^TestCrowd' ./node ./host
 
 models:
 	@./models/check
