--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -376,26 +376,25 @@
 	return nil
 }
 
-// homes restarts the only host of the region that is the home of a route.
+// homes kills the entry processes of the region that is the home of a route at the same moment.
 func homes(f *fleet, trouble bool) error {
 	f.spread, f.extraTenants, f.homes = false, 15, []string{"zapad"}
 	g, list, err := setUp(f, 0)
 	if err != nil {
 		return err
 	}
-	home, client := f.machines[0], f.machines[2]
+	const home, client = "zapad-a", "vychod-a"
 	var mu sync.Mutex
 	from := map[string]int{}
-	g.ran = func(d *database, _, id, text string) { f.record.add("database %s runs %s %s", d.id, id, text) }
 	g.ranFrom = func(d *database, c net.Conn, id, text string) {
-		owner := f.owner(c)
+		owner, zone := f.owner(c)
 		mu.Lock()
 		defer mu.Unlock()
 		from[owner]++
 		f.record.add("database %s ran %s, which came from %s", d.id, id, owner)
-		if owner != home.name && owner != client.name && owner != "" && from[owner] == 1 {
-			f.record.violation("HOME: %s of a client at %s came to %s from %s, in a region that is neither a home of the route nor the client's",
-				id, client.name, d.id, owner)
+		if zone != home && zone != client && zone != "" && from[owner] == 1 {
+			f.record.violation("HOME: %s %q of a client in %s came to %s from %s, in a region that is neither a home of the route nor the client's",
+				id, text, client, d.id, owner)
 		}
 	}
 	done := make(chan struct{})
@@ -408,20 +407,25 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		p := home.processes["entry"]
-		p.signal(syscall.SIGTERM)
-		f.record.say("SIGTERM to the entry process of %s", home.name)
-		select {
-		case <-p.exited:
-		case <-time.After(6 * time.Second):
-			p.signal(syscall.SIGKILL)
-			<-p.exited
+		killed := 0
+		for _, m := range f.machines {
+			if m.zone == home {
+				m.processes["entry"].signal(syscall.SIGKILL)
+				killed++
+			}
 		}
-		time.Sleep(500 * time.Millisecond)
-		if err := f.start(home, "entry"); err != nil {
-			return err
+		f.record.say("the entry processes of %s killed, %d of %d", home, killed, len(f.machines))
+		time.Sleep(2 * time.Second)
+		for _, m := range f.machines {
+			if m.zone != home {
+				continue
+			}
+			<-m.processes["entry"].exited
+			if err := f.start(m, "entry"); err != nil {
+				return err
+			}
 		}
-		f.record.say("entry process of %s started again", home.name)
+		f.record.say("the entry processes of %s started again", home)
 	}
 	time.Sleep(5 * time.Second)
 	close(done)
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -33,13 +33,27 @@
 
 var zones = []string{"zapad-a", "stred-a", "vychod-a"}
 
-// machine runs the two roles of the deploy file.
+// coreCount is the number of machines with a disk, which run both roles of the deploy file and come first.
+const coreCount = 3
+
+// machine runs the roles of the deploy file.
 type machine struct {
 	name, ip, zone string
+	roles          []string
 	settings       string
 	processes      map[string]*process
 }
 
+func newMachine(zone string, number int, ip string, disk bool) *machine {
+	m := &machine{
+		name: fmt.Sprintf("front-%s-%d", zone, number), ip: ip, zone: zone, roles: []string{"entry"}, processes: map[string]*process{},
+	}
+	if disk {
+		m.roles = []string{"core", "entry"}
+	}
+	return m
+}
+
 type process struct {
 	command *exec.Cmd
 	log     string
@@ -65,7 +79,7 @@
 	homes        []string
 }
 
-func newFleet(r *record, program string) (*fleet, error) {
+func newFleet(r *record, program string, extra []int) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "stand2-")
 	if err != nil {
 		return nil, err
@@ -82,9 +96,16 @@
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(f.ip(10+i), strconv.Itoa(portControl))))
 	}
 	for i, zone := range zones {
-		m := &machine{name: "front-" + zone + "-1", ip: f.ip(10 + i), zone: zone, processes: map[string]*process{}}
-		f.machines = append(f.machines, m)
-		for _, role := range []string{"entry", "core"} {
+		f.machines = append(f.machines, newMachine(zone, 1, f.ip(10+i), true))
+	}
+	for i, count := range extra {
+		for n := range count {
+			ip := f.ip(10 + len(f.machines))
+			f.machines = append(f.machines, newMachine(zones[i], 2+n, ip, false))
+		}
+	}
+	for _, m := range f.machines {
+		for _, role := range m.roles {
 			if err := f.writeSettings(m, role, strings.Join(seeds, ",")); err != nil {
 				return nil, err
 			}
@@ -215,7 +236,7 @@
 
 func (f *fleet) startAll() error {
 	for _, m := range f.machines {
-		for _, role := range []string{"core", "entry"} {
+		for _, role := range m.roles {
 			if err := f.start(m, role); err != nil {
 				return err
 			}
@@ -300,7 +321,7 @@
 // order sends an order of the operator until it is acknowledged, to one core host after the other from the first on.
 func (f *fleet) order(first int, path string, body []byte) error {
 	for try := range 20 {
-		i := (first + try) % len(f.machines)
+		i := (first + try) % coreCount
 		f.record.say("operator: POST %s to %s", path, f.machines[i].name)
 		status, text, err := f.call(i, http.MethodPost, path, body)
 		switch {
@@ -372,7 +393,7 @@
 
 // announce sends the announcements of a database until the fleet ends.
 func (f *fleet) announce(d *database) {
-	next := rand.IntN(len(f.machines))
+	next := rand.IntN(coreCount)
 	for {
 		select {
 		case <-f.done:
@@ -403,13 +424,13 @@
 	body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","capacity":2,"state":%q,"warmup_left_ms":0,"db_role":%q,"seq":%d,"born":%d}`,
 		g.service, d.addr, d.zone, state, role, d.seq, d.born)
 	g.mu.Unlock()
-	for range f.machines {
+	for range coreCount {
 		status, _, err := f.call(*next, http.MethodPost, "/tamarackshunt/Instances.Heartbeat/"+d.id, []byte(body))
 		f.record.add("%s announced %s, %s to %s: %d", d.id, role, state, f.machines[*next].name, status)
 		if err == nil && status < 300 {
 			return true
 		}
-		*next = (*next + 1) % len(f.machines)
+		*next = (*next + 1) % coreCount
 	}
 	return false
 }
@@ -428,7 +449,7 @@
 
 // deregister ends a database that has drained.
 func (f *fleet) deregister(d *database) {
-	for i := range f.machines {
+	for i := range coreCount {
 		status, _, err := f.call(i, http.MethodPost, "/tamarackshunt/Instances.Deregister/"+d.id, []byte(fmt.Sprintf(`{"born":%d}`, d.born)))
 		if err == nil && status < 300 {
 			f.record.say("database %s deregistered", d.id)
@@ -463,7 +484,7 @@
 // leaderIndex returns the machine whose core process logged last that it leads, or -1.
 func (f *fleet) leaderIndex() int {
 	best, bestTerm := -1, -1
-	for i, m := range f.machines {
+	for i, m := range f.machines[:coreCount] {
 		text, err := os.ReadFile(m.processes["core"].log)
 		if err != nil {
 			continue
@@ -482,13 +503,13 @@
 	return best
 }
 
-// owner returns the name of the machine whose process has the other end of a connection to a database. On a network that is the source
+// owner returns the name and the zone of the machine whose process has the other end of a connection to a database. On a network that is the source
 // address; on loopback it is found by the sockets of the processes that this program has started.
-func (f *fleet) owner(c net.Conn) string {
+func (f *fleet) owner(c net.Conn) (name, zone string) {
 	port := c.RemoteAddr().(*net.TCPAddr).Port
 	inode := socketInode(port)
 	if inode == "" {
-		return ""
+		return "", ""
 	}
 	for _, m := range f.machines {
 		for _, p := range m.processes {
@@ -496,12 +517,12 @@
 			entries, _ := os.ReadDir(folder)
 			for _, entry := range entries {
 				if target, err := os.Readlink(filepath.Join(folder, entry.Name())); err == nil && target == "socket:["+inode+"]" {
-					return m.name
+					return m.name, m.zone
 				}
 			}
 		}
 	}
-	return ""
+	return "", ""
 }
 
 // socketInode returns the inode of the socket with a local port, or an empty string.
--- a/review/stand-2/group.go
+++ b/review/stand-2/group.go
@@ -494,6 +494,11 @@
 func (s *upstreamSession) keep(id string, writes [][2]string) bool {
 	g := s.d.group
 	g.mu.Lock()
+	if !s.d.primary || s.d.term != g.term {
+		// Another one has been promoted since the statement arrived.
+		g.mu.Unlock()
+		return s.fail("READONLY")
+	}
 	acknowledged := g.commit(s.d, id, writes)
 	if acknowledged {
 		g.acked[id] = time.Now()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,10 @@
 	"evacuee": evacuee,
 }
 
+// extraHosts has, for each zone, the number of machines without a disk beside the one with a disk. With these a case has the machines
+// of the site lamparen-noc.
+var extraHosts = map[string][]int{"homes": {3, 3, 2}}
+
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER PROGRAM")
@@ -37,7 +41,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	f, err := newFleet(r, program)
+	f, err := newFleet(r, program, extraHosts[name])
 	if err != nil {
 		r.say("not run: %v", err)
 		return exitNotRun
