--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -156,7 +156,7 @@
 	// With DEAF=0 that replica receives all the time, some milliseconds later than the other one.
 	deaf := trouble && os.Getenv("DEAF") != "0"
 	if deaf {
-		at(2500 * time.Millisecond)
+		at(3 * time.Second)
 		g.mu.Lock()
 		c.deaf = true
 		g.mu.Unlock()
