--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -15,6 +15,8 @@
 	service = "druzstvo-ledger"
 	key     = "u6wsjnbanfqasnmgkcuy"
 	second  = "j8pjbvk9m68k7b2ex5wa"
+	// newHolder is the tenant that a key is given to.
+	newHolder = "wuno96b"
 	// Bounds of the settings.
 	drainTime    = 7 * time.Second
 	evacuateTime = 5 * time.Second
@@ -280,13 +282,15 @@
 		return err
 	}
 	var mu sync.Mutex
-	ranIDs := map[string]bool{}
+	ranFor := map[string]string{}
 	g.ran = func(d *database, team, id, text string) {
 		f.record.add("database %s runs %s %s for %s", d.id, id, text, team)
 		mu.Lock()
 		defer mu.Unlock()
-		ranIDs[id] = true
+		ranFor[id] = team
 	}
+	// With MOVED=1 the key is not dropped but given to another tenant.
+	moved := os.Getenv("MOVED") == "1"
 	s, err := dialSession(f.front(1), "orders", second, "tx")
 	if err != nil {
 		return err
@@ -299,7 +303,13 @@
 		f.record.say("client: %s %s -> %s, state %s", id, text, a, s.state)
 		mu.Lock()
 		defer mu.Unlock()
-		if !acknowledged.IsZero() && sent.After(acknowledged.Add(applyTime)) && ranIDs[id] {
+		team := ranFor[id]
+		late := !acknowledged.IsZero() && sent.After(acknowledged.Add(applyTime))
+		switch {
+		case late && moved && team != "" && team != newHolder:
+			f.record.violation("UNASKED: %s %q was sent %.1f s after the key had been given to %s, and ran for %s", id, text,
+				sent.Sub(acknowledged).Seconds(), newHolder, team)
+		case late && !moved && team != "":
 			f.record.violation("CONFIG: %s %q was sent %.1f s after the key had been dropped, and ran", id, text, sent.Sub(acknowledged).Seconds())
 		}
 		return a
@@ -311,7 +321,11 @@
 		return errors.New("no write")
 	}
 	if trouble {
-		if err := f.order(0, "/tamarackshunt/Config.Put", f.configuration(service, 0, f.tenants(key))); err != nil {
+		list := f.tenants(key)
+		if moved {
+			list = append(list, tenant{Name: newHolder, Keys: []string{second}, Rate: 300, Burst: 300})
+		}
+		if err := f.order(0, "/tamarackshunt/Config.Put", f.configuration(service, 0, list)); err != nil {
 			return err
 		}
 		mu.Lock()
