Keep statements within the regions of their route and team

Cause: with scarce connections one host holds those of an upstream for all. When the hosts of its availability zone are gone, the next one by hash stands in. The regions of route and team were asked for the upstream, not for that host.

An executor now knows the route and the team of its operation and leaves out holders in other regions, in the first choice and in those after it. The hosts of the upstream's region come before others in the order, so that a home with a second availability zone goes on. Without a holder in the home a statement is refused as not run. The check is on the only call that contains a caller's text, so nothing else can send it elsewhere.

TestHomesWithoutHosts failed before for all kinds of routes, single statements, prepared ones and transactions, with homes of the route, the team and both.

--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -215,8 +215,16 @@
 	return rules
 }
 
+// ID returns the team's name, or "" for a nil team.
+func (t *Team) ID() ident.Team {
+	if t == nil {
+		return ""
+	}
+	return t.Name
+}
+
 // Allows reports whether a region may run requests of the route for the team; team is nil on public routes.
-func (c *Catalog) Allows(route *Route, team *Team, region ident.Region) bool {
+func Allows(route *Route, team *Team, region ident.Region) bool {
 	if len(route.Regions) > 0 && !slices.Contains(route.Regions, region) {
 		return false
 	}
--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -24,36 +24,45 @@
 
 // Host is a host that may hold connections for others.
 type Host struct {
-	ID   ident.Host
-	Zone ident.Zone
+	ID     ident.Host
+	Zone   ident.Zone
+	Region ident.Region
 }
 
-// Order returns the indexes of hosts in the order in which they hold the connections to an upstream: by rendezvous hashing, those of
-// the upstream's availability zone first. The order of two hosts depends on no third host.
-func Order(hosts []Host, upstream ident.Upstream, zone ident.Zone) []int {
+// Upstream is an upstream whose connections are held by one of the hosts.
+type Upstream struct {
+	ID     ident.Upstream
+	Zone   ident.Zone
+	Region ident.Region
+}
+
+// distance returns 0 for a host of the upstream's availability zone, 1 for another one of its region and 2 for one of other regions.
+func (u Upstream) distance(host Host) int {
+	switch {
+	case host.Zone == u.Zone:
+		return 0
+	case host.Region == u.Region:
+		return 1
+	}
+	return 2
+}
+
+// Order returns the indexes of hosts in the order in which they hold the connections to an upstream: those of its availability zone, then
+// those of its region, then the others, each by rendezvous hashing. Hosts of the region may serve requests that must not leave it. The
+// order of two hosts depends on no third host.
+func Order(hosts []Host, upstream Upstream) []int {
 	weights := make([]uint64, len(hosts))
 	order := make([]int, len(hosts))
 	for i, host := range hosts {
-		order[i], weights[i] = i, xxhash.Sum64String(string(host.ID)+"/"+string(upstream))
+		order[i], weights[i] = i, xxhash.Sum64String(string(host.ID)+"/"+string(upstream.ID))
 	}
 	slices.SortFunc(order, func(x, y int) int {
-		if near := hosts[x].Zone == zone; near != (hosts[y].Zone == zone) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(weights[y], weights[x]), cmp.Compare(hosts[x].ID, hosts[y].ID))
+		return cmp.Or(cmp.Compare(upstream.distance(hosts[x]), upstream.distance(hosts[y])),
+			cmp.Compare(weights[y], weights[x]), cmp.Compare(hosts[x].ID, hosts[y].ID))
 	})
 	return order
 }
 
-// Upstream is an upstream whose connections are held by one of the hosts.
-type Upstream struct {
-	ID   ident.Upstream
-	Zone ident.Zone
-}
-
 // Orders returns the order of the hosts for each of several upstreams. It is that of Order, except that a host is the first one for no
 // more upstreams of its zone than an even division needs: the link of a small host can't carry the statements of several busy upstreams.
 func Orders(hosts []Host, upstreams []Upstream) map[ident.Upstream][]int {
@@ -67,7 +76,7 @@
 	orders, held := map[ident.Upstream][]int{}, make([]int, len(hosts))
 	sorted := slices.SortedFunc(slices.Values(upstreams), func(x, y Upstream) int { return cmp.Compare(x.ID, y.ID) })
 	for _, upstream := range sorted {
-		order := Order(hosts, upstream.ID, upstream.Zone)
+		order := Order(hosts, upstream)
 		orders[upstream.ID] = order
 		near := inZone[upstream.Zone]
 		if near == 0 {
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -135,7 +135,7 @@
 		var outcome upstream.Outcome
 		chosen, err := s.chooseReplica(ctx, o, refusedBy)
 		if err == nil {
-			executor := s.server.options.Table.Executor(chosen.pool, o.teamName(), o.priority())
+			executor := s.server.options.Table.Executor(chosen.pool, o.route, o.team)
 			outcome, err = s.tryReplica(ctx, o, use, executor, chosen.since)
 			if err == nil || use.isFinal(outcome, err) {
 				return outcome, executor, err
@@ -249,7 +249,7 @@
 	if pool == nil {
 		return nil, errNoPrimary
 	}
-	return table.Executor(pool, o.teamName(), o.priority()), nil
+	return table.Executor(pool, o.route, o.team), nil
 }
 
 // openOnPrimary opens a transaction on the primary, records the primary's position, and runs the use's statement inside.
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -96,13 +96,6 @@
 	receipt limit.Receipt
 }
 
-func (o *operation) teamName() ident.Team {
-	if o.team == nil {
-		return ""
-	}
-	return o.team.Name
-}
-
 // priority orders waiting operations; 0 goes first.
 func (o *operation) priority() int {
 	return o.route.Priority
@@ -148,7 +141,7 @@
 		_ = s.caller.Refuse(failure)
 		return
 	}
-	s.raw.SetTeam(o.teamName())
+	s.raw.SetTeam(o.team.ID())
 	if s.caller.Ready() != nil {
 		return
 	}
@@ -363,7 +356,7 @@
 		}
 	}
 	if tx != nil {
-		transaction, team = tx.id, tx.teamName()
+		transaction, team = tx.id, tx.team.ID()
 	}
 	klog.InfoS("Request failed", "id", shortened(query.ID), "code", failure.Code, "reason", shortened(failure.Text),
 		"database", shortened(string(s.start.Database)),
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -106,16 +106,21 @@
 		},
 	}
 	h.table.SetDirectory(h.directory)
+	h.serve()
+	return h
+}
+
+// serve accepts sessions for the host's table.
+func (h *host) serve() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { _ = listener.Close() })
 	h.address = listener.Addr().String()
 	server := entry.New(entry.Options{
 		Protocol: func(connection io.ReadWriter) entry.Caller { return wire.NewCaller(connection) },
 		Table:    h.table, Quota: h.quota, Grace: time.Minute,
 	})
 	go func() { _ = server.Serve(listener) }()
-	return h
 }
 
 func (h *host) configure(version ident.Version, key string) {
--- a/node/routing/candidates.go
+++ b/node/routing/candidates.go
@@ -73,7 +73,7 @@
 
 // serves reports whether an upstream may run requests of a route for a team.
 func (t *Table) serves(m *member, route *catalog.Route, team *catalog.Team) bool {
-	return !m.leaving && !m.evacuated && t.Catalog().Allows(route, team, m.pool.Target().Region)
+	return !m.leaving && !m.evacuated && catalog.Allows(route, team, m.pool.Target().Region)
 }
 
 // option describes an upstream of a group for the choice between them.
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -14,22 +15,50 @@
 // maxAsked is the number of hosts that a statement is sent to while they answer that they hold no connections: as many as may hold some.
 const maxAsked = 3
 
-// Executor returns an executor for an upstream. It uses this host's own connections if the host is to hold them, and otherwise goes
-// through the host that does.
-func (t *Table) Executor(pool *upstream.Pool, team ident.Team, priority int) upstream.Executor {
-	executor := &trackedExecutor{table: t, pool: pool, team: team, priority: priority}
+// scope is what restricts the hosts through which operations may go.
+type scope struct {
+	route *catalog.Route
+	// team may be nil.
+	team *catalog.Team
+}
+
+// allows reports whether a host of a region may get the statements of the route for the team. The zero scope has no statements of callers
+// and allows every region.
+func (s scope) allows(region ident.Region) bool {
+	return s.route == nil || catalog.Allows(s.route, s.team, region)
+}
+
+// Executor returns an executor for the operations of a route and a team, which may be nil, on an upstream. It uses this host's own
+// connections if the host is to hold them, and otherwise goes through the host that does. Statements go to no host outside of the regions
+// that may run them.
+func (t *Table) Executor(pool *upstream.Pool, route *catalog.Route, team *catalog.Team) upstream.Executor {
+	return t.newExecutor(pool, scope{route, team}, team.ID(), route.Priority)
+}
+
+func (t *Table) newExecutor(pool *upstream.Pool, s scope, team ident.Team, priority int) upstream.Executor {
+	executor := &trackedExecutor{table: t, pool: pool, scope: s, team: team, priority: priority}
 	executor.choose()
 	return executor
 }
 
-// unavailableExecutor refuses all statements, while no host that may hold connections to the upstream answers.
-type unavailableExecutor struct{ target upstream.Target }
+// isRestricted reports whether there are regions that may not get the statements.
+func (s scope) isRestricted() bool {
+	return s.route != nil && (len(s.route.Regions) > 0 || (s.team != nil && len(s.team.Regions) > 0))
+}
+
+// unavailableExecutor refuses all statements, while no host that holds connections to the upstream may be asked.
+type unavailableExecutor struct {
+	target upstream.Target
+	scope  scope
+}
 
 // Execute implements upstream.Executor.
 func (u unavailableExecutor) Execute(context.Context, upstream.Use) (upstream.Outcome, error) {
-	return upstream.Outcome{}, &statement.Failure{
-		Code: statement.CodeConnections, Text: "no host that holds connections to the upstream answers",
+	failure := &statement.Failure{Code: statement.CodeConnections, Text: "no host that holds connections to the upstream answers"}
+	if u.scope.isRestricted() {
+		failure.Text = "no host that holds connections to the upstream answers in the regions of the route and team"
 	}
+	return upstream.Outcome{}, failure
 }
 
 // Close implements upstream.Executor.
@@ -44,6 +73,7 @@
 	upstream.Executor
 	table    *Table
 	pool     *upstream.Pool
+	scope    scope
 	team     ident.Team
 	priority int
 	// holder is the other host that the executor asks, or nil.
@@ -61,13 +91,13 @@
 		c.Executor = c.pool.Executor(c.team, c.priority)
 		return
 	}
-	holder, direct := t.chooseHolder(steady.Now(), m)
+	holder, direct := t.chooseHolder(steady.Now(), m, c.scope)
 	switch {
 	case direct:
 		t.recordAsked(m)
 		c.Executor = c.pool.Executor(c.team, c.priority)
 	case holder == nil:
-		c.Executor = unavailableExecutor{c.pool.Target()}
+		c.Executor = unavailableExecutor{c.pool.Target(), c.scope}
 	default:
 		c.holder = holder
 		c.Executor = t.options.Gateways.Executor(holder.GetPeer(), c.pool.Target(), c.team, c.priority, func(closed bool) {
--- a/node/routing/fuzz_test.go
+++ b/node/routing/fuzz_test.go
@@ -40,7 +40,7 @@
 		table.SetDirectory(d)
 		route := table.Catalog().Routes[0]
 		if pool := table.Primary(&route, nil); pool != nil {
-			_ = table.Executor(pool, "team", 0)
+			_ = table.Executor(pool, &route, nil)
 		}
 		_ = table.Candidates(&route, nil, ident.Position{})
 		_ = table.Reports(steady.Now())
--- a/node/routing/gateway_test.go
+++ b/node/routing/gateway_test.go
@@ -22,20 +22,20 @@
 	assigned := map[string]int{}
 	for i := range 300 {
 		target := upstream.Target{Upstream: ident.Upstream(fmt.Sprintf("i-%d", i)), Zone: ident.Zone(fmt.Sprintf("z%d", i%3))}
-		chosen := gatewayIn(orderOf(hosts, target), target)
+		chosen := gatewayIn(new(Table).orderOf(hosts, target), target)
 		require.Equal(t, string(target.Zone), chosen.GetZone())
 		assigned[chosen.GetHost()]++
 		for removed := range hosts {
 			others := append(append([]*fleetpb.EntryHost(nil), hosts[removed+1:]...), hosts[:removed]...)
 			if hosts[removed] != chosen {
-				require.Equal(t, chosen, gatewayIn(orderOf(others, target), target), "the gateway depends neither on the order nor on other hosts")
+				require.Equal(t, chosen, gatewayIn(new(Table).orderOf(others, target), target), "the gateway depends neither on the order nor on other hosts")
 			}
 		}
 	}
 	for host, n := range assigned {
 		require.Less(t, n, 75, "%s is the gateway of far more upstreams than its share of 25", host)
 	}
-	require.Nil(t, gatewayIn(orderOf(hosts, upstream.Target{Zone: "elsewhere"}), upstream.Target{Zone: "elsewhere"}))
+	require.Nil(t, gatewayIn(new(Table).orderOf(hosts, upstream.Target{Zone: "elsewhere"}), upstream.Target{Zone: "elsewhere"}))
 }
 
 // Guards against one small host that is the gateway of several busy upstreams while others of its zone are that of none.
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -50,19 +50,29 @@
 }
 
 // orderOf returns the hosts in the order in which they hold the connections to an upstream.
-func orderOf(hosts []*fleetpb.EntryHost, target upstream.Target) []*fleetpb.EntryHost {
-	return listed(hosts, connections.Order(connectionHosts(hosts), target.Upstream, target.Zone))
+func (t *Table) orderOf(hosts []*fleetpb.EntryHost, target upstream.Target) []*fleetpb.EntryHost {
+	return listed(hosts, connections.Order(t.connectionHosts(hosts), connectionUpstream(target)))
 }
 
 // connectionHosts returns hosts as package connections has them.
-func connectionHosts(hosts []*fleetpb.EntryHost) []connections.Host {
+func (t *Table) connectionHosts(hosts []*fleetpb.EntryHost) []connections.Host {
 	list := make([]connections.Host, len(hosts))
 	for i, host := range hosts {
-		list[i] = connections.Host{ID: ident.Host(host.GetHost()), Zone: ident.Zone(host.GetZone())}
+		list[i] = connections.Host{ID: ident.Host(host.GetHost()), Zone: ident.Zone(host.GetZone()), Region: t.regionOf(host)}
 	}
 	return list
 }
 
+// connectionUpstream returns an upstream as package connections has it.
+func connectionUpstream(target upstream.Target) connections.Upstream {
+	return connections.Upstream{ID: target.Upstream, Zone: target.Zone, Region: target.Region}
+}
+
+// regionOf returns the region of a host, or "" if its availability zone is unknown.
+func (t *Table) regionOf(host *fleetpb.EntryHost) ident.Region {
+	return t.options.Regions[ident.Zone(host.GetZone())]
+}
+
 // listed returns the hosts at indexes.
 func listed(hosts []*fleetpb.EntryHost, indexes []int) []*fleetpb.EntryHost {
 	list := make([]*fleetpb.EntryHost, len(indexes))
@@ -87,18 +97,18 @@
 			}
 			if m.account.scarce {
 				sharing = len(catalog.Teams)
-				scarce = append(scarce, connections.Upstream{ID: target.Upstream, Zone: target.Zone})
+				scarce = append(scarce, connectionUpstream(target))
 			}
 			m.pool.SetTeams(sharing)
 		}
 	}
-	orders := connections.Orders(connectionHosts(t.hosts), scarce)
+	orders := connections.Orders(t.connectionHosts(t.hosts), scarce)
 	for _, g := range t.groups {
 		for _, m := range g.members {
 			if m.account.scarce {
 				m.account.order = listed(t.hosts, orders[m.pool.Target().Upstream])
 			} else {
-				m.account.order = orderOf(t.hosts, m.pool.Target())
+				m.account.order = t.orderOf(t.hosts, m.pool.Target())
 			}
 			t.applyLimit(now, m)
 		}
@@ -154,21 +164,25 @@
 	return slices.IndexFunc(order, func(host *fleetpb.EntryHost) bool { return host.GetHost() == string(t.options.Host) })
 }
 
-// chooseHolder returns the host whose connections to an upstream are to be used, or nil if there is none. direct is set if this host is
-// to use its own, whatever the holder.
-func (t *Table) chooseHolder(now ident.Time, m *member) (holder *fleetpb.EntryHost, direct bool) {
+// chooseHolder returns the host whose connections to an upstream are to be used for the operations of a scope, or nil if there is none.
+// direct is set if this host is to use its own, whatever the holder.
+func (t *Table) chooseHolder(now ident.Time, m *member, s scope) (holder *fleetpb.EntryHost, direct bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	a := &m.account
 	if !a.scarce {
 		gateway := gatewayIn(a.order, m.pool.Target())
-		direct = gateway == nil || gateway.GetHost() == string(t.options.Host) ||
+		direct = gateway == nil || gateway.GetHost() == string(t.options.Host) || !t.admits(s, gateway) ||
 			t.standing(now, a, gateway) != connections.StandingUsable
 		return gateway, direct
 	}
 	standings := make([]connections.Standing, len(a.order))
 	for i, host := range a.order {
 		standings[i] = t.standing(now, a, host)
+		if standings[i] == connections.StandingUsable && !t.admits(s, host) {
+			// The host may hold connections, but not for these operations.
+			standings[i] = connections.StandingSilent
+		}
 		if standings[i] == connections.StandingUsable {
 			standings = standings[:i+1]
 			break
@@ -181,6 +195,11 @@
 	return a.order[i], a.order[i].GetHost() == string(t.options.Host)
 }
 
+// admits reports whether a host may get the statements of a scope. This host may in any case, as the caller has sent them to it.
+func (t *Table) admits(s scope, host *fleetpb.EntryHost) bool {
+	return host.GetHost() == string(t.options.Host) || s.allows(t.regionOf(host))
+}
+
 // standing returns whether a host is to be asked for the connections to an upstream. The caller must hold mu.
 func (t *Table) standing(now ident.Time, a *account, host *fleetpb.EntryHost) connections.Standing {
 	if now < a.avoided[host.GetHost()] {
@@ -232,7 +251,11 @@
 func (t *Table) recordFailure(host *fleetpb.EntryHost, closed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peer(host.GetHost()).Failed(steady.Now(), closed)
+	now, p := steady.Now(), t.peer(host.GetHost())
+	if before := p.Standing(now); before == connections.StandingUsable {
+		klog.InfoS("Host not asked for connections, a call failed", "host", host.GetHost(), "zone", host.GetZone(), "closed", closed)
+	}
+	p.Failed(now, closed)
 }
 
 // peer returns what is known of a host. The caller must hold mu for writing.
--- a/node/routing/holders_test.go
+++ b/node/routing/holders_test.go
@@ -34,7 +34,7 @@
 		hosts[i] = &fleetpb.EntryHost{Host: fmt.Sprint("h", i), Zone: "z", Peer: listener.Addr().String()}
 		require.NoError(t, listener.Close())
 	}
-	order := orderOf(hosts, upstream.Target{Upstream: "a", Zone: "z"})
+	order := new(Table).orderOf(hosts, upstream.Target{Upstream: "a", Zone: "z"})
 	description := catalog.Description{Version: 1, Services: []catalog.Service{{Name: "svc", Connections: 20, WarmupRate: 10}}}
 	for i := range 30 {
 		description.Teams = append(description.Teams, catalog.Team{Name: ident.Team(fmt.Sprint("t", i)), Keys: []string{fmt.Sprint("k", i)}})
@@ -66,12 +66,12 @@
 func TestChooseHolder(t *testing.T) {
 	table, m, order := crowdedTable(t, 4)
 	for i, closed := range []bool{true, false, false, false} {
-		holder, direct := table.chooseHolder(steady.Now(), m)
+		holder, direct := table.chooseHolder(steady.Now(), m, scope{})
 		require.False(t, direct)
 		require.Equal(t, order[i], holder)
 		table.recordFailure(holder, closed)
 	}
-	holder, direct := table.chooseHolder(steady.Now(), m)
+	holder, direct := table.chooseHolder(steady.Now(), m, scope{})
 	require.False(t, direct)
 	require.Nil(t, holder, "beyond gateway, successor and last resort nobody opens connections, but one that is gone doesn't count")
 }
@@ -120,7 +120,7 @@
 	}
 	stubs[1].response = &fleetpb.UseResponse{Ran: true, Rows: [][]byte{[]byte("row")}}
 	execute := func() (upstream.Outcome, error) {
-		return table.Executor(m.pool, "t1", 1).Execute(t.Context(), upstream.Use{ID: "1", Timeout: time.Minute})
+		return table.Executor(m.pool, &catalog.Route{}, table.Catalog().TeamOf("k1")).Execute(t.Context(), upstream.Use{ID: "1", Timeout: time.Minute})
 	}
 	outcome, err := execute()
 	require.NoError(t, err)
--- a/node/routing/positions.go
+++ b/node/routing/positions.go
@@ -84,11 +84,7 @@
 			t.RequestRefresh()
 			return
 		}
-		var name ident.Team
-		if team != nil {
-			name = team.Name
-		}
-		if err := t.queryPosition(ctx, pool, name); err != nil {
+		if err := t.queryPosition(ctx, pool, team.ID()); err != nil {
 			t.RequestRefresh()
 		}
 	}()
@@ -96,10 +92,10 @@
 }
 
 // queryPosition opens a transaction and records its position. Only a primary opens one, so the position includes every write
-// acknowledged before.
+// acknowledged before. It contains nothing of a caller, so any host may pass it on.
 func (t *Table) queryPosition(ctx context.Context, pool *upstream.Pool, team ident.Team) error {
 	asOf := steady.Now()
-	outcome, err := t.Executor(pool, team, 0).Execute(ctx, upstream.Use{Opening: upstream.OpenPrimary})
+	outcome, err := t.newExecutor(pool, scope{}, team, 0).Execute(ctx, upstream.Use{Opening: upstream.OpenPrimary})
 	if err != nil {
 		return err
 	}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -361,6 +361,16 @@
 		"fleet/takeover/takeover.go", "case d.unfinished:", "case d.unfinished && d.primary == \"\":",
 		"./fleet/takeover", "Unfinished",
 	},
+	{
+		0, "HOME: statements go through no host outside of the regions of their route and team",
+		"node/routing/executor.go", "return s.route == nil || catalog.Allows(s.route, s.team, region)", "return true",
+		"./node/entry", "HomesWithoutHosts",
+	},
+	{
+		0, "HOME: hosts of the upstream's region hold its connections before those of other regions",
+		"fleet/connections/order.go", "case host.Region == u.Region:", "case host.Zone == \"\":",
+		"./node/entry", "HomesWithHostOfOtherZone",
+	},
 	{
 		0, "callers: all together hold at most the total without its reserve",
 		"fleet/budget/account.go", "case used > a.limits.Total-a.limits.Reserve:", "case used < 0:",
