Count replicas that have left when a primary is replaced

Cause: a promotion needs so many positions that one of them must contain each acknowledged write, and the number of replicas that may hold one was that of the directory at the moment. A replica that has ended is not listed, and its log reaches an upstream at its address only later. Evidence: the leader's log has the same single position for five refused promotions and for the one that was ordered after the end.

The directory now keeps departures. A departed replica counts until an upstream has its log after a planned end, or the leader has read a position of the primary that is newer than the departure. That position, and the one at the last promotion (kept in the control log), is a floor: whoever reaches it holds what the departed ones may have held, and nobody below it is promoted. Replicas that are leaving report their positions and are paused too. The same count was wrong for a replica that started again, one silent for a minute, a former primary counted as a replica, and right after a promotion.

--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -27,6 +27,7 @@
 	records map[ident.Upstream]*record
 	// confirmation counts what became of restored upstreams.
 	confirmation Confirmation
+	departures   []Departure
 }
 
 type record struct {
@@ -60,6 +61,15 @@
 		return false
 	}
 	d.endOthersAt(now, a)
+	switch {
+	case a.GetGone():
+		d.depart(now, a, true)
+	case known == nil:
+		d.succeed(a)
+	case known.announcement.GetBorn() != a.GetBorn():
+		d.depart(now, known.announcement, known.announcement.GetLeaving())
+		d.succeed(a)
+	}
 	d.settle(known, true)
 	d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now}
 	return true
@@ -72,6 +82,7 @@
 			continue
 		}
 		d.settle(r, false)
+		d.depart(now, r.announcement, r.announcement.GetLeaving())
 		r.announcement = proto.CloneOf(r.announcement)
 		r.announcement.Gone, r.announcement.Leaving = true, true
 		r.updatedAt = now
@@ -108,6 +119,9 @@
 	if known == nil || a.GetBorn() > known.announcement.GetBorn() {
 		// The end has overtaken the first announcement of its start, or this host was down when that arrived. Nothing is kept from an
 		// earlier start, whose address may belong to another upstream by now.
+		if known != nil {
+			d.depart(now, known.announcement, true)
+		}
 		d.settle(known, true)
 		d.records[ident.Upstream(a.GetUpstream())] = &record{announcement: proto.CloneOf(a), updatedAt: now}
 		return known != nil && !known.announcement.GetGone()
@@ -118,6 +132,7 @@
 	ended := proto.CloneOf(known.announcement)
 	ended.Gone, ended.Leaving = true, true
 	ended.Seq = max(ended.GetSeq(), a.GetSeq())
+	d.depart(now, ended, true)
 	d.settle(known, true)
 	d.records[ident.Upstream(a.GetUpstream())] = &record{announcement: ended, updatedAt: now}
 	return true
@@ -162,6 +177,7 @@
 func (d *Directory) expire(now ident.Time) {
 	for id, r := range d.records {
 		if now.Sub(r.updatedAt) > r.retention() {
+			d.depart(now, r.announcement, r.announcement.GetLeaving())
 			d.settle(r, false)
 			delete(d.records, id)
 		}
--- a/fleet/directory/hint.go
+++ b/fleet/directory/hint.go
@@ -41,6 +41,11 @@
 			continue
 		}
 		id := ident.Upstream(a.GetUpstream())
+		if a.GetGone() {
+			d.depart(now, a, true)
+		} else {
+			d.succeed(a)
+		}
 		d.settle(d.records[id], false)
 		d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now, unconfirmed: !a.GetGone()}
 		if !a.GetGone() {
--- a/fleet/takeover/decision.go
+++ b/fleet/takeover/decision.go
@@ -14,29 +14,63 @@
 	Serving bool
 	// Candidates are the upstreams that can become the primary.
 	Candidates []ident.Upstream
-	// Replicas is the number of members that may hold an acknowledged write besides the primary.
-	Replicas int
+	// Evacuated and Ending are the other replicas that can report their positions. Where writes wait for replicas, one of them may hold a
+	// write that no candidate has received. One that is about to end hands its log over to an upstream that starts at its address.
+	Evacuated, Ending []ident.Upstream
+	// Replicas is the number of upstreams that may hold an acknowledged write besides the primary. Departed of them are no members any
+	// more and can't report their positions.
+	Replicas, Departed int
+	// Floor is a position that contains every acknowledged write which may be missing on the replicas that are counted.
+	Floor ident.Position
+	// PrimaryKept is set if the primary is a candidate that has run since it led the group, so that it holds every acknowledged write.
+	PrimaryKept bool
 }
 
-// Choose returns the candidate with the latest position, or false if too few positions are known. If syncReplicas is above 0,
-// every acknowledged write is on at least that many replicas. Enough replicas must then have reported their positions that at
-// least one of them holds the write.
+// Choose returns the upstream to promote, given the positions that upstreams have reported, or false if an acknowledged write could be
+// lost. Without synchronous replicas it is the candidate with the latest position. If syncReplicas is above 0, every acknowledged write is
+// on at least that many replicas. Enough of them must then have reported their positions that at least one holds the write, and the one
+// with the latest position is chosen: a candidate if one has it, or else an evacuated replica, which hands over its role once a candidate
+// has caught up.
 func Choose(d *Decision, positions map[ident.Upstream]ident.Position, syncReplicas int) (ident.Upstream, bool) {
-	needed := 1
-	if syncReplicas > 0 {
-		needed = max(1, d.Replicas-syncReplicas+1)
+	best := latest(d.Candidates, positions)
+	if syncReplicas == 0 {
+		return best, best != ""
 	}
-	if len(positions) < needed {
+	if evacuated := latest(d.Evacuated, positions); evacuated != "" && (best == "" || positions[best].Less(positions[evacuated])) {
+		best = evacuated
+	}
+	if best == "" || !d.suffice(positions, syncReplicas) {
+		return "", false
+	}
+	ending := latest(d.Ending, positions)
+	if positions[best].Less(d.Floor) || positions[best].Less(positions[ending]) {
 		return "", false
 	}
+	return best, true
+}
+
+// latest returns the first of the upstreams with the latest reported position, or an empty name if none has reported one.
+func latest(upstreams []ident.Upstream, positions map[ident.Upstream]ident.Position) ident.Upstream {
 	var best ident.Upstream
-	for _, candidate := range d.Candidates {
-		position, known := positions[candidate]
+	for _, id := range upstreams {
+		position, known := positions[id]
 		if known && (best == "" || positions[best].Less(position)) {
-			best = candidate
+			best = id
+		}
+	}
+	return best
+}
+
+// suffice reports whether one of the upstreams that reported their positions must hold each acknowledged write.
+func (d *Decision) suffice(positions map[ident.Upstream]ident.Position, syncReplicas int) bool {
+	replicas := len(positions)
+	if _, reported := positions[d.Primary]; reported {
+		if d.PrimaryKept {
+			return true
 		}
+		replicas--
 	}
-	return best, best != ""
+	return replicas >= max(1, d.Replicas-syncReplicas+1)
 }
 
 // RefusedError reports a promotion order that was not executed and will not be.
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -38,12 +38,14 @@
 	Upstream ident.Upstream
 	// Primary is set when the upstream announces itself as the primary.
 	Primary bool
-	// Leaving is set when the upstream must get no new work.
-	Leaving bool
+	// Leaving is set when the upstream must get no new work, and Ending if that is because it is about to end.
+	Leaving, Ending bool
 	// Restored is set when the entry was saved before a restart of the core and the upstream has not announced itself since.
 	Restored bool
 	// LastAnnounced is the time at which its last announcement arrived.
 	LastAnnounced ident.Time
+	// Born is its start time in Unix milliseconds, by its own clock.
+	Born int64
 }
 
 // Decider decides on the primary of one service. It is not safe for concurrent use.
@@ -52,7 +54,12 @@
 	// followed is set if this host had the announcements of the service lately when it became the leader.
 	followed bool
 	members  []Member
-	primary  ident.Upstream
+	// departures are former members; floor says which of them still matter.
+	departures []Departure
+	floor      floor
+	primary    ident.Upstream
+	// primaryBorn is the start time of the primary when it last announced itself as such.
+	primaryBorn int64
 	// assumed is set while the primary is known from a restored entry only.
 	assumed bool
 	// primarySince is the time at which the current primary was set.
@@ -71,9 +78,11 @@
 }
 
 // New returns the Decider of a host that became the leader at now; successor is the upstream of the latest promotion order,
-// if any.
-func New(now ident.Time, successor ident.Upstream) *Decider {
-	return &Decider{startedAt: now, primary: successor, primarySince: now, lastAnswer: now}
+// if any, and position the one that it had then.
+func New(now ident.Time, successor ident.Upstream, position ident.Position) *Decider {
+	return &Decider{
+		startedAt: now, primary: successor, primarySince: now, lastAnswer: now, floor: floor{successor: successor, ordered: position},
+	}
 }
 
 // Primary returns the upstream that is assumed to be the primary, or an empty name.
@@ -95,6 +104,8 @@
 	}
 	if d.contains(claims, d.primary) {
 		d.noPrimarySince = 0
+		d.primaryBorn = d.member(d.primary).Born
+		d.confirmOrder()
 		d.assumed = d.assumed && slices.ContainsFunc(claims, restored)
 		return
 	}
@@ -132,6 +143,9 @@
 
 func (d *Decider) setPrimary(now ident.Time, id ident.Upstream) {
 	d.primary, d.assumed, d.primarySince, d.lastAnswer, d.failedProbes = id, false, now, now, 0
+	if m := d.member(id); m != nil {
+		d.primaryBorn = m.Born
+	}
 }
 
 func (d *Decider) member(id ident.Upstream) *Member {
@@ -179,11 +193,18 @@
 		decision.Primary = d.replaced
 	}
 	for _, m := range d.members {
-		if m.Upstream != decision.Primary && !m.Leaving && now.Sub(m.LastAnnounced) < announcementMaxAge {
+		switch {
+		case m.Upstream == decision.Primary || now.Sub(m.LastAnnounced) >= announcementMaxAge:
+		case m.Ending:
+			decision.Ending = append(decision.Ending, m.Upstream)
+		case m.Leaving:
+			decision.Evacuated = append(decision.Evacuated, m.Upstream)
+		default:
 			decision.Candidates = append(decision.Candidates, m.Upstream)
 		}
 	}
-	decision.Replicas = d.replicas(now, decision.Primary)
+	decision.Departed, decision.Floor = d.departedReplicas(decision.Primary), d.floor.position
+	decision.Replicas = d.replicas(now, decision.Primary) + decision.Departed
 	if len(decision.Candidates) == 0 {
 		return nil
 	}
@@ -197,6 +218,7 @@
 		decision.Cause = "no upstream is the primary"
 		if primary != nil && !primary.Leaving && now.Sub(primary.LastAnnounced) < announcementMaxAge {
 			decision.Candidates = append(decision.Candidates, d.primary)
+			decision.PrimaryKept = primary.Born == d.primaryBorn
 		}
 	case d.primary == "":
 		return nil
@@ -251,9 +273,10 @@
 	return d.failedProbes >= minFailedProbes && now.Sub(d.lastAnswer) > deadAfter && now.Sub(primary.LastAnnounced) > deadAfter
 }
 
-// Promoted records an executed promotion order.
-func (d *Decider) Promoted(now ident.Time, id ident.Upstream) {
+// Promoted records an executed promotion order. The upstream's position at the order contains every write acknowledged before.
+func (d *Decider) Promoted(now ident.Time, id ident.Upstream, position ident.Position) {
 	d.setPrimary(now, id)
+	d.floor.position, d.floor.at = position, now
 	d.noPrimarySince, d.unfinished, d.replaced = 0, false, ""
 }
 
--- a/fleet/takeover/takeover_test.go
+++ b/fleet/takeover/takeover_test.go
@@ -32,7 +32,7 @@
 		s.members[id] = &member{announces: true, answersLeader: true, answersHosts: true, lastAnnounced: s.now}
 	}
 	s.members["a"].primary = true
-	s.decider = takeover.New(s.now, "")
+	s.decider = takeover.New(s.now, "", ident.Position{})
 	return s
 }
 
@@ -130,7 +130,7 @@
 		*s.members["a"] = member{primary: true, lastAnnounced: s.now}
 		require.NotNil(t, s.run(10*time.Second))
 		s.members["b"].announces, s.members["b"].answersLeader = announced, false
-		s.decider.Promoted(s.now, "b")
+		s.decider.Promoted(s.now, "b", ident.Position{})
 		decision := s.run(20 * time.Second)
 		require.NotNil(t, decision)
 		require.Equal(t, ident.Upstream("b"), decision.Primary)
@@ -156,7 +156,7 @@
 	decision = s.run(5 * time.Second)
 	require.NotNil(t, decision)
 	require.Equal(t, ident.Upstream("a"), decision.Primary)
-	s.decider.Promoted(s.now, "b")
+	s.decider.Promoted(s.now, "b", ident.Position{})
 	require.Nil(t, s.run(20*time.Second))
 	require.Equal(t, ident.Upstream("b"), s.decider.Primary())
 }
@@ -167,7 +167,7 @@
 	require.Nil(t, s.run(5*time.Second))
 	*s.members["a"] = member{primary: true, lastAnnounced: s.now}
 	require.NotNil(t, s.run(10*time.Second))
-	s.decider.Promoted(s.now, "b")
+	s.decider.Promoted(s.now, "b", ident.Position{})
 	require.Nil(t, s.run(2*time.Second), "the directory still has a as the primary, since b has not announced itself yet")
 	require.Equal(t, ident.Upstream("b"), s.decider.Primary())
 	s.members["b"].primary, s.members["a"].primary = true, false
@@ -216,7 +216,7 @@
 		"no upstream claims to lead it": {first: []takeover.Member{{Upstream: "a", LastAnnounced: ago(time.Second)}, replica}, want: late},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := takeover.New(start, c.successor)
+			d := takeover.New(start, c.successor, ident.Position{})
 			var took time.Duration
 			for now := start; took == 0 && now < start.Add(3*time.Second); now = now.Add(100 * time.Millisecond) {
 				members := slices.Clone(c.first)
@@ -334,7 +334,7 @@
 		"it is dropped, and alone": {first: []takeover.Member{saved}, next: nil, atOnce: "a", later: "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := takeover.New(now, c.successor)
+			d := takeover.New(now, c.successor, ident.Position{})
 			d.SetMembers(now, c.first)
 			require.Equal(t, c.atOnce, d.Primary())
 			d.SetMembers(now.Add(time.Second), c.next)
@@ -346,7 +346,7 @@
 // Guards against a dead primary that is replaced later because a restored entry still names it.
 func TestRestoredPrimaryThatIsDead(t *testing.T) {
 	now := ident.Time(time.Hour)
-	d := takeover.New(now, "")
+	d := takeover.New(now, "", ident.Position{})
 	start := now
 	var decision *takeover.Decision
 	for ; decision == nil && now < start.Add(10*time.Second); now = now.Add(100 * time.Millisecond) {
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -108,21 +108,30 @@
 			Upstream:      ident.Upstream(a.GetUpstream()),
 			Primary:       a.GetPrimary(),
 			Leaving:       a.GetLeaving() || slices.Contains(evacuated, a.GetZone()),
+			Ending:        a.GetLeaving(),
 			Restored:      unconfirmed[ident.Upstream(a.GetUpstream())],
 			LastAnnounced: now.Add(-time.Duration(a.GetAgeMs()) * time.Millisecond),
+			Born:          a.GetBorn(),
 		})
 		targets[ident.Upstream(a.GetUpstream())] = upstream.Target{
 			Service: service, Upstream: ident.Upstream(a.GetUpstream()), Address: a.GetAddress(), Zone: ident.Zone(a.GetZone()), Born: a.GetBorn(),
 		}
 	}
+	departures := map[ident.Service][]takeover.Departure{}
+	for _, left := range g.core.directory.Departures(now) {
+		departures[left.Service] = append(departures[left.Service],
+			takeover.Departure{Upstream: left.Upstream, Primary: left.Primary, At: left.At})
+	}
 	for i := range parsed.Services {
 		service := parsed.Services[i].Name
 		grp := g.list[service]
 		if grp == nil {
-			grp = newGroup(service, takeover.New(now, g.core.state.successor(service)))
+			latest := g.core.state.succession(service)
+			grp = newGroup(service, takeover.New(now, ident.Upstream(latest.GetUpstream()), positionFromProto(latest.GetPosition())))
 			g.list[service] = grp
 		}
 		grp.decider.SetMembers(now, members[service])
+		grp.decider.SetDepartures(departures[service])
 		g.probeOrPromote(g.leadership, now, grp, targets, parsed.Services[i].SyncReplicas)
 	}
 }
@@ -150,6 +159,11 @@
 		}
 		if syncReplicas > 0 {
 			g.checkPaused(ctx, now, grp, targets)
+			if grp.decider.FloorDue(now) {
+				go g.readFloor(ctx, &promotion{
+					groups: g, group: grp, decision: &takeover.Decision{Primary: grp.decider.Primary()}, targets: targets, relay: grp.relay,
+				})
+			}
 		}
 		return
 	}
--- a/node/core/leadership_test.go
+++ b/node/core/leadership_test.go
@@ -25,11 +25,11 @@
 func TestEarlierLeaderContinuesNoReplicas(t *testing.T) {
 	s := newServiceUnderTest(t)
 	p := s.promotion(s.execute)
-	statuses := p.pauseReplicas(t.Context(), newestTerm(p.statuses(t.Context(), statement.AskStatus{})))
+	statuses := p.pauseReplicas(t.Context(), newestTerm(p.statuses(t.Context(), p.decision.Candidates, statement.AskStatus{})))
 	require.Len(t, statuses, 2)
 	s.endLeadership()
 	s.core.groups.requestStatuses(t.Context(), s.targets, statement.Continue{})
-	for id, status := range p.statuses(t.Context(), statement.AskStatus{}) {
+	for id, status := range p.statuses(t.Context(), p.decision.Candidates, statement.AskStatus{}) {
 		require.NotZero(t, status.PausedTerm, id)
 	}
 }
@@ -45,7 +45,7 @@
 		p.decision.Planned, p.relay = planned, relay
 		p.run(t.Context())
 		require.True(t, s.group.Store("after", "after", "x"), "the primary serves, planned %t", planned)
-		for id, status := range p.statuses(t.Context(), statement.AskStatus{}) {
+		for id, status := range p.statuses(t.Context(), p.decision.Candidates, statement.AskStatus{}) {
 			require.Zero(t, status.PausedTerm, id)
 		}
 	}
@@ -73,7 +73,7 @@
 		s.core.recordAnnouncement(&fleetpb.Announcement{Upstream: string(id), Service: "svc", Address: s.targets[id].Address, Zone: "z", Seq: 1})
 	}
 	g := s.core.groups
-	g.list["svc"] = newGroup("svc", takeover.New(steady.Now().Add(-time.Hour), "i-0"))
+	g.list["svc"] = newGroup("svc", takeover.New(steady.Now().Add(-time.Hour), "i-0", ident.Position{}))
 	g.tick(t.Context(), true)
 	require.NoError(t, <-platform.orders, "the first order is sent")
 	g.tick(t.Context(), false)
--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,12 +54,22 @@
 	return pool.Status(ctx, request)
 }
 
-// statuses sends a status request to the candidates and returns the answers.
-func (p *promotion) statuses(ctx context.Context, request statement.Request) map[ident.Upstream]statement.Status {
+// reporting returns the upstreams whose positions count: the candidates and, where writes wait for replicas, the other ones.
+func (p *promotion) reporting() []ident.Upstream {
+	if p.syncReplicas == 0 {
+		return p.decision.Candidates
+	}
+	return slices.Concat(p.decision.Candidates, p.decision.Evacuated, p.decision.Ending)
+}
+
+// statuses sends a status request to upstreams and returns the answers.
+func (p *promotion) statuses(
+	ctx context.Context, upstreams []ident.Upstream, request statement.Request,
+) map[ident.Upstream]statement.Status {
 	targets := map[ident.Upstream]upstream.Target{}
-	for _, candidate := range p.decision.Candidates {
-		if target, known := p.targets[candidate]; known {
-			targets[candidate] = target
+	for _, id := range upstreams {
+		if target, known := p.targets[id]; known {
+			targets[id] = target
 		}
 	}
 	return p.groups.requestStatuses(ctx, targets, request)
@@ -96,20 +107,20 @@
 	return newest
 }
 
-// pauseReplicas stops the candidates from receiving the primary's log and returns the statuses of those that have stopped. A write that
+// pauseReplicas stops the reporting upstreams from receiving the primary's log and returns the statuses of those that have stopped. A write that
 // waits for a replica can't be acknowledged any more once so many are paused that takeover.Choose accepts their positions.
 func (p *promotion) pauseReplicas(ctx context.Context, newest ident.Term) map[ident.Upstream]statement.Status {
 	term := newest + 1
 	p.groups.mu.Lock()
-	for _, id := range p.decision.Candidates {
+	for _, id := range p.reporting() {
 		// Recorded first, since a replica whose answer is lost may be paused too.
 		p.group.pauses.upstreams[id] = true
 	}
 	p.groups.mu.Unlock()
-	statuses := p.statuses(ctx, statement.Pause{Term: term})
+	statuses := p.statuses(ctx, p.reporting(), statement.Pause{Term: term})
 	maps.DeleteFunc(statuses, func(_ ident.Upstream, status statement.Status) bool { return status.PausedTerm < term })
 	klog.InfoS("Replicas paused for a promotion", "service", p.group.service, "term", term, "paused", len(statuses),
-		"candidates", len(p.decision.Candidates))
+		"asked", len(p.reporting()))
 	return statuses
 }
 
--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -64,7 +64,11 @@
 		p.notPromoted()
 		return
 	}
-	statuses := p.statuses(ctx, statement.AskStatus{})
+	statuses := p.statuses(ctx, p.reporting(), statement.AskStatus{})
+	if before.caughtUp {
+		// A candidate has the whole log, so nothing has to be concluded from the number of positions.
+		p.decision.Floor, p.decision.Replicas = before.position, p.syncReplicas
+	}
 	successor, ok := p.choose(statuses)
 	paused := false
 	if ok && p.syncReplicas > 0 && !before.caughtUp {
@@ -73,16 +77,19 @@
 	}
 	if !ok {
 		promotionFailures.Inc()
-		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(statuses), "candidates", len(p.decision.Candidates))
+		klog.InfoS("Promotion not possible", "service", p.group.service, "positions", len(statuses), "candidates", len(p.decision.Candidates),
+			"evacuated", len(p.decision.Evacuated), "ending", len(p.decision.Ending),
+			"replicas", p.decision.Replicas, "departed", p.decision.Departed, "floor", p.decision.Floor)
 		p.notPromoted()
 		return
 	}
-	err := p.orderPromotion(ctx, successor)
-	klog.InfoS("Promotion ended", "service", p.group.service, "upstream", successor, "position", statuses[successor].Received,
+	position := statuses[successor].Received
+	err := p.orderPromotion(ctx, successor, position)
+	klog.InfoS("Promotion ended", "service", p.group.service, "upstream", successor, "position", position,
 		"took", steady.Now().Sub(start), "problem", problem(err))
 	if err == nil {
 		promotions.Inc()
-		p.promoted(successor)
+		p.promoted(successor, position)
 		return
 	}
 	promotionFailures.Inc()
@@ -104,11 +111,11 @@
 }
 
 // promoted tells the decider that the successor is the primary.
-func (p *promotion) promoted(successor ident.Upstream) {
+func (p *promotion) promoted(successor ident.Upstream, position ident.Position) {
 	p.groups.mu.Lock()
 	defer p.groups.mu.Unlock()
 	delete(p.group.pauses.upstreams, successor)
-	p.group.decider.Promoted(steady.Now(), successor)
+	p.group.decider.Promoted(steady.Now(), successor, position)
 }
 
 // notPromoted tells the decider that no upstream was promoted.
@@ -137,10 +144,10 @@
 // orderPromotion orders the platform to promote the successor. Each order has its own fencing token, so that an earlier order
 // whose answer was lost is not executed after a later one. It returns an openOrderError if an order without an answer was followed by
 // none that was executed.
-func (p *promotion) orderPromotion(ctx context.Context, successor ident.Upstream) error {
+func (p *promotion) orderPromotion(ctx context.Context, successor ident.Upstream, position ident.Position) error {
 	var unanswered error
 	for range maxOrders {
-		token, err := p.reserveToken(ctx, successor)
+		token, err := p.reserveToken(ctx, successor, position)
 		if err != nil {
 			return openOrder(unanswered, err)
 		}
@@ -179,11 +186,12 @@
 
 // reserveToken returns a token that is higher than all earlier ones. The reservation is a proposal to the log, which only a
 // leader can make.
-func (p *promotion) reserveToken(ctx context.Context, successor ident.Upstream) (uint64, error) {
+func (p *promotion) reserveToken(ctx context.Context, successor ident.Upstream, position ident.Position) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	outcome, err := p.groups.core.propose(ctx, &fleetpb.Change{Kind: &fleetpb.Change_Succession{Succession: &fleetpb.Succession{
 		Service: string(p.group.service), Upstream: string(successor), Cause: p.decision.Cause,
+		Position: &fleetpb.Position{Term: uint64(position.Term), Lsn: uint64(position.LSN)},
 	}}})
 	if err != nil {
 		return 0, trace.Wrap(err)
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -75,7 +75,7 @@
 func (s *serviceUnderTest) promotion(promoter promoterFunc) *promotion {
 	s.core.options.Promoter = promoter
 	now := steady.Now()
-	grp := newGroup("svc", takeover.New(now, "i-0"))
+	grp := newGroup("svc", takeover.New(now, "i-0", ident.Position{}))
 	decision := &takeover.Decision{Cause: "test", Primary: "i-0", Candidates: []ident.Upstream{"i-1", "i-2"}, Replicas: 2}
 	return &promotion{groups: s.core.groups, group: grp, decision: decision, syncReplicas: 1, targets: s.targets}
 }
@@ -222,7 +222,7 @@
 
 	// The next leader knows nothing of the replacement but what the replicas say.
 	g := s.core.groups
-	next := newGroup("svc", takeover.New(steady.Now(), "i-0"))
+	next := newGroup("svc", takeover.New(steady.Now(), "i-0", ident.Position{}))
 	require.Eventually(t, func() bool {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -289,7 +289,7 @@
 func TestReplicasListedLateAreChecked(t *testing.T) {
 	s := newServiceUnderTest(t)
 	s.promotion(func(ident.Upstream) error { return context.DeadlineExceeded }).run(t.Context())
-	g, next := s.core.groups, newGroup("svc", takeover.New(steady.Now(), "i-0"))
+	g, next := s.core.groups, newGroup("svc", takeover.New(steady.Now(), "i-0", ident.Position{}))
 	check := func(now ident.Time, targets map[ident.Upstream]upstream.Target) {
 		g.mu.Lock()
 		g.checkPaused(t.Context(), now, next, targets)
@@ -320,10 +320,69 @@
 	s := newServiceUnderTest(t)
 	orders := 0
 	p := s.promotion(func(ident.Upstream) error { orders++; return nil })
-	token, err := p.reserveToken(t.Context(), "i-1")
+	token, err := p.reserveToken(t.Context(), "i-1", ident.Position{})
 	require.NoError(t, err)
 	require.NoError(t, s.core.replica.Close(t.Context()))
 	require.Eventually(t, func() bool { return !s.core.leads() }, eventually, time.Millisecond)
 	require.ErrorIs(t, p.sendOrder(t.Context(), "i-1", token), errNotLeader)
 	require.Zero(t, orders)
 }
+
+// Guards against the loss of an acknowledged write that only a replica has which must get no new work, and against writes that are
+// acknowledged through that one after the positions were read.
+func TestReplicaWithoutNewWorkHoldsWrites(t *testing.T) {
+	s := newServiceUnderTest(t)
+	s.members["i-2"].SetReplicationPaused(true)
+	require.True(t, s.group.Store("second", "second", "x"))
+	s.members["i-0"].SetCutOff(true)
+	acknowledged := func() bool { return false }
+	p := s.promotion(func(id ident.Upstream) error {
+		acknowledged = s.storeLate("late")
+		return s.execute(id)
+	})
+	p.decision.Candidates, p.decision.Ending = []ident.Upstream{"i-2"}, []ident.Upstream{"i-1"}
+	p.run(t.Context())
+	require.Equal(t, "i-0", s.group.Primary(), "no candidate has the write, and the replica that has it is about to end")
+	p.decision.Ending, p.decision.Evacuated = nil, p.decision.Ending
+	p.run(t.Context())
+	require.Equal(t, "i-1", s.group.Primary())
+	_, runs := s.group.Items()
+	require.Contains(t, runs, "second")
+	if acknowledged() {
+		require.Contains(t, runs, "late")
+	}
+}
+
+// Guards against a promotion after the end of a replica that may have been the only one with an acknowledged write: the leader reads the
+// primary's position, through an entry host if it must, and promotes nobody whose log does not reach it.
+func TestFloorIsRead(t *testing.T) {
+	s := newServiceUnderTest(t)
+	relay := s.serve()
+	for _, cutOff := range []bool{false, true} {
+		s.members["i-0"].SetCutOff(cutOff)
+		s.members["i-2"].SetReplicationPaused(true)
+		require.True(t, s.group.Store("only", "only", "x"))
+		p := s.promotion(s.execute)
+		p.relay = relay
+		announce(p.group.decider, steady.Now())
+		s.core.groups.readFloor(t.Context(), p)
+		later := steady.Now().Add(time.Minute)
+		p.group.decider.SetMembers(later, []takeover.Member{{Upstream: "i-2", LastAnnounced: later}})
+		decision := p.group.decider.Decide(later)
+		require.NotNil(t, decision)
+		require.Equal(t, 1, decision.Replicas)
+		p.decision = decision
+		p.run(t.Context())
+		require.Equal(t, "i-0", s.group.Primary())
+		s.members["i-2"].SetReplicationPaused(false)
+	}
+}
+
+// Guards against a planned replacement that waits for the positions of departed replicas, although a candidate has the whole log.
+func TestPlannedReplacementBesideDeparture(t *testing.T) {
+	s := newServiceUnderTest(t)
+	p := s.promotion(s.execute)
+	p.decision.Planned, p.decision.Replicas, p.decision.Departed = true, 5, 3
+	p.run(t.Context())
+	require.NotEqual(t, "i-0", s.group.Primary())
+}
--- a/node/core/state.go
+++ b/node/core/state.go
@@ -120,16 +120,16 @@
 	return s.saved.GetEvacuated()
 }
 
-// successor returns the upstream of the latest order to promote in a service, or an empty string if there is none.
-func (s *state) successor(service ident.Service) ident.Upstream {
+// succession returns the latest order to promote in a service, or nil if there is none.
+func (s *state) succession(service ident.Service) *fleetpb.Succession {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, other := range s.saved.GetSuccessions() {
 		if other.GetSuccession().GetService() == string(service) {
-			return ident.Upstream(other.GetSuccession().GetUpstream())
+			return other.GetSuccession()
 		}
 	}
-	return ""
+	return nil
 }
 
 // recovery returns what a new leader starts with after a restart of the core. Apply replaces the message and never changes it.
--- a/node/core/state_test.go
+++ b/node/core/state_test.go
@@ -60,7 +60,7 @@
 
 	first, second := apply(10, succession("a")).GetVersion(), apply(11, succession("b")).GetVersion()
 	require.Less(t, first, second, "each order to promote gets a higher token than the one before")
-	require.Equal(t, ident.Upstream("b"), s.successor("svc"))
+	require.Equal(t, ident.Upstream("b"), ident.Upstream(s.succession("svc").GetUpstream()))
 	require.False(t, apply(11, succession("c")).GetDone(), "an entry is applied only once")
 
 	snapshot, err := s.Snapshot()
@@ -70,7 +70,7 @@
 	require.Equal(t, "five", configurationText(t, restored))
 	require.NotNil(t, restored.parsed())
 	require.Equal(t, []string{"z0"}, restored.evacuated())
-	require.Equal(t, ident.Upstream("b"), restored.successor("svc"))
+	require.Equal(t, ident.Upstream("b"), ident.Upstream(restored.succession("svc").GetUpstream()))
 	again, err := restored.Snapshot()
 	require.NoError(t, err)
 	require.Equal(t, snapshot, again)
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -27,6 +27,8 @@
 	steppedDown bool
 	// caughtUp is set when a candidate also has its whole log.
 	caughtUp bool
+	// position is the position of the primary after it has stepped down.
+	position ident.Position
 }
 
 // stepDownPrimary turns a primary that is to be replaced into a replica and waits until a candidate has received its whole log,
@@ -50,14 +52,14 @@
 	klog.InfoS("Primary stepped down", "service", p.group.service, "primary", p.decision.Primary, "position", status.Received)
 	end := steady.Now().Add(catchUpTimeout)
 	for steady.Now() < end && ctx.Err() == nil {
-		for _, candidate := range p.statuses(ctx, statement.AskStatus{}) {
+		for _, candidate := range p.statuses(ctx, p.decision.Candidates, statement.AskStatus{}) {
 			if !candidate.Received.Less(status.Received) {
-				return handover{steppedDown: true, caughtUp: true}
+				return handover{steppedDown: true, caughtUp: true, position: status.Received}
 			}
 		}
 	}
 	klog.InfoS("No replica caught up with the old primary", "service", p.group.service, "position", status.Received)
-	return handover{steppedDown: true}
+	return handover{steppedDown: true, position: status.Received}
 }
 
 // requestPrimary returns the status of the primary, after it has stepped down if a term is given. If the core does not reach the
@@ -106,6 +108,28 @@
 	}
 	return statement.Status{
 		Primary: response.GetPrimary(), Term: ident.Term(response.GetTerm()),
-		Received: ident.Position{Term: ident.Term(response.GetReceived().GetTerm()), LSN: ident.LSN(response.GetReceived().GetLsn())},
+		Received: positionFromProto(response.GetReceived()),
 	}, nil
 }
+
+// readFloor reads the position of the primary, of which a later promotion may not lose anything.
+func (g *groups) readFloor(ctx context.Context, p *promotion) {
+	target, found := p.targets[p.decision.Primary]
+	if !found {
+		return
+	}
+	asOf := steady.Now()
+	status, err := p.requestPrimary(ctx, target, 0)
+	klog.InfoS("Position of the primary read", "service", p.group.service, "upstream", p.decision.Primary, "primary", status.Primary,
+		"position", status.Received, "problem", problem(err))
+	if err != nil || !status.Primary {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.group.decider.SetFloor(asOf, p.decision.Primary, status.Received)
+}
+
+func positionFromProto(p *fleetpb.Position) ident.Position {
+	return ident.Position{Term: ident.Term(p.GetTerm()), LSN: ident.LSN(p.GetLsn())}
+}
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -85,6 +85,45 @@
 	require.Empty(t, f.group.Violations())
 }
 
+// Guards against the loss of acknowledged writes that are only on a replica which is replaced as planned: the primary crashes, the other
+// replica has received nothing of them, and the successor of the ended one, which gets its log, is not there yet.
+func TestWritesOfReplacedReplica(t *testing.T) {
+	f := newFleet(t)
+	f.group.SetSyncReplicas(1)
+	f.put(configuration{version: 2, rate: 500, syncReplicas: 1})
+	primary, leaving, other := f.upstreams[0], f.upstreams[1], f.upstreams[2]
+	f.do(0, "primary", "key-one", "STORE before x")
+	leaving.SetLeaving()
+	other.SetReplicationPaused(true)
+	var acknowledged []string
+	for i := range 10 {
+		acknowledged = append(acknowledged, f.do(i%3, "primary", "key-one", fmt.Sprintf("STORE late%d x", i)).ID)
+	}
+	primary.Crash()
+	f.eventually("end announced", func() bool { return f.cloud.End(f.ctx, f.controlAddresses(), leaving) })
+	leaving.Crash()
+	const refusals = 5
+	f.eventually("promotions that are not possible", func() bool {
+		refused := 0
+		for _, p := range f.cores {
+			_, after, _ := strings.Cut(p.log.String(), "the primary does not answer")
+			refused += strings.Count(after, "Promotion not possible")
+		}
+		return refused >= refusals || len(f.cloud.Promotions()) > 0
+	})
+	require.Empty(t, f.cloud.Promotions(), "no upstream that runs has the writes")
+	_, err := f.group.Succeed(leaving, "i-3")
+	require.NoError(t, err)
+	other.SetReplicationPaused(false)
+	f.do(1, "primary", "key-one", "STORE after x")
+	require.Equal(t, "i-3", f.group.Primary())
+	_, runs := f.group.Items()
+	for _, id := range acknowledged {
+		require.Equal(t, 1, runs[id], "acknowledged write %s", id)
+	}
+	require.Empty(t, f.group.Violations())
+}
+
 // Guards against the loss of acknowledged writes when a primary is replaced that serves callers all the time and that only the core can't
 // reach. Each write waits for one replica; while the platform executes the order, the promoted upstream receives nothing and the other
 // replica does.
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -371,6 +371,26 @@
 		"fleet/connections/order.go", "case host.Region == u.Region:", "case host.Zone == \"\":",
 		"./node/entry", "HomesWithHostOfOtherZone",
 	},
+	{
+		0, "LOST: a replica that has departed counts among those that may hold an acknowledged write",
+		"fleet/takeover/departure.go", "n++", "n += 0",
+		"./fleet/takeover", "DepartedReplica",
+	},
+	{
+		0, "LOST: nobody is promoted whose log does not reach the primary's position after a departure or at the last promotion",
+		"fleet/takeover/decision.go", "positions[best].Less(d.Floor) ||", "",
+		"./fleet/takeover", "ChooseBeside",
+	},
+	{
+		0, "LOST: the positions of replicas that are about to end count",
+		"fleet/takeover/decision.go", "|| positions[best].Less(positions[ending])", "|| ending == best",
+		"./fleet/takeover", "ChooseBeside",
+	},
+	{
+		0, "LOST: an upstream that starts again does not have the log of its earlier start",
+		"fleet/directory/directory.go", "d.depart(now, known.announcement, known.announcement.GetLeaving())\n\t\td.succeed(a)", "d.succeed(a)",
+		"./fleet/directory", "Departures",
+	},
 	{
 		0, "callers: all together hold at most the total without its reserve",
 		"fleet/budget/account.go", "case used > a.limits.Total-a.limits.Reserve:", "case used < 0:",
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -117,7 +119,7 @@
 		c.mu.Unlock()
 		for _, a := range batch {
 			for _, address := range core {
-				if post(ctx, client, address, a) {
+				if post(ctx, client, address, announcementPath, a) {
 					break
 				}
 			}
@@ -130,8 +132,18 @@
 	}
 }
 
-// announcementPath is the path of announcements, up to the escaped id of the upstream.
-const announcementPath = "/tamarackshunt/Instances.Heartbeat/"
+// Paths of announcements and of the ends of upstreams, up to the escaped id of the upstream.
+const (
+	announcementPath = "/tamarackshunt/Instances.Heartbeat/"
+	endPath          = "/tamarackshunt/Instances.Deregister/"
+)
+
+// End announces the end of an upstream to the first of the core's addresses that accepts it, and reports whether one did.
+func (c *Cloud) End(ctx context.Context, core []string, u *Upstream) bool {
+	client := &http.Client{Timeout: time.Second}
+	body := fmt.Appendf(nil, `{"born":%d}`, u.born)
+	return slices.ContainsFunc(core, func(address string) bool { return post(ctx, client, address, endPath, announcement{u.ID, body}) })
+}
 
 type announcement struct {
 	id   string
@@ -165,8 +177,8 @@
 	return list
 }
 
-func post(ctx context.Context, client *http.Client, address string, a announcement) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+announcementPath+a.id, bytes.NewReader(a.body))
+func post(ctx context.Context, client *http.Client, address, path string, a announcement) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+a.id, bytes.NewReader(a.body))
 	if err != nil {
 		return false
 	}
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,19 +63,24 @@
 		return nil, err
 	}
 	o.Address = listener.Addr().String()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.add(o, listener, nil), nil
+}
+
+// add adds a member with a log and serves it. The caller holds the lock.
+func (g *Group) add(o Options, listener net.Listener, log []Entry) *Upstream {
 	u := &Upstream{
 		Options: o, group: g, listener: listener, slots: make(chan struct{}, o.Slots), queued: make(chan struct{}, o.Slots+o.Queue),
-		conns: map[net.Conn]struct{}{}, born: time.Now().UnixMilli(),
+		conns: map[net.Conn]struct{}{}, born: time.Now().UnixMilli(), log: log,
 	}
-	g.mu.Lock()
 	if g.primary == nil {
 		g.primary = u
 	}
 	g.members = append(g.members, u)
 	g.replicate(u)
-	g.mu.Unlock()
 	go u.serve()
-	return u, nil
+	return u
 }
 
 // Crash stops the upstream and closes its connections without notice.
@@ -91,6 +97,19 @@
 	}
 }
 
+// Succeed starts a member at the address of one that is down, with its log, as the platform does after an upstream has left.
+func (g *Group) Succeed(ended *Upstream, id string) (*Upstream, error) {
+	o := ended.Options
+	o.ID = id
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.add(o, listener, slices.Clone(ended.log)), nil
+}
+
 // SetReplicationPaused stops or resumes the receipt of the primary's log.
 func (u *Upstream) SetReplicationPaused(paused bool) {
 	u.group.mu.Lock()
