End open transactions in an evacuated zone

Cause: the evacuation was asked when an upstream is chosen. A transaction keeps the executor of its first statement, and nothing on the way from there to the upstream knew of it. With a primary that nothing can replace plain transactions went on too, for the 40 s of the test. The same way, a gateway ran new statements for a host that had not heard of the evacuation.

The pool of an evacuated upstream now refuses statements: new ones at once, those of open transactions after half of evacuate_ms. Every statement passes the pool of the caller's host, and that of the gateway, right before it is sent, so none is left out. The caller of a transaction gets ABORTED, which is true since the connection is rolled back.

--- a/node/entry.go
+++ b/node/entry.go
@@ -36,6 +36,10 @@
 // memoryLimitPercent is the garbage collector's soft memory limit in percent of the process's memory limit.
 const memoryLimitPercent = 60
 
+// evacuationGraceDivisor makes the time for which open transactions go on after an evacuation a part of the time that the platform allows.
+// The rest is for hosts that learn of the evacuation late, and for statements that were sent just before.
+const evacuationGraceDivisor = 2
+
 // entryPart runs the role of an entry host.
 type entryPart struct {
 	server     *entry.Server
@@ -75,7 +79,7 @@
 	gatewayCalls.Transport = answers.Transport(gatewayCalls.Transport)
 	table := routing.New(routing.Options{
 		Host: s.Host, Zone: s.Zone, Region: s.Region, Regions: s.Regions, Protocol: newUpstreamWithin(answers),
-		Gateways: gateway.NewClient(gatewayCalls, peers.URL), Meter: meter,
+		Gateways: gateway.NewClient(gatewayCalls, peers.URL), Meter: meter, EvacuationGrace: s.Evacuation / evacuationGraceDivisor,
 	})
 	ownAddress := address(s.IP, s.FirstPort+portOffsetEntry)
 	incarnation := ident.Incarnation(time.Now().UnixNano())
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -222,6 +222,12 @@
 		h.primary.DropWriteAnswers(1)
 	case "key is withdrawn":
 		h.configure(2, "another")
+	case "zone is evacuated":
+		h.directory.Evacuated = []string{"z"}
+		h.table.SetDirectory(h.directory)
+	case "evacuation is taken back":
+		h.directory.Evacuated = nil
+		h.table.SetDirectory(h.directory)
 	case "caller rests":
 		require.Eventually(h.t, func() bool { return h.primary.OpenTransactions() == 0 }, 20*time.Second, time.Millisecond)
 	default:
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -79,6 +79,8 @@
 	// holder is the other host that the executor asks, or nil.
 	holder        *fleetpb.EntryHost
 	gatewayFailed bool
+	// kept is set while a connection is kept for a transaction.
+	kept bool
 }
 
 // choose selects the host that the executor asks.
@@ -108,11 +110,17 @@
 }
 
 // Execute implements upstream.Executor.
-func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
+func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (outcome upstream.Outcome, err error) {
+	// A gateway on another host may not know of the evacuation.
+	if err := c.pool.CheckEvacuation(c.kept); err != nil {
+		c.Close()
+		return upstream.Outcome{}, err
+	}
+	defer func() { c.kept = err == nil && use.Keep }()
 	c.pool.BeginStatement()
 	c.pool.RecordSent(steady.Now())
 	defer c.pool.EndStatement()
-	outcome, err := c.ask(ctx, use)
+	outcome, err = c.ask(ctx, use)
 	if outcome.Gateway != "" {
 		c.pool.RecordLoad(steady.Now(), outcome.Load)
 	}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -38,6 +38,8 @@
 	Meter upstream.Meter
 	// Gateways is the client for the gateways on other hosts.
 	Gateways *gateway.Client
+	// EvacuationGrace is how long open transactions may go on on an upstream whose availability zone is evacuated.
+	EvacuationGrace time.Duration
 }
 
 // Table holds one host's configuration and its view of the upstreams. It is safe for concurrent use.
@@ -160,6 +162,7 @@
 	maps.DeleteFunc(t.peers, func(id string, _ *connections.Peer) bool {
 		return !slices.ContainsFunc(t.hosts, func(host *fleetpb.EntryHost) bool { return host.GetHost() == id })
 	})
+	now := steady.Now()
 	members := map[ident.Service][]*member{}
 	for _, a := range d.GetUpstreams() {
 		service := ident.Service(a.GetService())
@@ -173,10 +176,16 @@
 		}
 		pool, known := t.pool(target)
 		pool.SetCapacity(int(a.GetCapacity()))
+		evacuated := slices.Contains(d.GetEvacuated(), a.GetZone())
+		if evacuated {
+			pool.Evacuate(now, t.options.EvacuationGrace)
+		} else {
+			pool.EndEvacuation()
+		}
 		members[service] = append(members[service], &member{
 			pool:      pool,
 			leaving:   a.GetLeaving(),
-			evacuated: slices.Contains(d.GetEvacuated(), a.GetZone()),
+			evacuated: evacuated,
 			account:   known,
 		})
 	}
@@ -193,7 +202,6 @@
 		}
 		g.update(members[service], ident.Upstream(primaries[string(service)]))
 	}
-	now := steady.Now()
 	t.updateAccounts(now)
 	for _, a := range d.GetUpstreams() {
 		if a.GetWarmupMs() > 0 {
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -511,6 +511,53 @@
 	require.Equal(t, "i-0", f.group.Primary())
 }
 
+// Guards against open transactions that go on in an evacuated zone, through this host's own connection or a gateway's, on a replica and on
+// a primary that nothing can replace.
+func TestTransactionsInEvacuatedZone(t *testing.T) {
+	f := newFleet(t)
+	for _, u := range f.upstreams[1:] {
+		u.Crash()
+	}
+	f.eventually("evacuations acknowledged", func() bool {
+		return f.operator(1).Evacuate("z1", true) == http.StatusOK && f.operator(1).Evacuate("z2", true) == http.StatusOK
+	})
+	open := map[string]*platform.Client{}
+	for host := range 3 {
+		for _, begin := range []string{"BEGIN", "BEGIN FETCH"} {
+			name := strings.ReplaceAll(begin, " ", "-") + fmt.Sprint(host)
+			f.eventually(name, func() bool {
+				c, err := f.dial(host, "bounded", "key-one", name+"-"+fmt.Sprint(time.Now().UnixNano()))
+				if err != nil {
+					return false
+				}
+				for _, text := range []string{begin, "FETCH item"} {
+					if a, err := c.Do(text); err != nil || a.Error != "" {
+						c.Close()
+						return false
+					}
+				}
+				open[name] = c
+				return true
+			})
+		}
+	}
+	f.eventually("evacuation acknowledged", func() bool { return f.operator(2).Evacuate("z0", true) == http.StatusOK })
+	f.eventually("end of all transactions", func() bool {
+		for name, c := range open {
+			a, err := c.Do("FETCH item")
+			require.NoError(t, err, name)
+			if a.Error != "" {
+				require.Contains(t, a.Error, "ABORTED", name)
+				require.Contains(t, a.Error, "evacuated", name)
+				c.Close()
+				delete(open, name)
+			}
+		}
+		return len(open) == 0
+	})
+	require.Empty(t, f.group.Violations())
+}
+
 // Guards against requests that are sent to the upstreams of an evacuated zone, its primary included.
 func TestEvacuation(t *testing.T) {
 	f := newFleet(t)
--- /dev/null
+++ b/node/upstream/evacuation.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/fleet/statement"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+var statementsEvacuated = metrics.NewCounter("tamarack_upstream_statements_evacuated_total")
+
+// Evacuate makes the pool refuse statements because the upstream's availability zone is evacuated: new ones from now on, and those of
+// open transactions after a grace period. It changes nothing if the pool is evacuated already.
+func (p *Pool) Evacuate(now ident.Time, grace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evacuated {
+		return
+	}
+	p.evacuated, p.transactionsUntil = true, now.Add(grace)
+	klog.InfoS("Upstream evacuated", "upstream", p.target.Upstream, "zone", p.target.Zone, "grace", grace)
+}
+
+// EndEvacuation ends what Evacuate has begun.
+func (p *Pool) EndEvacuation() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evacuated {
+		p.evacuated = false
+		klog.InfoS("Upstream no longer evacuated", "upstream", p.target.Upstream, "zone", p.target.Zone)
+	}
+}
+
+// CheckEvacuation returns a statement.Failure if a statement must not be sent because of an evacuation. inTransaction is set if it belongs
+// to a transaction that is open on the upstream.
+func (p *Pool) CheckEvacuation(inTransaction bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {
+		return nil
+	}
+	statementsEvacuated.Inc()
+	failure := &statement.Failure{Code: statement.CodeMoved, Text: "the availability zone of the upstream is evacuated"}
+	if inTransaction {
+		failure.Code = statement.CodeAborted
+	}
+	return failure
+}
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -92,6 +92,7 @@
 // connection, so that the next statement finds it.
 func (d *directExecutor) Execute(ctx context.Context, use Use) (outcome Outcome, err error) {
 	defer func() { outcome.Load = d.pool.MeasuredLoad(steady.Now()) }()
+	inTransaction := d.conn != nil
 	id, err := d.admit(ctx, &use)
 	if err != nil {
 		d.Close()
@@ -100,6 +101,11 @@
 	if use.ID != "" {
 		defer func() { d.leave(id, outcome, err) }()
 	}
+	// The evacuation may have begun while the statement waited.
+	if err := d.pool.CheckEvacuation(inTransaction); err != nil {
+		d.Close()
+		return Outcome{}, err
+	}
 	outcome, err = d.use(&use)
 	if err != nil {
 		if d.conn.broken {
@@ -138,6 +144,9 @@
 		// Another host is asked without a wait in the queue.
 		return 0, &NotHolderError{d.pool.target.Upstream}
 	}
+	if err := d.pool.CheckEvacuation(d.conn != nil); err != nil {
+		return 0, err
+	}
 	l := d.pool.limiter
 	request := d.request(ctx, use)
 	if use.ID == "" {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -34,6 +34,9 @@
 	conns     map[connections.ConnID]*Conn
 	waiting   map[connections.WaiterID]chan grant
 	closed    bool
+	// evacuated is set while the upstream's availability zone is evacuated. Until transactionsUntil, open transactions may go on.
+	evacuated         bool
+	transactionsUntil ident.Time
 	// wake is the timer for the allocator's next decision, which is due at wakeAt.
 	wake   *time.Timer
 	wakeAt ident.Time
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -391,6 +391,16 @@
 		"fleet/directory/directory.go", "d.depart(now, known.announcement, known.announcement.GetLeaving())\n\t\td.succeed(a)", "d.succeed(a)",
 		"./fleet/directory", "Departures",
 	},
+	{
+		0, "EVAC: an open transaction sends nothing to an evacuated upstream after the grace period",
+		"node/upstream/evacuation.go", "if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {", "if !p.evacuated || inTransaction {",
+		"./node/entry", "TransactionInEvacuated",
+	},
+	{
+		0, "EVAC: a gateway refuses statements of hosts that have not heard of an evacuation",
+		"node/upstream/evacuation.go", "if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {", "if !p.evacuated || !inTransaction {",
+		"./node/gateway", "EvacuatedUpstream",
+	},
 	{
 		0, "callers: all together hold at most the total without its reserve",
 		"fleet/budget/account.go", "case used > a.limits.Total-a.limits.Reserve:", "case used < 0:",
