host: end transactions on replicas in a zone out of service

Found by reading, next to the lease and key that each statement of a transaction checks already.

A host now records when it learned of a zone that is out, and a statement of a transaction on an upstream there gets 08006 after 2 s, the time that transactions have when a primary is replaced. A primary serves until its replacement, as before.

--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -58,8 +58,9 @@
 	deferredBegin *beginStatement
 	// aborted is set when a transaction is rejected before it has reached an upstream, until the caller ends it.
 	aborted bool
-	// txConn is the upstream connection of the open transaction; releaseConn returns it to the pool.
+	// txConn is the upstream connection of the open transaction, to txTarget; releaseConn returns it to the pool.
 	txConn      *upstream.Conn
+	txTarget    member.Target
 	releaseConn func()
 	// onReplica is set while txConn is a connection to a replica.
 	onReplica bool
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -297,6 +297,7 @@
 	server   *entry.Server
 	address  string
 	keys     []*fleetpb.KeyEntry
+	clock    *clock.Clock
 }
 
 func newFixture(t testing.TB) *fixture {
@@ -330,15 +331,15 @@
 		Announced:  map[member.Target]bool{target: true},
 		Expires:    ident.Time(time.Hour),
 	}}
-	clock := clock.New()
+	f.clock = clock.New()
 	var pool *upstream.Pool
 	pool = upstream.NewPool(upstream.Options{
-		Credential: upstream.Credential{User: "fleet", Password: "fleet-password"}, Clock: clock, View: f.deps.View,
+		Credential: upstream.Credential{User: "fleet", Password: "fleet-password"}, Clock: f.clock, View: f.deps.View,
 		SyncNow: func() { go f.allot(pool) },
 	})
 	options := entry.Options{
 		Settings: &fleetpb.HostSettings{Caller: "127.0.0.1:0", Zone: "z1", Notice: durationpb.New(0)},
-		Clock:    clock, View: f.deps.View, Chooser: f.deps, Quota: f.deps, Ack: f.deps, Pool: pool,
+		Clock:    f.clock, View: f.deps.View, Chooser: f.deps, Quota: f.deps, Ack: f.deps, Pool: pool,
 	}
 	configure(&options)
 	server, err := entry.New(options)
--- a/host/entry/transaction.go
+++ b/host/entry/transaction.go
@@ -82,7 +82,7 @@
 }
 
 func (c *caller) setTxConn(choice Choice, conn *upstream.Conn) {
-	c.txConn = conn
+	c.txConn, c.txTarget = conn, choice.Target
 	c.onReplica = choice.Replica
 	c.releaseConn = func() { c.server.opts.Pool.Release(choice.Target, conn) }
 }
@@ -132,12 +132,22 @@
 	return c.finish(r, out, err)
 }
 
-// checkTransaction returns a rejection when the caller's key was withdrawn or the lease of this host ended during the
-// transaction, before more of it runs.
+// outGrace is how long a transaction may go on on an upstream whose availability zone is out of service. It equals the time that
+// transactions have when a primary is replaced as planned.
+const outGrace = 2 * time.Second
+
+// checkTransaction returns a rejection when the caller's key was withdrawn, the lease of this host ended or the upstream's availability
+// zone was taken out of service during the transaction, before more of it runs.
 func (c *caller) checkTransaction(view *member.View) error {
-	if !view.Valid(c.server.opts.Clock.Now()) {
+	now := c.server.opts.Clock.Now()
+	if !view.Valid(now) {
 		return reject(sqlstate.TransactionLost, "the lease of the host ended during the transaction")
 	}
+	// A primary serves until it is replaced, which ends its transactions.
+	replaceable := view.Groups[c.txTarget.Service].GetPrimary() != string(c.txTarget.Upstream)
+	if replaceable && view.OutFor(now, c.txTarget) > outGrace {
+		return reject(sqlstate.TransactionLost, "the availability zone of %q went out of service during the transaction", c.txTarget.Upstream)
+	}
 	return c.checkKey(view)
 }
 
--- a/host/member/member.go
+++ b/host/member/member.go
@@ -187,7 +187,7 @@
 
 func (m *Member) adopt(answer *fleetpb.SyncResponse, sent ident.Time) {
 	lease := time.Duration(answer.GetLeaseMs()) * time.Millisecond
-	view := m.View().next(answer, sent.Add(lease))
+	view := m.View().next(answer, m.opts.Clock.Now(), sent.Add(lease))
 	// The view is stored first: Adopted may make pending work choose an upstream again, which must not use the old view.
 	m.view.Store(view)
 	m.opts.Adopted(view)
--- a/host/member/view.go
+++ b/host/member/view.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"time"
+
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/key"
@@ -15,7 +17,9 @@
 	Routes      map[ident.Route]Route
 	Teams       map[ident.Team]*fleetpb.Team
 	ZonesOut    map[ident.Zone]bool
-	Groups      map[ident.Service]*fleetpb.Group
+	// ZonesOutSince has the time at which this host learned that an availability zone is out of service.
+	ZonesOutSince map[ident.Zone]ident.Time
+	Groups        map[ident.Service]*fleetpb.Group
 	// Keys is shared by all views of a host, so that a withdrawn key becomes invalid at once.
 	Keys       *key.Table
 	Keepers    *fleetpb.KeeperSet
@@ -67,8 +71,17 @@
 	return !v.ZonesOut[ident.Zone(member.GetZone())]
 }
 
-// next returns a copy of v with the answer of a sync applied, valid until expires.
-func (v *View) next(answer *fleetpb.SyncResponse, expires ident.Time) *View {
+// OutFor returns how long this host has known that a target's availability zone is out of service, or 0 if it is in service.
+func (v *View) OutFor(now ident.Time, target Target) time.Duration {
+	since, out := v.ZonesOutSince[ident.Zone(v.Member(target).GetZone())]
+	if !out {
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// next returns a copy of v with the answer of a sync applied at now, valid until expires.
+func (v *View) next(answer *fleetpb.SyncResponse, now, expires ident.Time) *View {
 	n := *v
 	n.Expires = expires
 	n.Allotments = make(map[Target]int, len(answer.GetAllotments()))
@@ -80,7 +93,7 @@
 		n.applyLists(answer)
 	}
 	if state := answer.GetState(); state != nil {
-		n.apply(state)
+		n.apply(state, now)
 	}
 	return &n
 }
@@ -94,7 +107,7 @@
 	}
 }
 
-func (v *View) apply(state *fleetpb.State) {
+func (v *View) apply(state *fleetpb.State, now ident.Time) {
 	if state.GetFull() {
 		v.Groups = nil
 	}
@@ -105,7 +118,7 @@
 		v.Keepers = state.GetKeepers()
 	}
 	if state.GetText() != nil {
-		v.applyText(state)
+		v.applyText(state, now)
 	}
 }
 
@@ -120,7 +133,7 @@
 	v.Groups = groups
 }
 
-func (v *View) applyText(state *fleetpb.State) {
+func (v *View) applyText(state *fleetpb.State, now ident.Time) {
 	text := state.GetText()
 	v.Text = text
 	v.TextVersion = ident.Version(state.GetTextVersion())
@@ -144,7 +157,15 @@
 	for _, team := range text.GetTeams() {
 		v.Teams[ident.Team(team.GetName())] = team
 	}
+	before := v.ZonesOutSince
+	v.ZonesOutSince = make(map[ident.Zone]ident.Time)
 	for _, zone := range text.GetZones() {
-		v.ZonesOut[ident.Zone(zone.GetName())] = zone.GetOut()
+		name := ident.Zone(zone.GetName())
+		v.ZonesOut[name] = zone.GetOut()
+		if since, known := before[name]; known && zone.GetOut() {
+			v.ZonesOutSince[name] = since
+		} else if zone.GetOut() {
+			v.ZonesOutSince[name] = now
+		}
 	}
 }
--- a/host/member/view_test.go
+++ b/host/member/view_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
@@ -88,7 +89,7 @@
 	for i, step := range steps {
 		before := *view
 		shown := format(&View{Groups: before.Groups, Announced: before.Announced, ZonesOut: before.ZonesOut, Keys: key.NewTable()})
-		next := view.next(step.answer, ident.Time(100*(i+1)))
+		next := view.next(step.answer, ident.Time(100*i), ident.Time(100*(i+1)))
 		require.Equal(t, shown, format(&View{Groups: view.Groups, Announced: view.Announced, ZonesOut: view.ZonesOut, Keys: key.NewTable()}),
 			"the previous view was changed, although others may read it")
 		view = next
@@ -98,3 +99,24 @@
 	require.True(t, view.Valid(599))
 	require.False(t, view.Valid(600), "valid at the end of the lease")
 }
+
+// Guards against transactions that go on in an availability zone out of service, since each new text begins the time anew.
+func TestOutFor(t *testing.T) {
+	target := Target{"orders", "o1"}
+	view := &View{Keys: key.NewTable()}
+	text := func(at ident.Time, out bool) {
+		view = view.next(&fleetpb.SyncResponse{State: &fleetpb.State{
+			Text:   &fleetpb.Text{Zones: []*fleetpb.Zone{{Name: "north", Out: out}}},
+			Groups: []*fleetpb.Group{{Service: "orders", Members: []*fleetpb.Member{{Upstream: "o1", Zone: "north"}}}},
+		}}, at, at)
+	}
+	for _, step := range []struct {
+		at   ident.Time
+		out  bool
+		want time.Duration
+	}{{100, false, 0}, {200, true, 0}, {500, true, 300}, {600, false, 0}, {700, true, 0}, {900, true, 200}} {
+		text(step.at, step.out)
+		require.Equal(t, step.want, view.OutFor(step.at, target), "at %d", step.at)
+	}
+	require.Zero(t, view.OutFor(900, Target{"orders", "gone"}))
+}
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -401,6 +401,11 @@
 		"node/upstream/evacuation.go", "if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {", "if !p.evacuated || !inTransaction {",
 		"./node/gateway", "EvacuatedUpstream",
 	},
+	{
+		8, "an open transaction does not go on on a replica whose availability zone is out of service",
+		"host/entry/transaction.go", "if replaceable && view.OutFor(now, c.txTarget) > outGrace {", "if replaceable && view.OutFor(now, c.txTarget) < 0 {",
+		"./host/entry", "TransactionInZoneOut",
+	},
 	{
 		0, "callers: all together hold at most the total without its reserve",
 		"fleet/budget/account.go", "case used > a.limits.Total-a.limits.Reserve:", "case used < 0:",
