Close connections to evacuated upstreams instead of rolling back

A refused transaction sent ROLLBACK to the upstream of the evacuated zone and kept the connection for reuse; where the zone is dark, its caller waited for that. A closed connection rolls back as well. TestEvacuatedUpstream failed on the kept connection before.

--- a/node/gateway/evacuation_test.go
+++ b/node/gateway/evacuation_test.go
@@ -40,6 +40,7 @@
 	pool.Evacuate(steady.Now(), 0)
 	require.Equal(t, uint32(statement.CodeAborted), use(next).GetFailure().GetCode(), "the grace period of open transactions is over")
 	require.Len(t, g.Runs(), ran)
+	require.Zero(t, pool.Connections(), "nothing is sent to roll the transaction back")
 
 	pool.EndEvacuation()
 	mustUse(t, server, firstRequest("three"))
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -260,8 +260,10 @@
 	return kind + strconv.FormatUint(c.namesUsed, 10)
 }
 
-// Release rolls back a transaction that is still open and returns the connection to its pool, which closes it if it is broken.
+// Release rolls back a transaction that is still open and returns the connection to its pool, which closes it if it is broken. Nothing is
+// sent to an evacuated upstream; closing the connection rolls the transaction back there.
 func (c *Conn) Release() {
+	c.broken = c.broken || c.pool.isEvacuated()
 	if !c.broken && c.state != statement.StateIdle {
 		if result, err := c.Run("", ident.Position{}, statement.Rollback{}, internalTimeout); err != nil || result.State != statement.StateIdle {
 			c.broken = true
--- a/node/upstream/evacuation.go
+++ b/node/upstream/evacuation.go
@@ -35,6 +35,12 @@
 	}
 }
 
+func (p *Pool) isEvacuated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evacuated
+}
+
 // CheckEvacuation returns a statement.Failure if a statement must not be sent because of an evacuation. inTransaction is set if it belongs
 // to a transaction that is open on the upstream.
 func (p *Pool) CheckEvacuation(inTransaction bool) error {
