--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -302,7 +302,7 @@
 	},
 	{
 		0, "EVAC: an evacuated availability zone gets no work",
-		"node/routing/candidates.go", "return !m.leaving && !m.evacuated && t.Catalog()", "return !m.leaving && t.Catalog()",
+		"node/routing/candidates.go", "return !m.leaving && !m.evacuated && catalog.Allows(", "return !m.leaving && catalog.Allows(",
 		"./node/routing", "Candidates",
 	},
 	{
