Let replicas reach the floor of a primary that has written nothing

Found in the reread of the change, not seen by callers: the floor that the leader reads from a primary has the current term. If that one has written nothing since its promotion, replicas with the same log report the term of their last write, so none reaches the floor and nobody is promoted.

Such a floor is the position at which the primary began to lead, which is the same log. TestFloorOfQuietPrimary failed before on its first check; its second one keeps a replica out that lacks what was acknowledged before.

--- a/fleet/takeover/departure.go
+++ b/fleet/takeover/departure.go
@@ -31,8 +31,8 @@
 	at       ident.Time
 	// nextRead is the earliest time of the next reading of the primary's position.
 	nextRead ident.Time
-	// ordered is the position that the successor had when it was ordered to lead, as the control log has it. It counts once the
-	// successor announces itself as the primary, since the order may not have been executed.
+	// ordered is the position that the successor had when it was ordered to lead. One from the control log counts once the successor
+	// announces itself as the primary, since the order may not have been executed.
 	ordered   ident.Position
 	successor ident.Upstream
 }
@@ -60,6 +60,10 @@
 	if primary != d.primary {
 		return
 	}
+	if primary == d.floor.successor && position.LSN == d.floor.ordered.LSN {
+		// It has written nothing since, and replicas report the term of their last write.
+		position = d.floor.ordered
+	}
 	// The primary may have lost its log and started again, so a lower position counts too.
 	d.floor.position, d.floor.at = position, at.Add(-endMargin)
 }
--- a/fleet/takeover/departure_test.go
+++ b/fleet/takeover/departure_test.go
@@ -146,3 +146,28 @@
 		require.Equal(t, executed, decision.Floor == at(9), "an order that was not executed sets no floor")
 	}
 }
+
+// Guards against a service that gets no primary because the floor was read from one that had written nothing since its promotion: its
+// position has the new term, while those of replicas have the term of their last write.
+func TestFloorOfQuietPrimary(t *testing.T) {
+	for _, inherited := range []bool{false, true} {
+		s := newSimulation()
+		require.Nil(t, s.run(5*time.Second))
+		s.members["a"].primary, s.members["b"].primary = false, true
+		if inherited {
+			s.decider = takeover.New(s.now, "b", at(9))
+		} else {
+			s.decider.Promoted(s.now, "b", at(9))
+		}
+		require.Nil(t, s.run(5*time.Second))
+		s.decider.SetFloor(s.now, "b", ident.Position{Term: 2, LSN: 9})
+		*s.members["b"] = member{primary: true, lastAnnounced: s.now}
+		decision := s.run(10 * time.Second)
+		require.NotNil(t, decision)
+		chosen, ok := takeover.Choose(decision, map[ident.Upstream]ident.Position{"a": at(9), "c": at(8)}, 1)
+		require.True(t, ok)
+		require.Equal(t, ident.Upstream("a"), chosen)
+		_, ok = takeover.Choose(decision, map[ident.Upstream]ident.Position{"a": at(8), "c": at(8)}, 1)
+		require.False(t, ok, "neither has all that was acknowledged before the promotion")
+	}
+}
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -276,7 +276,7 @@
 // Promoted records an executed promotion order. The upstream's position at the order contains every write acknowledged before.
 func (d *Decider) Promoted(now ident.Time, id ident.Upstream, position ident.Position) {
 	d.setPrimary(now, id)
-	d.floor.position, d.floor.at = position, now
+	d.floor = floor{position: position, at: now, ordered: position, successor: id}
 	d.noPrimarySince, d.unfinished, d.replaced = 0, false, ""
 }
 
