Count the successor of a primary that has left as complete

The primary leaves as planned while nobody can follow it, its successor starts with the whole log, and the earlier start of a replica that came back empty still counts, so too few positions were known. The floor can't be read without a primary, and the departure would have counted for an hour.

The directory now remembers which upstream has taken over the log of one that left as the primary. Its position suffices, as that of a former primary which has run since did already; both are one field of the decision.

--- a/fleet/directory/departure.go
+++ b/fleet/directory/departure.go
@@ -59,12 +59,29 @@
 	})
 }
 
-// succeed forgets the departures of upstreams whose log the start of a has taken over, and that of the start itself. The caller holds the
-// lock.
-func (d *Directory) succeed(a *fleetpb.Announcement) {
+// succeed forgets the departures of upstreams whose log the start of a has taken over, and that of the start itself. It returns the one of
+// them that left as the primary, or an empty name. The caller holds the lock.
+func (d *Directory) succeed(a *fleetpb.Announcement) (primary ident.Upstream) {
 	d.departures = slices.DeleteFunc(d.departures, func(left Departure) bool {
 		same := string(left.Upstream) == a.GetUpstream() && left.born == a.GetBorn()
 		takesOver := left.handsOver && left.address == a.GetAddress() && string(left.Service) == a.GetService() && left.born < a.GetBorn()
+		if takesOver && left.Primary {
+			primary = left.Upstream
+		}
 		return same || takesOver
 	})
+	return primary
+}
+
+// Successors returns the upstreams that have taken over the log of one that left as the primary, with the id of that one.
+func (d *Directory) Successors() map[ident.Upstream]ident.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := map[ident.Upstream]ident.Upstream{}
+	for id, r := range d.records {
+		if r.succeeds != "" && !r.announcement.GetGone() {
+			list[id] = r.succeeds
+		}
+	}
+	return list
 }
--- a/fleet/directory/directory.go
+++ b/fleet/directory/directory.go
@@ -35,6 +35,8 @@
 	updatedAt    ident.Time
 	// unconfirmed is set while an upstream that was restored has not announced itself.
 	unconfirmed bool
+	// succeeds is the upstream that left as the primary and whose log this start has taken over, or empty.
+	succeeds ident.Upstream
 }
 
 // New returns an empty directory.
@@ -61,17 +63,20 @@
 		return false
 	}
 	d.endOthersAt(now, a)
+	next := &record{announcement: proto.CloneOf(a), updatedAt: now}
 	switch {
 	case a.GetGone():
 		d.depart(now, a, true)
 	case known == nil:
-		d.succeed(a)
+		next.succeeds = d.succeed(a)
 	case known.announcement.GetBorn() != a.GetBorn():
 		d.depart(now, known.announcement, known.announcement.GetLeaving())
-		d.succeed(a)
+		next.succeeds = d.succeed(a)
+	default:
+		next.succeeds = known.succeeds
 	}
 	d.settle(known, true)
-	d.records[id] = &record{announcement: proto.CloneOf(a), updatedAt: now}
+	d.records[id] = next
 	return true
 }
 
--- a/fleet/takeover/decision.go
+++ b/fleet/takeover/decision.go
@@ -22,8 +22,9 @@
 	Replicas, Departed int
 	// Floor is a position that contains every acknowledged write which may be missing on the replicas that are counted.
 	Floor ident.Position
-	// PrimaryKept is set if the primary is a candidate that has run since it led the group, so that it holds every acknowledged write.
-	PrimaryKept bool
+	// Complete is an upstream that holds every acknowledged write, or empty: the former primary if it has run since it led the group, or the
+	// one that has taken over its log.
+	Complete ident.Upstream
 }
 
 // Choose returns the upstream to promote, given the positions that upstreams have reported, or false if an acknowledged write could be
@@ -39,11 +40,14 @@
 	if evacuated := latest(d.Evacuated, positions); evacuated != "" && (best == "" || positions[best].Less(positions[evacuated])) {
 		best = evacuated
 	}
-	if best == "" || !d.suffice(positions, syncReplicas) {
+	ending := latest(d.Ending, positions)
+	if best == "" || positions[best].Less(positions[ending]) {
 		return "", false
 	}
-	ending := latest(d.Ending, positions)
-	if positions[best].Less(d.Floor) || positions[best].Less(positions[ending]) {
+	if _, reported := positions[d.Complete]; reported {
+		return best, true
+	}
+	if positions[best].Less(d.Floor) || !d.suffice(positions, syncReplicas) {
 		return "", false
 	}
 	return best, true
@@ -61,13 +65,10 @@
 	return best
 }
 
-// suffice reports whether one of the upstreams that reported their positions must hold each acknowledged write.
+// suffice reports whether one of the replicas that reported their positions must hold each acknowledged write. The primary is none of them.
 func (d *Decision) suffice(positions map[ident.Upstream]ident.Position, syncReplicas int) bool {
 	replicas := len(positions)
 	if _, reported := positions[d.Primary]; reported {
-		if d.PrimaryKept {
-			return true
-		}
 		replicas--
 	}
 	return replicas >= max(1, d.Replicas-syncReplicas+1)
--- a/fleet/takeover/departure.go
+++ b/fleet/takeover/departure.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// heir returns the member that has taken over the log of the primary, which has left as planned, or an empty name. A leader that knows of no
+// primary has found no order in the control log, so none but the first one has led.
+func (d *Decider) heir() ident.Upstream {
+	for _, m := range d.members {
+		if m.Succeeds != "" && (d.primary == "" || m.Succeeds == d.primary) {
+			return m.Upstream
+		}
+	}
+	return ""
+}
+
 // departedReplicas returns the number of departures since the floor that may hold an acknowledged write besides the primary.
 func (d *Decider) departedReplicas(primary ident.Upstream) int {
 	listed := d.member(primary) != nil
--- a/fleet/takeover/departure_test.go
+++ b/fleet/takeover/departure_test.go
@@ -64,10 +64,20 @@
 			"",
 		},
 		"the former primary has kept its log": {
-			takeover.Decision{Primary: "a", Candidates: []ident.Upstream{"c", "a"}, Replicas: 2, PrimaryKept: true},
+			takeover.Decision{Primary: "a", Candidates: []ident.Upstream{"c", "a"}, Replicas: 2, Complete: "a"},
 			map[ident.Upstream]ident.Position{"a": at(9), "c": at(5)},
 			"a",
 		},
+		"the successor of the primary has its log": {
+			takeover.Decision{Primary: "a", Candidates: []ident.Upstream{"c", "d"}, Replicas: 3, Departed: 1, Complete: "d"},
+			map[ident.Upstream]ident.Position{"c": at(5), "d": at(9)},
+			"d",
+		},
+		"that successor does not answer": {
+			takeover.Decision{Primary: "a", Candidates: []ident.Upstream{"c", "d"}, Replicas: 3, Departed: 1, Complete: "d"},
+			map[ident.Upstream]ident.Position{"c": at(5)},
+			"",
+		},
 	} {
 		got, ok := takeover.Choose(&c.decision, c.positions, 1)
 		require.Equal(t, c.want, got, name)
--- a/fleet/takeover/takeover.go
+++ b/fleet/takeover/takeover.go
@@ -46,6 +46,8 @@
 	LastAnnounced ident.Time
 	// Born is its start time in Unix milliseconds, by its own clock.
 	Born int64
+	// Succeeds is the upstream that left as the primary and whose log this one has taken over, or empty.
+	Succeeds ident.Upstream
 }
 
 // Decider decides on the primary of one service. It is not safe for concurrent use.
@@ -203,6 +205,7 @@
 			decision.Candidates = append(decision.Candidates, m.Upstream)
 		}
 	}
+	decision.Complete = d.heir()
 	decision.Departed, decision.Floor = d.departedReplicas(decision.Primary), d.floor.position
 	decision.Replicas = d.replicas(now, decision.Primary) + decision.Departed
 	if len(decision.Candidates) == 0 {
@@ -218,7 +221,9 @@
 		decision.Cause = "no upstream is the primary"
 		if primary != nil && !primary.Leaving && now.Sub(primary.LastAnnounced) < announcementMaxAge {
 			decision.Candidates = append(decision.Candidates, d.primary)
-			decision.PrimaryKept = primary.Born == d.primaryBorn
+			if primary.Born == d.primaryBorn {
+				decision.Complete = d.primary
+			}
 		}
 	case d.primary == "":
 		return nil
--- a/node/core/groups.go
+++ b/node/core/groups.go
@@ -101,7 +101,7 @@
 	evacuated := g.core.state.evacuated()
 	members := map[ident.Service][]takeover.Member{}
 	targets := map[ident.Upstream]upstream.Target{}
-	unconfirmed := g.core.directory.Unconfirmed()
+	unconfirmed, successors := g.core.directory.Unconfirmed(), g.core.directory.Successors()
 	for _, a := range g.core.directory.List(now) {
 		service := ident.Service(a.GetService())
 		members[service] = append(members[service], takeover.Member{
@@ -112,6 +112,7 @@
 			Restored:      unconfirmed[ident.Upstream(a.GetUpstream())],
 			LastAnnounced: now.Add(-time.Duration(a.GetAgeMs()) * time.Millisecond),
 			Born:          a.GetBorn(),
+			Succeeds:      successors[ident.Upstream(a.GetUpstream())],
 		})
 		targets[ident.Upstream(a.GetUpstream())] = upstream.Target{
 			Service: service, Upstream: ident.Upstream(a.GetUpstream()), Address: a.GetAddress(), Zone: ident.Zone(a.GetZone()), Born: a.GetBorn(),
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -378,17 +378,17 @@
 	},
 	{
 		0, "LOST: nobody is promoted whose log does not reach the primary's position after a departure or at the last promotion",
-		"fleet/takeover/decision.go", "positions[best].Less(d.Floor) ||", "",
+		"fleet/takeover/decision.go", "positions[best].Less(d.Floor) ||", "false ||",
 		"./fleet/takeover", "ChooseBeside",
 	},
 	{
 		0, "LOST: the positions of replicas that are about to end count",
-		"fleet/takeover/decision.go", "|| positions[best].Less(positions[ending])", "|| ending == best",
+		"fleet/takeover/decision.go", "best == \"\" || positions[best].Less(positions[ending])", "best == \"\" || ending == best",
 		"./fleet/takeover", "ChooseBeside",
 	},
 	{
 		0, "LOST: an upstream that starts again does not have the log of its earlier start",
-		"fleet/directory/directory.go", "d.depart(now, known.announcement, known.announcement.GetLeaving())\n\t\td.succeed(a)", "d.succeed(a)",
+		"fleet/directory/directory.go", "d.depart(now, known.announcement, known.announcement.GetLeaving())\n\t\tnext.succeeds", "next.succeeds",
 		"./fleet/directory", "Departures",
 	},
 	{
