Put the decisions on evacuations and homes where they can be replayed

Which statements an upstream of an evacuated zone may get was decided between the pool's fields and the clock, and the standing of a host that may not get a statement inside the choice of a table. Both are functions of fleet/connections now, without clock or connections; the behaviour is the same.

--- a/fleet/connections/order.go
+++ b/fleet/connections/order.go
@@ -122,6 +122,15 @@
 	StandingGone
 )
 
+// For returns the standing of a host for statements that it may or may not get. A host that may not get them is like a silent one: it may
+// hold connections.
+func (i Standing) For(admitted bool) Standing {
+	if i == StandingUsable && !admitted {
+		return StandingSilent
+	}
+	return i
+}
+
 // Choose returns the index of the first host in an order that may be asked for connections, given the standing of each, or -1.
 func Choose(order []Standing) int {
 	silent := 0
--- a/node/routing/holders.go
+++ b/node/routing/holders.go
@@ -178,11 +178,7 @@
 	}
 	standings := make([]connections.Standing, len(a.order))
 	for i, host := range a.order {
-		standings[i] = t.standing(now, a, host)
-		if standings[i] == connections.StandingUsable && !t.admits(s, host) {
-			// The host may hold connections, but not for these operations.
-			standings[i] = connections.StandingSilent
-		}
+		standings[i] = t.standing(now, a, host).For(t.admits(s, host))
 		if standings[i] == connections.StandingUsable {
 			standings = standings[:i+1]
 			break
@@ -252,7 +248,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, p := steady.Now(), t.peer(host.GetHost())
-	if before := p.Standing(now); before == connections.StandingUsable {
+	if p.Standing(now) == connections.StandingUsable {
 		klog.InfoS("Host not asked for connections, a call failed", "host", host.GetHost(), "zone", host.GetZone(), "closed", closed)
 	}
 	p.Failed(now, closed)
--- a/node/upstream/evacuation.go
+++ b/node/upstream/evacuation.go
@@ -18,19 +18,16 @@
 func (p *Pool) Evacuate(now ident.Time, grace time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.evacuated {
-		return
+	if p.evacuation.Begin(now, grace) {
+		klog.InfoS("Upstream evacuated", "upstream", p.target.Upstream, "zone", p.target.Zone, "grace", grace)
 	}
-	p.evacuated, p.transactionsUntil = true, now.Add(grace)
-	klog.InfoS("Upstream evacuated", "upstream", p.target.Upstream, "zone", p.target.Zone, "grace", grace)
 }
 
 // EndEvacuation ends what Evacuate has begun.
 func (p *Pool) EndEvacuation() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.evacuated {
-		p.evacuated = false
+	if p.evacuation.End() {
 		klog.InfoS("Upstream no longer evacuated", "upstream", p.target.Upstream, "zone", p.target.Zone)
 	}
 }
@@ -38,7 +35,7 @@
 func (p *Pool) isEvacuated() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.evacuated
+	return p.evacuation.Active()
 }
 
 // CheckEvacuation returns a statement.Failure if a statement must not be sent because of an evacuation. inTransaction is set if it belongs
@@ -46,7 +43,7 @@
 func (p *Pool) CheckEvacuation(inTransaction bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {
+	if p.evacuation.Allows(steady.Now(), inTransaction) {
 		return nil
 	}
 	statementsEvacuated.Inc()
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -30,13 +30,11 @@
 	// meter counts the operations, nil if usage is not reported.
 	meter Meter
 	// allocator divides the connections; conns are those that are open, and waiting the statements that wait for one.
-	allocator *connections.Allocator
-	conns     map[connections.ConnID]*Conn
-	waiting   map[connections.WaiterID]chan grant
-	closed    bool
-	// evacuated is set while the upstream's availability zone is evacuated. Until transactionsUntil, open transactions may go on.
-	evacuated         bool
-	transactionsUntil ident.Time
+	allocator  *connections.Allocator
+	conns      map[connections.ConnID]*Conn
+	waiting    map[connections.WaiterID]chan grant
+	closed     bool
+	evacuation connections.Evacuation
 	// wake is the timer for the allocator's next decision, which is due at wakeAt.
 	wake   *time.Timer
 	wakeAt ident.Time
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -393,12 +393,12 @@
 	},
 	{
 		0, "EVAC: an open transaction sends nothing to an evacuated upstream after the grace period",
-		"node/upstream/evacuation.go", "if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {", "if !p.evacuated || (inTransaction && steady.Now() != 0) {",
+		"fleet/connections/evacuation.go", "(inTransaction && now < e.transactionsUntil)", "inTransaction",
 		"./node/entry", "TransactionInEvacuated",
 	},
 	{
 		0, "EVAC: a gateway refuses statements of hosts that have not heard of an evacuation",
-		"node/upstream/evacuation.go", "if !p.evacuated || (inTransaction && steady.Now() < p.transactionsUntil) {", "if !p.evacuated || !inTransaction || steady.Now() == 0 {",
+		"node/upstream/evacuation.go", "if p.evacuation.Allows(steady.Now(), inTransaction) {", "if steady.Now() != 0 {",
 		"./node/gateway", "EvacuatedUpstream",
 	},
 	{
