Ask for the key of a transaction before each of its statements

Cause: the key was looked up where an operation begins. A transaction kept the team that it had then, and a statement that waited for a token, its turn or a primary kept it too. Nothing between there and the upstream asked again.

Each statement already passes the pool of the caller's host, and that of the gateway, right before it is sent; evacuations were asked there. Pool.Check now asks for both. A gateway gets the id of the key and the version under which its host has found it, and refuses only under a newer configuration than that, so neither host has to have heard first. Waits and idle transactions end with the key: the next request of a transaction, its commit included, is answered with ABORTED, a single statement with DENIED, or BUSY if another team has the key now. Nothing is kept, since the connection is rolled back and nothing was sent.

--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -117,6 +117,8 @@
 	services map[ident.Service]*Service
 	teams    map[ident.Team]*Team
 	keys     map[string]*Team
+	// holders has the team of each key by the key's id.
+	holders map[KeyID]ident.Team
 }
 
 // New checks a description and returns its Catalog, or an InvalidError for the first mistake.
@@ -127,6 +129,7 @@
 		services:    map[ident.Service]*Service{},
 		teams:       map[ident.Team]*Team{},
 		keys:        map[string]*Team{},
+		holders:     map[KeyID]ident.Team{},
 	}
 	for i := range d.Services {
 		service := &d.Services[i]
@@ -183,6 +186,7 @@
 				return &InvalidError{CauseKey, string(team.Name)}
 			}
 			c.keys[key] = team
+			c.holders[NewKeyID(key)] = team.Name
 		}
 	}
 	return nil
--- a/node/entry/handle.go
+++ b/node/entry/handle.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"errors"
 
 	"tamarackshunt.dev/fleet/ident"
@@ -73,7 +74,8 @@
 		return s.caller.Done(s.state)
 	case statement.Commit:
 		s.state = statement.StateIdle
-		return answerError(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: "the transaction was rolled back"}))
+		text := cmp.Or(reason, "the transaction was rolled back")
+		return answerError(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: text}))
 	}
 	if reason != "" {
 		return answerError(s.fail(query, &statement.Failure{Code: statement.CodeAborted, Text: reason}))
@@ -89,8 +91,7 @@
 	if failure != nil {
 		return answerError(s.fail(query, failure))
 	}
-	s.tx = &transaction{operation: *o, readOnly: request.ReadOnly}
-	s.state = statement.StateTransaction
+	s.openTransaction(&transaction{operation: *o, readOnly: request.ReadOnly})
 	return s.caller.Done(s.state)
 }
 
@@ -104,6 +105,7 @@
 	if failure != nil {
 		return answerError(s.fail(query, failure))
 	}
+	defer o.stop()
 	run := s.singleRead
 	if w.writes {
 		run = s.singleWrite
@@ -111,7 +113,7 @@
 	result, failure := run(o, w)
 	if failure != nil {
 		s.refundUnsent(o)
-		return answerError(s.fail(query, failure))
+		return answerError(s.fail(query, s.explain(o, failure, false)))
 	}
 	s.recordLatency(o)
 	return s.caller.SendResult(result, s.state)
@@ -121,7 +123,7 @@
 func (s *session) handleInTransaction(query *statement.Query, w work) error {
 	result, failure := s.runInTransaction(w)
 	if failure != nil {
-		return answerError(s.fail(query, failure))
+		return answerError(s.fail(query, s.explain(&s.tx.operation, failure, true)))
 	}
 	if w.writes {
 		s.tx.wrote = true
@@ -136,6 +138,7 @@
 	result, failure := s.commit(query)
 	if failure != nil {
 		tx := s.tx
+		failure = s.explain(&tx.operation, failure, true)
 		s.dropTransaction()
 		s.state = statement.StateIdle
 		return answerError(s.answerFailure(query, failure, tx))
@@ -144,7 +147,7 @@
 	if s.tx.wrote {
 		s.recordCommit(s.tx.route.Service, result.Position)
 	}
-	s.tx = nil
+	s.closeTransaction()
 	s.state = statement.StateIdle
 	return s.caller.SendResult(result, s.state)
 }
--- a/node/entry/run.go
+++ b/node/entry/run.go
@@ -29,7 +29,7 @@
 
 // newUse returns the upstream.Use of a statement. The zero work has no statement and only opens a transaction.
 func (s *session) newUse(o *operation, w *work, timeout time.Duration) upstream.Use {
-	use := upstream.Use{Values: s.values, Prepared: w.definition, ID: w.id, Text: w.text, Timeout: timeout}
+	use := upstream.Use{Key: o.permit.Key, Values: s.values, Prepared: w.definition, ID: w.id, Text: w.text, Timeout: timeout}
 	use.Within, use.Late = o.within()
 	return use
 }
@@ -45,9 +45,9 @@
 	return left, false
 }
 
-// requestContext returns a context that ends after the route's timeout.
-func (s *session) requestContext(route *catalog.Route) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), route.Timeout)
+// requestContext returns a context that ends after the route's timeout, or with the operation's permit.
+func (o *operation) requestContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(o.ctx, o.route.Timeout)
 }
 
 // timeLeft returns the time until the deadline of ctx, but at most limit.
@@ -76,7 +76,7 @@
 
 // singleRead runs a read outside a transaction, on any upstream whose data is fresh enough for the route.
 func (s *session) singleRead(o *operation, w work) (statement.Result, *statement.Failure) {
-	ctx, cancel := s.requestContext(o.route)
+	ctx, cancel := o.requestContext()
 	defer cancel()
 	tries := s.newAttempts(o)
 	if o.route.Kind == catalog.KindPrimary {
@@ -265,7 +265,7 @@
 
 // singleWrite runs a write outside a transaction on the primary, at most once.
 func (s *session) singleWrite(o *operation, w work) (statement.Result, *statement.Failure) {
-	ctx, cancel := s.requestContext(o.route)
+	ctx, cancel := o.requestContext()
 	defer cancel()
 	tries := s.newAttempts(o)
 	for {
@@ -310,7 +310,7 @@
 
 // runInTransaction runs a statement of an open transaction. The first statement selects the transaction's upstream.
 func (s *session) runInTransaction(w work) (statement.Result, *statement.Failure) {
-	ctx, cancel := s.requestContext(s.tx.route)
+	ctx, cancel := s.tx.requestContext()
 	defer cancel()
 	use := s.newUse(&s.tx.operation, &w, s.tx.route.Timeout)
 	use.Keep = true
@@ -319,7 +319,7 @@
 
 // commit sends the caller's commit to the transaction's upstream.
 func (s *session) commit(query *statement.Query) (statement.Result, *statement.Failure) {
-	ctx, cancel := s.requestContext(s.tx.route)
+	ctx, cancel := s.tx.requestContext()
 	defer cancel()
 	use := s.newUse(&s.tx.operation, &work{id: query.ID, text: query.Text}, s.tx.route.Timeout)
 	return s.runStep(ctx, use, false)
--- a/node/entry/session.go
+++ b/node/entry/session.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,7 +46,7 @@
 )
 
 // session is the session of one caller. Only the goroutine of serve uses it, except for raw, activity and ending, which a
-// shutdown uses as well.
+// shutdown uses as well, and open, which a lost key does.
 type session struct {
 	server *Server
 	raw    *gate.Session
@@ -55,6 +56,8 @@
 	ending   atomic.Bool
 
 	start statement.Start
+	// key identifies the key of start.
+	key   catalog.KeyID
 	state statement.State
 	// values are the settings that the caller has made, and prepared its prepared statements, by name.
 	values   map[string]string
@@ -64,6 +67,9 @@
 	// lastCommits holds the position of the session's own last commit on each service.
 	lastCommits map[ident.Service]ident.Position
 	tx          *transaction
+	// open is the open transaction, as far as a lost key needs to know. Guarded by mu.
+	mu   sync.Mutex
+	open *transaction
 	// abortReason is set if the host has rolled back an idle transaction; it is the text of the failure of the next request.
 	abortReason string
 
@@ -94,6 +100,11 @@
 	team *catalog.Team
 	// receipt identifies the spent token of the team.
 	receipt limit.Receipt
+	// permit is the key and team that must still belong together when a statement is sent. ctx ends when they don't; stop must be called at
+	// the end of the operation.
+	permit catalog.Permit
+	ctx    context.Context
+	stop   context.CancelFunc
 }
 
 // priority orders waiting operations; 0 goes first.
@@ -133,7 +144,7 @@
 		return
 	}
 	_ = s.raw.SetReadDeadline(time.Time{})
-	s.start = start
+	s.start, s.key = start, catalog.NewKeyID(start.Key)
 	o, failure := s.authorize()
 	if failure != nil {
 		countFailure(failure)
@@ -186,6 +197,10 @@
 	s.raw.Waiting(s.state != statement.StateIdle)
 	_ = s.raw.SetReadDeadline(deadline)
 	s.activity.Store(int32(waiting))
+	if s.tx != nil && s.tx.lost() {
+		// interrupt may have come before the session was seen to wait.
+		_ = s.raw.SetReadDeadline(time.Now())
+	}
 	defer s.activity.Store(int32(activityBusy))
 	return s.readQuery()
 }
@@ -226,6 +241,10 @@
 		}
 		return false
 	}
+	if s.tx.lost() {
+		s.endLostTransaction()
+		return true
+	}
 	klog.InfoS("Transaction rolled back", "id", s.tx.id, "service", s.tx.route.Service, "upstream", s.tx.executor.Target().Upstream,
 		"reason", "it was idle for too long", "limit", s.idleTransactionLimit())
 	idleTransactionsEnded.Inc()
@@ -243,7 +262,7 @@
 		s.tx.executor.Close()
 	}
 	s.refundUnsent(&s.tx.operation)
-	s.tx = nil
+	s.closeTransaction()
 }
 
 // refundUnsent gives back the token of an operation that has ended if none of its statements was sent to an upstream.
@@ -267,10 +286,14 @@
 	if team == nil && !route.Public {
 		return nil, &statement.Failure{Code: statement.CodeDenied, Text: "no team holds this key"}
 	}
-	return &operation{route: route, team: team}, nil
+	o := &operation{route: route, team: team, permit: catalog.Permit{Team: team.ID()}}
+	if !route.Public {
+		o.permit.Key = s.key
+	}
+	return o, nil
 }
 
-// begin authorizes an operation and spends a token of its team.
+// begin authorizes an operation and spends a token of its team. The operation's stop must be called at its end.
 func (s *session) begin(id string) (*operation, *statement.Failure) {
 	o, failure := s.authorize()
 	if failure != nil {
@@ -278,18 +301,35 @@
 	}
 	// An open transaction keeps its id for the log only.
 	o.id, o.began, s.sent = strings.Clone(shortened(id)), s.began, false
+	o.ctx, o.stop = s.access().Watch(context.Background(), o.permit, 0)
+	if failure := s.takeToken(o); failure != nil {
+		o.stop()
+		return nil, failure
+	}
+	return o, nil
+}
+
+// takeToken spends a token of an operation's team.
+func (s *session) takeToken(o *operation) *statement.Failure {
 	if o.team == nil {
-		return o, nil
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), o.route.Objective)
+	ctx, cancel := context.WithTimeout(o.ctx, o.route.Objective)
 	defer cancel()
 	request := limit.Request{
 		Team: o.team.Name, Priority: o.priority(), MaxWait: o.route.Objective / quotaWaitDivisor, Receipt: &o.receipt,
 	}
-	if err := s.server.options.Quota.Take(ctx, request); err != nil {
-		return nil, tokenFailure(o, err)
+	err := s.server.options.Quota.Take(ctx, request)
+	if _, refused := s.access().Check(o.permit, 0, false); refused != nil {
+		if err == nil {
+			s.refundUnsent(o)
+		}
+		return accessFailure(refused)
 	}
-	return o, nil
+	if err != nil {
+		return tokenFailure(o, err)
+	}
+	return nil
 }
 
 // tokenFailure returns the failure of an operation that got no token. It says when the team's next token can be expected, if that is
--- a/node/entry/session_test.go
+++ b/node/entry/session_test.go
@@ -33,6 +33,8 @@
 	left map[ident.Team]int
 	// refusal, if not nil, is the answer to every request.
 	refusal error
+	// arrived, if not nil, receives a value from each request, which then waits for the end of its context.
+	arrived chan struct{}
 }
 
 // newTokens returns tokens of one team.
@@ -41,7 +43,12 @@
 }
 
 // Take implements entry.Quota.
-func (t *tokens) Take(_ context.Context, request limit.Request) error {
+func (t *tokens) Take(ctx context.Context, request limit.Request) error {
+	if t.arrived != nil {
+		t.arrived <- struct{}{}
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.refusal != nil {
@@ -74,9 +81,10 @@
 	table           *routing.Table
 	idleTransaction time.Duration
 	directory       *fleetpb.Directory
-	// connections is the configured number of connections of an upstream, and timeout the routes' timeout.
+	// connections is the configured number of connections of an upstream, and timeout and objective are those of the routes.
 	connections int
 	timeout     time.Duration
+	objective   time.Duration
 	quota       *tokens
 }
 
@@ -86,7 +94,7 @@
 
 func newHostWith(t *testing.T, idleTransaction time.Duration, protocol upstream.Protocol) *host {
 	h := &host{
-		t: t, group: platform.NewGroup("svc"), idleTransaction: idleTransaction, connections: 20, timeout: 5 * time.Second,
+		t: t, group: platform.NewGroup("svc"), idleTransaction: idleTransaction, connections: 20, timeout: 5 * time.Second, objective: 4 * time.Second,
 		quota: newTokens(100),
 		table: routing.New(routing.Options{Host: "h", Zone: "z", Protocol: protocol}),
 	}
@@ -124,16 +132,25 @@
 }
 
 func (h *host) configure(version ident.Version, key string) {
+	h.configureTeams(version, catalog.Team{Name: "team", Keys: []string{key, "other-key"}})
+}
+
+// configureTeams puts a configuration with the given teams, and the team that has no tokens, into force.
+func (h *host) configureTeams(version ident.Version, teams ...catalog.Team) {
 	route := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
-			Name: name, Database: ident.Route(name), Kind: kind, Timeout: h.timeout, Objective: 4 * time.Second, Service: "svc",
+			Name: name, Database: ident.Route(name), Kind: kind, Timeout: h.timeout, Objective: h.objective, Service: "svc",
 			Staleness: time.Minute,
 		}
 	}
+	public := route("public", catalog.KindPrimary)
+	public.Public = true
 	c, err := catalog.New(catalog.Description{
 		Version: version, IdleTransaction: h.idleTransaction, Services: []catalog.Service{{Name: "svc", Connections: h.connections}},
-		Routes: []catalog.Route{route("primary", catalog.KindPrimary), route("session", catalog.KindSession), route("bounded", catalog.KindBounded)},
-		Teams:  []catalog.Team{{Name: "team", Keys: []string{key}}, {Name: "poor", Keys: []string{"poor"}}},
+		Routes: []catalog.Route{
+			route("primary", catalog.KindPrimary), route("session", catalog.KindSession), route("bounded", catalog.KindBounded), public,
+		},
+		Teams: append(teams, catalog.Team{Name: "poor", Keys: []string{"poor"}}),
 	})
 	require.NoError(h.t, err)
 	h.table.SetCatalog(c)
@@ -221,7 +238,9 @@
 	case "answer is lost":
 		h.primary.DropWriteAnswers(1)
 	case "key is withdrawn":
-		h.configure(2, "another")
+		h.configure(3, "another")
+	case "key is given to another team":
+		h.configureTeams(3, catalog.Team{Name: "team", Keys: []string{"other-key"}}, catalog.Team{Name: "new", Keys: []string{"key"}})
 	case "zone is evacuated":
 		h.directory.Evacuated = []string{"z"}
 		h.table.SetDirectory(h.directory)
--- a/node/entry/waiting_test.go
+++ b/node/entry/waiting_test.go
@@ -60,11 +60,16 @@
 }
 
 func (h *host) connect(route string) *caller {
+	return h.connectWith(route + " key")
+}
+
+// connectWith opens a session on a route with a key.
+func (h *host) connectWith(connect string) *caller {
 	conn, err := net.Dial("tcp", h.address)
 	require.NoError(h.t, err)
 	h.t.Cleanup(func() { _ = conn.Close() })
 	c := &caller{h.t, conn, bufio.NewReader(conn)}
-	c.send("CONNECT " + route + " key")
+	c.send("CONNECT " + connect)
 	c.awaitIdle()
 	return c
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -95,27 +95,31 @@
 	ctx context.Context
 }
 
-// configuration describes one service with three routes, and two teams. revoked omits the second team's key; rate is the first
-// team's rate per second and its burst; syncReplicas is the number of replicas for which the service's writes wait.
+// configuration describes one service with three routes, and two teams. revoked omits the second team's key; given gives it to a third
+// team; rate is the first team's rate per second and its burst; syncReplicas is the number of replicas for which the service's writes wait.
 type configuration struct {
 	version      int
 	revoked      bool
+	given        bool
 	rate         int
 	syncReplicas int
 }
 
 func (c configuration) body() string {
-	key := `"key-two"`
-	if c.revoked {
+	key, third := `"key-two"`, ""
+	if c.revoked || c.given {
 		key = ""
 	}
+	if c.given {
+		third = `,{"name":"three","api_keys":["key-two"],"rate_per_s":500,"burst":500}`
+	}
 	return fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"r1","host":"primary","path_prefix":"/","type":"primary","timeout_ms":3000,"slo_ms":2000,"priority":1,"service":"svc","public":false},
 {"name":"r2","host":"session","path_prefix":"/","type":"session","timeout_ms":3000,"slo_ms":2000,"priority":1,"service":"svc","max_staleness_ms":2500,"public":false},
 {"name":"r3","host":"bounded","path_prefix":"/","type":"bounded","timeout_ms":3000,"slo_ms":2000,"priority":2,"service":"svc","max_staleness_ms":1500,"public":false}],
 "services":[{"name":"svc","max_conns":20,"sync_replicas":%d}],"limits":{"tx_idle_ms":3000},
-"tenants":[{"name":"one","api_keys":["key-one"],"rate_per_s":%d,"burst":%d},{"name":"two","api_keys":[%s],"rate_per_s":500,"burst":500}]}`,
-		c.version, c.syncReplicas, c.rate, c.rate, key)
+"tenants":[{"name":"one","api_keys":["key-one"],"rate_per_s":%d,"burst":%d},{"name":"two","api_keys":[%s],"rate_per_s":500,"burst":500}%s]}`,
+		c.version, c.syncReplicas, c.rate, c.rate, key, third)
 }
 
 func (f *fleet) ip(i int) string { return fmt.Sprintf("%s.%d", f.net, i+1) }
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -153,6 +153,8 @@
 		Keep:        use.Keep,
 		WithinMs:    uint32(max(0, use.Within/time.Millisecond)),
 		Late:        use.Late,
+		Key:         uint64(use.Key),
+		Version:     uint64(use.Version),
 	}
 	if r.lease == "" {
 		request.Service, request.Upstream = string(r.target.Service), string(r.target.Upstream)
--- a/node/gateway/message.go
+++ b/node/gateway/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackshunt.dev/fleet/balance"
+	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -14,6 +15,8 @@
 
 func useFromProto(request *fleetpb.UseRequest) upstream.Use {
 	use := upstream.Use{
+		Key:     catalog.KeyID(request.GetKey()),
+		Version: ident.Version(request.GetVersion()),
 		Values:  valuesFromProto(request.GetValues()),
 		Opening: upstream.Opening(request.GetOpening()),
 		Since:   positionFromProto(request.GetSince()),
--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -111,8 +111,8 @@
 
 // Execute implements upstream.Executor.
 func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (outcome upstream.Outcome, err error) {
-	// A gateway on another host may not know of the evacuation.
-	if err := c.pool.CheckEvacuation(c.kept); err != nil {
+	// A gateway on another host may not know yet of what forbids the statement.
+	if use.Version, err = c.pool.Check(c.team, &use, c.kept); err != nil {
 		c.Close()
 		return upstream.Outcome{}, err
 	}
--- a/node/routing/table.go
+++ b/node/routing/table.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tamarackshunt.dev/fleet/catalog"
@@ -14,6 +13,7 @@
 	"tamarackshunt.dev/fleet/freshness"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/access"
 	"tamarackshunt.dev/node/gateway"
 	"tamarackshunt.dev/node/upstream"
 )
@@ -45,7 +45,7 @@
 // Table holds one host's configuration and its view of the upstreams. It is safe for concurrent use.
 type Table struct {
 	options Options
-	catalog atomic.Pointer[catalog.Catalog]
+	access  *access.Register
 	refresh chan struct{}
 
 	mu       sync.RWMutex
@@ -80,26 +80,26 @@
 
 // New returns a table without a configuration and without upstreams.
 func New(options Options) *Table {
-	return &Table{options: options, groups: map[ident.Service]*group{}, peers: map[string]*connections.Peer{}, refresh: make(chan struct{}, 1)}
+	return &Table{options: options, access: access.New(), groups: map[ident.Service]*group{}, peers: map[string]*connections.Peer{}, refresh: make(chan struct{}, 1)}
 }
 
 // Catalog returns the configuration in force, or nil before the first one.
 func (t *Table) Catalog() *catalog.Catalog {
-	return t.catalog.Load()
+	return t.access.Catalog()
+}
+
+// Access returns the register of the operations that the configuration in force allows.
+func (t *Table) Access() *access.Register {
+	return t.access
 }
 
 // SetCatalog puts a configuration into force unless the current version is as high or higher, and reports whether it did.
 func (t *Table) SetCatalog(c *catalog.Catalog) bool {
-	for {
-		old := t.catalog.Load()
-		if old != nil && old.Version >= c.Version {
-			return false
-		}
-		if t.catalog.CompareAndSwap(old, c) {
-			t.applyLimits()
-			return true
-		}
+	if !t.access.SetCatalog(c) {
+		return false
 	}
+	t.applyLimits()
+	return true
 }
 
 // applyLimits applies the limits of the current configuration to the pools of the current directory.
@@ -274,6 +274,7 @@
 	}
 	pool := upstream.NewPool(target, t.options.Protocol, 0)
 	pool.SetMeter(t.options.Meter)
+	pool.SetAccess(t.access)
 	return pool, account{}
 }
 
--- a/node/scenario_test.go
+++ b/node/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -470,6 +471,79 @@
 	require.Positive(t, refused.Load())
 }
 
+// Guards against open transactions that go on under a key that was withdrawn or given to another team, on each kind of route, through this
+// host's own connection or a gateway's, and against transactions of other keys that end with them.
+func TestKeyOfOpenTransactions(t *testing.T) {
+	for name, next := range map[string]configuration{
+		"withdrawn": {version: 2, rate: 500, revoked: true},
+		"given":     {version: 2, rate: 500, given: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			lost, held := map[string]*platform.Client{}, map[string]*platform.Client{}
+			for host := range 3 {
+				for i, database := range []string{"primary", "session", "bounded"} {
+					item := fmt.Sprintf("%s%d", database, host)
+					// Transactions that read run on any upstream, the others on the primary.
+					first := [][]string{{"BEGIN", "STORE lost" + item + " 1"}, {"BEGIN FETCH", "FETCH x"}}[(host+i)%2]
+					lost[item] = f.open(host, database, "key-two", first...)
+					held[item] = f.open(host, database, "key-one", "BEGIN", "STORE held"+item+" 1")
+				}
+			}
+			f.put(next)
+			f.eventually("end of the transactions of the key", func() bool {
+				for item, c := range held {
+					a, err := c.Do("FETCH x")
+					require.NoError(t, err, item)
+					require.Empty(t, a.Error, item)
+				}
+				for item, c := range lost {
+					a, err := c.Do("FETCH x")
+					require.NoError(t, err, item)
+					if a.Error != "" {
+						require.Contains(t, a.Error, "ABORTED", item)
+						c.Close()
+						delete(lost, item)
+					}
+				}
+				return len(lost) == 0
+			})
+			for item, c := range held {
+				a, err := c.Do("COMMIT")
+				require.NoError(t, err, item)
+				require.Empty(t, a.Error, item)
+				c.Close()
+			}
+			items, _ := f.group.Items()
+			for item := range held {
+				require.Contains(t, items, "held"+item)
+				require.NotContains(t, items, "lost"+item)
+			}
+			require.Empty(t, f.group.Violations())
+		})
+	}
+}
+
+// open opens a session and repeats its first statements, each time in a new session, until all have succeeded.
+func (f *fleet) open(host int, database, key string, texts ...string) *platform.Client {
+	var opened *platform.Client
+	f.eventually(strings.Join(texts, ", "), func() bool {
+		c, err := f.dial(host, database, key, fmt.Sprintf("%s-%x", database, rand.Uint64()))
+		if err != nil {
+			return false
+		}
+		for _, text := range texts {
+			if a, err := c.Do(text); err != nil || a.Error != "" {
+				c.Close()
+				return false
+			}
+		}
+		opened = c
+		return true
+	})
+	return opened
+}
+
 // Guards against processes that end by themselves, or hosts that stop following the core, because of an entry of another writer: one that is
 // nested deeply, has a number that is too large or a port out of range, or a name that is no text.
 func TestOddEntries(t *testing.T) {
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -264,7 +264,7 @@
 // sent to an evacuated upstream; closing the connection rolls the transaction back there.
 func (c *Conn) Release() {
 	c.broken = c.broken || c.pool.isEvacuated()
-	if !c.broken && c.state != statement.StateIdle {
+	if c.mustRollBack() {
 		if result, err := c.Run("", ident.Position{}, statement.Rollback{}, internalTimeout); err != nil || result.State != statement.StateIdle {
 			c.broken = true
 		}
@@ -273,6 +273,11 @@
 	c.pool.put(c)
 }
 
+// mustRollBack reports whether Release has to end an open transaction. A connection that is closed instead ends its transaction itself.
+func (c *Conn) mustRollBack() bool {
+	return !c.broken && !c.pool.isEvacuated() && c.state != statement.StateIdle
+}
+
 // alive reports whether an idle connection is still open and has no unread data.
 func (c *Conn) alive() bool {
 	raw, ok := c.net.(syscall.Conn)
--- a/node/upstream/evacuation.go
+++ b/node/upstream/evacuation.go
@@ -38,9 +38,9 @@
 	return p.evacuation.Active()
 }
 
-// CheckEvacuation returns a statement.Failure if a statement must not be sent because of an evacuation. inTransaction is set if it belongs
+// checkEvacuation returns a statement.Failure if a statement must not be sent because of an evacuation. inTransaction is set if it belongs
 // to a transaction that is open on the upstream.
-func (p *Pool) CheckEvacuation(inTransaction bool) error {
+func (p *Pool) checkEvacuation(inTransaction bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.evacuation.Allows(steady.Now(), inTransaction) {
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -7,6 +7,7 @@
 
 	"tamarackshunt.dev/fleet/admission"
 	"tamarackshunt.dev/fleet/balance"
+	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 	"tamarackshunt.dev/fleet/steady"
@@ -26,6 +27,9 @@
 
 // Use is one statement and what has to be set up on a connection before it.
 type Use struct {
+	// Key identifies the key of the caller, and Version is the configuration under which it was found to belong to the executor's team.
+	Key     catalog.KeyID
+	Version ident.Version
 	// Values are the settings of the caller's session.
 	Values map[string]string
 	// Prepared is the definition of the prepared statement to execute, or nil if the statement is not a prepared one.
@@ -92,20 +96,14 @@
 // connection, so that the next statement finds it.
 func (d *directExecutor) Execute(ctx context.Context, use Use) (outcome Outcome, err error) {
 	defer func() { outcome.Load = d.pool.MeasuredLoad(steady.Now()) }()
-	inTransaction := d.conn != nil
-	id, err := d.admit(ctx, &use)
+	id, err := d.admitAllowed(ctx, &use)
 	if err != nil {
-		d.Close()
+		d.releaseLater()
 		return Outcome{}, err
 	}
 	if use.ID != "" {
 		defer func() { d.leave(id, outcome, err) }()
 	}
-	// The evacuation may have begun while the statement waited.
-	if err := d.pool.CheckEvacuation(inTransaction); err != nil {
-		d.Close()
-		return Outcome{}, err
-	}
 	outcome, err = d.use(&use)
 	if err != nil {
 		if d.conn.broken {
@@ -116,18 +114,24 @@
 	}
 	d.pool.RecordAnswer(steady.Now())
 	if !use.Keep {
-		conn := d.conn
-		d.conn = nil
-		if conn.state == statement.StateIdle {
-			conn.Release()
-		} else {
-			// Release rolls the open transaction back; the answer does not wait for that.
-			go conn.Release()
-		}
+		d.releaseLater()
 	}
 	return outcome, nil
 }
 
+// releaseLater gives a kept connection back. Release rolls an open transaction back, for which the answer does not wait.
+func (d *directExecutor) releaseLater() {
+	conn := d.conn
+	d.conn = nil
+	switch {
+	case conn == nil:
+	case conn.mustRollBack():
+		go conn.Release()
+	default:
+		conn.Release()
+	}
+}
+
 // leave gives the statement's slot back. Only an answer of the upstream that isn't a refusal says how long a statement takes.
 func (d *directExecutor) leave(id admission.ID, outcome Outcome, err error) {
 	failure := outcome.Result.Failure
@@ -138,15 +142,30 @@
 	d.pool.limiter.finish(id)
 }
 
-// admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
-func (d *directExecutor) admit(ctx context.Context, use *Use) (admission.ID, error) {
-	if d.conn == nil && d.pool.Limit() == 0 {
+// admitAllowed waits like admit, for a statement that is allowed before and after the wait. What ends the permission ends the wait.
+func (d *directExecutor) admitAllowed(ctx context.Context, use *Use) (admission.ID, error) {
+	inTransaction := d.conn != nil
+	if !inTransaction && d.pool.Limit() == 0 {
 		// Another host is asked without a wait in the queue.
 		return 0, &NotHolderError{d.pool.target.Upstream}
 	}
-	if err := d.pool.CheckEvacuation(d.conn != nil); err != nil {
+	if _, err := d.pool.Check(d.team, use, inTransaction); err != nil {
 		return 0, err
 	}
+	ctx, stop := d.pool.watch(ctx, d.team, use)
+	defer stop()
+	id, err := d.admit(ctx, use)
+	if _, refused := d.pool.Check(d.team, use, inTransaction); refused != nil {
+		if err == nil && use.ID != "" {
+			d.pool.limiter.cancel(id)
+		}
+		return 0, refused
+	}
+	return id, err
+}
+
+// admit waits until the statement has a slot and a connection. A use without a statement needs no slot.
+func (d *directExecutor) admit(ctx context.Context, use *Use) (admission.ID, error) {
 	l := d.pool.limiter
 	request := d.request(ctx, use)
 	if use.ID == "" {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -8,6 +8,7 @@
 	"tamarackshunt.dev/fleet/connections"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
+	"tamarackshunt.dev/node/access"
 )
 
 const (
@@ -26,7 +27,9 @@
 	protocol Protocol
 	limiter  *limiter
 	loads    loadMeter
-	mu       sync.Mutex
+	// access is nil if the keys of callers are not checked.
+	access *access.Register
+	mu     sync.Mutex
 	// meter counts the operations, nil if usage is not reported.
 	meter Meter
 	// allocator divides the connections; conns are those that are open, and waiting the statements that wait for one.
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -212,7 +212,7 @@
 	},
 	{
 		0, "PINNED: an open transaction ends before its connection is used again",
-		"node/upstream/conn.go", "if !c.broken && c.state != statement.StateIdle {", "if !c.broken && c.state == statement.StateFailed {",
+		"node/upstream/conn.go", "!c.pool.isEvacuated() && c.state != statement.StateIdle", "!c.pool.isEvacuated() && c.state == statement.StateFailed",
 		"./node/upstream", "ReleaseEndsTransaction",
 	},
 	{
@@ -292,7 +292,7 @@
 	},
 	{
 		0, "CONFIG: a host never goes back to an older configuration",
-		"node/routing/table.go", "if old != nil && old.Version >= c.Version {", "if old != nil && old == c {",
+		"node/access/register.go", "if old != nil && old.Version >= c.Version {", "if old != nil && old == c {",
 		"./node/routing", "Changes",
 	},
 	{
@@ -401,6 +401,41 @@
 		"node/upstream/evacuation.go", "if p.evacuation.Allows(steady.Now(), inTransaction) {", "if steady.Now() != 0 {",
 		"./node/gateway", "EvacuatedUpstream",
 	},
+	{
+		0, "CONFIG: no statement of an open transaction is sent after its key was withdrawn",
+		"node/upstream/check.go", "return p.access.Check(catalog.Permit{Team: team, Key: use.Key}, use.Version, inTransaction)", "return use.Version, nil",
+		"./node/entry", "TransactionOfChangedKey",
+	},
+	{
+		0, "UNASKED: no statement is sent for a team whose key another team has got",
+		"fleet/catalog/permit.go", "case team != p.Team:", "case team == \"\":",
+		"./node/entry", "TransactionOfChangedKey",
+	},
+	{
+		0, "CONFIG: a gateway refuses statements of hosts that have not heard that a key was withdrawn",
+		"node/gateway/message.go", "Key:     catalog.KeyID(request.GetKey()),", "Key:     0 * catalog.KeyID(request.GetKey()),",
+		"./node/gateway", "StatementsOfChangedKey",
+	},
+	{
+		0, "CONFIG: a gateway does not refuse what a host allows under a newer configuration",
+		"node/access/register.go", "if c == nil || c.Version <= verified {", "if c == nil {",
+		"./node/gateway", "StatementsOfChangedKey",
+	},
+	{
+		0, "CONFIG: the wait of a statement at a gateway ends with its key",
+		"node/upstream/check.go", "return p.access.Watch(ctx, catalog.Permit{Team: team, Key: use.Key}, use.Version)", "return ctx, func() {}",
+		"./node/gateway", "WaitEndsWithKey",
+	},
+	{
+		0, "CONFIG: the wait of a statement for a primary ends with its key",
+		"node/entry/session.go", "Watch(context.Background(), o.permit, 0)", "Watch(context.Background(), catalog.Permit{}, 0)",
+		"./node/entry", "WaitingStatementOfChangedKey/write,_no_primary/key_is_withdrawn/primary",
+	},
+	{
+		0, "CONFIG: an idle transaction is rolled back with its key",
+		"node/entry/access.go", "\t\t_ = s.raw.SetReadDeadline(time.Now())\n", "\t\t_ = time.Now()\n",
+		"./node/entry", "IdleTransactionOfChangedKey/key_is_withdrawn/primary",
+	},
 	{
 		8, "an open transaction does not go on on a replica whose availability zone is out of service",
 		"host/entry/transaction.go", "if replaceable && view.OutFor(now, c.txTarget) > outGrace {", "if replaceable && view.OutFor(now, c.txTarget) < 0 {",
