host: end waits and idle transactions of callers whose key is withdrawn

A statement that was admitted and then waited for a token, an upstream or a connection, or was tried again, ran for a key that had been withdrawn or given to another team meanwhile; its caller heard nothing until its turn or its deadline. A caller that rested in a transaction kept its connection and its locks until it came back.

caller.check is now the one place that asks, when a batch arrives, before each attempt to send it and before each batch of a transaction. The context of the waits ends with the key, but not that of the acknowledgement of what was sent. A caller that rests in a transaction gets 28000 at once, and the transaction is rolled back. Failures of a wait for a token or an upstream count as not sent.

--- a/fleet/key/table.go
+++ b/fleet/key/table.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/subtle"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -39,6 +40,7 @@
 	mu      sync.RWMutex
 	entries map[ident.KeyID]entry
 	revoked map[ident.KeyID]struct{}
+	changes atomic.Uint64
 }
 
 // NewTable returns an empty table.
@@ -50,6 +52,9 @@
 func (t *Table) Update(state *fleetpb.State) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if state.GetFull() || len(state.GetWithdrawn())+len(state.GetKeys()) > 0 {
+		defer t.changes.Add(1)
+	}
 	if state.GetFull() {
 		clear(t.entries)
 		clear(t.revoked)
@@ -90,6 +95,11 @@
 	}
 }
 
+// Changes returns the number of updates that may have changed a key.
+func (t *Table) Changes() uint64 {
+	return t.changes.Load()
+}
+
 // Valid reports whether a key that passed Check for team is still in force.
 func (t *Table) Valid(id ident.KeyID, team ident.Team) bool {
 	t.mu.RLock()
--- a/host/entry/caller.go
+++ b/host/entry/caller.go
@@ -43,7 +43,11 @@
 	secret  []byte
 	session ident.Session
 	route   member.Route
-	key     ident.KeyID
+	// permit is the key that the caller was admitted with; nil before that and on open routes.
+	permit atomic.Pointer[permit]
+	// allowed ends when the key of permit no longer belongs to the caller's team; revoke ends it.
+	allowed context.Context
+	revoke  context.CancelFunc
 
 	statements map[string]*statement
 	portals    map[string]*statement
@@ -70,8 +74,16 @@
 	skipToSync bool
 	// active is the statement that runs at the moment, for cancel requests.
 	active atomic.Pointer[upstream.Statement]
-	// idle is set while the caller waits outside a transaction, so that a shutdown may close its connection.
-	idle atomic.Bool
+	// idle is set while the caller waits outside a transaction, so that a shutdown may close its connection. resting is set while it
+	// waits within one on an upstream, which ends with its key.
+	idle    atomic.Bool
+	resting atomic.Bool
+}
+
+// permit is a key and the team that it belonged to when the caller was admitted.
+type permit struct {
+	key  ident.KeyID
+	team ident.Team
 }
 
 // beginStatement is a BEGIN that has not been sent to an upstream yet.
@@ -180,6 +192,13 @@
 		}
 		defer c.idle.Store(false)
 	}
+	if first && c.txConn != nil {
+		c.resting.Store(true)
+		defer c.resting.Store(false)
+		if err := c.checkKey(c.server.opts.View()); err != nil {
+			return nil, err
+		}
+	}
 	if first {
 		c.raw.Waiting(c.status() != 'I')
 	}
@@ -346,6 +365,8 @@
 		c.reject(errShutdown)
 	case sqlstate.From(err) != nil:
 		c.reject(err)
+	case c.allowed.Err() != nil && c.txConn != nil:
+		c.reject(errRevoked)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 	default:
 		c.reject(reject(sqlstate.ProtocolViolation, "%v", err))
@@ -380,6 +401,7 @@
 }
 
 func (c *caller) close() {
+	c.revoke()
 	c.endTransaction()
 	c.server.unregister(c)
 	c.socket.Close()
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -243,6 +243,8 @@
 	acked     []ident.Position
 	ackError  error
 	rejection *sqlstate.Rejection
+	// choosing and taking, if not nil, are called before an upstream is chosen and a token is taken.
+	choosing, taking func(ctx context.Context)
 }
 
 func (p *fakeDependencies) View() *member.View {
@@ -259,17 +261,55 @@
 	p.view = &copied
 }
 
-func (p *fakeDependencies) Read(_ context.Context, s ident.Session) (entry.Choice, error) {
-	return entry.Choice{Target: member.Target{Service: s.Service, Upstream: "u1"}}, nil
+func (p *fakeDependencies) setChoosing(choosing func(ctx context.Context)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.choosing = choosing
+}
+
+func (p *fakeDependencies) setTaking(taking func(ctx context.Context)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.taking = taking
+}
+
+// setDeadline sets the deadline of the service's statements.
+func (p *fakeDependencies) setDeadline(deadline time.Duration) {
+	p.updateView(func(v *member.View) {
+		v.Services = map[ident.Service]*fleetpb.Service{testService: {Name: testService, Deadline: durationpb.New(deadline)}}
+	})
 }
 
-func (p *fakeDependencies) Primary(_ context.Context, s ident.Service) (entry.Choice, error) {
-	return entry.Choice{Target: member.Target{Service: s, Upstream: "u1"}}, nil
+// wait calls choosing or taking, and returns the error of ctx if it has ended then.
+func (p *fakeDependencies) wait(ctx context.Context, of func(p *fakeDependencies) func(ctx context.Context)) error {
+	p.mutex.Lock()
+	call := of(p)
+	p.mutex.Unlock()
+	if call != nil {
+		call(ctx)
+	}
+	return ctx.Err()
+}
+
+func (p *fakeDependencies) choose(ctx context.Context, s ident.Service) (entry.Choice, error) {
+	err := p.wait(ctx, func(p *fakeDependencies) func(ctx context.Context) { return p.choosing })
+	return entry.Choice{Target: member.Target{Service: s, Upstream: "u1"}}, err
+}
+
+func (p *fakeDependencies) Read(ctx context.Context, s ident.Session) (entry.Choice, error) {
+	return p.choose(ctx, s.Service)
+}
+
+func (p *fakeDependencies) Primary(ctx context.Context, s ident.Service) (entry.Choice, error) {
+	return p.choose(ctx, s)
 }
 
 func (p *fakeDependencies) Avoid(member.Target) {}
 
-func (p *fakeDependencies) Take(context.Context, ident.Team) error {
+func (p *fakeDependencies) Take(ctx context.Context, _ ident.Team) error {
+	if err := p.wait(ctx, func(p *fakeDependencies) func(ctx context.Context) { return p.taking }); err != nil {
+		return err
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.rejection == nil {
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -55,6 +55,9 @@
 	inTransaction bool
 	started       time.Time
 	deadline      time.Time
+	// whole ends at the deadline. The context of the waits before the batch is sent ends with the caller's key too, but the outcome of a
+	// batch that was sent is awaited.
+	whole context.Context
 }
 
 // runNew starts a transaction with a batch.
@@ -67,12 +70,15 @@
 	}
 	err := c.admitRequest(ctx, r)
 	if err == nil {
-		limited, stop := context.WithDeadline(ctx, r.deadline)
+		var stop context.CancelFunc
+		r.whole, stop = context.WithDeadline(ctx, r.deadline)
 		defer stop()
+		waits, end := c.whileAllowed(r.whole)
+		defer end()
 		if r.read {
-			err = c.runRead(limited, r, out)
+			err = c.runRead(waits, r, out)
 		} else {
-			err = c.runWrite(limited, r, out)
+			err = c.runWrite(waits, r, out)
 		}
 	}
 	return c.finish(r, out, err)
@@ -97,10 +103,7 @@
 // admitRequest makes the checks that need no upstream: lease, key, dependencies and limits. It also sets the deadline.
 func (c *caller) admitRequest(ctx context.Context, r *request) error {
 	view := c.server.opts.View()
-	if !view.Valid(c.server.opts.Clock.Now()) {
-		return reject(sqlstate.NoLease, "the lease ended")
-	}
-	if err := c.checkKey(view); err != nil {
+	if err := c.check(view); err != nil {
 		return err
 	}
 	service := view.Services[c.session.Service]
@@ -118,15 +121,10 @@
 		return nil
 	}
 	c.updateTally(func(t *fleetpb.Tally) { t.Asked++ })
-	return c.server.opts.Quota.Take(ctx, c.session.Team)
-}
-
-func (c *caller) checkKey(view *member.View) error {
-	if c.route.Open {
-		return nil
-	}
-	if !view.Keys.Valid(c.key, c.session.Team) {
-		return reject(sqlstate.RevokedKey, "key %q", c.key)
+	waits, end := c.whileAllowed(ctx)
+	defer end()
+	if err := c.server.opts.Quota.Take(waits, c.session.Team); err != nil {
+		return &unsentError{err}
 	}
 	return nil
 }
@@ -152,7 +150,7 @@
 	for range maxReadAttempts {
 		choice, err := c.server.opts.Chooser.Read(ctx, c.session)
 		if err != nil {
-			return firstOf(last, err)
+			return firstOf(last, &unsentError{err})
 		}
 		err = c.attempt(ctx, r, choice, out)
 		if err == nil && !canRetryOnPrimary(r, out) {
@@ -210,7 +208,7 @@
 	for {
 		choice, err := c.server.opts.Chooser.Primary(ctx, c.session.Service)
 		if err != nil {
-			return err
+			return &unsentError{err}
 		}
 		err = c.attempt(ctx, r, choice, out)
 		switch {
@@ -264,9 +262,9 @@
 	if err != nil {
 		return &unsentError{err}
 	}
-	if !c.server.opts.View().Valid(c.server.opts.Clock.Now()) {
+	if err := c.check(c.server.opts.View()); err != nil {
 		c.server.opts.Pool.Release(choice.Target, conn)
-		return reject(sqlstate.NoLease, "the lease ended while the statement waited")
+		return err
 	}
 	c.setTxConn(choice, conn)
 	r.replica = choice.Replica
@@ -280,7 +278,7 @@
 		c.endTransaction()
 		return err
 	}
-	return c.completeBatch(ctx, r, out)
+	return c.completeBatch(r, out)
 }
 
 // prepareConn applies the caller's session settings to the connection, and sends its deferred BEGIN when begin is set.
@@ -327,7 +325,7 @@
 	if isCallerError(err) {
 		return err
 	}
-	rejection := toRejection(r, err)
+	rejection := toRejection(r, c.explain(err))
 	c.countRejected(r, rejection)
 	if fatal(rejection) {
 		return trace.Wrap(rejection)
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -156,6 +156,7 @@
 func (s *Server) Start() {
 	go s.accept(s.ctx)
 	go s.watchZone(s.ctx)
+	go s.watchKeys(s.ctx)
 }
 
 // Addr returns the address that callers connect to.
@@ -310,6 +311,7 @@
 		statements: make(map[string]*statement),
 		portals:    make(map[string]*statement),
 	}
+	c.allowed, c.revoke = context.WithCancel(context.Background())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for s.callers[c.pid] != nil {
--- a/host/entry/startup.go
+++ b/host/entry/startup.go
@@ -124,8 +124,9 @@
 		c.server.metrics.wrongKey.Inc()
 		return "", keyRejection(err)
 	}
-	c.key = id
-	return team, nil
+	c.permit.Store(&permit{id, team})
+	// The key may have changed before endRevoked could see the permit.
+	return team, c.checkKey(c.server.opts.View())
 }
 
 func (c *caller) completeStartup() error {
--- a/host/entry/transaction.go
+++ b/host/entry/transaction.go
@@ -9,7 +9,6 @@
 
 	"tamarackshunt.dev/fleet/route"
 	"tamarackshunt.dev/fleet/sqlstate"
-	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/upstream"
 )
 
@@ -118,42 +117,24 @@
 	out := &outbox{socket: c.socket, write: true}
 	view := c.server.opts.View()
 	r.deadline = r.started.Add(view.Services[c.session.Service].GetDeadline().AsDuration())
-	ctx, stop := context.WithDeadline(ctx, r.deadline)
+	var stop context.CancelFunc
+	r.whole, stop = context.WithDeadline(ctx, r.deadline)
 	defer stop()
-	err := c.checkTransaction(view)
+	err := c.check(view)
 	if err == nil {
-		err = c.exchange(ctx, c.txConn, b, out)
+		err = c.exchange(r.whole, c.txConn, b, out)
 	}
 	if err == nil {
-		err = c.completeBatch(ctx, r, out)
+		err = c.completeBatch(r, out)
 	} else {
 		c.endTransaction()
 	}
 	return c.finish(r, out, err)
 }
 
-// outGrace is how long a transaction may go on on an upstream whose availability zone is out of service. It equals the time that
-// transactions have when a primary is replaced as planned.
-const outGrace = 2 * time.Second
-
-// checkTransaction returns a rejection when the caller's key was withdrawn, the lease of this host ended or the upstream's availability
-// zone was taken out of service during the transaction, before more of it runs.
-func (c *caller) checkTransaction(view *member.View) error {
-	now := c.server.opts.Clock.Now()
-	if !view.Valid(now) {
-		return reject(sqlstate.TransactionLost, "the lease of the host ended during the transaction")
-	}
-	// A primary serves until it is replaced, which ends its transactions.
-	replaceable := view.Groups[c.txTarget.Service].GetPrimary() != string(c.txTarget.Upstream)
-	if replaceable && view.OutFor(now, c.txTarget) > outGrace {
-		return reject(sqlstate.TransactionLost, "the availability zone of %q went out of service during the transaction", c.txTarget.Upstream)
-	}
-	return c.checkKey(view)
-}
-
 // completeBatch is called after the upstream has answered a batch. If the batch ended the transaction, completeBatch returns the
 // connection to the pool and waits until the writes are acknowledged.
-func (c *caller) completeBatch(ctx context.Context, r *request, out *outbox) error {
+func (c *caller) completeBatch(r *request, out *outbox) error {
 	conn := c.txConn
 	if canRetryOnPrimary(r, out) {
 		return nil
@@ -174,5 +155,5 @@
 	if !reported || r.replica {
 		return nil
 	}
-	return trace.Wrap(c.server.opts.Ack.Acknowledge(ctx, c.session, position))
+	return trace.Wrap(c.server.opts.Ack.Acknowledge(r.whole, c.session, position))
 }
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -52,9 +52,24 @@
 	},
 	{
 		6, "an open connection checks that its key is valid before each batch",
-		"host/entry/run.go", "if !view.Keys.Valid(c.key, c.session.Team) {", "if false {",
+		"host/entry/check.go", "if permit == nil || view.Keys.Valid(permit.key, permit.team) {", "if true {",
 		"./host/entry", "Withdrawn",
 	},
+	{
+		6, "a statement that has waited checks again that its key is valid",
+		"host/entry/run.go", "if err := c.check(c.server.opts.View()); err != nil {", "if err := error(nil); err != nil {",
+		"./host/entry", "RevokedBeforeSending",
+	},
+	{
+		6, "the wait of a statement ends with its key",
+		"host/entry/check.go", "\t\tc.revoke()\n", "",
+		"./host/entry", "WaitOfRevokedKey/withdrawn/insert_late/upstream",
+	},
+	{
+		6, "an idle transaction is rolled back with its key",
+		"host/entry/check.go", "\t\t\t_ = c.raw.SetReadDeadline(time.Now())\n", "",
+		"./host/entry", "IdleTransactionOfRevokedKey/withdrawn",
+	},
 	{
 		6, "a host whose lease has ended serves nothing",
 		"host/member/view.go", "return v.Text != nil && now < v.Expires", "return v.Text != nil",
@@ -438,7 +453,7 @@
 	},
 	{
 		8, "an open transaction does not go on on a replica whose availability zone is out of service",
-		"host/entry/transaction.go", "if replaceable && view.OutFor(now, c.txTarget) > outGrace {", "if replaceable && view.OutFor(now, c.txTarget) < 0 {",
+		"host/entry/check.go", "view.OutFor(c.server.opts.Clock.Now(), c.txTarget) > outGrace", "view.OutFor(c.server.opts.Clock.Now(), c.txTarget) < 0",
 		"./host/entry", "TransactionInZoneOut",
 	},
 	{
