Answer a refused statement before its transaction is rolled back

The caller of a transaction that was refused for its key or an evacuation waited for the rollback at the upstream, which takes up to its timeout when the upstream is dark. The caller's host now ends the transaction in the background: nothing more is sent in it, so the promise is true at once. The refused statement's connection is given back before its slot, as elsewhere, so that the next statement finds it.

Found by reading; the tests of node/entry, node/gateway, node/routing and node/upstream pass, with -race as well.

--- a/node/routing/executor.go
+++ b/node/routing/executor.go
@@ -113,7 +113,8 @@
 func (c *trackedExecutor) Execute(ctx context.Context, use upstream.Use) (outcome upstream.Outcome, err error) {
 	// A gateway on another host may not know yet of what forbids the statement.
 	if use.Version, err = c.pool.Check(c.team, &use, c.kept); err != nil {
-		c.Close()
+		// The caller's answer does not wait for the end of its transaction at the upstream.
+		go c.Close()
 		return upstream.Outcome{}, err
 	}
 	defer func() { c.kept = err == nil && use.Keep }()
--- a/node/upstream/executor.go
+++ b/node/upstream/executor.go
@@ -156,6 +156,7 @@
 	defer stop()
 	id, err := d.admit(ctx, use)
 	if _, refused := d.pool.Check(d.team, use, inTransaction); refused != nil {
+		d.releaseLater()
 		if err == nil && use.ID != "" {
 			d.pool.limiter.cancel(id)
 		}
