Don't execute evacuation orders that their senders have given up

Operators saw an acknowledged evacuation undone, on a zone where nobody had ordered anything since: a core host that was frozen, or cut off, read an order late and had it executed after a newer one.

Cause: orders on zones have no number, so the last one that is executed holds, and an order had no age either.

An order now counts from the time its last bytes reached the machine, which the kernel knows for each connection even while the process is stopped. Where it does not tell, or its clock stood still, an order read just after a pause counts from the start of the pause. 900 ms after that an order is refused. Orders that are forwarded carry the end of that time by the receiver's own clock, from a reading that the receiver gave, so no clocks need to agree; a receiver that wakes refuses them whatever it has learned first. The leader checks the time once more where it appends the change, after which the order of the log decides. Configurations keep their versions as their order and have no deadline.

--- a/fleet/quorum/action.go
+++ b/fleet/quorum/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/ident"
 )
 
 // Input is an event that a member handles: Tick, Receive, Propose, AddLearner, Remove, Transfer, Contacts, Persisted or
@@ -20,6 +21,8 @@
 type Propose struct {
 	ID     uint64
 	Change *fleetpb.Change
+	// Until is the latest time at which the change may be appended; 0 means any time.
+	Until ident.Time
 }
 
 // AddLearner asks the leader to let a host join as a learner at its next start; a Proposed action answers it.
--- a/fleet/quorum/errors.go
+++ b/fleet/quorum/errors.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // NotLeaderError rejects a proposal to a member that is not the leader; Leader is the leader's peer address if known.
 type NotLeaderError struct{ Leader string }
@@ -29,6 +32,14 @@
 	return "too many changes are not yet committed"
 }
 
+// ExpiredError rejects a change that reached the log after Propose.Until.
+type ExpiredError struct{ By time.Duration }
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("the change came %v too late to be appended", e.By.Round(time.Millisecond))
+}
+
 // MembershipError rejects a membership change that is not possible.
 type MembershipError struct {
 	Host   string
--- a/fleet/quorum/lead.go
+++ b/fleet/quorum/lead.go
@@ -293,21 +293,30 @@
 	return values[(len(values)-1)/2]
 }
 
-func (n *Node) propose(id uint64, change *fleetpb.Change) {
-	if change.GetVoters() != nil {
-		n.out = append(n.out, Proposed{ID: id, Err: &MembershipError{Reason: "members change by AddLearner and Remove only"}})
+func (n *Node) propose(in Propose) {
+	if err := n.checkProposal(in); err != nil {
+		n.out = append(n.out, Proposed{ID: in.ID, Err: err})
 		return
 	}
+	index := n.appendEntry(in.Change)
+	n.out = append(n.out, Proposed{ID: in.ID, Index: index, Term: n.term})
+}
+
+// checkProposal returns why a change can't be appended, or nil.
+func (n *Node) checkProposal(in Propose) error {
+	if in.Change.GetVoters() != nil {
+		return &MembershipError{Reason: "members change by AddLearner and Remove only"}
+	}
 	if err := n.checkLeader(); err != nil {
-		n.out = append(n.out, Proposed{ID: id, Err: err})
-		return
+		return err
+	}
+	if in.Until != 0 && n.now > in.Until {
+		return &ExpiredError{By: n.now.Sub(in.Until)}
 	}
 	if n.log.last().index >= n.commit+n.bounds.Pending {
-		n.out = append(n.out, Proposed{ID: id, Err: &OverloadError{}})
-		return
+		return &OverloadError{}
 	}
-	index := n.appendEntry(change)
-	n.out = append(n.out, Proposed{ID: id, Index: index, Term: n.term})
+	return nil
 }
 
 func (n *Node) checkLeader() error {
--- a/fleet/quorum/node.go
+++ b/fleet/quorum/node.go
@@ -230,7 +230,7 @@
 	case Receive:
 		n.handleMessage(in.Message)
 	case Propose:
-		n.propose(in.ID, in.Change)
+		n.propose(in)
 	case AddLearner:
 		n.addLearner(in)
 	case Remove:
--- a/fleet/steady/steady.go
+++ b/fleet/steady/steady.go
@@ -12,8 +12,17 @@
 // Now returns the time since the system booted, including suspended time. The monotonic clock of package time stops during
 // suspension, so a lease granted before it would still count as valid after resuming.
 func Now() ident.Time {
+	return read(unix.CLOCK_BOOTTIME)
+}
+
+// Awake returns the time since the system booted without suspended time. It differs from Now by the length of all suspensions.
+func Awake() ident.Time {
+	return read(unix.CLOCK_MONOTONIC)
+}
+
+func read(clock int32) ident.Time {
 	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+	if err := unix.ClockGettime(clock, &t); err != nil {
 		// Every kernel that runs this program has the clock; no other clock would be safe to use instead.
 		panic(err)
 	}
--- a/host/gate/http.go
+++ b/host/gate/http.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackshunt.dev/fleet/budget"
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/host/peer"
 )
 
@@ -44,6 +45,7 @@
 	return &http.Server{
 		Handler: calls, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: peer.ErrorLog(),
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
+			ctx = expiry.WithConnection(ctx, connection)
 			s, err := l.Open(calls.Listener, connection, budget.SessionLimits{})
 			if err != nil {
 				return ctx
--- a/host/replica/replica.go
+++ b/host/replica/replica.go
@@ -226,10 +226,16 @@
 // NotLeaderError or a NotRunError if the change is never applied, and an UnknownOutcomeError if it may still be applied. A change
 // that can't be serialized is not run: a log that could not store it would stop this host, and the next leader after it.
 func (r *Replica) Propose(ctx context.Context, change *fleetpb.Change) (proto.Message, error) {
+	return r.ProposeUntil(ctx, change, 0)
+}
+
+// ProposeUntil is like Propose for a change that must not be appended after a time of the replica's clock; 0 means any time. The end of ctx
+// is no such limit: a process that was suspended may notice it only after it has appended the change.
+func (r *Replica) ProposeUntil(ctx context.Context, change *fleetpb.Change, until ident.Time) (proto.Message, error) {
 	if _, err := proto.Marshal(change); err != nil {
 		return nil, trace.Wrap(&NotRunError{err})
 	}
-	return r.call(ctx, func(id uint64) quorum.Input { return quorum.Propose{ID: id, Change: change} })
+	return r.call(ctx, func(id uint64) quorum.Input { return quorum.Propose{ID: id, Change: change, Until: until} })
 }
 
 // AddLearner adds a host, which joins as a learner when it starts with an empty data folder. A host that lost its disk need not
--- a/node/core/core.go
+++ b/node/core/core.go
@@ -11,6 +11,7 @@
 
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/limit"
@@ -78,6 +79,11 @@
 	groups    *groups
 	// usage is nil if the usage of teams is not reported.
 	usage *usage
+	// clock is the one by which other hosts state deadlines, and readings are those of the other hosts' clocks.
+	clock    *expiry.Clock
+	readings *expiry.Readings
+	// pauses notices when this process was stopped.
+	pauses expiry.Pauses
 
 	mu sync.Mutex
 	// hosts are the entry hosts that send Watch requests to this leader.
@@ -121,6 +127,8 @@
 		lender:    lending.New(),
 		client:    options.Peers.Client(0),
 		hosts:     entryHosts{},
+		clock:     expiry.NewClock(),
+		readings:  expiry.NewReadings(),
 		startedAt: steady.Now(),
 		saving:    make(chan struct{}, 1),
 	}
@@ -221,6 +229,7 @@
 		case err := <-removed:
 			return trace.Wrap(err)
 		case <-leadershipTicker.C:
+			c.pauses.Tick(steady.Now(), steady.Awake())
 			leadership = c.replica.Leadership()
 			if leadership.Confirmed && leadership.Since == handledSince {
 				c.takeOver(leadership)
--- a/node/core/follow_test.go
+++ b/node/core/follow_test.go
@@ -10,6 +10,7 @@
 
 	"tamarackshunt.dev/fleet/catalog"
 	"tamarackshunt.dev/fleet/directory"
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/steady"
@@ -21,7 +22,7 @@
 func newTestCore() *Core {
 	c := &Core{
 		state: newState(parseStub), directory: directory.New(), hosts: entryHosts{}, lender: lending.New(), startedAt: steady.Now(),
-		saving: make(chan struct{}, 1),
+		saving: make(chan struct{}, 1), clock: expiry.NewClock(), readings: expiry.NewReadings(),
 	}
 	c.groups = newGroups(c)
 	return c
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -70,7 +70,7 @@
 	if !leads || request.GetSearch() {
 		return response, nil
 	}
-	c.groups.report(now, request.GetPeer(), request.GetReports())
+	c.groups.report(c.pauses.Arrived(ctx, now, steady.Awake()), request.GetPeer(), request.GetReports())
 	if c.usage != nil && request.GetHost() != "" {
 		c.usage.record(now, leadership.Term, request, response)
 	}
@@ -117,7 +117,34 @@
 
 // Order executes an order if this host is the leader.
 func (s service) Order(ctx context.Context, request *fleetpb.OrderRequest) (*fleetpb.OrderResponse, error) {
-	return s.core.execute(ctx, request)
+	c := s.core
+	if request.GetDeadline() == nil {
+		return c.execute(ctx, request, 0)
+	}
+	now := steady.Now()
+	until, err := c.clock.Until(now, request.GetDeadline())
+	if err != nil {
+		if leadership := c.replica.Leadership(); !leadership.Confirmed {
+			return c.redirect(leadership), nil
+		}
+		return c.refuseLate(now, request, err), nil
+	}
+	response, err := c.execute(ctx, request, until)
+	if isLate(err) {
+		return c.refuseLate(now, request, err), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	response.Clock = c.clock.Reading(now)
+	return response, nil
+}
+
+// refuseLate returns the response to an order that came after its deadline, or whose deadline refers to another clock.
+func (c *Core) refuseLate(now ident.Time, request *fleetpb.OrderRequest, err error) *fleetpb.OrderResponse {
+	order := request.GetEvacuate()
+	klog.InfoS("Order not executed", "zone", order.GetZone(), "active", order.GetActive(), "problem", problem(err))
+	return &fleetpb.OrderResponse{Late: true, Clock: c.clock.Reading(now)}
 }
 
 // PassOn records announcements that another core host has received.
--- /dev/null
+++ b/node/core/late_test.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamarackshunt.dev/fleet/expiry"
+	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/steady"
+)
+
+// waitingCall returns the context of a call that has reached this machine, and is read after a while.
+func waitingCall(t *testing.T, wait time.Duration) context.Context {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	server, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	_, err = client.Write([]byte("call"))
+	require.NoError(t, err)
+	time.Sleep(wait)
+	return expiry.WithConnection(t.Context(), server)
+}
+
+// Guards against an acknowledged evacuation that is undone by an order that its operator has given up: the leader reads it late itself, or gets
+// it late from another host, whether or not its clock is known there. Orders in time, and those of hosts of an older version, are executed.
+func TestLateOrders(t *testing.T) {
+	s := newServiceUnderTest(t)
+	c := s.core
+	evacuated := func() bool { return len(c.state.evacuated()) > 0 }
+	require.NoError(t, c.Evacuate(t.Context(), "z", true))
+	var late *expiry.LateError
+	require.ErrorAs(t, c.Evacuate(waitingCall(t, senderTimeout+100*time.Millisecond), "z", false), &late)
+	require.True(t, evacuated())
+
+	order := func(active bool, deadline *fleetpb.Deadline) *fleetpb.OrderResponse {
+		response, err := service{c}.Order(t.Context(), &fleetpb.OrderRequest{
+			Evacuate: &fleetpb.Evacuate{Zone: "z", Active: active}, Deadline: deadline,
+		})
+		require.NoError(t, err)
+		return response
+	}
+	now := steady.Now()
+	readings := expiry.NewReadings()
+	response := order(false, readings.Deadline(now, "a", now.Add(time.Minute)))
+	require.True(t, response.GetLate() && !response.GetDone(), "the sender does not know the clock")
+	readings.Record(steady.Now(), "a", response.GetClock())
+	response = order(false, readings.Deadline(now, "a", now.Add(-time.Millisecond)))
+	require.True(t, response.GetLate() && !response.GetDone())
+	require.True(t, evacuated())
+
+	require.True(t, order(false, readings.Deadline(now, "a", steady.Now().Add(time.Minute))).GetDone())
+	require.False(t, evacuated())
+	require.True(t, order(false, readings.Deadline(now, "a", steady.Now().Add(time.Minute))).GetDone(), "a repeat")
+	require.True(t, order(true, nil).GetDone())
+	require.True(t, evacuated())
+	require.NoError(t, c.Evacuate(waitingCall(t, 100*time.Millisecond), "z", false))
+	require.False(t, evacuated())
+	s.endLeadership()
+	require.False(t, order(true, &fleetpb.Deadline{}).GetLate(), "a host that is not the leader refuses nothing")
+}
+
+// Guards against an order that the leader has checked in time and appends to the log after a suspension of its process.
+func TestOrderAppendedLate(t *testing.T) {
+	s := newServiceUnderTest(t)
+	// The replica of the test has a clock that starts with it.
+	_, err := s.core.replica.ProposeUntil(t.Context(), evacuate("z", true), 1)
+	require.True(t, isLate(err), "%v", err)
+	require.Empty(t, s.core.state.evacuated())
+	_, err = s.core.replica.ProposeUntil(t.Context(), evacuate("z", true), steady.Now())
+	require.NoError(t, err)
+	require.Equal(t, []string{"z"}, s.core.state.evacuated())
+}
--- a/node/core/leader.go
+++ b/node/core/leader.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/steady"
 )
 
@@ -54,7 +53,7 @@
 
 // callLeader makes a call to the leader, which it searches for among the members and the seeds if this host is not in contact
 // with one. It returns a NoLeaderError if no host answered as the leader.
-func callLeader[T leaderResponse](ctx context.Context, c *Core, call func(context.Context, fleetpb.Core) (T, error)) (T, error) {
+func callLeader[T leaderResponse](ctx context.Context, c *Core, call func(ctx context.Context, host string) (T, error)) (T, error) {
 	search := newLeaderSearch(c.options.Peer, c.coreHosts())
 	leadership := c.replica.Leadership()
 	if steady.Now().Sub(leadership.LastContact) < leaderContactTimeout {
@@ -62,7 +61,7 @@
 	}
 	cause := errNotLeader
 	for hosts := search.next(); len(hosts) > 0; hosts = search.next() {
-		response, err := callAll(ctx, c, search, hosts, call)
+		response, err := callAll(ctx, search, hosts, call)
 		if err == nil && response.GetDone() {
 			return response, nil
 		}
@@ -77,7 +76,7 @@
 // callAll makes a call to several core hosts at once. It returns as soon as one of them answers as the leader; otherwise it adds
 // the hosts that they name to the search and returns the last response and error.
 func callAll[T leaderResponse](
-	ctx context.Context, c *Core, search *leaderSearch, hosts []string, call func(context.Context, fleetpb.Core) (T, error),
+	ctx context.Context, search *leaderSearch, hosts []string, call func(ctx context.Context, host string) (T, error),
 ) (T, error) {
 	type result struct {
 		response T
@@ -88,7 +87,7 @@
 	results := make(chan result, len(hosts))
 	for _, host := range hosts {
 		go func() {
-			response, err := call(ctx, c.peer(host))
+			response, err := call(ctx, host)
 			results <- result{response, err}
 		}()
 	}
--- a/node/core/members.go
+++ b/node/core/members.go
@@ -95,8 +95,8 @@
 	if c.replica.Members() != nil {
 		request.Member = c.replica.Member()
 	}
-	response, err := callLeader(ctx, c, func(ctx context.Context, core fleetpb.Core) (*fleetpb.JoinResponse, error) {
-		return core.Enroll(ctx, request)
+	response, err := callLeader(ctx, c, func(ctx context.Context, host string) (*fleetpb.JoinResponse, error) {
+		return c.peer(host).Enroll(ctx, request)
 	})
 	if err != nil {
 		return problem(err), nil
