Don't pass on orders to step down that the core has given up

Callers could see writes refused by a primary that the core had kept: an entry host that relays an order to step down, or a core host that has lost its leadership, is frozen before it sends the order and carries it out when it wakes, long after the core has given up the replacement. Upstreams can't tell a late request from a new one.

The relay's time limit began when its handler began, and the leadership was checked before the wait for a connection.

The relayed order now carries the end of the core's wait by the relay's clock, and both checks are made right before each send.

Evidence: TestLateStepDown sends the relay orders whose deadlines have passed or refer to another clock; the primary keeps serving, and an order in time still makes it step down.

--- a/node/core/late_test.go
+++ b/node/core/late_test.go
@@ -78,3 +78,29 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{"z"}, s.core.state.evacuated())
 }
+
+// Guards against a primary that steps down long after the core has given up its replacement, since the entry host that passes the order on was
+// frozen. An order in time is carried out though the core has not called that host before.
+func TestLateStepDown(t *testing.T) {
+	s := newServiceUnderTest(t)
+	relay := s.serve()
+	p := s.promotion(s.execute)
+	p.relay = relay
+	host := fleetpb.NewGatewayProtobufClient(s.core.options.Peers.URL(relay), s.core.client)
+	request := &fleetpb.StatusOfRequest{Service: "svc", Upstream: "i-0", StepDownTerm: 9, Deadline: &fleetpb.Deadline{}}
+	response, err := host.StatusOf(t.Context(), request)
+	require.NoError(t, err)
+	require.True(t, response.GetLate())
+	readings := expiry.NewReadings()
+	now := steady.Now()
+	readings.Record(now, relay, response.GetClock())
+	request.Deadline = readings.Deadline(now, relay, now.Add(-time.Second))
+	response, err = host.StatusOf(t.Context(), request)
+	require.NoError(t, err)
+	require.True(t, response.GetLate())
+	require.True(t, s.group.Store("after", "after", "x"), "the primary serves")
+	status, err := p.requestThroughRelay(t.Context(), s.targets["i-0"], 9)
+	require.NoError(t, err)
+	require.False(t, status.Primary)
+	require.False(t, s.group.Store("later", "later", "x"))
+}
--- a/node/core/pause.go
+++ b/node/core/pause.go
@@ -46,12 +46,18 @@
 // requestStatus sends a request that an upstream answers with its status. Only a leader sends one that changes the upstream: upstreams
 // don't know who leads, and the request of an earlier leader would undo what the next one has ordered.
 func (g *groups) requestStatus(ctx context.Context, target upstream.Target, request statement.Request) (statement.Status, error) {
-	if _, asks := request.(statement.AskStatus); !asks && !g.core.leads() {
-		return statement.Status{}, errLeadershipEnded
+	check := func() error {
+		if _, asks := request.(statement.AskStatus); !asks && !g.core.leads() {
+			return errLeadershipEnded
+		}
+		return nil
+	}
+	if err := check(); err != nil {
+		return statement.Status{}, err
 	}
 	pool := upstream.NewPool(target, g.core.options.Protocol, 1)
 	defer pool.Close()
-	return pool.Status(ctx, request)
+	return pool.Status(ctx, request, check)
 }
 
 // reporting returns the upstreams whose positions count: the candidates and, where writes wait for replicas, the other ones.
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -100,8 +101,11 @@
 	defer cancel()
 	core := p.groups.core
 	host := fleetpb.NewGatewayProtobufClient(core.options.Peers.URL(p.relay), core.client)
-	response, err := host.StatusOf(ctx, &fleetpb.StatusOfRequest{
-		Service: string(target.Service), Upstream: string(target.Upstream), StepDownTerm: uint64(stepDown),
+	until := steady.Now().Add(relayTimeout)
+	response, err := expiry.Call(ctx, core.readings, p.relay, until, func(deadline *fleetpb.Deadline) (*fleetpb.StatusOfResponse, error) {
+		return host.StatusOf(ctx, &fleetpb.StatusOfRequest{
+			Service: string(target.Service), Upstream: string(target.Upstream), StepDownTerm: uint64(stepDown), Deadline: deadline,
+		})
 	})
 	if err != nil {
 		return statement.Status{}, err
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
@@ -20,7 +22,10 @@
 // sweepInterval is the interval between checks for expired leases.
 const sweepInterval = time.Second
 
-var uses = metrics.NewCounter("tamarack_gateway_uses_total")
+var (
+	uses      = metrics.NewCounter("tamarack_gateway_uses_total")
+	lateCalls = metrics.NewCounter("tamarack_gateway_late_calls_total")
+)
 
 // Pools returns the connection pools of upstreams.
 type Pools interface {
@@ -32,11 +37,13 @@
 type Server struct {
 	pools  Pools
 	leases *leases
+	// clock is the one by which other hosts state deadlines.
+	clock *expiry.Clock
 }
 
 // NewServer returns a server without leases.
 func NewServer(pools Pools) *Server {
-	return &Server{pools: pools, leases: newLeases()}
+	return &Server{pools: pools, leases: newLeases(), clock: expiry.NewClock()}
 }
 
 // Handler returns an HTTP handler for the Gateway service under its Twirp path.
@@ -135,23 +142,51 @@
 	return &fleetpb.EndResponse{}, nil
 }
 
-// StatusOf implements fleetpb.Gateway.
+// StatusOf implements fleetpb.Gateway. A primary is asked to step down only while the core waits for the answer: otherwise the core has kept
+// it, or has promoted another upstream.
 func (s *Server) StatusOf(ctx context.Context, request *fleetpb.StatusOfRequest) (*fleetpb.StatusOfResponse, error) {
 	pool := s.pools.Pool(ident.Service(request.GetService()), ident.Upstream(request.GetUpstream()))
 	if pool == nil {
 		return nil, errUnknownUpstream
 	}
 	var ask statement.Request = statement.AskStatus{}
+	check := func() error { return nil }
 	if term := request.GetStepDownTerm(); term != 0 {
 		ask = statement.StepDown{Term: ident.Term(term)}
+		check = func() error { return s.checkDeadline(request.GetDeadline()) }
 	}
-	status, err := pool.Status(ctx, ask)
+	status, err := pool.Status(ctx, ask, check)
 	klog.InfoS("Status requested for the core", "service", request.GetService(), "upstream", request.GetUpstream(),
 		"stepDownTerm", request.GetStepDownTerm(), "primary", status.Primary, "position", status.Received, "problem", problem(err))
+	response := &fleetpb.StatusOfResponse{Clock: s.reading(request.GetDeadline())}
+	var late *expiry.LateError
+	if errors.As(err, &late) {
+		lateCalls.Inc()
+		response.Late = true
+		return response, nil
+	}
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	return &fleetpb.StatusOfResponse{Primary: status.Primary, Term: uint64(status.Term), Received: positionToProto(status.Received)}, nil
+	response.Primary, response.Term, response.Received = status.Primary, uint64(status.Term), positionToProto(status.Received)
+	return response, nil
+}
+
+// checkDeadline returns an expiry.LateError if a call has a deadline that has passed or does not belong to this process's clock.
+func (s *Server) checkDeadline(deadline *fleetpb.Deadline) error {
+	if deadline == nil {
+		return nil
+	}
+	_, err := s.clock.Until(steady.Now(), deadline)
+	return err
+}
+
+// reading returns a reading of this process's clock for the sender of a call with a deadline.
+func (s *Server) reading(deadline *fleetpb.Deadline) *fleetpb.Clock {
+	if deadline == nil {
+		return nil
+	}
+	return s.clock.Reading(steady.Now())
 }
 
 // problem returns the text of an error for a log line.
--- a/node/upstream/status.go
+++ b/node/upstream/status.go
@@ -21,8 +21,9 @@
 
 // Status sends a request that the upstream answers with its status, and repeats it while the upstream is busy. It goes before all
 // statements that wait for a connection. The connection may be one of any team: the request belongs to none, and an upstream that
-// has no room for another connection still answers it.
-func (p *Pool) Status(ctx context.Context, request statement.Request) (statement.Status, error) {
+// has no room for another connection still answers it. Each time, check is called right before the request is sent, and Status returns its
+// error: the process may have been suspended since Status was called, and upstreams carry out late requests too.
+func (p *Pool) Status(ctx context.Context, request statement.Request, check func() error) (statement.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	conn, err := p.Get(ctx, p.usualTeam(), statusPriority)
@@ -31,6 +32,9 @@
 	}
 	defer conn.Release()
 	for {
+		if err := check(); err != nil {
+			return statement.Status{}, err
+		}
 		status, err := conn.Status(request, statusTimeout)
 		var refused *statement.Failure
 		if !errors.As(err, &refused) || refused.Code != statement.CodeBusy || steady.Wait(ctx, statusRetryDelay) != nil {
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -210,7 +210,7 @@
 	var refused *statement.Failure
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, statement.CodeConnections, refused.Code)
-	_, err = p.Status(contextWithTimeout(t), statement.AskStatus{})
+	_, err = p.Status(contextWithTimeout(t), statement.AskStatus{}, func() error { return nil })
 	require.NoError(t, err, "the core's requests are served on every host")
 }
 
