Don't end an upstream by a late announcement that names no start

An upstream that had started again could be taken out of service: the end of its earlier start, which names no start, was held up by a frozen core host, or on the way between two of them, and recorded after the newer start. Announcements that name their start are ordered by it.

Evidence: TestLateEndOfEarlierStart.

--- a/node/core/announce.go
+++ b/node/core/announce.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/steady"
 )
@@ -14,12 +16,16 @@
 var (
 	announcements      = metrics.NewCounter("tamarack_core_announcements_total")
 	staleAnnouncements = metrics.NewCounter("tamarack_core_announcements_stale_total")
+	lateAnnouncements  = metrics.NewCounter("tamarack_core_announcements_late_total")
 )
 
 // Announce records an upstream's announcement, forwards it to the other core hosts, so that they know the upstreams when one of
-// them becomes the leader, and returns once the leader has it.
+// them becomes the leader, and returns once the leader has it. It returns an expiry.LateError for one that checkOrder refuses.
 func (c *Core) Announce(ctx context.Context, a *fleetpb.Announcement) error {
 	announcements.Inc()
+	if err := c.checkOrder(ctx, a, senderTimeout); err != nil {
+		return err
+	}
 	c.recordAnnouncement(a)
 	if c.leads() {
 		c.forwardAnnouncement(ctx, a)
@@ -70,6 +76,19 @@
 	return nil
 }
 
+// checkOrder returns an expiry.LateError for an announcement that names no start of its upstream and whose sender, which waits for a time,
+// has given it up. Such announcements of two starts can't be ordered: the end of an earlier start would end the one that runs.
+func (c *Core) checkOrder(ctx context.Context, a *fleetpb.Announcement, wait time.Duration) error {
+	now := steady.Now()
+	age := now.Sub(c.pauses.Arrived(ctx, now, steady.Awake()))
+	if a.GetBorn() != 0 || age <= wait {
+		return nil
+	}
+	lateAnnouncements.Inc()
+	klog.InfoS("Announcement not recorded", "upstream", a.GetUpstream(), "gone", a.GetGone(), "ageMs", age.Milliseconds())
+	return &expiry.LateError{By: age - wait}
+}
+
 func (c *Core) recordAnnouncement(a *fleetpb.Announcement) {
 	if !c.directory.Record(steady.Now(), a) {
 		staleAnnouncements.Inc()
--- a/node/core/handler.go
+++ b/node/core/handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
 	"k8s.io/klog/v2"
 
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -151,6 +152,9 @@
 func (s service) PassOn(ctx context.Context, batch *fleetpb.AnnounceBatch) (*fleetpb.AnnounceResult, error) {
 	result := &fleetpb.AnnounceResult{Leads: s.core.leads()}
 	for _, a := range batch.GetAnnouncements() {
+		if err := s.core.checkOrder(ctx, a, forwardTimeout); err != nil {
+			return nil, twirp.DeadlineExceeded.Error(err.Error())
+		}
 		newer := s.core.directory.Newer(a)
 		s.core.recordAnnouncement(a)
 		// A repeated announcement needs no answer. One of an ended start does: the sender may have been down when it ended.
--- a/node/core/late_test.go
+++ b/node/core/late_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
@@ -79,6 +80,33 @@
 	require.Equal(t, []string{"z"}, s.core.state.evacuated())
 }
 
+// Guards against a running upstream that ends because the end of its earlier start, which names no start, was held up, on the way from the
+// upstream or from another core host.
+func TestLateEndOfEarlierStart(t *testing.T) {
+	s := newServiceUnderTest(t)
+	c := s.core
+	end := &fleetpb.Announcement{Upstream: "i-9", Gone: true, Leaving: true}
+	started := &fleetpb.Announcement{Upstream: "i-9", Service: "svc", Address: "127.0.0.1:9", Zone: "z", Seq: 1, Born: 2}
+	listed := func() int { return len(c.directory.List(steady.Now())) }
+	c.recordAnnouncement(started)
+	waiting := waitingCall(t, senderTimeout+100*time.Millisecond)
+	var late *expiry.LateError
+	require.ErrorAs(t, c.Announce(waiting, end), &late)
+	_, err := service{c}.PassOn(waiting, &fleetpb.AnnounceBatch{Announcements: []*fleetpb.Announcement{end}})
+	var refused twirp.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, 1, listed())
+	// Announcements that name their start are ordered by it, however late they come.
+	_, err = service{c}.PassOn(waiting, &fleetpb.AnnounceBatch{Announcements: []*fleetpb.Announcement{{Upstream: "i-9", Gone: true, Born: 2}}})
+	require.NoError(t, err)
+	require.Zero(t, listed())
+	c.recordAnnouncement(&fleetpb.Announcement{Upstream: "i-9", Service: "svc", Address: "127.0.0.1:9", Zone: "z", Seq: 1, Born: 3})
+	require.Equal(t, 1, listed())
+	c.options.Seeds = func() []string { return nil }
+	require.NoError(t, c.Announce(t.Context(), end), "an end in time")
+	require.Zero(t, listed())
+}
+
 // Guards against a primary that steps down long after the core has given up its replacement, since the entry host that passes the order on was
 // frozen. An order in time is carried out though the core has not called that host before.
 func TestLateStepDown(t *testing.T) {
