host: don't record announcements that their senders have given up

tamarack-host records announcements in the order in which it reads them, so one that a frozen host held up could replace a later one of the same upstream. Texts and keys are ordered already: a text replaces a given version, and an id is given and withdrawn once.

An announcement that arrived more than 2 s ago, the longest time for which a host waits for its forwarding, is answered with 503 and not recorded.

--- a/host/controller/announce.go
+++ b/host/controller/announce.go
@@ -9,12 +9,14 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
+	"tamarackshunt.dev/fleet/steady"
 	"tamarackshunt.dev/host/peer"
 )
 
-// forwardTimeout bounds the forwarding of an announcement to the leader.
-const forwardTimeout = 2 * time.Second
+// ForwardTimeout bounds the forwarding of an announcement to the leader.
+const ForwardTimeout = 2 * time.Second
 
 // maxAnnouncement is the largest accepted body of an announcement, in bytes.
 const maxAnnouncement = 64 << 10
@@ -64,6 +66,11 @@
 			writeAnswer(w, http.StatusBadRequest, Announced{Problem: "unreadable announcement: " + err.Error()})
 			return
 		}
+		if err := checkAge(request.Context()); err != nil {
+			w.Header().Set("Retry-After", "1")
+			writeAnswer(w, http.StatusServiceUnavailable, Announced{Problem: err.Error()})
+			return
+		}
 		response, err := announce(request.Context(), a.request())
 		switch {
 		case err != nil || response.GetLeader() != "":
@@ -78,6 +85,18 @@
 	})
 }
 
+// checkAge returns an expiry.LateError for an announcement that arrived longer ago than its sender waits. Announcements have no number, so
+// one that a suspended process held up must not replace a later one.
+func checkAge(ctx context.Context) error {
+	now := steady.Now()
+	age := now.Sub(expiry.Arrived(ctx, now))
+	if age <= ForwardTimeout {
+		return nil
+	}
+	announcementsLate.Inc()
+	return &expiry.LateError{By: age - ForwardTimeout}
+}
+
 func (a Announcement) request() *fleetpb.AnnounceRequest {
 	return &fleetpb.AnnounceRequest{
 		Service: a.Service,
@@ -105,7 +124,7 @@
 		return response, trace.Wrap(err)
 	}
 	peers := c.options.Peers
-	client := fleetpb.NewControlProtobufClient(peers.URL(response.GetLeader()), peers.Client(forwardTimeout))
+	client := fleetpb.NewControlProtobufClient(peers.URL(response.GetLeader()), peers.Client(ForwardTimeout))
 	response, err = client.Announce(ctx, request)
 	return response, trace.Wrap(err)
 }
--- a/host/controller/service.go
+++ b/host/controller/service.go
@@ -23,6 +23,7 @@
 	textsRefused          = metrics.NewCounter(`tamarack_control_texts_total{outcome="refused"}`)
 	announcementsAccepted = metrics.NewCounter(`tamarack_announcements_total{outcome="accepted"}`)
 	announcementsRefused  = metrics.NewCounter(`tamarack_announcements_total{outcome="refused"}`)
+	announcementsLate     = metrics.NewCounter(`tamarack_announcements_total{outcome="late"}`)
 )
 
 // service implements fleetpb.Control.
@@ -247,7 +248,10 @@
 }
 
 // Announce handles an upstream's announcement.
-func (s service) Announce(_ context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+func (s service) Announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
+	if err := checkAge(ctx); err != nil {
+		return nil, twirpError(err)
+	}
 	var response *fleetpb.AnnounceResponse
 	var failure error
 	leader, err := s.runAsLeader(func(now ident.Time) {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"sort"
-	"time"
 
 	"github.com/gravitational/trace"
 
 	"tamarackshunt.dev/fleet/fleetpb"
 	"tamarackshunt.dev/fleet/ident"
+	"tamarackshunt.dev/host/controller"
 	"tamarackshunt.dev/host/member"
 	"tamarackshunt.dev/host/observer"
 )
@@ -111,9 +111,6 @@
 	return position, err == nil
 }
 
-// announceTimeout bounds the time to forward an announcement.
-const announceTimeout = 2 * time.Second
-
 // announce forwards an announcement to the control leader.
 func (f fleetView) announce(ctx context.Context, request *fleetpb.AnnounceRequest) (*fleetpb.AnnounceResponse, error) {
 	leader := f.deps.member.Leader()
@@ -121,6 +118,6 @@
 		return nil, trace.ConnectionProblem(nil, "no control leader is known")
 	}
 	peers := f.deps.peers
-	answer, err := fleetpb.NewControlProtobufClient(peers.URL(leader), peers.Client(announceTimeout)).Announce(ctx, request)
+	answer, err := fleetpb.NewControlProtobufClient(peers.URL(leader), peers.Client(controller.ForwardTimeout)).Announce(ctx, request)
 	return answer, trace.Wrap(err)
 }
