Drop calls between hosts, and requests to upstreams, that are given up

Statements reached an upstream that had left 8.5 to 9.6 s before, up to 12 s after their clients had been told that they were not run.

Cause: a host that gives up a call closes the connection in an orderly way. The bytes that a cut holds up stay in its kernel, which delivers them when the cut heals, and the gateway runs the call though nobody waits. The log of the gateway shows the statements at the heal, and their hosts "Call to gateway failed" up to 12 s before.

Connections between hosts are now reset when they are closed, and so are connections to upstreams with an unanswered request, for example an order to step down: the kernel of the sender then drops what it has not delivered. A gateway also refuses a statement that reached its machine longer ago than its host waits, which a frozen gateway may read late.

--- a/fleet/expiry/expiry_test.go
+++ b/fleet/expiry/expiry_test.go
@@ -206,3 +206,13 @@
 	require.ErrorAs(t, err, &late)
 	require.Equal(t, 1, calls)
 }
+
+// Guards against a call that is delivered, or waited for, in an orderly way after its sender has closed the connection: what the receiver has
+// not read yet must end in a reset.
+func TestResetOnClose(t *testing.T) {
+	client, server := connected(t)
+	expiry.ResetOnClose(client)
+	require.NoError(t, client.Close())
+	_, err := server.Read(make([]byte, 1))
+	require.ErrorContains(t, err, "reset")
+}
--- a/host/peer/peer.go
+++ b/host/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"tamarackshunt.dev/fleet/certificate"
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/fleetpb"
 )
 
@@ -59,7 +60,7 @@
 
 func (n *Network) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         n.dial,
 		DialTLSContext:      n.dialTLS,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
@@ -67,9 +68,22 @@
 	}
 }
 
+// dial connects to a peer.
+func (n *Network) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return expiry.ResetOnClose(connection), nil
+}
+
 // dialTLS connects to a peer and verifies its certificate. For a control host of Options.Control this includes the host name.
 func (n *Network) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
-	return n.options.Certificates.Dial(ctx, network, address, n.hostByAddress[address], dialTimeout)
+	connection, err := n.options.Certificates.Dial(ctx, network, address, n.hostByAddress[address], dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return expiry.ResetOnClose(connection), nil
 }
 
 // Client returns an HTTP client that presents the fleet secret. Its calls end after timeout, or with their contexts only if
--- a/node/gateway/client.go
+++ b/node/gateway/client.go
@@ -93,8 +93,7 @@
 // Execute implements upstream.Executor.
 func (r *remoteExecutor) Execute(ctx context.Context, use upstream.Use) (upstream.Outcome, error) {
 	request := r.request(ctx, &use)
-	call, cancel := context.WithTimeout(context.Background(),
-		time.Duration(request.GetWaitMs())*time.Millisecond+use.Timeout+callMargin)
+	call, cancel := context.WithTimeout(context.Background(), callTimeout(request))
 	defer cancel()
 	response, err := r.gateway.Use(call, request)
 	if err != nil {
@@ -133,6 +132,11 @@
 	return outcome, nil
 }
 
+// callTimeout returns the time after which the host of a statement gives up the call.
+func callTimeout(request *fleetpb.UseRequest) time.Duration {
+	return time.Duration(request.GetWaitMs()+request.GetTimeoutMs())*time.Millisecond + callMargin
+}
+
 // errNoLeaseGiven reports a response without the lease that was requested.
 var errNoLeaseGiven = errors.New("the gateway has kept no connection for the transaction")
 
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -71,12 +71,29 @@
 // errNoLease reports a lease that is refused. An expired lease is not held; its transaction was rolled back.
 var errNoLease = twirp.NotFound.Error("the connection of this transaction was given up")
 
+// errGivenUp refuses a statement whose host does not wait for it any more.
+var errGivenUp = twirp.FailedPrecondition.Error("the host of the statement has given it up")
+
+// lateBy returns how long ago the host of a statement gave it up, or 0 if it may still wait. This process may have been suspended since the
+// statement arrived.
+func lateBy(ctx context.Context, request *fleetpb.UseRequest) time.Duration {
+	now := steady.Now()
+	age := now.Sub(expiry.Arrived(ctx, now))
+	return max(0, age-callTimeout(request))
+}
+
 // errUnknownUpstream reports an upstream that is not in this host's directory.
 var errUnknownUpstream = twirp.FailedPrecondition.Error("this host does not know the upstream")
 
 // Use implements fleetpb.Gateway.
 func (s *Server) Use(ctx context.Context, request *fleetpb.UseRequest) (*fleetpb.UseResponse, error) {
 	uses.Inc()
+	if by := lateBy(ctx, request); by > 0 {
+		lateCalls.Inc()
+		klog.InfoS("Statement not run, since its host has given it up", "id", string(request.GetId()), "upstream", request.GetUpstream(),
+			"lease", request.GetLease(), "lateMs", by.Milliseconds())
+		return nil, errGivenUp
+	}
 	held, id, err := s.leaseFor(request)
 	if err != nil {
 		return nil, err
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"tamarackshunt.dev/fleet/connections"
+	"tamarackshunt.dev/fleet/expiry"
 	"tamarackshunt.dev/fleet/ident"
 	"tamarackshunt.dev/fleet/statement"
 )
@@ -97,6 +98,8 @@
 	namesUsed uint64
 	state     statement.State
 	broken    bool
+	// unanswered is set while a request has no complete answer.
+	unanswered bool
 }
 
 // open dials an upstream and opens a session under the name of a team.
@@ -143,7 +146,7 @@
 func (c *Conn) Run(id string, since ident.Position, request statement.Request, timeout time.Duration) (statement.Result, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
 	// The connection is not used again unless the whole answer has been read, also after a panic: the rest may still arrive.
-	c.broken = true
+	c.broken, c.unanswered = true, true
 	if c.state != statement.StateIdle {
 		c.pool.setIdleInTransaction(c, false)
 	}
@@ -151,7 +154,7 @@
 	if err != nil {
 		return result, &BrokenError{err}
 	}
-	c.broken, c.state = false, result.State
+	c.broken, c.unanswered, c.state = false, false, result.State
 	if c.state != statement.StateIdle {
 		c.pool.setIdleInTransaction(c, true)
 	}
@@ -298,6 +301,11 @@
 	return err == nil && open
 }
 
+// close closes the connection. A request without an answer is not delivered any more if the network holds it up: an order to step down
+// would be carried out long after it was given up.
 func (c *Conn) close() {
+	if c.unanswered {
+		expiry.ResetOnClose(c.net)
+	}
 	_ = c.net.Close()
 }
