--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -247,7 +247,7 @@
 	},
 	{
 		0, "MIXED: a connection with an answer under way is not used again",
-		"node/upstream/conn.go", "\tc.broken = true\n\tif c.state", "\tif c.state",
+		"node/upstream/conn.go", "\tc.broken, c.unanswered = true, true\n\tif c.state", "\tc.unanswered = true\n\tif c.state",
 		"./node/gateway", "PanicDuringSingle",
 	},
 	{
@@ -471,4 +471,54 @@
 		"node/entry/kept.go", "admitted := s.kept.Admits(old, cost)", "admitted := true",
 		"./node/entry", "StateLimits",
 	},
+	{
+		0, "EVAC: an order that its sender has given up is refused",
+		"node/core/orders.go", "if now > until {", "if now > until.Add(1<<60) {",
+		"./node/core", "LateOrders",
+	},
+	{
+		0, "EVAC: the leader refuses forwarded orders after their deadlines",
+		"fleet/expiry/clock.go", "if now > until {", "if now > until.Add(1<<60) {",
+		"./node/core", "LateOrders",
+	},
+	{
+		0, "EVAC: an order that has waited at the leader is not appended late",
+		"fleet/quorum/lead.go", "if in.Until != 0 && n.now > in.Until {", "if in.Until < 0 {",
+		"./node/core", "OrderAppendedLate",
+	},
+	{
+		0, "EVAC: a call counts from its arrival at the machine",
+		"fleet/expiry/arrival.go", "return now.Add(-wait), known", "return now.Add(0 * wait), known",
+		"./fleet/expiry", "ArrivalOfCall",
+	},
+	{
+		0, "EVAC: a call read after a pause counts from its start if the kernel does not tell",
+		"fleet/expiry/pauses.go", "if paused && (!known || suspended) {", "if paused && known && suspended && now < 0 {",
+		"./fleet/expiry", "TestPauses",
+	},
+	{
+		0, "STALE: a relay does not pass on an order to step down after its deadline",
+		"node/gateway/server.go", "check = func() error { return s.checkDeadline(request.GetDeadline()) }", "check = func() error { return nil }",
+		"./node/core", "LateStepDown",
+	},
+	{
+		0, "announcements: a late one that names no start does not end a later start",
+		"node/core/announce.go", "if a.GetBorn() != 0 || age <= wait {", "if a.GetBorn() != 0 || age >= 0*wait {",
+		"./node/core", "LateEndOfEarlierStart",
+	},
+	{
+		0, "announcements: a host does not record one that its sender has given up",
+		"host/controller/announce.go", "if age <= ForwardTimeout {", "if age >= 0 {",
+		"./host/controller", "LateAnnouncement",
+	},
+	{
+		0, "DRAIN: a gateway does not run a statement that its host has given up",
+		"node/gateway/server.go", "if by := lateBy(ctx, request); by > 0 {", "if by := lateBy(ctx, request); by < 0 {",
+		"./node/gateway", "StatementGivenUp",
+	},
+	{
+		0, "DRAIN: a call between hosts that is given up is not delivered any more",
+		"fleet/expiry/reset.go", "_ = socket.SetLinger(0)", "_ = socket",
+		"./host/peer", "CallGivenUp",
+	},
 }
