Refuse orders whose senders have closed the connection; bound relayed step-downs earlier

- An evacuation order, or an announcement without a start, that a cut held up arrives together with the end of its connection and was executed although nobody receives the answer.
The connection is now asked as well as the age.
- The deadline of a relayed order to step down was computed after the check of the leadership.
A core host suspended in between would have given it a new second.
It is computed before now, and no call is made whose deadline has passed.

Evidence: TestClosed, TestLateOrders, TestCall.

--- a/fleet/expiry/call.go
+++ b/fleet/expiry/call.go
@@ -22,17 +22,18 @@
 	const attempts = 2
 	var response T
 	for range attempts {
+		now := steady.Now()
+		if ctx.Err() != nil || now > until {
+			break
+		}
 		var err error
-		if response, err = call(readings.Deadline(steady.Now(), address, until)); err != nil {
+		if response, err = call(readings.Deadline(now, address, until)); err != nil {
 			return response, err
 		}
 		readings.Record(steady.Now(), address, response.GetClock())
 		if !response.GetLate() {
 			return response, nil
 		}
-		if ctx.Err() != nil || steady.Now() > until {
-			break
-		}
 	}
 	return response, &LateError{By: max(0, steady.Now().Sub(until))}
 }
--- a/fleet/expiry/expiry_test.go
+++ b/fleet/expiry/expiry_test.go
@@ -202,9 +202,16 @@
 	var late *expiry.LateError
 	require.ErrorAs(t, call(time.Hour), &late)
 	calls = 0
-	_, err := expiry.Call(t.Context(), readings, "a", steady.Now(), receive(time.Hour))
+	const wait = 20 * time.Millisecond
+	_, err := expiry.Call(t.Context(), readings, "a", steady.Now().Add(wait), func(deadline *fleetpb.Deadline) (response, error) {
+		defer time.Sleep(2 * wait)
+		return receive(time.Hour)(deadline)
+	})
+	require.ErrorAs(t, err, &late)
+	require.Equal(t, 1, calls, "the sender has stopped waiting before a second call")
+	_, err = expiry.Call(t.Context(), readings, "a", steady.Now().Add(-time.Millisecond), receive(0))
 	require.ErrorAs(t, err, &late)
-	require.Equal(t, 1, calls)
+	require.Equal(t, 1, calls, "the sender has stopped waiting before the first call")
 }
 
 // Guards against a call that is delivered, or waited for, in an orderly way after its sender has closed the connection: what the receiver has
@@ -216,3 +223,20 @@
 	_, err := server.Read(make([]byte, 1))
 	require.ErrorContains(t, err, "reset")
 }
+
+// Guards against a call that a cut held up and that is executed although its sender has closed the connection; the call of a sender that still
+// waits does not count as given up.
+func TestClosed(t *testing.T) {
+	client, server := connected(t)
+	ctx, cancel := context.WithCancel(expiry.WithConnection(t.Context(), server))
+	defer cancel()
+	require.False(t, expiry.Closed(t.Context()), "the connection is not known")
+	_, err := io.WriteString(client, "order")
+	require.NoError(t, err)
+	require.False(t, expiry.Closed(ctx))
+	require.NoError(t, client.Close())
+	require.Eventually(t, func() bool { return expiry.Closed(ctx) }, 10*time.Second, time.Millisecond)
+	open, cancelOpen := context.WithCancel(t.Context())
+	cancelOpen()
+	require.True(t, expiry.Closed(open))
+}
--- a/host/controller/announce.go
+++ b/host/controller/announce.go
@@ -90,11 +90,11 @@
 func checkAge(ctx context.Context) error {
 	now := steady.Now()
 	age := now.Sub(expiry.Arrived(ctx, now))
-	if age <= ForwardTimeout {
+	if age <= ForwardTimeout && !expiry.Closed(ctx) {
 		return nil
 	}
 	announcementsLate.Inc()
-	return &expiry.LateError{By: age - ForwardTimeout}
+	return &expiry.LateError{By: max(0, age-ForwardTimeout)}
 }
 
 func (a Announcement) request() *fleetpb.AnnounceRequest {
--- a/node/core/announce.go
+++ b/node/core/announce.go
@@ -81,12 +81,12 @@
 func (c *Core) checkOrder(ctx context.Context, a *fleetpb.Announcement, wait time.Duration) error {
 	now := steady.Now()
 	age := now.Sub(c.pauses.Arrived(ctx, now, steady.Awake()))
-	if a.GetBorn() != 0 || age <= wait {
+	if a.GetBorn() != 0 || age <= wait && !expiry.Closed(ctx) {
 		return nil
 	}
 	lateAnnouncements.Inc()
 	klog.InfoS("Announcement not recorded", "upstream", a.GetUpstream(), "gone", a.GetGone(), "ageMs", age.Milliseconds())
-	return &expiry.LateError{By: age - wait}
+	return &expiry.LateError{By: max(0, age-wait)}
 }
 
 func (c *Core) recordAnnouncement(a *fleetpb.Announcement) {
--- a/node/core/late_test.go
+++ b/node/core/late_test.go
@@ -39,6 +39,9 @@
 	require.NoError(t, c.Evacuate(t.Context(), "z", true))
 	var late *expiry.LateError
 	require.ErrorAs(t, c.Evacuate(waitingCall(t, senderTimeout+100*time.Millisecond), "z", false), &late)
+	closed, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorAs(t, c.Evacuate(closed, "z", false), &late, "the operator has closed the connection")
 	require.True(t, evacuated())
 
 	order := func(active bool, deadline *fleetpb.Deadline) *fleetpb.OrderResponse {
--- a/node/core/orders.go
+++ b/node/core/orders.go
@@ -80,10 +80,10 @@
 	arrived := c.pauses.Arrived(ctx, now, steady.Awake())
 	until := arrived.Add(senderTimeout)
 	var err error
-	if now > until {
+	if now > until || expiry.Closed(ctx) {
 		orders.Inc()
 		orderFailures.Inc()
-		err = &expiry.LateError{By: now.Sub(until)}
+		err = &expiry.LateError{By: max(0, now.Sub(until))}
 	} else {
 		_, err = c.submit(ctx, &fleetpb.OrderRequest{Evacuate: &fleetpb.Evacuate{Zone: string(zone), Active: active}}, until)
 	}
--- a/node/core/stepdown.go
+++ b/node/core/stepdown.go
@@ -94,6 +94,8 @@
 	if p.relay == "" {
 		return statement.Status{}, errNoRelay
 	}
+	// Read before the leadership is checked: this process may be suspended after either.
+	until := steady.Now().Add(relayTimeout)
 	if stepDown != 0 && !p.groups.core.leads() {
 		return statement.Status{}, errLeadershipEnded
 	}
@@ -101,7 +103,6 @@
 	defer cancel()
 	core := p.groups.core
 	host := fleetpb.NewGatewayProtobufClient(core.options.Peers.URL(p.relay), core.client)
-	until := steady.Now().Add(relayTimeout)
 	response, err := expiry.Call(ctx, core.readings, p.relay, until, func(deadline *fleetpb.Deadline) (*fleetpb.StatusOfResponse, error) {
 		return host.StatusOf(ctx, &fleetpb.StatusOfRequest{
 			Service: string(target.Service), Upstream: string(target.Upstream), StepDownTerm: uint64(stepDown), Deadline: deadline,
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -473,7 +473,7 @@
 	},
 	{
 		0, "EVAC: an order that its sender has given up is refused",
-		"node/core/orders.go", "if now > until {", "if now > until.Add(1<<60) {",
+		"node/core/orders.go", "if now > until || expiry.Closed(ctx) {", "if now > until.Add(1<<60) || expiry.Closed(ctx) {",
 		"./node/core", "LateOrders",
 	},
 	{
@@ -503,12 +503,12 @@
 	},
 	{
 		0, "announcements: a late one that names no start does not end a later start",
-		"node/core/announce.go", "if a.GetBorn() != 0 || age <= wait {", "if a.GetBorn() != 0 || age >= 0*wait {",
+		"node/core/announce.go", "if a.GetBorn() != 0 || age <= wait && !expiry.Closed(ctx) {", "if a.GetBorn() != 0 || age >= 0*wait {",
 		"./node/core", "LateEndOfEarlierStart",
 	},
 	{
 		0, "announcements: a host does not record one that its sender has given up",
-		"host/controller/announce.go", "if age <= ForwardTimeout {", "if age >= 0 {",
+		"host/controller/announce.go", "if age <= ForwardTimeout && !expiry.Closed(ctx) {", "if age >= 0 {",
 		"./host/controller", "LateAnnouncement",
 	},
 	{
