Don't promote a deposed primary again while the present one is alive

Cause: after a planned step-down the candidate with the latest reported position was promoted, whatever it lacked. The replica that followed the primary refused the core with MAXCONN, so only the deposed primary had reported, with its old log.

After a step-down without a replica that has caught up, candidates without any write of the primary's term are excluded now where writes don't wait for replicas. If none remains, the primary leads again: it is alive and has every write.

Evidence: TestDeposedPrimaryIsNotPromotedAgain fails on the code before.

--- a/node/core/promotion.go
+++ b/node/core/promotion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,6 +70,9 @@
 		// A candidate has the whole log, so nothing has to be concluded from the number of positions.
 		p.decision.Floor, p.decision.Replicas = before.position, p.syncReplicas
 	}
+	if before.steppedDown && !before.caughtUp {
+		p.keepLog(before.position, statuses)
+	}
 	successor, ok := p.choose(statuses)
 	paused := false
 	if ok && p.syncReplicas > 0 && !before.caughtUp {
@@ -101,6 +105,28 @@
 	p.notPromoted()
 }
 
+// keepLog excludes the candidates that have no write of the term of a primary that has stepped down at a position, and makes that primary
+// a candidate if none remains. The excluded ones are far behind, or are deposed primaries, whose logs the group has dropped; the one that
+// follows may not answer, for example since it has no connection left. Where writes wait for replicas, Choose decides how many must answer.
+func (p *promotion) keepLog(position ident.Position, statuses map[ident.Upstream]statement.Status) {
+	follows := func(id ident.Upstream) bool {
+		status, reported := statuses[id]
+		// Replicas report the term of their last write, the primary its own: nothing may have been written in that.
+		return reported && (status.Received.Term >= position.Term || status.Received.LSN == position.LSN)
+	}
+	if p.syncReplicas == 0 {
+		p.decision.Candidates = slices.DeleteFunc(slices.Clone(p.decision.Candidates), func(id ident.Upstream) bool { return !follows(id) })
+	}
+	if slices.ContainsFunc(p.decision.Candidates, follows) {
+		return
+	}
+	klog.InfoS("Former primary may lead again, since no other upstream follows it", "service", p.group.service,
+		"primary", p.decision.Primary, "position", position)
+	p.decision.Candidates = append(p.decision.Candidates, p.decision.Primary)
+	p.decision.Complete = p.decision.Primary
+	statuses[p.decision.Primary] = statement.Status{Received: position}
+}
+
 // choose returns the upstream to promote, or false if there is none.
 func (p *promotion) choose(statuses map[ident.Upstream]statement.Status) (ident.Upstream, bool) {
 	positions := make(map[ident.Upstream]ident.Position, len(statuses))
--- a/node/core/promotion_test.go
+++ b/node/core/promotion_test.go
@@ -182,6 +182,42 @@
 	}
 }
 
+// Guards against a deposed primary that is promoted again on its old log, since it alone answers the core while the replica that follows the
+// present primary has no connection left: commits that the group had dropped would return, and later ones would be lost.
+func TestDeposedPrimaryIsNotPromotedAgain(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		s := newServiceUnderTest(t)
+		s.group.SetSyncReplicas(0)
+		for _, u := range s.members {
+			u.SetReplicationPaused(true)
+		}
+		for _, dropped := range []string{"d1", "d2", "d3"} {
+			require.True(t, s.group.Store(dropped, dropped, "x"))
+		}
+		require.NoError(t, s.execute("i-1"))
+		s.members["i-2"].SetReplicationPaused(false)
+		require.True(t, s.group.Store("kept", "kept", "x"))
+		// The replica has not received the last write.
+		s.members["i-2"].SetReplicationPaused(true)
+		require.True(t, s.group.Store("later", "later", "x"))
+		s.members["i-2"].SetCutOff(!answers)
+		p := s.promotion(s.execute)
+		p.syncReplicas = 0
+		p.decision.Primary, p.decision.Planned, p.decision.Candidates = "i-1", true, []ident.Upstream{"i-0", "i-2"}
+		p.run(t.Context())
+		_, runs := s.group.Items()
+		require.Contains(t, runs, "kept")
+		require.NotContains(t, runs, "d1")
+		if answers {
+			require.Equal(t, "i-2", s.group.Primary())
+		} else {
+			require.Equal(t, "i-1", s.group.Primary(), "it has every write")
+			require.Contains(t, runs, "later")
+		}
+		require.True(t, s.group.Store("after", "after", "x"), "the group has a primary")
+	}
+}
+
 // Guards against replicas that stay paused after a replacement that was refused, or after one that succeeded: no write would be
 // acknowledged any more.
 func TestPausedReplicasContinue(t *testing.T) {
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -521,4 +521,9 @@
 		"fleet/expiry/reset.go", "_ = socket.SetLinger(0)", "_ = socket",
 		"./host/peer", "CallGivenUp",
 	},
+	{
+		0, "STALE: a deposed primary is not promoted while the present one is alive",
+		"node/core/promotion.go", "if before.steppedDown && !before.caughtUp {", "if before.steppedDown && before.caughtUp && !before.caughtUp {",
+		"./node/core", "DeposedPrimary",
+	},
 }
