Let the session rest before its key changes in TestIdleTransactionOfChangedKey

The test changed the key right after the answer to the statement, while the session was still on its way to the next read and checks the key itself. The test is stricter; the product is unchanged.

--- a/node/entry/access_test.go
+++ b/node/entry/access_test.go
@@ -108,6 +108,8 @@
 				h.ask(c, in, "BEGIN")
 				h.ask(c, in, "STORE a 1")
 				require.Equal(t, 1, h.primary.OpenTransactions())
+				// The session has to wait for the next request: what it does until then checks the key itself.
+				time.Sleep(100 * time.Millisecond)
 				h.applyEvent(change)
 				require.Eventually(t, func() bool { return h.primary.OpenTransactions() == 0 }, 20*time.Second, time.Millisecond)
 			})
