Wait until a host is stopped in the tests of late orders

Log of that host: "Evacuation ordered" active=true at 46.2079 s and active=false, ageMs=0, at 46.2091 s, before it was stopped: a signal to stop returns while threads still run. The order was executed in time, before the orders that the test sent next, and the zone ended evacuated. The test now sends the order once all threads are stopped; what it asks is unchanged.

--- a/node/late_order_test.go
+++ b/node/late_order_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"syscall"
@@ -67,8 +69,11 @@
 // duringFreeze sends a call to a core host that is frozen for a while, and runs a function meanwhile. It returns the channel with the status of
 // the call, which the host reads when it wakes.
 func (f *fleet) duringFreeze(host int, length time.Duration, path string, run func()) <-chan int {
-	signal := func(s syscall.Signal) { require.NoError(f.t, f.cores[host].command.Process.Signal(s)) }
+	process := f.cores[host].command.Process
+	signal := func(s syscall.Signal) { require.NoError(f.t, process.Signal(s)) }
 	signal(syscall.SIGSTOP)
+	// On a busy machine threads go on for milliseconds, enough to answer the call.
+	f.eventually("stopped", func() bool { return stopped(process.Pid) })
 	wake := time.NewTimer(length)
 	status := f.call(host, path)
 	run()
@@ -77,6 +82,19 @@
 	return status
 }
 
+// stopped reports whether all threads of a process are stopped.
+func stopped(pid int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		_, state, found := strings.Cut(string(stat), ") ")
+		if err != nil || !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // lastEvacuated matches the zones out of service in a log line of an entry host.
 var lastEvacuated = regexp.MustCompile(`^.* evacuated=(\S*)`)
 
