End connections with unanswered statements in the orderly way again

The kernel does not repeat a reset, so an upstream that is cut off misses it and keeps a connection that counts against its limit; this part is concluded, not observed.

Only orders that change an upstream (step down, pause, continue) are dropped now.

Evidence: TestOrderGivenUpIsReset (node/upstream).

--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -98,8 +98,8 @@
 	namesUsed uint64
 	state     statement.State
 	broken    bool
-	// unanswered is set while a request has no complete answer.
-	unanswered bool
+	// ordered is set while a request that changes the upstream has no complete answer.
+	ordered bool
 }
 
 // open dials an upstream and opens a session under the name of a team.
@@ -146,7 +146,7 @@
 func (c *Conn) Run(id string, since ident.Position, request statement.Request, timeout time.Duration) (statement.Result, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
 	// The connection is not used again unless the whole answer has been read, also after a panic: the rest may still arrive.
-	c.broken, c.unanswered = true, true
+	c.broken = true
 	if c.state != statement.StateIdle {
 		c.pool.setIdleInTransaction(c, false)
 	}
@@ -154,7 +154,7 @@
 	if err != nil {
 		return result, &BrokenError{err}
 	}
-	c.broken, c.unanswered, c.state = false, false, result.State
+	c.broken, c.state = false, result.State
 	if c.state != statement.StateIdle {
 		c.pool.setIdleInTransaction(c, true)
 	}
@@ -163,11 +163,14 @@
 
 // Status runs a request that is answered with the upstream's status. It returns a statement.Failure if the upstream refuses.
 func (c *Conn) Status(request statement.Request, timeout time.Duration) (statement.Status, error) {
+	_, asks := request.(statement.AskStatus)
+	c.ordered = !asks
 	result, err := c.Run("", ident.Position{}, request, timeout)
-	switch {
-	case err != nil:
+	if err != nil {
 		return statement.Status{}, err
-	case result.Failure != nil:
+	}
+	c.ordered = false
+	if result.Failure != nil {
 		return statement.Status{}, result.Failure
 	}
 	return c.session.Status(result)
@@ -301,10 +304,11 @@
 	return err == nil && open
 }
 
-// close closes the connection. A request without an answer is not delivered any more if the network holds it up: an order to step down
-// would be carried out long after it was given up.
+// close closes the connection. An order to step down, pause or continue that has no answer is not delivered any more if the network holds it up:
+// it would be carried out long after it was given up. Statements end in the orderly way, since a reset is not repeated: an upstream that is
+// cut off would miss it and keep the connection, which counts against its limit.
 func (c *Conn) close() {
-	if c.unanswered {
+	if c.ordered {
 		expiry.ResetOnClose(c.net)
 	}
 	_ = c.net.Close()
--- a/proofs/removals.go
+++ b/proofs/removals.go
@@ -247,7 +247,7 @@
 	},
 	{
 		0, "MIXED: a connection with an answer under way is not used again",
-		"node/upstream/conn.go", "\tc.broken, c.unanswered = true, true\n\tif c.state", "\tc.unanswered = true\n\tif c.state",
+		"node/upstream/conn.go", "\tc.broken = true\n\tif c.state", "\tif c.state",
 		"./node/gateway", "PanicDuringSingle",
 	},
 	{
@@ -526,4 +526,9 @@
 		"node/core/promotion.go", "if before.steppedDown && !before.caughtUp {", "if before.steppedDown && before.caughtUp && !before.caughtUp {",
 		"./node/core", "DeposedPrimary",
 	},
+	{
+		0, "STALE: an order to step down that is given up is not delivered any more",
+		"node/upstream/conn.go", "if c.ordered {", "if c.ordered && c.net == nil {",
+		"./node/upstream", "OrderGivenUp",
+	},
 }
